--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,243 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// Request is one request that wants a slot.
+type Request struct {
+	// ID is unique among the requests of the queue.
+	ID uint64
+	// Customer shares the queue with the others by weight.
+	Customer string
+	// Weight is the customer's share relative to the others; 0 stands for 1.
+	Weight float64
+	// Deadline is when the answer is no longer of use.
+	Deadline time.Time
+}
+
+// Action says what becomes of a request.
+type Action uint8
+
+// The actions.
+const (
+	// Run takes a slot now.
+	Run Action = iota
+	// Wait stays in the queue until a later decision names it.
+	Wait
+	// Refuse ends the request; it was not run.
+	Refuse
+)
+
+// Decision is what becomes of one request.
+type Decision struct {
+	// ID is the request's.
+	ID uint64
+	// Action says what to do.
+	Action Action
+	// Code gives the reason for a refusal.
+	Code fault.Code
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+}
+
+const (
+	serviceMemory   = 0.05
+	firstService    = 5 * time.Millisecond
+	leastRetryAfter = 20 * time.Millisecond
+	spreadLow       = 0.75
+	spreadWidth     = 1.0
+)
+
+type waiting struct {
+	Request
+	tag float64
+}
+
+// Queue is the admission state of one endpoint; its owner locks it.
+//
+// Invariant: at most the set number of slots is taken at any time.
+type Queue struct {
+	slots   int
+	most    int
+	busy    int
+	queue   []waiting
+	clock   float64
+	finish  map[string]float64
+	service float64
+	spread  float64
+	random  *rand.Rand
+}
+
+// NewQueue returns an empty queue with its own random numbers for the spread of Retry-After.
+func NewQueue(slots, most int, random *rand.Rand) *Queue {
+	return &Queue{
+		slots: slots, most: most, random: random,
+		finish: make(map[string]float64), service: firstService.Seconds(),
+	}
+}
+
+// SetLimits replaces the number of slots and of waiting requests; what runs is left to end.
+func (q *Queue) SetLimits(slots, most int) {
+	q.slots = slots
+	q.most = most
+}
+
+// Busy returns the slots taken.
+func (q *Queue) Busy() int { return q.busy }
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return len(q.queue) }
+
+// Offer decides about a new request; the second result names a waiting request that had to make room.
+func (q *Queue) Offer(now time.Time, r Request) (Decision, []Decision) {
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	if q.busy < q.slots && len(q.queue) == 0 {
+		q.busy++
+		q.charge(r)
+		return Decision{ID: r.ID, Action: Run}, nil
+	}
+	w := waiting{Request: r, tag: q.startTag(r)}
+	at, _ := slices.BinarySearchFunc(q.queue, w, func(a, b waiting) int {
+		if a.tag <= b.tag {
+			return -1
+		}
+		return 1
+	})
+	if !q.inTime(now, at, r.Deadline) {
+		return q.refuse(r.ID, fault.DeadlineTooShort), nil
+	}
+	var out []Decision
+	if len(q.queue) >= q.most {
+		victim, ok := q.victim(r)
+		if !ok {
+			return q.refuse(r.ID, fault.Overloaded), nil
+		}
+		out = append(out, q.refuse(q.queue[victim].ID, fault.Overloaded))
+		q.remove(victim)
+		if victim < at {
+			at--
+		}
+	}
+	q.queue = slices.Insert(q.queue, at, w)
+	q.charge(r)
+	return Decision{ID: r.ID, Action: Wait}, out
+}
+
+// startTag is the virtual time at which the customer's next request may start (start-time fair queueing).
+func (q *Queue) startTag(r Request) float64 { return max(q.clock, q.finish[r.Customer]) }
+
+func (q *Queue) charge(r Request) { q.finish[r.Customer] = q.startTag(r) + 1/r.Weight }
+
+func (q *Queue) remove(i int) {
+	w := q.queue[i]
+	q.queue = slices.Delete(q.queue, i, i+1)
+	q.finish[w.Customer] -= 1 / w.Weight
+}
+
+// victim returns the newest request of the customer that holds the most of the queue for its weight, if that is more
+// than the new request's customer would hold.
+func (q *Queue) victim(r Request) (int, bool) {
+	held := make(map[string]float64)
+	for _, w := range q.queue {
+		held[w.Customer] += 1 / w.Weight
+	}
+	mine := held[r.Customer] + 1/r.Weight
+	worst, most := -1, mine
+	for i, w := range q.queue {
+		if h := held[w.Customer]; w.Customer != r.Customer && h >= most && h > mine {
+			worst, most = i, h
+		}
+	}
+	return worst, worst >= 0
+}
+
+// inTime tells whether a request at a place in the queue can end before its deadline.
+func (q *Queue) inTime(now time.Time, place int, deadline time.Time) bool {
+	turns := float64(place+1) / float64(max(q.slots, 1))
+	// Half a service time passes on average until the first slot comes free.
+	need := (turns + 1) * q.typical()
+	return now.Add(time.Duration(need * float64(time.Second))).Before(deadline)
+}
+
+// typical is the usual service time with an allowance for its spread, in seconds.
+func (q *Queue) typical() float64 { return q.service + q.spread }
+
+func (q *Queue) refuse(id uint64, code fault.Code) Decision {
+	return Decision{ID: id, Action: Refuse, Code: code, RetryAfter: q.RetryAfter()}
+}
+
+// RetryAfter is the time in which what is here now drains, spread so that callers don't come back together.
+func (q *Queue) RetryAfter() time.Duration {
+	drain := float64(len(q.queue)+q.busy+1) / float64(max(q.slots, 1)) * q.service
+	d := time.Duration(drain * (spreadLow + spreadWidth*q.random.Float64()) * float64(time.Second))
+	return max(d, leastRetryAfter)
+}
+
+// Done frees a slot after a service time and decides about the waiting requests: some run, and those that can no
+// longer end in time are refused at once.
+func (q *Queue) Done(now time.Time, service time.Duration) []Decision {
+	q.busy--
+	if service > 0 {
+		diff := service.Seconds() - q.service
+		q.service += diff * serviceMemory
+		q.spread += (max(diff, -diff) - q.spread) * serviceMemory
+	}
+	return q.fill(now)
+}
+
+// Cancel takes a waiting request out; false if it does not wait (any more).
+func (q *Queue) Cancel(id uint64) bool {
+	i := slices.IndexFunc(q.queue, func(w waiting) bool { return w.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.remove(i)
+	return true
+}
+
+func (q *Queue) fill(now time.Time) []Decision {
+	var out []Decision
+	for q.busy < q.slots && len(q.queue) > 0 {
+		w := q.queue[0]
+		q.queue = slices.Delete(q.queue, 0, 1)
+		q.clock = max(q.clock, w.tag)
+		if !now.Add(time.Duration(q.service * float64(time.Second))).Before(w.Deadline) {
+			out = append(out, q.refuse(w.ID, fault.DeadlineTooShort))
+			continue
+		}
+		q.busy++
+		out = append(out, Decision{ID: w.ID, Action: Run})
+	}
+	return append(out, q.prune(now)...)
+}
+
+// prune refuses the waiting requests that cannot end in time any more, and forgets idle customers.
+func (q *Queue) prune(now time.Time) []Decision {
+	var out []Decision
+	for i := 0; i < len(q.queue); {
+		if q.inTime(now, i, q.queue[i].Deadline) {
+			i++
+			continue
+		}
+		out = append(out, q.refuse(q.queue[i].ID, fault.DeadlineTooShort))
+		q.remove(i)
+	}
+	if len(q.queue) == 0 {
+		for c, f := range q.finish {
+			if f <= q.clock {
+				delete(q.finish, c)
+			}
+		}
+		if q.busy == 0 {
+			clear(q.finish)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Candidate is one endpoint as the chooser sees it at this moment.
+type Candidate struct {
+	// Key names the endpoint.
+	Key string
+	// Weight is its configured weight times its slots, scaled by the share it may take.
+	Weight float64
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Outstanding is how many requests it is known to hold: the larger of the chooser's own and of the last report.
+	Outstanding int
+	// Latency is its recent service time, 0 while unknown.
+	Latency time.Duration
+	// Distance is the time that the way there and back takes.
+	Distance time.Duration
+	// SuccessShare is the recent share of good answers, 0 to 1.
+	SuccessShare float64
+	// LastChoice is used only when every other candidate is full.
+	LastChoice bool
+}
+
+const (
+	// defaultLatency stands for a service time that nobody has seen.
+	defaultLatency = 5 * time.Millisecond
+	// leastSuccess keeps a few failures from making the cost endless.
+	leastSuccess = 0.05
+	samples      = 2
+)
+
+// Cost returns the expected time to a good answer in seconds: the way, the wait behind what is outstanding, the
+// work, all as often as the success share demands.
+func Cost(c Candidate) float64 {
+	latency := c.Latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	slots := float64(max(c.Slots, 1))
+	waiting := max(0, float64(c.Outstanding)+1-slots) / slots
+	busy := float64(c.Outstanding) / slots
+	work := latency.Seconds() * (1 + waiting + busy/2)
+	return (work + c.Distance.Seconds()) / max(c.SuccessShare, leastSuccess)
+}
+
+// Choose returns the index of a candidate, -1 if there is none. Two are drawn by weight and the cheaper one is
+// taken: with views that lag, taking the cheapest of all sends every chooser to the same endpoint.
+func Choose(candidates []Candidate, r *rand.Rand) int {
+	if i := choose(candidates, r, func(c Candidate) bool { return !c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
+		return i
+	}
+	if i := choose(candidates, r, func(c Candidate) bool { return c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
+		return i
+	}
+	return choose(candidates, r, func(Candidate) bool { return true })
+}
+
+func choose(candidates []Candidate, r *rand.Rand, fits func(Candidate) bool) int {
+	total := 0.0
+	for _, c := range candidates {
+		if fits(c) {
+			total += c.Weight
+		}
+	}
+	if total <= 0 {
+		return -1
+	}
+	best := -1
+	for range samples {
+		i := draw(candidates, fits, r.Float64()*total)
+		if best < 0 || i >= 0 && Cost(candidates[i]) < Cost(candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func draw(candidates []Candidate, fits func(Candidate) bool, at float64) int {
+	last := -1
+	for i, c := range candidates {
+		if !fits(c) || c.Weight <= 0 {
+			continue
+		}
+		last = i
+		at -= c.Weight
+		if at < 0 {
+			return i
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/changes/doc.go
@@ -0,0 +1,2 @@
+// Package changes gets operators' edits accepted by the platform's table and reads the accepted ones back in order.
+package changes
--- /dev/null
+++ b/cli/reports.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/settings"
+)
+
+func reportCommands() []command {
+	return []command{
+		{name: "status", args: "", help: "show every node of the settings: revision in force, links, work", run: runStatus},
+		{name: "explain", args: "SERVICE [ENDPOINT]", help: "show why endpoints are in use or ejected, as each node sees it", run: runExplain},
+	}
+}
+
+func (a *app) askNode(node settings.Address, path string, out any) error {
+	ctx, cancel := context.WithTimeout(a.ctx, a.cfg.Platform.Timeout.Std())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.String()+path, nil)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, path, "request cannot be built")
+	}
+	req.Header.Set("Authorization", "Bearer "+string(a.cfg.Token))
+	resp, err := httpc.DoRequest(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, node.String(), "node does not answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fault.New(fault.Unavailable, node.String(), "node answers "+strconv.Itoa(resp.StatusCode))
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fault.Wrap(err, fault.Protocol, node.String(), "node's answer cannot be read")
+	}
+	return nil
+}
+
+// runStatus prints a line for every node; it fails at the end if one did not answer.
+func runStatus(a *app, f *flag.FlagSet) error {
+	if f.NArg() != 0 {
+		return wrongArgs(f)
+	}
+	var values []operator.Status
+	var lines [][]string
+	var failed error
+	for _, node := range a.cfg.Nodes {
+		var s operator.Status
+		if err := a.askNode(node, operator.PathStatus, &s); err != nil {
+			failed = err
+			lines = append(lines, []string{node.String(), "-", "no answer", "-", "-", "-", "-"})
+			continue
+		}
+		values = append(values, s)
+		busy, done := 0, uint64(0)
+		for _, e := range s.Endpoints {
+			busy += e.Busy + e.Waiting
+			done += e.Finished
+		}
+		lines = append(lines, []string{
+			s.Node, s.Hall, strconv.FormatBool(s.Ready), strconv.FormatUint(s.Revision, 10),
+			fmt.Sprintf("%d/%d", s.LinksDialed, s.LinksAccepted), strconv.Itoa(busy), strconv.FormatUint(done, 10),
+		})
+	}
+	head := []string{"NODE", "HALL", "READY", "REVISION", "LINKS", "BUSY", "FINISHED"}
+	if err := a.printReport(values, head, lines); err != nil {
+		return err
+	}
+	return failed
+}
+
+// nodeExplanation is an explanation with the node that gave it.
+type nodeExplanation struct {
+	Node string `json:"node"`
+	director.Explanation
+}
+
+func runExplain(a *app, f *flag.FlagSet) error {
+	if f.NArg() < 1 || f.NArg() > 2 {
+		return wrongArgs(f)
+	}
+	var values []nodeExplanation
+	var lines [][]string
+	for _, node := range a.cfg.Nodes {
+		var list []director.Explanation
+		if err := a.askNode(node, operator.PathExplain+"?service="+url.QueryEscape(f.Arg(0)), &list); err != nil {
+			return err
+		}
+		for _, e := range list {
+			if f.NArg() == 2 && e.Endpoint != f.Arg(1) {
+				continue
+			}
+			values = append(values, nodeExplanation{Node: node.String(), Explanation: e})
+			lines = append(lines, []string{
+				node.String(), e.Endpoint, e.Phase, strconv.FormatBool(e.Open), e.Test,
+				strconv.FormatFloat(e.Score, 'f', 1, 64), strconv.FormatFloat(e.Threshold, 'f', 1, 64),
+				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections),
+			})
+		}
+	}
+	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS"}
+	return a.printReport(values, head, lines)
+}
--- /dev/null
+++ b/cmd/lynxplank-standin/main.go
@@ -0,0 +1,65 @@
+// Command lynxplank-standin takes the place of the platform or of an endpoint in tests and the demo.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/lynxplank/lynxplank/outbound"
+	"github.com/lynxplank/lynxplank/serve"
+	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/store"
+)
+
+const stopGrace = 30 * time.Second
+
+func main() {
+	role := flag.String("role", "", `"platform" or "endpoint"`)
+	listen := flag.String("listen", "127.0.0.1:0", "IP and port")
+	name := flag.String("name", "endpoint", "the endpoint's name in its answers")
+	how := flag.String("behaviour", `{"work_millis":2}`, "the endpoint's behaviour, JSON")
+	seed := flag.Uint64("seed", 1, "seed of the endpoint's random faults")
+	flag.Parse()
+	if err := run(*role, *listen, *name, *how, *seed); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(role, listen, name, how string, seed uint64) error {
+	address, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return err
+	}
+	var server *serve.Server
+	switch role {
+	case "platform":
+		server = store.NewServer(store.New(), address)
+	case "endpoint":
+		var b backend.Behaviour
+		if err := json.Unmarshal([]byte(how), &b); err != nil {
+			return err
+		}
+		server = backend.NewServer(backend.New(name, b, seed), address)
+	default:
+		flag.Usage()
+		os.Exit(2)
+	}
+	outbound.Tune()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := server.Start(context.Background()); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	return server.Stop(ctx)
+}
--- /dev/null
+++ b/director/director.go
@@ -0,0 +1,271 @@
+package director
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/eject"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Config is what a director needs to know of its node.
+type Config struct {
+	// Hall is the node's hall.
+	Hall string
+	// Distance is the time there and back to another hall.
+	Distance time.Duration
+}
+
+const (
+	tickEvery   = 100 * time.Millisecond
+	backlog     = 8192
+	forgetAfter = 10 * time.Minute
+)
+
+// Director owns the detectors; it is a kernel component.
+type Director struct {
+	cfg     Config
+	log     *zerolog.Logger
+	state   func() *table.State
+	leaving func(host string) bool
+	usable  func(host string) bool
+
+	views    atomic.Pointer[map[string]*view]
+	messages chan message
+	dropped  atomic.Uint64
+	done     chan struct{}
+	stop     context.CancelFunc
+
+	// The control goroutine alone uses what follows.
+	services map[string]*runtime
+}
+
+// view is what traffic reads of one service; immutable but for its targets.
+type view struct {
+	revision uint64
+	service  table.ServiceView
+	entries  []entry
+	marks    eject.Marks
+}
+
+type entry struct {
+	endpoint table.Entry[table.Endpoint]
+	phase    table.Phase
+	verdict  eject.Verdict
+	target   *target
+	addedAt  time.Time
+}
+
+type runtime struct {
+	key      string
+	detector *eject.Service
+	targets  map[string]*target
+	added    map[string]time.Time
+	phases   map[string]eject.Phase
+	revision uint64
+	usedAt   time.Time
+}
+
+// New returns a director; leaving and usable tell what the host list and the links say of a host.
+func New(cfg Config, log *zerolog.Logger, state func() *table.State, leaving, usable func(host string) bool) *Director {
+	d := &Director{
+		cfg: cfg, log: log, state: state, leaving: leaving, usable: usable,
+		messages: make(chan message, backlog), done: make(chan struct{}),
+		services: make(map[string]*runtime),
+	}
+	d.views.Store(&map[string]*view{})
+	return d
+}
+
+// Start starts the control goroutine.
+func (d *Director) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	go d.control(ctx)
+	return nil
+}
+
+// Stop ends the control goroutine.
+func (d *Director) Stop(context.Context) error {
+	d.stop()
+	<-d.done
+	return nil
+}
+
+func (d *Director) control(ctx context.Context) {
+	defer close(d.done)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-d.messages:
+			m.apply(d, time.Now())
+		case now := <-tick.C:
+			d.tick(now)
+		}
+	}
+}
+
+func (d *Director) tick(now time.Time) {
+	if n := d.dropped.Swap(0); n > 0 {
+		events.ReportsDropped.Log(d.log).Uint64("count", n).Send()
+	}
+	for key, rt := range d.services {
+		if now.Sub(rt.usedAt) > forgetAfter {
+			delete(d.services, key)
+			d.publish(key, nil)
+			continue
+		}
+		rt.detector.Tick(now)
+		d.refresh(now, rt)
+	}
+}
+
+// runtimeOf returns the service's runtime, nil for a service that is not in the table.
+func (d *Director) runtimeOf(now time.Time, key string) *runtime {
+	rt := d.services[key]
+	if rt == nil {
+		if _, ok := d.state().Service(key); !ok {
+			return nil
+		}
+		rt = &runtime{
+			key: key, detector: eject.NewService(eject.DefaultConfig()),
+			targets: make(map[string]*target), added: make(map[string]time.Time),
+			phases: make(map[string]eject.Phase),
+		}
+		d.services[key] = rt
+	}
+	rt.usedAt = now
+	return rt
+}
+
+// refresh brings the detector to the table in force and publishes the view.
+func (d *Director) refresh(now time.Time, rt *runtime) {
+	s := d.state()
+	sv, ok := s.Service(rt.key)
+	if !ok {
+		delete(d.services, rt.key)
+		d.publish(rt.key, nil)
+		return
+	}
+	if rt.revision != s.Revision() {
+		cfg := eject.DefaultConfig().With(float64(sv.Value.FalseEjections), float64(sv.Value.Floor))
+		rt.detector.SetConfig(now, cfg)
+		rt.revision = s.Revision()
+	}
+	list := make([]eject.Endpoint, 0, len(sv.Endpoints))
+	for _, e := range sv.Endpoints {
+		usable := s.EndpointPhase(e) == table.Active && !d.leaving(e.Value.Host)
+		list = append(list, eject.Endpoint{
+			Key: e.Key, Capacity: float64(e.Value.Weight) * float64(e.Value.Slots), Usable: usable,
+		})
+	}
+	rt.detector.SetEndpoints(now, list)
+	d.publish(rt.key, d.viewOf(now, rt, s, sv))
+}
+
+func (d *Director) viewOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) *view {
+	v := &view{revision: s.Revision(), service: sv, marks: rt.detector.Marks()}
+	known := make(map[string]bool, len(sv.Endpoints))
+	for _, e := range sv.Endpoints {
+		known[e.Key] = true
+		t := rt.targets[e.Key]
+		if t == nil {
+			t = newTarget()
+			rt.targets[e.Key] = t
+			rt.added[e.Key] = now
+		}
+		verdict := rt.detector.Verdict(e.Key)
+		d.notePhase(rt, e.Key, verdict)
+		v.entries = append(v.entries, entry{
+			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: t, addedAt: rt.added[e.Key],
+		})
+	}
+	for key := range rt.targets {
+		if !known[key] {
+			delete(rt.targets, key)
+			delete(rt.added, key)
+			delete(rt.phases, key)
+		}
+	}
+	return v
+}
+
+func (d *Director) notePhase(rt *runtime, key string, v eject.Verdict) {
+	if rt.phases[key] == v.Phase {
+		return
+	}
+	events.PhaseChanged.Log(d.log).Str("service", rt.key).Str("endpoint", key).
+		Str("from", rt.phases[key].String()).Str("to", v.Phase.String()).
+		Str("test", v.Test).Float64("score", v.Score).Float64("threshold", v.Threshold).Send()
+	rt.phases[key] = v.Phase
+}
+
+// publish replaces one service's view; nil takes it out.
+func (d *Director) publish(key string, v *view) {
+	old := *d.views.Load()
+	next := make(map[string]*view, len(old)+1)
+	maps.Copy(next, old)
+	if v == nil {
+		delete(next, key)
+	} else {
+		next[key] = v
+	}
+	d.views.Store(&next)
+}
+
+// message is one event for the control goroutine.
+type message interface {
+	apply(d *Director, now time.Time)
+}
+
+// send hands a message to the control goroutine; when it lags, the message is counted and dropped.
+func (d *Director) send(m message) {
+	select {
+	case d.messages <- m:
+	default:
+		d.dropped.Add(1)
+	}
+}
+
+type meetMessage struct {
+	service string
+	done    chan struct{}
+}
+
+func (m meetMessage) apply(d *Director, now time.Time) {
+	defer close(m.done)
+	if rt := d.runtimeOf(now, m.service); rt != nil {
+		d.refresh(now, rt)
+	}
+}
+
+// view returns the service's view, after the control goroutine has met the service if need be.
+func (d *Director) view(ctx context.Context, service string) (*view, error) {
+	if v := (*d.views.Load())[service]; v != nil {
+		return v, nil
+	}
+	m := meetMessage{service: service, done: make(chan struct{})}
+	select {
+	case d.messages <- m:
+	case <-ctx.Done():
+		return nil, fault.New(fault.Canceled, service, "caller went away")
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	case <-d.done:
+	}
+	if v := (*d.views.Load())[service]; v != nil {
+		return v, nil
+	}
+	return nil, fault.New(fault.NoEndpoint, service, "no such service")
+}
--- /dev/null
+++ b/director/pick.go
@@ -0,0 +1,141 @@
+package director
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lynxplank/lynxplank/balance"
+	"github.com/lynxplank/lynxplank/eject"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Wish is what a request asks of its endpoint.
+type Wish struct {
+	// Service is the service's key.
+	Service string
+	// Repeatable requests may try an endpoint that is on trial.
+	Repeatable bool
+	// Tried are the endpoints that were tried before.
+	Tried []string
+	// Only restricts the choice to one endpoint.
+	Only string
+}
+
+const leastShare = 0.05
+
+// Pick chooses an endpoint, NoEndpoint when none can be tried. Release must follow.
+func (d *Director) Pick(ctx context.Context, w Wish) (Pick, error) {
+	v, err := d.view(ctx, w.Service)
+	if err != nil {
+		return Pick{}, err
+	}
+	now := time.Now()
+	candidates := make([]balance.Candidate, 0, len(v.entries))
+	from := make([]int, 0, len(v.entries))
+	for i := range v.entries {
+		e := &v.entries[i]
+		if !d.open(e, now) || slices.Contains(w.Tried, e.endpoint.Key) {
+			continue
+		}
+		if w.Only != "" && e.endpoint.Key != w.Only {
+			continue
+		}
+		switch e.verdict.Phase {
+		case eject.Ejected:
+			continue
+		case eject.Trickle:
+			if w.Repeatable && len(w.Tried) == 0 && e.target.trickling.CompareAndSwap(false, true) {
+				return v.pick(i, true), nil
+			}
+			continue
+		case eject.Serving, eject.LastChoice, eject.Ramp:
+		}
+		candidates = append(candidates, d.candidate(v, e, now))
+		from = append(from, i)
+	}
+	i := balance.Choose(candidates, rand.New(globalSource{})) //nolint:gosec // a draw, no secret
+	if i < 0 {
+		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
+	}
+	return v.pick(from[i], false), nil
+}
+
+// globalSource draws from the runtime's random numbers, which need no lock.
+type globalSource struct{}
+
+// Uint64 implements rand.Source.
+func (globalSource) Uint64() uint64 { return rand.Uint64() } //nolint:gosec // a draw, no secret
+
+// open tells whether an endpoint may get new work as far as the table, the host list, its own word and the link say.
+func (d *Director) open(e *entry, now time.Time) bool {
+	host := e.endpoint.Value.Host
+	return e.phase == table.Active && !e.target.leaving(now) && !d.leaving(host) && d.usable(host)
+}
+
+func (d *Director) candidate(v *view, e *entry, now time.Time) balance.Candidate {
+	row := e.endpoint.Value
+	distance := d.cfg.Distance
+	if row.Hall == d.cfg.Hall {
+		distance = 0
+	}
+	return balance.Candidate{
+		Key:          e.endpoint.Key,
+		Weight:       float64(row.Weight) * float64(row.Slots) * e.verdict.Share * warmth(v, e, now),
+		Slots:        int(row.Slots),
+		Outstanding:  e.target.outstanding(now),
+		Latency:      time.Duration(math.Float64frombits(e.target.latency.Load())),
+		Distance:     distance,
+		SuccessShare: math.Float64frombits(e.target.success.Load()),
+		LastChoice:   e.verdict.Phase == eject.LastChoice,
+	}
+}
+
+// warmth is the growing share of an endpoint that came while the service was being served.
+func warmth(v *view, e *entry, now time.Time) float64 {
+	warmup := time.Duration(v.service.Value.Warmup)
+	age := now.Sub(e.addedAt)
+	if age >= warmup || !v.someOlder(e.addedAt) {
+		return 1
+	}
+	return max(leastShare, float64(age)/float64(warmup))
+}
+
+func (v *view) someOlder(than time.Time) bool {
+	for i := range v.entries {
+		if v.entries[i].addedAt.Before(than) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *view) pick(i int, trial bool) Pick {
+	e := &v.entries[i]
+	e.target.inFlight.Add(1)
+	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target}
+	p.Typical = time.Duration(math.Float64frombits(e.target.latency.Load()))
+	if v.marks.Known {
+		p.Late = v.marks.Late
+	}
+	return p
+}
+
+// Homely tells whether the endpoint would be chosen at all, and so may run a keyed request at its home.
+func (d *Director) Homely(ctx context.Context, service, endpoint string) bool {
+	v, err := d.view(ctx, service)
+	if err != nil {
+		return false
+	}
+	now := time.Now()
+	for i := range v.entries {
+		e := &v.entries[i]
+		if e.endpoint.Key == endpoint {
+			return d.open(e, now) && (e.verdict.Phase == eject.Serving || e.verdict.Phase == eject.LastChoice)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/director/report.go
@@ -0,0 +1,162 @@
+package director
+
+import (
+	"time"
+
+	"github.com/lynxplank/lynxplank/eject"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+)
+
+// Report is what one exchange showed of its endpoint.
+type Report struct {
+	// Service is the service's key.
+	Service string
+	// Pick is the choice that led to the exchange.
+	Pick Pick
+	// Worked is set when the endpoint had the request.
+	Worked bool
+	// Failed is set when it did not do the work.
+	Failed bool
+	// WasLate is set when the exchange was reported overdue before.
+	WasLate bool
+	// Load is what the egress attached, nil when nothing came back.
+	Load *peerpb.Load
+}
+
+// Done frees the pick and takes the report.
+func (d *Director) Done(r Report) {
+	now := time.Now()
+	t := r.Pick.target
+	t.inFlight.Add(-1)
+	if r.Pick.Trial {
+		t.trickling.Store(false)
+	}
+	t.noteLoad(now, r.Load)
+	if r.Worked {
+		success := 1.0
+		if r.Failed {
+			success = 0
+		}
+		move(&t.success, max(success, 1e-9))
+		if service := r.Load.GetServiceMicros(); service > 0 && !r.Failed {
+			move(&t.latency, float64(time.Duration(service)*time.Microsecond))
+		}
+	}
+	d.send(r)
+}
+
+func (r Report) apply(d *Director, now time.Time) {
+	rt := d.runtimeOf(now, r.Service)
+	if rt == nil {
+		return
+	}
+	key := r.Pick.Endpoint.Key
+	before := rt.detector.Verdict(key).Phase
+	if r.Worked {
+		ev := eject.Event{Kind: eject.Success, Counted: r.WasLate}
+		if r.Failed {
+			ev.Kind = eject.Failure
+		}
+		ev.Latency = time.Duration(r.Load.GetServiceMicros()) * time.Microsecond
+		rt.detector.Observe(now, key, ev)
+	}
+	r.shareTotals(now, rt, key)
+	if rt.detector.Verdict(key).Phase != before {
+		d.refresh(now, rt)
+	}
+}
+
+// shareTotals feeds the detector with what other nodes' requests showed the egress since the last report.
+func (r Report) shareTotals(now time.Time, rt *runtime, key string) {
+	t := r.Pick.target
+	if r.Load == nil {
+		return
+	}
+	if r.Worked {
+		t.ownFinished++
+		if r.Failed {
+			t.ownFailed++
+		}
+	}
+	finished, failed := r.Load.GetFinished(), r.Load.GetFailed()
+	if t.incarnation != r.Load.GetIncarnation() {
+		t.incarnation = r.Load.GetIncarnation()
+	} else if finished > t.totalFinished {
+		others := lessOwn(finished-t.totalFinished, t.ownFinished)
+		othersFailed := min(others, lessOwn(failed-min(failed, t.totalFailed), t.ownFailed))
+		rt.detector.Report(now, key, others, othersFailed)
+	} else {
+		// An answer that was overtaken by a later one; its work is in the later totals already.
+		return
+	}
+	t.totalFinished, t.totalFailed = finished, failed
+	t.ownFinished, t.ownFailed = 0, 0
+}
+
+func lessOwn(total, own uint64) uint64 { return total - min(total, own) }
+
+// Late reports an exchange that has taken long and has not ended.
+func (d *Director) Late(service string, p Pick) {
+	d.send(lateMessage{service: service, pick: p})
+}
+
+type lateMessage struct {
+	service string
+	pick    Pick
+}
+
+func (m lateMessage) apply(d *Director, now time.Time) {
+	rt := d.runtimeOf(now, m.service)
+	if rt == nil {
+		return
+	}
+	key := m.pick.Endpoint.Key
+	before := rt.detector.Verdict(key).Phase
+	rt.detector.Observe(now, key, eject.Event{Kind: eject.Overdue, Latency: m.pick.Late + time.Microsecond})
+	if rt.detector.Verdict(key).Phase != before {
+		d.refresh(now, rt)
+	}
+}
+
+// Explanation is why an endpoint is treated as it is.
+type Explanation struct {
+	// Endpoint is the endpoint's key.
+	Endpoint string `json:"endpoint"`
+	// Phase is the detector's phase.
+	Phase string `json:"phase"`
+	// Test is the test with the highest score.
+	Test string `json:"test"`
+	// Score is the evidence against it, in nats.
+	Score float64 `json:"score"`
+	// Threshold is the score that ejects.
+	Threshold float64 `json:"threshold"`
+	// Ejections is how often it was ejected of late.
+	Ejections int `json:"ejections"`
+	// HeldByFloor is set when only the floor keeps it in use.
+	HeldByFloor bool `json:"held_by_floor"`
+	// InFlight is how many of this node's requests it holds.
+	InFlight int64 `json:"in_flight"`
+	// Open is false when the table, the host list, its own word or the link keep new work from it.
+	Open bool `json:"open"`
+}
+
+// Explain returns why the endpoints of the services that this node met are treated as they are.
+func (d *Director) Explain(service string) []Explanation {
+	now := time.Now()
+	var out []Explanation
+	for key, v := range *d.views.Load() {
+		if service != "" && key != service {
+			continue
+		}
+		for i := range v.entries {
+			e := &v.entries[i]
+			out = append(out, Explanation{
+				Endpoint: e.endpoint.Key, Phase: e.verdict.Phase.String(), Test: e.verdict.Test,
+				Score: e.verdict.Score, Threshold: e.verdict.Threshold, Ejections: e.verdict.Ejections,
+				HeldByFloor: e.verdict.Phase == eject.LastChoice,
+				InFlight:    e.target.inFlight.Load(), Open: d.open(e, now),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/director/target.go
@@ -0,0 +1,92 @@
+package director
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// target is what traffic shares about one endpoint; it outlives changes of its row.
+type target struct {
+	inFlight  atomic.Int64
+	reported  atomic.Int64
+	reportAt  atomic.Int64
+	latency   atomic.Uint64
+	success   atomic.Uint64
+	leavingAt atomic.Int64
+	trickling atomic.Bool
+
+	// The control goroutine alone uses these: the egress's totals at the last report, and our own share since.
+	incarnation   uint64
+	totalFinished uint64
+	totalFailed   uint64
+	ownFinished   uint64
+	ownFailed     uint64
+}
+
+const (
+	latencyMemory = 0.1
+	// A load report counts for less with age and for nothing after this.
+	reportLife  = 500 * time.Millisecond
+	leavingLife = 5 * time.Second
+)
+
+func newTarget() *target {
+	t := new(target)
+	t.success.Store(math.Float64bits(1))
+	return t
+}
+
+// move shifts a float that several goroutines share towards a new value; a lost update is harmless.
+func move(f *atomic.Uint64, to float64) {
+	old := math.Float64frombits(f.Load())
+	if old == 0 {
+		f.Store(math.Float64bits(to))
+		return
+	}
+	f.Store(math.Float64bits(old + (to-old)*latencyMemory))
+}
+
+// outstanding is the larger of what this node has sent and of what the egress last reported, faded with age: reports
+// that lag are outvoted by what was seen.
+func (t *target) outstanding(now time.Time) int {
+	own := t.inFlight.Load()
+	age := now.UnixNano() - t.reportAt.Load()
+	if age >= int64(reportLife) {
+		return int(own)
+	}
+	faded := float64(t.reported.Load()) * (1 - float64(age)/float64(reportLife))
+	return int(max(own, int64(faded)))
+}
+
+func (t *target) noteLoad(now time.Time, load *peerpb.Load) {
+	if load == nil {
+		return
+	}
+	t.reported.Store(int64(load.GetBusy()) + int64(load.GetQueued()))
+	t.reportAt.Store(now.UnixNano())
+	if load.GetLeaving() {
+		t.leavingAt.Store(now.UnixNano())
+	}
+}
+
+// leaving believes an endpoint's word for a while, then lets one request find out.
+func (t *target) leaving(now time.Time) bool {
+	return now.UnixNano()-t.leavingAt.Load() < int64(leavingLife)
+}
+
+// Pick is a chosen endpoint.
+type Pick struct {
+	// Endpoint is its row.
+	Endpoint table.Entry[table.Endpoint]
+	// Late is the service time after which the work counts as overdue, 0 while unknown.
+	Late time.Duration
+	// Typical is the endpoint's usual service time, 0 while unknown.
+	Typical time.Duration
+	// Trial is set when the endpoint is on trial and this is its one request.
+	Trial  bool
+	target *target
+}
--- /dev/null
+++ b/egress/egress.go
@@ -0,0 +1,235 @@
+package egress
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/dedupe"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/flight"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Config is the egress's section of the settings.
+type Config struct {
+	// Host is this node's host.
+	Host string
+	// Incarnation tells this process from earlier ones.
+	Incarnation uint64
+	// ProbePath is asked of an endpoint that said it is leaving.
+	ProbePath string
+	// ProbeEvery is the time between these questions.
+	ProbeEvery time.Duration
+	// KeyWindow is how long idempotency keys are remembered.
+	KeyWindow time.Duration
+	// KeyBytes bounds the memory for keys, in bytes.
+	KeyBytes int
+}
+
+// Egress serves the endpoints beside this node; it is a kernel component.
+type Egress struct {
+	cfg     Config
+	log     *zerolog.Logger
+	state   func() *table.State
+	keys    *keys
+	nextID  atomic.Uint64
+	closing atomic.Bool
+	flight  flight.Counter
+	cancel  context.CancelFunc
+
+	mu     sync.Mutex
+	locals map[string]*local
+}
+
+const (
+	drainRetryAfter = time.Second
+	shortRetryAfter = 100 * time.Millisecond
+)
+
+// New returns an egress that reads the configuration from state.
+func New(cfg Config, log *zerolog.Logger, state func() *table.State) *Egress {
+	return &Egress{
+		cfg: cfg, log: log, state: state,
+		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow),
+		locals: make(map[string]*local),
+	}
+}
+
+// Start begins to watch the endpoints that say they are leaving.
+func (e *Egress) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.watchLeaving(ctx)
+	return nil
+}
+
+// Close takes nothing new from now on.
+func (e *Egress) Close() { e.closing.Store(true) }
+
+// Stop waits for the requests in flight as long as ctx allows.
+func (e *Egress) Stop(ctx context.Context) error {
+	e.Close()
+	defer e.cancel()
+	return e.flight.Wait(ctx, "egress")
+}
+
+// Observe takes a new state in force: it tells the keys' homes which endpoints share them.
+func (e *Egress) Observe(now time.Time, s *table.State) { e.keys.observe(now, s, e.cfg.Host) }
+
+// Serve runs one request at the endpoint and returns how it ended.
+//
+// Invariant: it returns NOT_RUN only if the request's bytes were not handed to a connection of the endpoint, or the
+// endpoint itself marked its answer as not run.
+func (e *Egress) Serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
+	e.flight.Add()
+	defer e.flight.Done()
+	end := e.serve(ctx, d, body, sink)
+	end.Revision = e.state().Revision()
+	return end
+}
+
+func (e *Egress) serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
+	if d.GetClaim() == nil {
+		return e.admitAndRun(ctx, d, body, sink)
+	}
+	if e.closing.Load() {
+		// Nothing is said about the key: its record leaves with this process.
+		return peer.NotRun(fault.KeyRefused, drainRetryAfter)
+	}
+	if !e.here(d) {
+		return peer.NotRun(fault.WrongHost, shortRetryAfter)
+	}
+	verdict, answer := e.keys.claim(d)
+	if verdict != dedupe.Grant {
+		return verdictEnd(verdict, answer, sink)
+	}
+	if d.GetClaim().GetClaimOnly() {
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_CLAIMED}
+	}
+	keep := &keepingSink{Sink: sink}
+	end := e.admitAndRun(ctx, d, body, keep)
+	e.keys.settle(d.GetClaim().GetScope(), d.GetClaim().GetKey(), end.GetOutcome(), keep.answer(end))
+	return end
+}
+
+func (e *Egress) admitAndRun(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
+	l, end := e.find(d)
+	if end != nil {
+		return end
+	}
+	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
+		end.Load = l.load(0, e.cfg.Incarnation)
+		return end
+	}
+	if d.GetClaim() != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = detach(ctx)
+		defer cancel()
+	}
+	start := time.Now()
+	result := l.run(ctx, d, body, sink)
+	service := time.Since(start)
+	l.release(service, result)
+	e.noteLeaving(l, result.leaving)
+	result.end.Load = l.load(service, e.cfg.Incarnation)
+	return result.end
+}
+
+// detach keeps the deadline but not the cancellation: a keyed request runs on when its caller is gone, so that the
+// re-send finds an answer and not an unknown fate.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithoutCancel(ctx), func() {}
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
+// find returns the endpoint's runtime, or the refusal when it takes nothing new here.
+//
+// Invariant: a draining endpoint is refused here whatever the ingress believes.
+func (e *Egress) find(d *peerpb.Dispatch) (*local, *peerpb.End) {
+	if e.closing.Load() {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	if !e.here(d) {
+		return nil, peer.NotRun(fault.WrongHost, shortRetryAfter)
+	}
+	s := e.state()
+	row, _ := s.Endpoint(d.GetEndpoint())
+	if s.EndpointPhase(row) != table.Active {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	l := e.local(row, s)
+	if l.leaving.Load() {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	return l, nil
+}
+
+// here tells whether the endpoint stands beside this node and belongs to the service.
+func (e *Egress) here(d *peerpb.Dispatch) bool {
+	row, ok := e.state().Endpoint(d.GetEndpoint())
+	return ok && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
+}
+
+func (e *Egress) local(row table.Entry[table.Endpoint], s *table.State) *local {
+	view, _ := s.Service(row.Value.Service)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.locals[row.Key]
+	if l == nil {
+		l = newLocal(row, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
+		e.locals[row.Key] = l
+	}
+	l.configure(row, int(view.Value.Queue))
+	return l
+}
+
+// Settle notes how a claimed request ended elsewhere.
+func (e *Egress) Settle(msg *peerpb.Settle) {
+	a := dedupe.Answer{Head: msg.GetHead(), Body: msg.GetBody(), Kept: msg.GetHead() != nil}
+	e.keys.settle(msg.GetScope(), msg.GetKey(), msg.GetOutcome(), a)
+}
+
+// Status is what the egress knows of one endpoint.
+type Status struct {
+	// Endpoint is the endpoint's key.
+	Endpoint string `json:"endpoint"`
+	// Busy is the number of slots taken.
+	Busy int `json:"busy"`
+	// Waiting is the number of queued requests.
+	Waiting int `json:"waiting"`
+	// Finished counts the requests that ran, since the node started.
+	Finished uint64 `json:"finished"`
+	// Failed counts those of them that failed.
+	Failed uint64 `json:"failed"`
+	// Leaving is set after the endpoint said so itself.
+	Leaving bool `json:"leaving"`
+}
+
+// Statuses returns the endpoints that have had work since the node started.
+func (e *Egress) Statuses() []Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Status, 0, len(e.locals))
+	for _, l := range e.locals {
+		load := l.load(0, 0)
+		out = append(out, Status{
+			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
+			Finished: load.GetFinished(), Failed: load.GetFailed(), Leaving: load.GetLeaving(),
+		})
+	}
+	return out
+}
+
+// Keys returns the number of idempotency keys at home here.
+func (e *Egress) Keys() int { return e.keys.len() }
--- /dev/null
+++ b/egress/local.go
@@ -0,0 +1,144 @@
+package egress
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lynxplank/lynxplank/admit"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// local is the runtime of one endpoint beside this node.
+type local struct {
+	key      string
+	address  atomic.Pointer[string]
+	leaving  atomic.Bool
+	finished atomic.Uint64
+	failed   atomic.Uint64
+
+	mu      sync.Mutex
+	queue   *admit.Queue
+	slots   int
+	waiters map[uint64]chan admit.Decision
+}
+
+func newLocal(row table.Entry[table.Endpoint], random *rand.Rand) *local {
+	return &local{
+		key:     row.Key,
+		queue:   admit.NewQueue(int(row.Value.Slots), 0, random),
+		waiters: make(map[uint64]chan admit.Decision),
+	}
+}
+
+func (l *local) configure(row table.Entry[table.Endpoint], queue int) {
+	address := row.Value.Address
+	if old := l.address.Load(); old == nil || *old != address {
+		l.address.Store(&address)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slots = int(row.Value.Slots)
+	l.queue.SetLimits(l.slots, queue)
+}
+
+// admit returns nil once the request holds a slot, else the refusal.
+func (l *local) admit(ctx context.Context, id uint64, d *peerpb.Dispatch, s *table.State) *peerpb.End {
+	customer, _ := s.Customer(d.GetCustomer())
+	deadline, _ := ctx.Deadline()
+	r := admit.Request{ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline}
+	wait, end := l.offer(r)
+	if wait == nil {
+		return end
+	}
+	select {
+	case decision := <-wait:
+		return refusal(decision)
+	case <-ctx.Done():
+		return l.giveUp(ctx, id, wait)
+	}
+}
+
+func (l *local) offer(r admit.Request) (chan admit.Decision, *peerpb.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	decision, evicted := l.queue.Offer(time.Now(), r)
+	l.deliver(evicted)
+	if decision.Action != admit.Wait {
+		return nil, refusal(decision)
+	}
+	wait := make(chan admit.Decision, 1)
+	l.waiters[r.ID] = wait
+	return wait, nil
+}
+
+// deliver hands decisions to the requests that wait for them; the lock is held.
+func (l *local) deliver(decisions []admit.Decision) {
+	for _, d := range decisions {
+		if wait := l.waiters[d.ID]; wait != nil {
+			wait <- d
+			delete(l.waiters, d.ID)
+		}
+	}
+}
+
+func (l *local) giveUp(ctx context.Context, id uint64, wait chan admit.Decision) *peerpb.End {
+	l.mu.Lock()
+	canceled := l.queue.Cancel(id)
+	delete(l.waiters, id)
+	l.mu.Unlock()
+	if !canceled {
+		// The decision came at the same moment; a slot that it granted goes back unused.
+		if decision := <-wait; decision.Action == admit.Run {
+			l.free(0)
+		}
+	}
+	code := fault.Canceled
+	if ctx.Err() == context.DeadlineExceeded {
+		code = fault.DeadlineTooShort
+	}
+	return peer.NotRun(code, shortRetryAfter)
+}
+
+func refusal(d admit.Decision) *peerpb.End {
+	if d.Action == admit.Run {
+		return nil
+	}
+	return peer.NotRun(d.Code, d.RetryAfter)
+}
+
+func (l *local) free(service time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deliver(l.queue.Done(time.Now(), service))
+}
+
+// release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
+func (l *local) release(service time.Duration, r result) {
+	if !r.worked {
+		service = 0
+	}
+	l.free(service)
+	if !r.worked {
+		return
+	}
+	l.finished.Add(1)
+	if r.failed {
+		l.failed.Add(1)
+	}
+}
+
+func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &peerpb.Load{
+		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
+		Finished: l.finished.Load(), Failed: l.failed.Load(),
+		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.leaving.Load(),
+	}
+}
--- /dev/null
+++ b/eject/service.go
@@ -0,0 +1,318 @@
+package eject
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	failureMemory = 50.0
+	marksEvery    = 16
+	marksLeast    = 20
+	rateWindow    = 10 * time.Second
+	rampStart     = 0.25
+)
+
+type endpoint struct {
+	Endpoint
+	tests     tests
+	times     histogram
+	failShare float64
+	failSeen  float64
+	phase     Phase
+	ejections int
+	until     time.Time
+	since     time.Time
+	good      int
+	share     float64
+	rate      float64
+	rateFrom  time.Time
+	rateCount int
+}
+
+// Service is the detector of one service; one goroutine owns it.
+type Service struct {
+	cfg       Config
+	endpoints []*endpoint
+	byKey     map[string]*endpoint
+	marks     Marks
+	sinceMark int
+}
+
+// NewService returns a detector without endpoints.
+func NewService(cfg Config) *Service {
+	return &Service{cfg: cfg, byKey: make(map[string]*endpoint)}
+}
+
+// SetConfig replaces the policy and keeps the evidence.
+func (s *Service) SetConfig(now time.Time, cfg Config) {
+	s.cfg = cfg
+	s.enforceFloor(now)
+}
+
+// SetEndpoints replaces the list of endpoints and keeps the evidence of those that stay.
+func (s *Service) SetEndpoints(now time.Time, list []Endpoint) {
+	byKey := make(map[string]*endpoint, len(list))
+	s.endpoints = s.endpoints[:0]
+	for _, spec := range list {
+		e := s.byKey[spec.Key]
+		if e == nil {
+			e = &endpoint{share: 1, since: now, rateFrom: now}
+		}
+		e.Endpoint = spec
+		byKey[spec.Key] = e
+		s.endpoints = append(s.endpoints, e)
+	}
+	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Key, b.Key) })
+	s.byKey = byKey
+	s.enforceFloor(now)
+}
+
+// Marks returns the service times that count as slow now.
+func (s *Service) Marks() Marks { return s.marks }
+
+// Observe takes one piece of evidence; events of unknown endpoints are ignored.
+func (s *Service) Observe(now time.Time, key string, ev Event) {
+	e := s.byKey[key]
+	if e == nil {
+		return
+	}
+	e.countRate(now)
+	bad := s.weigh(now, e, ev)
+	switch e.phase {
+	case Serving, LastChoice, Ramp:
+		s.judge(now, e)
+	case Trickle:
+		s.judgeTrickle(now, e, bad)
+	case Ejected:
+		// Late answers of work that was sent before.
+	}
+}
+
+// Report takes evidence that a node beside the endpoint gathered from other callers' work.
+func (s *Service) Report(now time.Time, key string, finished, failed uint64) {
+	e := s.byKey[key]
+	if e == nil || e.phase == Ejected || e.phase == Trickle {
+		return
+	}
+	const mostAtOnce = 64
+	for i := range min(finished, mostAtOnce) {
+		e.countRate(now)
+		e.tests.failure(i < failed, s.healthyFailures(e))
+		e.noteFailure(i < failed)
+	}
+	s.judge(now, e)
+}
+
+// weigh feeds the tests and returns whether the event speaks against the endpoint.
+func (s *Service) weigh(now time.Time, e *endpoint, ev Event) bool {
+	if ev.Kind != Overdue {
+		failed := ev.Kind == Failure
+		e.tests.failure(failed, s.healthyFailures(e))
+		e.noteFailure(failed)
+	}
+	late := s.marks.Known && ev.Latency > s.marks.Late
+	if ev.Kind == Failure {
+		return true
+	}
+	if s.marks.Known && !ev.Counted {
+		e.tests.slowness(now, ev.Latency, s.marks)
+	}
+	if ev.Kind == Success {
+		e.times.add(ev.Latency)
+		s.refreshMarks()
+	}
+	return late
+}
+
+func (e *endpoint) noteFailure(failed bool) {
+	hit := 0.0
+	if failed {
+		hit = 1
+	}
+	e.failSeen = min(e.failSeen+1, failureMemory)
+	e.failShare += (hit - e.failShare) / e.failSeen
+}
+
+func (e *endpoint) countRate(now time.Time) {
+	e.rateCount++
+	elapsed := now.Sub(e.rateFrom)
+	if elapsed < rateWindow {
+		return
+	}
+	e.rate = float64(e.rateCount) / elapsed.Seconds()
+	e.rateFrom = now
+	e.rateCount = 0
+}
+
+// healthyFailures is the failure share of the other endpoints in use, the comparison that tells a bad endpoint from a
+// bad service: when all fail together, no test rises.
+func (s *Service) healthyFailures(e *endpoint) float64 {
+	sum, seen := 0.0, 0.0
+	for _, o := range s.endpoints {
+		if o == e || o.phase == Ejected || o.phase == Trickle {
+			continue
+		}
+		sum += o.failShare * o.failSeen
+		seen += o.failSeen
+	}
+	// One failure that nobody has seen yet keeps a handful of observations from looking like certainty.
+	const priorSeen = 20
+	share := (sum + leastFailureShare*priorSeen) / (seen + priorSeen)
+	return min(max(share, leastFailureShare), mostFailureShare)
+}
+
+// refreshMarks takes the median over the endpoints of each one's own quantiles, which up to half of them cannot move.
+func (s *Service) refreshMarks() {
+	s.sinceMark++
+	if s.marks.Known && s.sinceMark < marksEvery {
+		return
+	}
+	s.sinceMark = 0
+	var middle, slow, late []time.Duration
+	for _, e := range s.endpoints {
+		if e.times.seen < marksLeast {
+			continue
+		}
+		middle = append(middle, e.times.quantile(0.5))
+		slow = append(slow, e.times.quantile(slowQuantile))
+		late = append(late, e.times.quantile(lateQuantile))
+	}
+	// Two endpoints cannot tell which of them is the slow one.
+	if len(middle) < 3 || len(middle)*2 < len(s.endpoints) {
+		return
+	}
+	typical := float64(median(middle))
+	s.marks = Marks{
+		Slow:  max(median(slow), time.Duration(slowAtLeast*typical)),
+		Late:  max(median(late), time.Duration(lateAtLeast*typical)),
+		Known: true,
+	}
+}
+
+func median(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+func (s *Service) threshold(e *endpoint) float64 {
+	h := threshold(e.rate, s.cfg.FalseEjections)
+	if e.phase == Ramp {
+		h /= 2
+	}
+	return h
+}
+
+func (s *Service) judge(now time.Time, e *endpoint) {
+	score, _ := e.tests.worst()
+	if score < s.threshold(e) {
+		if e.phase == LastChoice && score < s.threshold(e)/2 {
+			e.serve(now)
+		}
+		return
+	}
+	if e.phase == LastChoice {
+		e.capScore(2 * s.threshold(e))
+		return
+	}
+	e.phase = LastChoice
+	e.since = now
+	s.enforceFloor(now)
+}
+
+// capScore keeps a long spell over the threshold from taking as long to be forgotten.
+func (e *endpoint) capScore(most float64) {
+	for i := range e.tests.sums {
+		e.tests.sums[i] = min(e.tests.sums[i], most)
+	}
+}
+
+func (e *endpoint) serve(now time.Time) {
+	e.phase = Serving
+	e.share = 1
+	e.since = now
+}
+
+func (s *Service) judgeTrickle(now time.Time, e *endpoint, bad bool) {
+	if bad {
+		s.eject(now, e)
+		return
+	}
+	e.good++
+	if e.good < s.cfg.ProbeSuccesses {
+		return
+	}
+	e.phase = Ramp
+	e.share = rampStart
+	e.since = now
+	e.tests.reset()
+}
+
+func (s *Service) eject(now time.Time, e *endpoint) {
+	e.phase = Ejected
+	e.share = 0
+	e.since = now
+	e.until = now.Add(s.ejectionTime(e.ejections))
+	e.ejections++
+	e.good = 0
+}
+
+func (s *Service) ejectionTime(before int) time.Duration {
+	d := s.cfg.FirstEjection
+	for range before {
+		d *= 2
+		if d >= s.cfg.LongestEjection {
+			return s.cfg.LongestEjection
+		}
+	}
+	return d
+}
+
+// Tick moves endpoints on with time; call it several times a second.
+func (s *Service) Tick(now time.Time) {
+	for _, e := range s.endpoints {
+		switch e.phase {
+		case Ejected:
+			if !now.Before(e.until) {
+				e.phase = Trickle
+				e.since = now
+				e.good = 0
+				e.tests.reset()
+			}
+		case Ramp:
+			e.ramp(now, s.cfg.RampStep)
+		case Serving:
+			if e.ejections > 0 && now.Sub(e.since) >= s.cfg.Forgive {
+				e.ejections /= 2
+				e.since = now
+			}
+		case LastChoice, Trickle:
+		}
+	}
+	s.enforceFloor(now)
+}
+
+func (e *endpoint) ramp(now time.Time, step time.Duration) {
+	if now.Sub(e.since) < step {
+		return
+	}
+	e.share *= 2
+	e.since = now
+	if e.share >= 1 {
+		e.serve(now)
+	}
+}
+
+// Verdict returns what to do with an endpoint; an unknown one serves.
+func (s *Service) Verdict(key string) Verdict {
+	e := s.byKey[key]
+	if e == nil {
+		return Verdict{Share: 1}
+	}
+	score, test := e.tests.worst()
+	return Verdict{
+		Phase: e.phase, Share: e.share, Score: score, Threshold: s.threshold(e),
+		Test: test, Ejections: e.ejections, Until: e.until,
+	}
+}
--- /dev/null
+++ b/eject/tests.go
@@ -0,0 +1,98 @@
+package eject
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// The failure share of a healthy endpoint is never taken to be below this.
+	leastFailureShare = 0.002
+	// No failure share above this is told apart from a failing service.
+	mostFailureShare = 0.9
+
+	slowShare     = 0.05
+	slowShareBad  = 0.4
+	lateShare     = 0.01
+	lateShareBad  = 0.3
+	slowQuantile  = 0.95
+	lateQuantile  = 0.995
+	slowAtLeast   = 2.0
+	lateAtLeast   = 6.0
+	overlapWeight = 0.5
+
+	failureTests = 3
+	testCount    = failureTests + 2
+)
+
+// failureShares are the alternatives that the failure tests look for.
+var failureShares = [failureTests]float64{0.1, 0.3, 0.9}
+
+var testNames = [testCount]string{"fails 10%", "fails 30%", "fails 90%", "slow", "late"}
+
+// llr returns the log likelihood ratio of one yes-or-no observation.
+func llr(hit bool, healthy, bad float64) float64 {
+	if hit {
+		return math.Log(bad / healthy)
+	}
+	return math.Log((1 - bad) / (1 - healthy))
+}
+
+// tests are one endpoint's cumulative sums.
+type tests struct {
+	sums     [testCount]float64
+	lastSlow time.Time
+}
+
+func (t *tests) add(i int, value float64) { t.sums[i] = max(0, t.sums[i]+value) }
+
+// failure feeds the failure tests; healthy is the failure share of the service's other endpoints.
+func (t *tests) failure(failed bool, healthy float64) {
+	for i, bad := range failureShares {
+		if bad < healthy*2 {
+			bad = min(healthy*2, mostFailureShare+(1-mostFailureShare)/2)
+		}
+		if bad <= healthy {
+			t.sums[i] = 0
+			continue
+		}
+		t.add(i, llr(failed, healthy, bad))
+	}
+}
+
+// slowness feeds the two tests of service time. Slow answers whose times overlap share a cause, such as one pause of
+// the endpoint, so all but the first weigh less.
+func (t *tests) slowness(now time.Time, latency time.Duration, m Marks) {
+	slow, late := latency > m.Slow, latency > m.Late
+	weight := 1.0
+	if slow {
+		if now.Sub(t.lastSlow) < latency {
+			weight = overlapWeight
+		}
+		t.lastSlow = now
+	}
+	t.add(failureTests, weight*llr(slow, slowShare, slowShareBad))
+	t.add(failureTests+1, weight*llr(late, lateShare, lateShareBad))
+}
+
+func (t *tests) reset() { t.sums = [testCount]float64{} }
+
+// worst returns the highest sum and its test.
+func (t *tests) worst() (float64, string) {
+	best := 0
+	for i, s := range t.sums {
+		if s > t.sums[best] {
+			best = i
+		}
+	}
+	return t.sums[best], testNames[best]
+}
+
+// threshold returns the sum that raises an alarm. A cumulative sum of log likelihood ratios passes h by chance about
+// once in e^h observations, so h follows from the observations a day and the false alarms that are bearable; the
+// tests of one endpoint share the allowance.
+func threshold(perSecond, falsePerDay float64) float64 {
+	const secondsPerDay = 86400
+	perDay := max(perSecond, 1) * secondsPerDay
+	return math.Log(perDay * testCount / max(falsePerDay, 1e-6))
+}
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,49 @@
+package events
+
+import "github.com/rs/zerolog"
+
+// Event is one numbered kind of log line; a number never changes its meaning.
+type Event struct {
+	// Number identifies the event.
+	Number int
+	// Name says what happened.
+	Name string
+	// Level is the level it is logged at.
+	Level zerolog.Level
+}
+
+// The events of a node.
+var (
+	NodeStarted     = Event{100, "node started", zerolog.InfoLevel}
+	NodeStopping    = Event{101, "node stopping", zerolog.InfoLevel}
+	NodeStopped     = Event{102, "node stopped", zerolog.InfoLevel}
+	StopCut         = Event{103, "planned stop cut requests", zerolog.ErrorLevel}
+	NodeFailed      = Event{104, "node failed", zerolog.ErrorLevel}
+	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
+	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
+	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
+	BadTable        = Event{203, "table cannot be read", zerolog.ErrorLevel}
+	ConfigReady     = Event{204, "configuration ready", zerolog.InfoLevel}
+	LinkUp          = Event{300, "link up", zerolog.InfoLevel}
+	LinkSuspect     = Event{301, "link suspect", zerolog.WarnLevel}
+	LinkClosed      = Event{302, "link closed", zerolog.InfoLevel}
+	PeerRefused     = Event{303, "peer refused", zerolog.WarnLevel}
+	PeerGarbled     = Event{304, "peer sent unreadable bytes", zerolog.WarnLevel}
+	PhaseChanged    = Event{400, "endpoint phase changed", zerolog.InfoLevel}
+	EndpointLeaving = Event{401, "endpoint says it is leaving", zerolog.InfoLevel}
+	EndpointBack    = Event{402, "endpoint takes work again", zerolog.InfoLevel}
+	ReportsDropped  = Event{403, "work reports dropped", zerolog.WarnLevel}
+)
+
+// All lists every event.
+var All = []Event{
+	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed,
+	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
+	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
+	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
+}
+
+// Log begins a log line of the event; the caller adds fields and sends it.
+func (e Event) Log(log *zerolog.Logger) *zerolog.Event {
+	return log.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
+}
--- /dev/null
+++ b/flight/doc.go
@@ -0,0 +1,2 @@
+// Package flight counts work under way, so that a planned stop can wait for it.
+package flight
--- /dev/null
+++ b/ingress/refuse.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/header"
+)
+
+// Problem is the JSON body of every answer that the system itself gives.
+type Problem struct {
+	// Code is the stable name of the failure.
+	Code fault.Code `json:"code"`
+	// Outcome is "ran", "not-run" or "unknown".
+	Outcome string `json:"outcome"`
+	// Detail is one sentence for people.
+	Detail string `json:"detail"`
+	// RequestID identifies the request in logs.
+	RequestID string `json:"request_id,omitempty"`
+	// RetryAfterMillis is when to come back, if that can help.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+}
+
+func outcomeName(o peerpb.Outcome) string {
+	switch o {
+	case peerpb.Outcome_OUTCOME_RAN:
+		return "ran"
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return "not-run"
+	case peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_UNSPECIFIED, peerpb.Outcome_OUTCOME_CLAIMED:
+	}
+	return "unknown"
+}
+
+var statusOf = map[fault.Code]int{
+	fault.BadRequest:       http.StatusBadRequest,
+	fault.BadDeadline:      http.StatusBadRequest,
+	fault.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	fault.UnknownRoute:     http.StatusNotFound,
+	fault.CustomerLimit:    http.StatusTooManyRequests,
+	fault.KeyMismatch:      http.StatusUnprocessableEntity,
+	fault.KeyInProgress:    http.StatusConflict,
+	fault.KeyUnknown:       http.StatusConflict,
+	fault.DeadlineExceeded: http.StatusGatewayTimeout,
+}
+
+func status(end *peerpb.End) int {
+	if s := statusOf[fault.Code(end.GetCode())]; s != 0 {
+		return s
+	}
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// refuse gives the system's own final answer, at once.
+func refuse(w http.ResponseWriter, id string, end *peerpb.End, detail string) {
+	p := Problem{
+		Code: fault.Code(end.GetCode()), Outcome: outcomeName(end.GetOutcome()), Detail: detail,
+		RequestID: id, RetryAfterMillis: end.GetRetryAfterMillis(),
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(header.Outcome, p.Outcome)
+	if id != "" {
+		h.Set(header.RequestID, id)
+	}
+	code := status(end)
+	if p.RetryAfterMillis == 0 && code == http.StatusServiceUnavailable {
+		p.RetryAfterMillis = defaultRetryAfter.Milliseconds()
+	}
+	if p.RetryAfterMillis > 0 {
+		d := time.Duration(p.RetryAfterMillis) * time.Millisecond
+		h.Set(header.RetryAfter, d.String())
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	}
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+const defaultRetryAfter = time.Second
+
+var details = map[fault.Code]string{
+	fault.Overloaded:          "the endpoints' slots and queues are full",
+	fault.DeadlineTooShort:    "the work could not end before the deadline",
+	fault.Draining:            "the endpoint takes nothing new",
+	fault.NoEndpoint:          "no endpoint takes new work",
+	fault.LinkDown:            "the endpoint's node cannot be reached",
+	fault.LinkLost:            "the link broke after the hand-over",
+	fault.EndpointUnreachable: "the endpoint takes no connection",
+	fault.EndpointShed:        "the endpoint sheds load",
+	fault.EndpointCut:         "the endpoint broke off",
+	fault.DeadlineExceeded:    "the time ran out after the hand-over",
+	fault.KeyInProgress:       "an earlier request with this key is still running",
+	fault.KeyMismatch:         "this key came with another request before",
+	fault.KeyUnknown:          "whether an earlier request with this key ran cannot be told",
+	fault.KeyRefused:          "the key cannot be protected now",
+}
+
+func detailOf(end *peerpb.End) string {
+	if d := details[fault.Code(end.GetCode())]; d != "" {
+		return d
+	}
+	return "the request did not end well"
+}
--- /dev/null
+++ b/keyhome/keyhome.go
@@ -0,0 +1,53 @@
+package keyhome
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lynxplank/lynxplank/dedupe"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Count is how many homes a key has: the first, and the one that takes first attempts while that cannot be reached.
+const Count = 2
+
+// Names returns the endpoints that can be homes, in key order. Draining ones stay homes until they are retired: only
+// what is in the table counts, so that every node with the same revision names the same homes.
+func Names(v table.ServiceView) []string {
+	names := make([]string, 0, len(v.Endpoints))
+	for _, e := range v.Endpoints {
+		names = append(names, e.Key)
+	}
+	return names
+}
+
+// Homes returns the homes of a key, first the one that decides.
+func Homes(endpoints []string, id dedupe.ID) []string {
+	type ranked struct {
+		name string
+		rank uint64
+	}
+	list := make([]ranked, 0, len(endpoints))
+	for _, name := range endpoints {
+		list = append(list, ranked{name: name, rank: rank(name, id)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.name, b.name))
+	})
+	homes := make([]string, 0, Count)
+	for _, r := range list[:min(Count, len(list))] {
+		homes = append(homes, r.name)
+	}
+	return homes
+}
+
+func rank(name string, id dedupe.ID) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{name, id.Scope, id.Key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,146 @@
+package metrics
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+const (
+	reportEvery   = time.Second
+	mostCustomers = 100
+	mostServices  = 200
+	others        = "other"
+	firstBucket   = time.Millisecond / 2
+	bucketFactor  = 2
+	bucketCount   = 16
+)
+
+// Metrics is the node's registry; it is safe for concurrent use.
+type Metrics struct {
+	root     tally.Scope
+	closer   io.Closer
+	reporter tallyprom.Reporter
+	services bounded[*Class]
+	customer bounded[tally.Histogram]
+	buckets  tally.Buckets
+}
+
+// Class holds the instruments of one service.
+type Class struct {
+	// Latency is the time from the request's arrival to its answer's end, by the ingress.
+	Latency tally.Histogram
+	// Retries counts further sends.
+	Retries tally.Counter
+	scope   tally.Scope
+	mu      sync.RWMutex
+	ends    map[string]tally.Counter
+}
+
+// New returns a registry, Internal when the reporter cannot be built.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry, Gatherer: registry,
+		DefaultTimerType: tallyprom.HistogramTimerType,
+		OnRegisterError:  func(error) {},
+	})
+	root, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "lynxplank", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	buckets, err := tally.ExponentialDurationBuckets(firstBucket, bucketFactor, bucketCount)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "metrics", "buckets cannot be built")
+	}
+	m := &Metrics{root: root, closer: closer, reporter: reporter, buckets: buckets}
+	m.services = bounded[*Class]{most: mostServices, make: m.newClass}
+	m.customer = bounded[tally.Histogram]{most: mostCustomers, make: m.newCustomer}
+	return m, nil
+}
+
+func (m *Metrics) newClass(service string) *Class {
+	scope := m.root.Tagged(map[string]string{"service": service})
+	return &Class{
+		Latency: scope.Histogram("request_seconds", m.buckets),
+		Retries: scope.Counter("retries"),
+		scope:   scope, ends: make(map[string]tally.Counter),
+	}
+}
+
+func (m *Metrics) newCustomer(name string) tally.Histogram {
+	return m.root.Tagged(map[string]string{"customer": name}).Histogram("customer_request_seconds", m.buckets)
+}
+
+// Service returns the instruments of a service; past a bounded number all share one.
+func (m *Metrics) Service(name string) *Class { return m.services.get(name) }
+
+// Customer returns the latency histogram of a customer; past a bounded number all share one.
+func (m *Metrics) Customer(name string) tally.Histogram { return m.customer.get(name) }
+
+// Gauge sets a node-wide gauge.
+func (m *Metrics) Gauge(name string, value float64) { m.root.Gauge(name).Update(value) }
+
+// Count counts one request by its outcome and code.
+func (c *Class) Count(outcome, code string) {
+	key := outcome + "/" + code
+	c.mu.RLock()
+	counter := c.ends[key]
+	c.mu.RUnlock()
+	if counter == nil {
+		counter = c.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("requests")
+		c.mu.Lock()
+		c.ends[key] = counter
+		c.mu.Unlock()
+	}
+	counter.Inc(1)
+}
+
+// Handler shows every instrument in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Start is part of the component's interface; the reporting runs from New on.
+func (m *Metrics) Start(context.Context) error { return nil }
+
+// Stop ends the reporting.
+func (m *Metrics) Stop(context.Context) error { return m.closer.Close() }
+
+// bounded makes a value for each of the first names and one more that all the others share.
+type bounded[T any] struct {
+	mu     sync.RWMutex
+	most   int
+	make   func(string) T
+	values map[string]T
+}
+
+func (b *bounded[T]) get(name string) T {
+	b.mu.RLock()
+	v, ok := b.values[name]
+	full := len(b.values) >= b.most
+	b.mu.RUnlock()
+	if ok {
+		return v
+	}
+	if full {
+		name = others
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v, ok := b.values[name]; ok {
+		return v
+	}
+	if b.values == nil {
+		b.values = make(map[string]T)
+	}
+	v = b.make(name)
+	b.values[name] = v
+	return v
+}
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,2 @@
+// Package node builds a whole node from its settings and starts and stops it.
+package node
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/ingress"
+	"github.com/lynxplank/lynxplank/kernel"
+	"github.com/lynxplank/lynxplank/metrics"
+	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/serve"
+	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// The names by which a node's services find each other.
+const (
+	// Links is the peer.Manager.
+	Links = "links"
+	// Follower is the follow.Follower.
+	Follower = "follower"
+	// Director is the director.Director.
+	Director = "director"
+	// Egress is the egress.Egress.
+	Egress = "egress"
+	// Operators is the operators' serve.Server.
+	Operators = "operators"
+	// Ingress is the ingress.Ingress.
+	Ingress = "ingress"
+	// Callers is the callers' serve.Server.
+	Callers = "callers"
+	// Metrics is the metrics.Metrics.
+	Metrics = "metrics"
+)
+
+// hallDistance is the time to another hall and back, until links are measured between halls: 1.5 ms each way.
+const hallDistance = 3 * time.Millisecond
+
+// Node is one process of the fleet.
+type Node struct {
+	cfg    settings.Daemon
+	log    *zerolog.Logger
+	kernel *kernel.Kernel
+}
+
+// New builds a node; nothing runs or listens before Start.
+func New(cfg settings.Daemon, out io.Writer) (*Node, error) {
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
+	}
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
+	n := &Node{cfg: cfg, log: &log, kernel: kernel.New()}
+	if err := n.build(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) build() error {
+	incarnation := rand.Uint64() //nolint:gosec // tells two lives apart, no secret
+	config, err := n.tls()
+	if err != nil {
+		return err
+	}
+	m, err := metrics.New()
+	if err != nil {
+		return err
+	}
+	var follower *follow.Follower
+	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
+		peer.WithBeatHook(func(name string, revision, hosts uint64) { follower.Hint(name, revision, hosts) }))
+	client := platform.NewClient(n.cfg.Platform.Address.String(),
+		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
+	var e *egress.Egress
+	follower = follow.New(n.followConfig(), n.log, client, links,
+		follow.WithStateHook(func(s *table.State) { e.Observe(time.Now(), s) }))
+	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
+	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance}, n.log,
+		follower.State, view.leaving, view.usable)
+	e = egress.New(n.egressConfig(incarnation), n.log, follower.State)
+	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
+	g := ingress.New(n.ingressConfig(), n.log, follower.Snapshot, d, links, e, m)
+	n.register(links, follower, d, e, g, m)
+	return nil
+}
+
+func (n *Node) register(
+	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress, m *metrics.Metrics,
+) {
+	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, e, d, links, m.Handler())
+	n.kernel.Register(Metrics, m)
+	n.kernel.Register(Links, links)
+	n.kernel.Register(Follower, f)
+	n.kernel.Register(Director, d)
+	n.kernel.Register(Egress, e)
+	n.kernel.Register(Operators, serve.New(Operators, n.cfg.Operators.Listen.AddrPort,
+		serve.WithLimits(limits(n.cfg.Operators.Listener)), serve.WithRoutes(o.Routes()...)))
+	n.kernel.Register(Ingress, g)
+	n.kernel.Register(Callers, serve.New(Callers, n.cfg.Callers.Listen.AddrPort,
+		serve.WithLimits(limits(n.cfg.Callers.Listener)), serve.WithHandler(g)))
+}
+
+func limits(l settings.Listener) serve.Limits {
+	return serve.Limits{
+		HeaderBytes: int(l.HeaderBytes), Conns: l.Conns,
+		HeaderTimeout: l.HeaderTimeout.Std(), IdleTimeout: l.IdleTimeout.Std(),
+	}
+}
+
+func (n *Node) peerConfig(incarnation uint64, config *tls.Config) peer.Config {
+	p := n.cfg.Peers
+	return peer.Config{
+		Node: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Incarnation: incarnation, Listen: p.Listen.String(),
+		Heartbeat: p.Heartbeat.Std(), CutAfter: p.CutAfter.Std(), IdleClose: p.IdleClose.Std(), Conns: p.Conns,
+		TLS: config,
+	}
+}
+
+func (n *Node) followConfig() follow.Config {
+	c := follow.Config{
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Poll: n.cfg.Platform.Poll.Std(),
+		Readers: n.cfg.Platform.Readers, Timeout: n.cfg.Platform.Timeout.Std(),
+	}
+	for _, seed := range n.cfg.Peers.Seeds {
+		if seed != n.cfg.Peers.Listen {
+			c.Seeds = append(c.Seeds, seed.String())
+		}
+	}
+	return c
+}
+
+func (n *Node) egressConfig(incarnation uint64) egress.Config {
+	c := n.cfg.Endpoints
+	return egress.Config{
+		Host: n.cfg.Node.ID, Incarnation: incarnation, ProbePath: c.ProbePath, ProbeEvery: c.ProbeEvery.Std(),
+		KeyWindow: c.KeyWindow.Std(), KeyBytes: int(c.KeyBytes),
+	}
+}
+
+func (n *Node) ingressConfig() ingress.Config {
+	return ingress.Config{
+		Host: n.cfg.Node.ID, BodyBytes: int64(n.cfg.Callers.BodyBytes), ReplayBytes: int64(n.cfg.Callers.ReplayBytes),
+	}
+}
+
+func (n *Node) tls() (*tls.Config, error) {
+	t := n.cfg.Peers.TLS
+	if t.Cert == "" {
+		return nil, nil //nolint:nilnil // no TLS is a valid setting
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls", "certificate cannot be used")
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls.ca", "cannot be read")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fault.New(fault.BadSetting, "peers.tls.ca", "holds no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
+
+// Kernel returns the node's services.
+func (n *Node) Kernel() *kernel.Kernel { return n.kernel }
+
+// Start starts every component; the node serves once it holds a configuration.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.kernel.Start(ctx); err != nil {
+		return err
+	}
+	events.NodeStarted.Log(n.log).Str("hall", n.cfg.Node.Hall).
+		Str("callers", n.cfg.Callers.Listen.String()).Str("peers", n.cfg.Peers.Listen.String()).Send()
+	return nil
+}
+
+// Stop is the planned stop: it tells the peers, takes nothing new, lets everything in flight end and then stops. It
+// fails when the grace time cut something.
+func (n *Node) Stop() error {
+	events.NodeStopping.Log(n.log).Send()
+	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
+	if err != nil {
+		return err
+	}
+	e, err := kernel.Lookup[*egress.Egress](n.kernel, Egress)
+	if err != nil {
+		return err
+	}
+	links.Leave()
+	time.Sleep(n.cfg.Stop.Notice.Std())
+	e.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std())
+	defer cancel()
+	if err := n.kernel.Stop(ctx); err != nil {
+		events.StopCut.Log(n.log).Err(err).Send()
+		return err
+	}
+	events.NodeStopped.Log(n.log).Send()
+	return nil
+}
+
+// handler answers peers.
+type handler struct {
+	*egress.Egress
+	snapshot func() *follow.Snapshot
+}
+
+// Deltas implements peer.Handler.
+func (h handler) Deltas(from uint64) []*peerpb.Delta { return follow.Deltas(h.snapshot(), from) }
+
+// hostView tells what the host list and the links say of a host.
+type hostView struct {
+	self     string
+	snapshot func() *follow.Snapshot
+	links    *peer.Manager
+}
+
+func (v hostView) leaving(host string) bool { return v.snapshot().ByID[host].Leaving }
+
+func (v hostView) usable(host string) bool {
+	if host == v.self {
+		return true
+	}
+	info, ok := v.snapshot().ByID[host]
+	return ok && v.links.Usable(info.Address)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,164 @@
+package operator
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// The paths of the operators' listener.
+const (
+	// PathHealth answers without a token whether the node may serve.
+	PathHealth = "/healthz"
+	// PathStatus answers Status.
+	PathStatus = "/v1/status"
+	// PathExplain answers a list of director.Explanation for the query's "service", or all.
+	PathExplain = "/v1/explain"
+	// PathRow answers the row in force of the query's "kind" and "key".
+	PathRow = "/v1/row"
+	// PathMetrics answers the metrics in text.
+	PathMetrics = "/metrics"
+)
+
+// Status is what a node says of itself.
+type Status struct {
+	// Node is the node's id.
+	Node string `json:"node"`
+	// Hall is its hall.
+	Hall string `json:"hall"`
+	// Ready is false until it may serve.
+	Ready bool `json:"ready"`
+	// Revision is the revision in force.
+	Revision uint64 `json:"revision"`
+	// Hosts is the length of the host list that it holds.
+	Hosts int `json:"hosts"`
+	// LinksDialed and LinksAccepted count its links to peers.
+	LinksDialed   int `json:"links_dialed"`
+	LinksAccepted int `json:"links_accepted"`
+	// Keys counts the idempotency keys at home here.
+	Keys int `json:"keys"`
+	// Endpoints are those beside the node that have had work.
+	Endpoints []egress.Status `json:"endpoints"`
+}
+
+// Row is a row in force.
+type Row struct {
+	// Kind is the sheet's name.
+	Kind string `json:"kind"`
+	// Key is the row's key.
+	Key string `json:"key"`
+	// Version and Revision are the row's.
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+	// Cells are the values by column.
+	Cells map[string]string `json:"cells"`
+}
+
+// Links counts a node's links.
+type Links interface {
+	// Links returns the number of dialed and accepted links.
+	Links() (dialed, accepted int)
+}
+
+// Operator answers operators.
+type Operator struct {
+	node, hall string
+	token      string
+	snapshot   func() *follow.Snapshot
+	egress     *egress.Egress
+	director   *director.Director
+	links      Links
+	metrics    http.Handler
+}
+
+// New returns the answers of one node; token must come with every request but that for health.
+func New(
+	node, hall, token string, snapshot func() *follow.Snapshot,
+	e *egress.Egress, d *director.Director, l Links, metrics http.Handler,
+) *Operator {
+	return &Operator{
+		node: node, hall: hall, token: token, snapshot: snapshot,
+		egress: e, director: d, links: l, metrics: metrics,
+	}
+}
+
+// Routes returns the routes of the listener.
+func (o *Operator) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: PathHealth, Handler: o.health},
+		{Method: http.MethodGet, Path: PathStatus, Handler: o.guarded(o.status)},
+		{Method: http.MethodGet, Path: PathExplain, Handler: o.guarded(o.explain)},
+		{Method: http.MethodGet, Path: PathRow, Handler: o.guarded(o.row)},
+		{Method: http.MethodGet, Path: PathMetrics, Handler: o.guarded(o.metrics.ServeHTTP)},
+	}
+}
+
+func (o *Operator) guarded(next http.HandlerFunc) http.HandlerFunc {
+	want := []byte("Bearer " + o.token)
+	return func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			problem(w, http.StatusUnauthorized, fault.New(fault.Unauthorized, "token", "want the operators' token"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (o *Operator) health(w http.ResponseWriter, _ *http.Request) {
+	if !o.snapshot().Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (o *Operator) status(w http.ResponseWriter, _ *http.Request) {
+	snap := o.snapshot()
+	s := Status{
+		Node: o.node, Hall: o.hall, Ready: snap.Ready, Revision: snap.State.Revision(), Hosts: len(snap.Hosts),
+		Keys: o.egress.Keys(), Endpoints: o.egress.Statuses(),
+	}
+	s.LinksDialed, s.LinksAccepted = o.links.Links()
+	reply(w, s)
+}
+
+func (o *Operator) explain(w http.ResponseWriter, r *http.Request) {
+	reply(w, o.director.Explain(r.URL.Query().Get("service")))
+}
+
+func (o *Operator) row(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	sheet, err := table.SheetNamed(q.Get("kind"))
+	if err != nil {
+		problem(w, http.StatusBadRequest, err)
+		return
+	}
+	row, ok := o.snapshot().State.Row(sheet.Kind, q.Get("key"))
+	if !ok {
+		problem(w, http.StatusNotFound, fault.New(fault.UnknownName, q.Get("key"), "no such row in force"))
+		return
+	}
+	out := Row{Kind: sheet.Name, Key: row.Key, Version: row.Version, Revision: row.Revision, Cells: map[string]string{}}
+	for i, c := range sheet.Columns {
+		out.Cells[c.Name] = row.Cells[i]
+	}
+	reply(w, out)
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func problem(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"code": string(fault.CodeOf(err)), "detail": err.Error()})
+}
--- /dev/null
+++ b/outbound/client.go
@@ -0,0 +1,29 @@
+package outbound
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+const (
+	connectTimeout   = time.Second
+	idleConnsPerHost = 64
+	idleConnTimeout  = 30 * time.Second
+)
+
+// Tune sets the HTTP client that httpc uses: no redirects followed, nothing decompressed, no proxy from the
+// environment, connections kept for reuse, and no log lines of its own. A program calls it once, before it serves.
+func Tune() {
+	logx.Disable()
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	http.DefaultTransport = &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+}
--- /dev/null
+++ b/peer/control.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+)
+
+// The heartbeats of one session. The dialer sends a beat every interval; the acceptor answers each one, and speaks up
+// by itself when its revision or its wish to leave changes. The dialer takes a link for cut when no beat has echoed
+// one of its last few: the way there or the way back may be the one that is cut.
+
+func beatFrame(b *peerpb.Beat) *peerpb.Frame {
+	return &peerpb.Frame{Kind: &peerpb.Frame_Beat{Beat: b}}
+}
+
+// serveControl is the acceptor's side.
+func (m *Manager) serveControl(stream net.Conn, r FrameReader, hello *peerpb.Hello) {
+	news := m.subscribe()
+	defer m.unsubscribe(news)
+	heard := make(chan uint64, 1)
+	go func() {
+		defer close(heard)
+		for {
+			_ = stream.SetReadDeadline(time.Now().Add(acceptorPatience * m.cfg.CutAfter))
+			f, err := r.Read()
+			if err != nil {
+				return
+			}
+			m.heardBeat(hello.GetNode(), f.GetBeat())
+			heard <- f.GetBeat().GetSequence()
+		}
+	}()
+	defer func() { _ = stream.SetReadDeadline(time.Now()); drain(heard) }()
+	var echo uint64
+	for {
+		select {
+		case seq, ok := <-heard:
+			if !ok {
+				return
+			}
+			echo = seq
+		case <-news:
+		}
+		beat := m.beat()
+		beat.Echo = echo
+		if err := WriteFrame(stream, beatFrame(beat)); err != nil {
+			return
+		}
+	}
+}
+
+const acceptorPatience = 10
+
+func drain(c <-chan uint64) {
+	go func() {
+		for range c {
+			// Empties the channel until the reader closes it.
+			continue
+		}
+	}()
+}
+
+// control is the dialer's side; it ends with the session.
+func (s *Session) control(stream net.Conn) {
+	defer s.close()
+	hello := &peerpb.Hello{Node: s.m.cfg.Node, Hall: s.m.cfg.Hall, Incarnation: s.m.cfg.Incarnation}
+	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Hello{Hello: hello}}); err != nil {
+		return
+	}
+	go s.listen(NewFrameReader(stream))
+	tick := time.NewTicker(s.m.cfg.Heartbeat)
+	defer tick.Stop()
+	for seq := uint64(1); ; seq++ {
+		beat := s.m.beat()
+		beat.Sequence = seq
+		s.sent(seq)
+		if err := WriteFrame(stream, beatFrame(beat)); err != nil {
+			return
+		}
+		select {
+		case <-s.done:
+			return
+		case <-tick.C:
+		}
+		if !s.judge(time.Now()) {
+			return
+		}
+	}
+}
+
+func (s *Session) listen(r FrameReader) {
+	defer s.close()
+	for {
+		f, err := r.Read()
+		if err != nil {
+			return
+		}
+		beat := f.GetBeat()
+		if beat == nil {
+			return
+		}
+		s.echoed(beat.GetEcho())
+		s.leaving.Store(beat.GetLeaving())
+		s.m.heardBeat(s.address, beat)
+	}
+}
+
+// sent notes when a beat was sent, as long as an earlier one is not waiting for its echo.
+func (s *Session) sent(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending == 0 {
+		s.pending = seq
+		s.pendingAt = time.Now()
+	}
+}
+
+func (s *Session) echoed(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending == 0 || seq < s.pending {
+		return
+	}
+	s.roundTrip.Store(int64(time.Since(s.pendingAt)))
+	s.pending = 0
+	if s.suspect.CompareAndSwap(true, false) {
+		events.LinkUp.Log(s.m.log).Str("peer", s.address).Send()
+	}
+}
+
+// judge suspects a link without an echo and returns false when it should be closed.
+func (s *Session) judge(now time.Time) bool {
+	s.mu.Lock()
+	waiting := time.Duration(0)
+	if s.pending != 0 {
+		waiting = now.Sub(s.pendingAt)
+	}
+	s.mu.Unlock()
+	if waiting > s.m.cfg.CutAfter && s.suspect.CompareAndSwap(false, true) {
+		events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Dur("silent", waiting).Send()
+		s.m.linkChanged()
+	}
+	if waiting > acceptorPatience*s.m.cfg.CutAfter {
+		return false
+	}
+	if s.inFlight.Load() > 0 {
+		return true
+	}
+	return !s.leaving.Load() && (s.pinned.Load() || now.Sub(s.lastUse()) < s.m.cfg.IdleClose)
+}
--- /dev/null
+++ b/peer/dial.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// Session returns the link to a peer, dialing it if there is none; callers at the same moment share one dial.
+func (m *Manager) Session(ctx context.Context, address string) (*Session, error) {
+	m.mu.Lock()
+	if s := m.sessions[address]; s != nil {
+		m.mu.Unlock()
+		return s, nil
+	}
+	d := m.dialing[address]
+	if d == nil {
+		d = &dial{done: make(chan struct{})}
+		m.dialing[address] = d
+		go m.dial(address, d)
+	}
+	m.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.LinkDown, address, "link did not come up in time")
+	}
+}
+
+// Pin keeps the link to a peer open while it carries nothing.
+func (m *Manager) Pin(ctx context.Context, address string) (*Session, error) {
+	s, err := m.Session(ctx, address)
+	if err == nil {
+		s.pinned.Store(true)
+	}
+	return s, err
+}
+
+func (m *Manager) dial(address string, d *dial) {
+	s, err := m.connect(address)
+	m.mu.Lock()
+	delete(m.dialing, address)
+	if err == nil && !m.closed.Load() {
+		m.sessions[address] = s
+	}
+	m.mu.Unlock()
+	d.session, d.err = s, err
+	close(d.done)
+	if err != nil {
+		return
+	}
+	events.LinkUp.Log(m.log).Str("peer", address).Send()
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		s.close()
+		return
+	}
+	s.control(stream)
+}
+
+func (m *Manager) connect(address string) (*Session, error) {
+	c, err := m.dialConn(address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.LinkDown, address, "peer cannot be reached")
+	}
+	mux, err := yamux.Client(c, m.cfg.mux())
+	if err != nil {
+		_ = c.Close()
+		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
+	}
+	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{})}
+	s.used()
+	return s, nil
+}
+
+func (m *Manager) dialConn(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if m.cfg.TLS == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	}
+	d := tls.Dialer{Config: m.cfg.TLS}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	// With TLS 1.3 a refused certificate shows only on the first read; the control stream meets it soon after.
+	_ = c.SetDeadline(time.Time{})
+	return c, nil
+}
+
+func (m *Manager) forget(s *Session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[s.address] == s {
+		delete(m.sessions, s.address)
+	}
+}
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+)
+
+const (
+	// MaxFrame is the largest frame taken from a peer, in bytes.
+	MaxFrame = 1 << 20
+	// DataChunk is the largest piece of a body in one frame, in bytes.
+	DataChunk   = 32 << 10
+	readBuffer  = 4 << 10
+	maxPrefix   = 10
+	firstBuffer = 2 << 10
+)
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, 0, firstBuffer)
+	return &b
+}}
+
+// WriteFrame writes one frame with a single call of w.Write, LinkLost if that fails.
+func WriteFrame(w io.Writer, f *peerpb.Frame) error {
+	p, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	size := proto.Size(f)
+	b := protowire.AppendVarint((*p)[:0], uint64(size)) //nolint:gosec // sizes are not negative
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, f)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "frame", "cannot be encoded")
+	}
+	if cap(b) <= DataChunk+maxPrefix+readBuffer {
+		*p = b
+	}
+	if _, err := w.Write(b); err != nil {
+		return fault.Wrap(err, fault.LinkLost, "frame", "cannot be written")
+	}
+	return nil
+}
+
+// FrameReader reads frames from one stream.
+type FrameReader struct {
+	r *bufio.Reader
+}
+
+// NewFrameReader returns a reader of r.
+func NewFrameReader(r io.Reader) FrameReader {
+	return FrameReader{r: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// Read returns the next frame: io.EOF at the clean end, Protocol for unreadable bytes, LinkLost otherwise.
+func (f FrameReader) Read() (*peerpb.Frame, error) {
+	frame := new(peerpb.Frame)
+	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(f.r, frame)
+	switch {
+	case err == nil && frame.GetKind() != nil:
+		return frame, nil
+	case err == io.EOF: //nolint:errorlint // documented to be returned bare
+		return nil, io.EOF
+	case err == nil:
+		return nil, fault.New(fault.Protocol, "frame", "frame without a message")
+	case isTransport(err):
+		return nil, fault.Wrap(err, fault.LinkLost, "frame", "link broke off")
+	}
+	return nil, fault.Wrap(err, fault.Protocol, "frame", "unreadable bytes")
+}
--- /dev/null
+++ b/peer/manager.go
@@ -0,0 +1,316 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/flight"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+)
+
+// Config is what the links of a node are built from.
+type Config struct {
+	// Node is this node's id.
+	Node string
+	// Hall is this node's hall.
+	Hall string
+	// Incarnation tells this process from earlier ones of the same node.
+	Incarnation uint64
+	// Listen is the IP and port for peers.
+	Listen string
+	// Heartbeat is the time between beats.
+	Heartbeat time.Duration
+	// CutAfter is how long an echo may take before the link gets no new work.
+	CutAfter time.Duration
+	// IdleClose is how long a link may carry nothing before it is closed.
+	IdleClose time.Duration
+	// Conns bounds the peers connected at once.
+	Conns int
+	// TLS is set for mutual TLS.
+	TLS *tls.Config
+}
+
+const (
+	dialTimeout   = time.Second
+	writeTimeout  = 2 * time.Second
+	acceptBacklog = 1024
+	streamWindow  = 512 << 10
+)
+
+func (c Config) mux() *yamux.Config {
+	y := yamux.DefaultConfig()
+	y.EnableKeepAlive = false
+	y.AcceptBacklog = acceptBacklog
+	y.ConnectionWriteTimeout = writeTimeout
+	y.StreamOpenTimeout = writeTimeout
+	y.MaxStreamWindowSize = streamWindow
+	y.LogOutput = io.Discard
+	return y
+}
+
+// Manager holds every link of a node; it is a kernel component.
+type Manager struct {
+	cfg      Config
+	log      *zerolog.Logger
+	handler  Handler
+	listener net.Listener
+	revision atomic.Uint64
+	hosts    atomic.Uint64
+	leaving  atomic.Bool
+	closed   atomic.Bool
+	inbound  atomic.Int64
+	working  flight.Counter
+
+	mu          sync.Mutex
+	sessions    map[string]*Session
+	dialing     map[string]*dial
+	accepted    map[*yamux.Session]struct{}
+	subscribers map[chan struct{}]struct{}
+
+	onBeat func(peer string, revision, hosts uint64)
+	onLink func()
+}
+
+type dial struct {
+	done    chan struct{}
+	session *Session
+	err     error
+}
+
+// Option changes a manager under construction.
+type Option func(*Manager)
+
+// WithBeatHook calls f whenever a peer shows a later revision or another list of hosts; f must not block.
+func WithBeatHook(f func(peer string, revision, hosts uint64)) Option {
+	return func(m *Manager) { m.onBeat = f }
+}
+
+// WithLinkHook calls f whenever a link becomes suspect; f must not block.
+func WithLinkHook(f func()) Option { return func(m *Manager) { m.onLink = f } }
+
+// NewManager returns a manager without links.
+func NewManager(cfg Config, log *zerolog.Logger, opts ...Option) *Manager {
+	m := &Manager{
+		cfg: cfg, log: log,
+		sessions:    make(map[string]*Session),
+		dialing:     make(map[string]*dial),
+		accepted:    make(map[*yamux.Session]struct{}),
+		subscribers: make(map[chan struct{}]struct{}),
+		onBeat:      func(string, uint64, uint64) {},
+		onLink:      func() {},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Handle sets who answers peers; call it before Start.
+func (m *Manager) Handle(h Handler) { m.handler = h }
+
+// Start listens for peers.
+func (m *Manager) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", m.cfg.Listen)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, m.cfg.Listen, "peers cannot be listened to")
+	}
+	if m.cfg.TLS != nil {
+		l = tls.NewListener(l, m.cfg.TLS)
+	}
+	m.listener = l
+	go m.accept(l)
+	return nil
+}
+
+func (m *Manager) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if m.closed.Load() {
+				return
+			}
+			time.Sleep(m.cfg.Heartbeat)
+			continue
+		}
+		if m.inbound.Add(1) > int64(m.cfg.Conns) {
+			m.inbound.Add(-1)
+			events.PeerRefused.Log(m.log).Str("peer", c.RemoteAddr().String()).Str("reason", "too many peers").Send()
+			_ = c.Close()
+			continue
+		}
+		go m.serveConn(c)
+	}
+}
+
+func (m *Manager) serveConn(c net.Conn) {
+	defer m.inbound.Add(-1)
+	defer func() { _ = c.Close() }()
+	if err := handshake(c); err != nil {
+		events.PeerRefused.Log(m.log).Str("peer", c.RemoteAddr().String()).Err(err).Send()
+		return
+	}
+	mux, err := yamux.Server(c, m.cfg.mux())
+	if err != nil {
+		return
+	}
+	m.track(mux, true)
+	defer m.track(mux, false)
+	defer func() { _ = mux.Close() }()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go m.serveStream(stream, c.RemoteAddr().String())
+	}
+}
+
+func handshake(c net.Conn) error {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		return fault.Wrap(err, fault.Unauthorized, c.RemoteAddr().String(), "peer shows no valid certificate")
+	}
+	return nil
+}
+
+func (m *Manager) track(mux *yamux.Session, add bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if add {
+		m.accepted[mux] = struct{}{}
+		return
+	}
+	delete(m.accepted, mux)
+}
+
+// Leave tells every peer that this node takes nothing new.
+func (m *Manager) Leave() {
+	m.leaving.Store(true)
+	m.tell()
+}
+
+// Announce tells every connected peer the revision in force and the digest of the list of hosts.
+func (m *Manager) Announce(revision, hosts uint64) {
+	m.revision.Store(revision)
+	m.hosts.Store(hosts)
+	m.tell()
+}
+
+func (m *Manager) tell() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (m *Manager) subscribe() chan struct{} {
+	c := make(chan struct{}, 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscribers[c] = struct{}{}
+	return c
+}
+
+func (m *Manager) unsubscribe(c chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.subscribers, c)
+}
+
+func (m *Manager) heardBeat(peer string, b *peerpb.Beat) {
+	if b.GetRevision() > m.revision.Load() || b.GetHosts() != m.hosts.Load() {
+		m.onBeat(peer, b.GetRevision(), b.GetHosts())
+	}
+}
+
+// beat returns a beat that shows what this node holds.
+func (m *Manager) beat() *peerpb.Beat {
+	return &peerpb.Beat{Revision: m.revision.Load(), Hosts: m.hosts.Load(), Leaving: m.leaving.Load()}
+}
+
+func (m *Manager) linkChanged() { m.onLink() }
+
+// Usable tells whether a peer may get new work as far as the link shows; a peer without a link may.
+func (m *Manager) Usable(address string) bool {
+	m.mu.Lock()
+	s := m.sessions[address]
+	m.mu.Unlock()
+	return s == nil || !s.suspect.Load() && !s.leaving.Load()
+}
+
+// Links returns the number of dialed links and of accepted ones.
+func (m *Manager) Links() (dialed, accepted int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.sessions), len(m.accepted)
+}
+
+// Stop waits for the work that peers have here, lets them close their links, and closes what is left.
+func (m *Manager) Stop(ctx context.Context) error {
+	m.closed.Store(true)
+	if m.listener != nil {
+		_ = m.listener.Close()
+	}
+	err := m.working.Wait(ctx, "peers")
+	for _, s := range m.dialed() {
+		s.close()
+	}
+	m.waitClosed(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for mux := range m.accepted {
+		_ = mux.Close()
+	}
+	return err
+}
+
+func (m *Manager) dialed() []*Session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.sessions))
+}
+
+// waitClosed gives the peers, which know that this node leaves, the time of a few beats to read their last answers
+// and close: a link closed under unread bytes would lose the answers on their way.
+func (m *Manager) waitClosed(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveBeats*m.cfg.Heartbeat)
+	defer cancel()
+	_ = m.inboundWait(ctx)
+}
+
+func (m *Manager) inboundWait(ctx context.Context) error {
+	for {
+		if _, accepted := m.Links(); accepted == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+const leaveBeats = 4
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether a request may be sent a further time.
+package retry
--- /dev/null
+++ b/settings/daemon.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// Daemon is the settings of a node.
+type Daemon struct {
+	// Node says who and where the node is.
+	Node Node `yaml:"node"`
+	// Callers is the listener for callers' requests.
+	Callers Callers `yaml:"callers"`
+	// Peers is the listener and the links between nodes.
+	Peers Peers `yaml:"peers"`
+	// Operators is the listener for operators.
+	Operators Operators `yaml:"operators"`
+	// Platform says where the platform is and how it is read.
+	Platform Platform `yaml:"platform"`
+	// Endpoints is how the node treats the endpoints beside it.
+	Endpoints Endpoints `yaml:"endpoints"`
+	// Stop is the planned stop.
+	Stop Stop `yaml:"stop"`
+	// Log is what is logged.
+	Log Log `yaml:"log"`
+}
+
+// Node says who and where a node is.
+type Node struct {
+	// ID is the host's name in the platform's list.
+	ID string `yaml:"id" validate:"required"`
+	// Hall is where the host stands.
+	Hall string `yaml:"hall" validate:"required"`
+}
+
+// Listener bounds what an HTTP listener takes.
+type Listener struct {
+	// Listen is the IP and port.
+	Listen Address `yaml:"listen" validate:"required"`
+	// HeaderBytes bounds a request's header.
+	HeaderBytes Size `yaml:"header_bytes" validate:"min=1024,max=1048576"`
+	// Conns bounds the connections held at once.
+	Conns int `yaml:"conns" validate:"min=1"`
+	// HeaderTimeout bounds the reading of a header.
+	HeaderTimeout Duration `yaml:"header_timeout" validate:"min=1"`
+	// IdleTimeout bounds the wait for a connection's next request.
+	IdleTimeout Duration `yaml:"idle_timeout" validate:"min=1"`
+}
+
+// Callers is the listener for callers' requests.
+type Callers struct {
+	Listener `yaml:",inline"`
+	// BodyBytes bounds a request's body.
+	BodyBytes Size `yaml:"body_bytes" validate:"min=1"`
+	// ReplayBytes is the largest body that is kept to be sent again.
+	ReplayBytes Size `yaml:"replay_bytes"`
+}
+
+// Peers is the listener and the links between nodes.
+type Peers struct {
+	// Listen is the IP and port.
+	Listen Address `yaml:"listen" validate:"required"`
+	// Seeds are peers to start from while the platform does not answer.
+	Seeds []Address `yaml:"seeds"`
+	// Heartbeat is the time between heartbeats.
+	Heartbeat Duration `yaml:"heartbeat" validate:"min=10000000"`
+	// CutAfter is how long a link may be silent before it gets no new work.
+	CutAfter Duration `yaml:"cut_after" validate:"min=30000000"`
+	// IdleClose is how long a link may carry no request before it is closed.
+	IdleClose Duration `yaml:"idle_close" validate:"min=1000000000"`
+	// Conns bounds the peers connected at once.
+	Conns int `yaml:"conns" validate:"min=1"`
+	// TLS turns on mutual TLS.
+	TLS TLS `yaml:"tls"`
+}
+
+// TLS names the files of mutual TLS; all three or none.
+type TLS struct {
+	// Cert is the node's certificate chain, PEM.
+	Cert string `yaml:"cert" validate:"required_with=Key CA"`
+	// Key is the certificate's key, PEM.
+	Key string `yaml:"key" validate:"required_with=Cert CA"`
+	// CA signs every peer's certificate, PEM.
+	CA string `yaml:"ca" validate:"required_with=Cert Key"`
+}
+
+// Operators is the listener for operators.
+type Operators struct {
+	Listener `yaml:",inline"`
+	// Token must come with every request; without one the listener is off.
+	Token Secret `yaml:"token"`
+}
+
+// Platform says where the platform is and how it is read.
+type Platform struct {
+	// Address is the IP and port.
+	Address Address `yaml:"address" validate:"required"`
+	// Token is sent with every call.
+	Token Secret `yaml:"token"`
+	// Timeout bounds a call.
+	Timeout Duration `yaml:"timeout" validate:"min=1"`
+	// Poll is the time between a reader's looks at the log.
+	Poll Duration `yaml:"poll" validate:"min=10000000"`
+	// Readers is how many nodes of a hall read the platform.
+	Readers int `yaml:"readers" validate:"min=1"`
+}
+
+// Endpoints is how the node treats the endpoints beside it.
+type Endpoints struct {
+	// ProbePath is asked of an endpoint that said it is leaving, to see whether it still is.
+	ProbePath string `yaml:"probe_path" validate:"startswith=/"`
+	// ProbeEvery is the time between these questions.
+	ProbeEvery Duration `yaml:"probe_every" validate:"min=1"`
+	// KeyWindow is how long an idempotency key is remembered.
+	KeyWindow Duration `yaml:"key_window" validate:"min=1"`
+	// KeyBytes bounds the memory of keys and kept answers.
+	KeyBytes Size `yaml:"key_bytes" validate:"min=65536"`
+}
+
+// Stop is the planned stop.
+type Stop struct {
+	// Grace is how long requests in flight may take to end.
+	Grace Duration `yaml:"grace"`
+	// Notice is how long the node still takes requests after telling its peers that it leaves.
+	Notice Duration `yaml:"notice"`
+}
+
+// Log is what is logged.
+type Log struct {
+	// Level is the least level that is written.
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+}
+
+// DefaultDaemon returns the settings of a node whose file says nothing.
+func DefaultDaemon() Daemon {
+	listener := Listener{
+		HeaderBytes: 64 << 10, Conns: 10000,
+		HeaderTimeout: Duration(10 * time.Second), IdleTimeout: Duration(2 * time.Minute),
+	}
+	return Daemon{
+		Callers: Callers{Listener: listener, BodyBytes: 16 << 20, ReplayBytes: 64 << 10},
+		Peers: Peers{
+			Heartbeat: Duration(250 * time.Millisecond), CutAfter: Duration(time.Second),
+			IdleClose: Duration(time.Minute), Conns: 4000,
+		},
+		Operators: Operators{Listener: listener},
+		Platform: Platform{
+			Timeout: Duration(2 * time.Second), Poll: Duration(500 * time.Millisecond), Readers: 2,
+		},
+		Endpoints: Endpoints{
+			ProbePath: "/healthz", ProbeEvery: Duration(5 * time.Second),
+			KeyWindow: Duration(10 * time.Minute), KeyBytes: 4 << 20,
+		},
+		Stop: Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
+		Log:  Log{Level: "info"},
+	}
+}
+
+// Print returns settings as YAML with secrets masked.
+func Print(cfg any) (string, error) {
+	text, err := yaml.Marshal(cfg)
+	if err != nil {
+		return "", fault.Wrap(err, fault.Internal, "", "settings cannot be printed")
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,178 @@
+package backend
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lynxplank/lynxplank/header"
+)
+
+// Behaviour is how the endpoint serves from now on.
+type Behaviour struct {
+	// WorkMillis is the service time.
+	WorkMillis float64 `json:"work_millis"`
+	// SlowFactor multiplies it; 0 stands for 1.
+	SlowFactor float64 `json:"slow_factor"`
+	// FailPercent of the work answers 500; probes still succeed.
+	FailPercent int `json:"fail_percent"`
+	// HalfPercent of the answers break off in the middle.
+	HalfPercent int `json:"half_percent"`
+	// FlapMillis switches the faults on and off with this period.
+	FlapMillis int `json:"flap_millis"`
+	// ShedAbove refuses, unrun, what would be more than this at once; 0 for never.
+	ShedAbove int `json:"shed_above"`
+	// ColdMillis is how long it takes three times as long after this behaviour was set.
+	ColdMillis int `json:"cold_millis"`
+	// Leaving marks every answer as that of an endpoint about to stop.
+	Leaving bool `json:"leaving"`
+	// ReportLoad is what it says of its load: "" for the truth, "stuck" for the first value, "idle" for none.
+	ReportLoad string `json:"report_load"`
+}
+
+// Run is what the endpoint knows of one caller's request.
+type Run struct {
+	// Started counts how often it began.
+	Started int `json:"started"`
+	// Finished counts how often its whole work was done.
+	Finished int `json:"finished"`
+	// LastMillis is when it last began, in Unix milliseconds.
+	LastMillis int64 `json:"last_millis"`
+}
+
+// CallHeader names the caller's request for the record.
+const CallHeader = "X-Call"
+
+const (
+	coldFactor   = 3
+	halfLength   = 4096
+	percent      = 100
+	reportHeader = "X-Load"
+)
+
+// Backend is one endpoint.
+type Backend struct {
+	mu     sync.Mutex
+	name   string
+	set    time.Time
+	how    Behaviour
+	runs   map[string]Run
+	busy   int
+	stuck  int
+	random *rand.Rand
+}
+
+// New returns an endpoint with a name for its answers and fixed random numbers.
+func New(name string, how Behaviour, seed uint64) *Backend {
+	b := &Backend{name: name, runs: make(map[string]Run), random: rand.New(rand.NewPCG(seed, seed))} //nolint:gosec // no secret
+	b.Set(how)
+	return b
+}
+
+// Set replaces the behaviour.
+func (b *Backend) Set(how Behaviour) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.how = how
+	b.set = time.Now()
+	b.stuck = b.busy
+}
+
+// Runs returns a copy of the record.
+func (b *Backend) Runs() map[string]Run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]Run, len(b.runs))
+	for k, v := range b.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// plan is what becomes of one request.
+type plan struct {
+	shed, fail, half, leaving bool
+	work                      time.Duration
+	report                    int
+}
+
+func (b *Backend) begin(call string) plan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := plan{leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report()}
+	if b.how.ShedAbove > 0 && b.busy >= b.how.ShedAbove {
+		p.shed = true
+		return p
+	}
+	age := time.Since(b.set)
+	if age < time.Duration(b.how.ColdMillis)*time.Millisecond {
+		p.work *= coldFactor
+	}
+	if b.faulty(age) {
+		p.fail = b.random.IntN(percent) < b.how.FailPercent
+		p.half = b.random.IntN(percent) < b.how.HalfPercent
+		if b.how.SlowFactor > 0 {
+			p.work = time.Duration(float64(p.work) * b.how.SlowFactor)
+		}
+	}
+	b.busy++
+	r := b.runs[call]
+	r.Started++
+	r.LastMillis = time.Now().UnixMilli()
+	b.runs[call] = r
+	return p
+}
+
+func (b *Backend) faulty(age time.Duration) bool {
+	period := time.Duration(b.how.FlapMillis) * time.Millisecond
+	return period == 0 || (age/period)%2 == 0
+}
+
+func (b *Backend) report() int {
+	switch b.how.ReportLoad {
+	case "stuck":
+		return b.stuck
+	case "idle":
+		return 0
+	}
+	return b.busy
+}
+
+func (b *Backend) end(call string, finished bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy--
+	if finished {
+		r := b.runs[call]
+		r.Finished++
+		b.runs[call] = r
+	}
+}
+
+// work takes the plan's time, less when the caller goes away or the deadline comes.
+func (p plan) wait(ctx context.Context, deadline time.Duration) bool {
+	t := time.NewTimer(p.work)
+	defer t.Stop()
+	if deadline <= 0 {
+		deadline = time.Hour
+	}
+	limit := time.NewTimer(deadline)
+	defer limit.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func deadlineOf(r *http.Request) time.Duration {
+	d, err := time.ParseDuration(r.Header.Get(header.Deadline))
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- /dev/null
+++ b/standin/backend/http.go
@@ -0,0 +1,98 @@
+package backend
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/serve"
+)
+
+// The paths that switch the stand-in itself.
+const (
+	// PathBehaviour takes a Behaviour by POST.
+	PathBehaviour = "/admin/behaviour"
+	// PathRuns answers the record, a Run by call.
+	PathRuns = "/admin/runs"
+	// PathHealth is the probe; it lies: it succeeds whatever the faults are.
+	PathHealth = "/healthz"
+)
+
+// NewServer returns the stand-in's listener.
+func NewServer(b *Backend, address netip.AddrPort) *serve.Server {
+	return serve.New("endpoint-standin", address, serve.WithHandler(b))
+}
+
+// ServeHTTP answers work on every path but those of the stand-in itself.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case PathBehaviour:
+		b.handleBehaviour(w, r)
+	case PathRuns:
+		_ = json.NewEncoder(w).Encode(b.Runs())
+	case PathHealth:
+		b.handleHealth(w)
+	default:
+		b.handleWork(w, r)
+	}
+}
+
+func (b *Backend) handleBehaviour(w http.ResponseWriter, r *http.Request) {
+	var how Behaviour
+	if err := json.NewDecoder(r.Body).Decode(&how); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.Set(how)
+}
+
+func (b *Backend) handleHealth(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.how.Leaving {
+		w.Header().Set(header.Leaving, "yes")
+	}
+}
+
+func (b *Backend) handleWork(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	call := r.Header.Get(CallHeader)
+	p := b.begin(call)
+	w.Header().Set(reportHeader, strconv.Itoa(p.report))
+	if p.leaving {
+		w.Header().Set(header.Leaving, "yes")
+	}
+	if p.shed {
+		w.Header().Set(header.NotRun, "yes")
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	done := p.wait(r.Context(), deadlineOf(r))
+	b.end(call, done && !p.fail)
+	if !done || p.fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	b.answer(w, call, string(body), p.half)
+}
+
+// answer names the request that it answers, so that a caller can tell its own answer from another's.
+func (b *Backend) answer(w http.ResponseWriter, call, body string, half bool) {
+	text := "answer from " + b.name + " to " + call + " body " + body + "\n"
+	if !half {
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(halfLength))
+	_, _ = io.WriteString(w, text+strings.Repeat(".", halfLength/2-len(text)))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/table/rows.go
@@ -0,0 +1,101 @@
+package table
+
+// Kind says which sheet of the table a row belongs to.
+type Kind uint8
+
+// The kinds of row.
+const (
+	// KindService is a row of type Service.
+	KindService Kind = iota + 1
+	// KindEndpoint is a row of type Endpoint.
+	KindEndpoint
+	// KindRoute is a row of type Route.
+	KindRoute
+	// KindCustomer is a row of type Customer.
+	KindCustomer
+	// KindHost is a row of type Host.
+	KindHost
+)
+
+// Service is a named group of endpoints with its policy.
+type Service struct {
+	// Floor is the share of the service's weight that ejections always leave in use.
+	Floor Percent `col:"floor" default:"60%" help:"share of capacity that ejections never touch"`
+	// FalseEjections is how many wrong ejections per endpoint and day the operator bears.
+	FalseEjections Rate `col:"false_ejections" default:"0.05" help:"bearable false ejections per endpoint and day"`
+	// Timeout bounds a request that names no deadline, and any deadline from above.
+	Timeout Duration `col:"timeout" default:"30s" help:"longest time for a request"`
+	// RetryBudget is the share of requests that may be retried or hedged.
+	RetryBudget Percent `col:"retry_budget" default:"10%" help:"retries as a share of requests"`
+	// Queue is how many requests may wait beside each endpoint.
+	Queue Count `col:"queue" default:"16" help:"requests that may wait beside each endpoint"`
+	// Warmup is how long a cold endpoint's share grows to its full weight.
+	Warmup Duration `col:"warmup" default:"10s" help:"time over which a new endpoint's share grows"`
+}
+
+// Endpoint is one target of a service, beside one host's node.
+type Endpoint struct {
+	// Service is the key of the service's row.
+	Service string `col:"service" required:"yes" help:"service it belongs to"`
+	// Host is the host whose node stands beside the endpoint.
+	Host string `col:"host" required:"yes" help:"host whose node stands beside it"`
+	// Hall is the hall of that host.
+	Hall string `col:"hall" required:"yes" help:"hall of that host"`
+	// Address is the endpoint's IP and port, as its node dials it.
+	Address string `col:"address" required:"yes" help:"IP and port, as its node dials it"`
+	// Slots is how many requests it runs at once.
+	Slots Count `col:"slots" default:"4" help:"requests it runs at once"`
+	// Weight is its share of the work relative to the service's other endpoints.
+	Weight Rate `col:"weight" default:"1" help:"share of the work, relative to the others"`
+	// Phase says whether it takes new work.
+	Phase Phase `col:"phase" default:"active" help:"active, draining or retired"`
+}
+
+// Route maps callers' requests to a service.
+type Route struct {
+	// Host is the host name that callers ask for; "*" stands for any.
+	Host string `col:"host" default:"*" help:"host name that callers ask for, * for any"`
+	// Prefix is the start of the path, matched at whole segments.
+	Prefix string `col:"prefix" default:"/" help:"start of the path, whole segments"`
+	// Service is the key of the service's row.
+	Service string `col:"service" required:"yes" help:"service that answers"`
+	// Repeatable says whether its requests may run more than once.
+	Repeatable Repeat `col:"repeatable" default:"method" help:"method, no or yes"`
+	// Timeout replaces the service's, if not zero.
+	Timeout Duration `col:"timeout" default:"0s" help:"replaces the service's timeout unless 0s"`
+}
+
+// Customer is one payer of the callers' requests, with its share and limit.
+type Customer struct {
+	// Weight is its share when an endpoint's queue is full.
+	Weight Rate `col:"weight" default:"1" help:"share of a full queue, relative to others"`
+	// Limit is how many requests a second it may send to a node; 0 stands for no limit.
+	Limit Rate `col:"limit" default:"0" help:"requests a second through each node, 0 for none"`
+}
+
+// Host is an operator's intention for one host; the platform's list says which hosts there are.
+type Host struct {
+	// Phase says whether the host's endpoints take new work.
+	Phase Phase `col:"phase" default:"active" help:"active, draining or retired"`
+}
+
+// Meta is what every row carries besides its cells.
+type Meta struct {
+	// Version is the platform's count of writes to the row, 0 before the first.
+	Version uint64
+	// Revision is the fleet-wide revision of the row's last change.
+	Revision uint64
+}
+
+// Row is one row of any kind, its cells in the order of the kind's columns.
+type Row struct {
+	Meta
+	// Kind is the sheet.
+	Kind Kind
+	// Key names the row within its sheet.
+	Key string
+	// Deleted marks a row that was taken out by its last change.
+	Deleted bool
+	// Cells are the values as text, one for each column; empty for a deleted row.
+	Cells []string
+}
--- /dev/null
+++ b/table/state.go
@@ -0,0 +1,201 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// tailLength is how many changes a state keeps for peers that are a little behind.
+const tailLength = 4096
+
+// HostInfo is one line of the platform's lagging list of hosts.
+type HostInfo struct {
+	// ID names the host.
+	ID string `json:"id"`
+	// Hall is where it stands.
+	Hall string `json:"hall"`
+	// Address is the IP and port of its node's peer listener.
+	Address string `json:"address"`
+	// Leaving is set when the platform is about to take the host away.
+	Leaving bool `json:"leaving"`
+}
+
+// Entry is a typed row.
+type Entry[T any] struct {
+	Meta
+	// Key names the row within its sheet.
+	Key string
+	// Value holds the cells.
+	Value T
+}
+
+// ServiceView is a service with its endpoints, sorted by key.
+type ServiceView struct {
+	Entry[Service]
+	// Known is false while endpoints name a service that has no row.
+	Known bool
+	// Endpoints are all but the retired ones.
+	Endpoints []Entry[Endpoint]
+}
+
+type change struct {
+	revision uint64
+	kind     Kind
+	key      string
+}
+
+// State is one immutable revision of the whole table.
+type State struct {
+	revision  uint64
+	services  *immutable.Map[string, ServiceView]
+	endpoints *immutable.Map[string, Entry[Endpoint]]
+	routes    *immutable.Map[string, Entry[Route]]
+	byHost    *immutable.Map[string, []Entry[Route]]
+	customers *immutable.Map[string, Entry[Customer]]
+	hosts     *immutable.Map[string, Entry[Host]]
+	tail      []change
+	tailFrom  uint64
+}
+
+// NewState returns the empty state at revision 0.
+func NewState() *State {
+	return &State{
+		services:  immutable.NewMap[string, ServiceView](nil),
+		endpoints: immutable.NewMap[string, Entry[Endpoint]](nil),
+		routes:    immutable.NewMap[string, Entry[Route]](nil),
+		byHost:    immutable.NewMap[string, []Entry[Route]](nil),
+		customers: immutable.NewMap[string, Entry[Customer]](nil),
+		hosts:     immutable.NewMap[string, Entry[Host]](nil),
+	}
+}
+
+// Revision returns the fleet-wide revision that the state shows.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Service returns a service with its endpoints.
+func (s *State) Service(key string) (ServiceView, bool) {
+	v, ok := s.services.Get(key)
+	return v, ok && v.Known
+}
+
+// Services calls visit for each known service.
+func (s *State) Services(visit func(ServiceView)) {
+	for it := s.services.Iterator(); !it.Done(); {
+		if _, v, _ := it.Next(); v.Known {
+			visit(v)
+		}
+	}
+}
+
+// Endpoint returns one endpoint's row.
+func (s *State) Endpoint(key string) (Entry[Endpoint], bool) { return s.endpoints.Get(key) }
+
+// Customer returns one customer's row.
+func (s *State) Customer(key string) (Entry[Customer], bool) { return s.customers.Get(key) }
+
+// HostPhase returns the operator's intention for a host; a host without a row is active.
+func (s *State) HostPhase(id string) Phase {
+	h, _ := s.hosts.Get(id)
+	return h.Value.Phase
+}
+
+// EndpointPhase returns the later of the endpoint's own phase and its host's.
+func (s *State) EndpointPhase(e Entry[Endpoint]) Phase {
+	return max(e.Value.Phase, s.HostPhase(e.Value.Host))
+}
+
+// Match returns the route with the longest prefix for the host, else for "*".
+func (s *State) Match(host, path string) (Entry[Route], bool) {
+	if r, ok := s.matchIn(strings.ToLower(host), path); ok {
+		return r, true
+	}
+	return s.matchIn("*", path)
+}
+
+func (s *State) matchIn(host, path string) (Entry[Route], bool) {
+	routes, _ := s.byHost.Get(host)
+	for _, r := range routes {
+		if hasPathPrefix(path, r.Value.Prefix) {
+			return r, true
+		}
+	}
+	return Entry[Route]{}, false
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
+}
+
+// Row returns a row of any kind in its text form.
+func (s *State) Row(kind Kind, key string) (Row, bool) {
+	switch kind {
+	case KindService:
+		v, ok := s.Service(key)
+		return Encode(kind, key, v.Meta, v.Value), ok
+	case KindEndpoint:
+		return rowOf(s.endpoints, kind, key)
+	case KindRoute:
+		return rowOf(s.routes, kind, key)
+	case KindCustomer:
+		return rowOf(s.customers, kind, key)
+	case KindHost:
+		return rowOf(s.hosts, kind, key)
+	}
+	return Row{}, false
+}
+
+func rowOf[T any](m *immutable.Map[string, Entry[T]], kind Kind, key string) (Row, bool) {
+	e, ok := m.Get(key)
+	return Encode(kind, key, e.Meta, e.Value), ok
+}
+
+// Rows calls visit for every row of the table, sheet by sheet.
+func (s *State) Rows(visit func(Row)) {
+	s.Services(func(v ServiceView) { visit(Encode(KindService, v.Key, v.Meta, v.Value)) })
+	visitRows(s.endpoints, KindEndpoint, visit)
+	visitRows(s.routes, KindRoute, visit)
+	visitRows(s.customers, KindCustomer, visit)
+	visitRows(s.hosts, KindHost, visit)
+}
+
+func visitRows[T any](m *immutable.Map[string, Entry[T]], kind Kind, visit func(Row)) {
+	for it := m.Iterator(); !it.Done(); {
+		key, e, _ := it.Next()
+		visit(Encode(kind, key, e.Meta, e.Value))
+	}
+}
+
+// Since returns every row changed after a revision; ok is false when the state no longer knows them all.
+func (s *State) Since(from uint64) (rows []Row, ok bool) {
+	if from < s.tailFrom {
+		return nil, false
+	}
+	seen := make(map[change]bool)
+	for _, c := range s.tail {
+		id := change{kind: c.kind, key: c.key}
+		if c.revision <= from || seen[id] {
+			continue
+		}
+		seen[id] = true
+		row, exists := s.Row(c.kind, c.key)
+		if !exists {
+			row = Row{Kind: c.kind, Key: c.key, Deleted: true, Meta: Meta{Revision: c.revision}}
+		}
+		rows = append(rows, row)
+	}
+	return rows, true
+}
+
+func sortRoutes(routes []Entry[Route]) {
+	slices.SortFunc(routes, func(a, b Entry[Route]) int {
+		byLength := cmp.Compare(len(b.Value.Prefix), len(a.Value.Prefix))
+		return cmp.Or(byLength, cmp.Compare(a.Key, b.Key))
+	})
+}
