--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,339 @@
+package demo
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/store"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+const (
+	operatorToken = "demo"
+	waitLimit     = 10 * time.Second
+	lookEvery     = 10 * time.Millisecond
+)
+
+// Member is one node with the endpoint beside it.
+type Member struct {
+	// Host is the node's id; the endpoint's key is the same with "e" before it.
+	Host string
+	// Hall is where it stands.
+	Hall string
+	// Callers, Peers, Operators and Endpoint are the addresses.
+	Callers, Peers, Operators, Endpoint string
+	node, endpoint                      *process
+}
+
+// Fleet is a platform stand-in and a number of members, each a process of its own.
+type Fleet struct {
+	// Members are the nodes with their endpoints.
+	Members  []*Member
+	bin      string
+	dir      string
+	platform string
+	extra    string
+	started  []*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// NewFleet returns a fleet of size members in halls, with the binaries of bin and files in dir. Extra is appended to
+// each node's settings.
+func NewFleet(bin, dir string, size, halls int, extra string) (*Fleet, error) {
+	const perMember = 4
+	ports, err := freePorts(1 + perMember*size)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{bin: bin, dir: dir, platform: ports[0], extra: extra}
+	for i := range size {
+		p := ports[1+perMember*i:]
+		f.Members = append(f.Members, &Member{
+			Host: "h" + strconv.Itoa(i+1), Hall: "hall-" + strconv.Itoa(i%halls+1),
+			Callers: p[0], Peers: p[1], Operators: p[2], Endpoint: p[3],
+		})
+	}
+	return f, nil
+}
+
+// freePorts asks the kernel for ports that nobody uses.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Unavailable, "loopback", "no free port")
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Key returns the key of the member's endpoint.
+func (m *Member) Key() string { return "e" + m.Host }
+
+// Start starts the platform, the endpoints and the nodes and waits until every node is ready.
+func (f *Fleet) Start(service string, how backend.Behaviour, serviceCells string) error {
+	if _, err := f.spawn("platform", "lynxplank-standin", "-role", "platform", "-listen", f.platform); err != nil {
+		return err
+	}
+	if err := waitFor("platform", func() bool { return get(f.platform+store.PathStats, nil) == nil }); err != nil {
+		return err
+	}
+	hosts := make([]table.HostInfo, 0, len(f.Members))
+	for _, m := range f.Members {
+		hosts = append(hosts, table.HostInfo{ID: m.Host, Hall: m.Hall, Address: m.Peers})
+	}
+	if err := post(f.platform+store.PathHosts, hosts); err != nil {
+		return err
+	}
+	if err := f.declare(service, serviceCells); err != nil {
+		return err
+	}
+	for i, m := range f.Members {
+		if err := f.startMember(m, how, i); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady()
+}
+
+func (f *Fleet) startMember(m *Member, how backend.Behaviour, i int) error {
+	text, err := json.Marshal(how)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, m.Host, "behaviour cannot be encoded")
+	}
+	m.endpoint, err = f.spawn(m.Key(), "lynxplank-standin", "-role", "endpoint", "-name", m.Key(),
+		"-listen", m.Endpoint, "-behaviour", string(text), "-seed", strconv.Itoa(i+1))
+	if err != nil {
+		return err
+	}
+	return f.StartNode(m)
+}
+
+// StartNode starts a member's node with empty memory.
+func (f *Fleet) StartNode(m *Member) error {
+	path := filepath.Join(f.dir, m.Host+".yaml")
+	text := fmt.Sprintf(`node: {id: %s, hall: %s}
+callers: {listen: %q}
+peers: {listen: %q, seeds: [%q, %q]}
+operators: {listen: %q, token: %s}
+platform: {address: %q, poll: 250ms}
+%s`, m.Host, m.Hall, m.Callers, m.Peers, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, f.platform, f.extra)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return fault.Wrap(err, fault.Unavailable, path, "cannot be written")
+	}
+	var err error
+	m.node, err = f.spawn(m.Host, "lynxplankd", "-config", path)
+	return err
+}
+
+// declare writes the declarations and has the operators' tool apply them.
+func (f *Fleet) declare(service, cells string) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\nendpoint:\n", service, cells, service)
+	for _, m := range f.Members {
+		fmt.Fprintf(&b, "  %s: {service: %s, host: %s, hall: %s, address: %q}\n", m.Key(), service, m.Host, m.Hall, m.Endpoint)
+	}
+	dir := filepath.Join(f.dir, "declarations")
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return fault.Wrap(err, fault.Unavailable, dir, "cannot be made")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "fleet.yaml"), b.Bytes(), 0o600); err != nil {
+		return fault.Wrap(err, fault.Unavailable, dir, "cannot be written")
+	}
+	_, err := f.Ctl("apply", "-source", "demo", dir)
+	return err
+}
+
+// Ctl runs the operators' tool and returns what it prints.
+func (f *Fleet) Ctl(args ...string) (string, error) {
+	path := filepath.Join(f.dir, "ctl.yaml")
+	text := fmt.Sprintf("author: demo\nplatform: {address: %q}\ntoken: %s\nnodes:\n", f.platform, operatorToken)
+	for _, m := range f.Members {
+		text += fmt.Sprintf("  - %q\n", m.Operators)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return "", fault.Wrap(err, fault.Unavailable, path, "cannot be written")
+	}
+	cmd := exec.Command(filepath.Join(f.bin, "lynxplankctl"), append([]string{"-config", path}, args...)...) //nolint:gosec // our own binary
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return string(out), fault.Wrap(err, fault.Internal, "lynxplankctl "+args[0], string(out))
+	}
+	return string(out), nil
+}
+
+// SetFaults switches the platform's faults.
+func (f *Fleet) SetFaults(faults store.Faults) error {
+	return post(f.platform+store.PathFaults, faults)
+}
+
+// Behave switches a member's endpoint.
+func (m *Member) Behave(how backend.Behaviour) error {
+	return post(m.Endpoint+backend.PathBehaviour, how)
+}
+
+// Runs returns the endpoint's own record.
+func (m *Member) Runs() (map[string]backend.Run, error) {
+	runs := make(map[string]backend.Run)
+	err := get(m.Endpoint+backend.PathRuns, &runs)
+	return runs, err
+}
+
+// WaitReady waits until every running node may serve.
+func (f *Fleet) WaitReady() error {
+	return waitFor("nodes ready", func() bool {
+		for _, m := range f.Members {
+			if m.Running() && get(m.Operators+"/healthz", nil) != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Running tells whether the member's node was started and has not been stopped or killed.
+func (m *Member) Running() bool { return m.node != nil }
+
+// StopNode is the planned stop of a member's node; it fails unless the node exits with 0.
+func (m *Member) StopNode() error { return m.endNode(syscall.SIGTERM) }
+
+// KillNode ends a member's node without notice.
+func (m *Member) KillNode() error {
+	_ = m.endNode(syscall.SIGKILL)
+	return nil
+}
+
+func (m *Member) endNode(sig syscall.Signal) error {
+	p := m.node
+	m.node = nil
+	return p.end(sig)
+}
+
+// Pause freezes a member's node, or lets it go on.
+func (m *Member) Pause(on bool) error {
+	sig := syscall.SIGCONT
+	if on {
+		sig = syscall.SIGSTOP
+	}
+	return m.node.cmd.Process.Signal(sig)
+}
+
+func (p *process) end(sig syscall.Signal) error {
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fault.Wrap(err, fault.Internal, p.cmd.Path, "cannot be signalled")
+	}
+	if err := <-p.done; err != nil {
+		return fault.Wrap(err, fault.Internal, p.cmd.Path, "did not exit with 0")
+	}
+	return nil
+}
+
+// wait returns once the process is gone, however it ended.
+func (p *process) wait() {
+	for range p.done {
+		continue
+	}
+}
+
+func (f *Fleet) spawn(name, program string, args ...string) (*process, error) {
+	out, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, name, "no log file")
+	}
+	cmd := exec.Command(filepath.Join(f.bin, program), args...) //nolint:gosec // our own binary
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, program, "cannot be started")
+	}
+	p := &process{cmd: cmd, done: make(chan error, 1)}
+	f.started = append(f.started, p)
+	go func() {
+		p.done <- cmd.Wait()
+		close(p.done)
+		_ = out.Close()
+	}()
+	return p, nil
+}
+
+// Close ends every process that the fleet started and that still runs.
+func (f *Fleet) Close() {
+	for _, p := range f.started {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range f.started {
+		p.wait()
+	}
+}
+
+func waitFor(what string, done func() bool) error {
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(lookEvery) {
+		if done() {
+			return nil
+		}
+	}
+	return fault.New(fault.DeadlineExceeded, what, "did not come about")
+}
+
+func post(url string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, url, "cannot be encoded")
+	}
+	resp, err := http.Post("http://"+url, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, url, "no answer")
+	}
+	return resp.Body.Close()
+}
+
+// get reads JSON into out, or only checks that the answer is good when out is nil.
+func get(url string, out any) error {
+	req, err := http.NewRequest(http.MethodGet, "http://"+url, nil) //nolint:noctx // bounded by the client
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, url, "request cannot be built")
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	client := &http.Client{Timeout: waitLimit / 10}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, url, "no answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fault.New(fault.Unavailable, url, "answers "+strconv.Itoa(resp.StatusCode))
+	}
+	if out == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	} else {
+		err = json.NewDecoder(resp.Body).Decode(out)
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.Protocol, url, "answer cannot be read")
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,179 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/ingress"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+// Kind is one way for a caller to send.
+type Kind uint8
+
+// The kinds of request.
+const (
+	// Lookup may run more than once.
+	Lookup Kind = iota
+	// Booking must run at most once; it carries a key and is sent again, marked, while its fate is unknown.
+	Booking
+	// Payment must run at most once and carries no key.
+	Payment
+	kinds
+)
+
+var kindNames = [kinds]string{"lookup", "booking", "payment"}
+
+// Result is what a caller was told of one request.
+type Result struct {
+	// Call names the request in the endpoints' records.
+	Call string
+	// Kind is how it was sent.
+	Kind Kind
+	// Told is "ran", "not-run" or "unknown".
+	Told string
+	// Status is the answer's status, 0 without one.
+	Status int
+	// Whole is set when the answer could be read to its end.
+	Whole bool
+	// Own is set when the answer names this request.
+	Own bool
+	// Sends counts how often the caller sent it.
+	Sends int
+	// Code is the system's own code for a failure.
+	Code string
+}
+
+// Load sends requests of all kinds to the fleet's nodes.
+type Load struct {
+	client  *http.Client
+	targets []string
+	mu      sync.Mutex
+	results []Result
+}
+
+const (
+	mostSends   = 4
+	clientLimit = 8 * time.Second
+	pause       = 150 * time.Millisecond
+	bodyLength  = 16
+)
+
+// NewLoad returns a load on the callers' addresses.
+func NewLoad(targets []string) *Load {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Load{
+		client:  &http.Client{Timeout: clientLimit, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}},
+		targets: targets,
+	}
+}
+
+// Results returns what the callers were told so far.
+func (l *Load) Results() []Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Result(nil), l.results...)
+}
+
+// Run sends rate requests a second until ctx ends, then waits for the last answers.
+func (l *Load) Run(ctx context.Context, rate int) {
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		wg.Go(func() { l.note(l.one(n)) })
+	}
+}
+
+func (l *Load) note(r Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
+
+// one sends one request, again while a caller would.
+func (l *Load) one(n int) Result {
+	r := Result{Kind: Kind(n % int(kinds))} //nolint:gosec // three kinds
+	r.Call = kindNames[r.Kind] + "-" + strconv.Itoa(n)
+	attempt := 1
+	for r.Sends = 1; ; r.Sends++ {
+		reached := l.send(&r, attempt, l.targets[(n/int(kinds)+r.Sends)%len(l.targets)])
+		again := !reached || r.Told == "not-run" || r.Told == "unknown" && r.Kind != Payment
+		if !again || r.Sends == mostSends {
+			return r
+		}
+		if r.Told == "unknown" {
+			attempt++
+		}
+		time.Sleep(pause)
+	}
+}
+
+// send makes one send; reached is false when no node took the connection.
+func (l *Load) send(r *Result, attempt int, target string) (reached bool) {
+	req, err := http.NewRequest(r.Kind.method(), "http://"+target+"/"+kindNames[r.Kind], r.body()) //nolint:noctx // the client's limit
+	if err != nil {
+		return false
+	}
+	req.Header.Set(backend.CallHeader, r.Call)
+	req.Header.Set(header.Deadline, "3s")
+	if r.Kind == Booking {
+		req.Header.Set(header.IdempotencyKey, r.Call)
+		req.Header.Set(header.Attempt, strconv.Itoa(attempt))
+	}
+	r.Whole, r.Own, r.Status, r.Code = false, false, 0, ""
+	resp, err := l.client.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			r.Told, r.Code = "not-run", "no_connection"
+			return false
+		}
+		r.Told = "unknown"
+		return true
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	r.Status = resp.StatusCode
+	r.Whole = err == nil
+	r.Told = resp.Header.Get(header.Outcome)
+	r.Own = strings.Contains(string(body), fmt.Sprintf(" to %s body ", r.Call))
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
+		var p ingress.Problem
+		if json.Unmarshal(body, &p) == nil {
+			r.Code = string(p.Code)
+		}
+	}
+	return true
+}
+
+func (k Kind) method() string {
+	if k == Lookup {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+// body returns a body that the HTTP client cannot rewind, so that it never sends a request twice by itself.
+func (r *Result) body() io.Reader {
+	if r.Kind == Lookup {
+		return nil
+	}
+	return io.NopCloser(strings.NewReader(strings.Repeat("x", bodyLength)))
+}
