--- a/admit/queue.go
+++ b/admit/queue.go
@@ -43,6 +43,8 @@
 	Code fault.Code
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
+	// Until is when a waiting request can no longer end in time; call Expire then.
+	Until time.Time
 }
 
 const (
@@ -127,7 +129,8 @@
 	}
 	q.queue = slices.Insert(q.queue, at, w)
 	q.charge(r)
-	return Decision{ID: r.ID, Action: Wait}, out
+	until := r.Deadline.Add(-time.Duration(q.typical() * float64(time.Second)))
+	return Decision{ID: r.ID, Action: Wait, Until: until}, out
 }
 
 // startTag is the virtual time at which the customer's next request may start (start-time fair queueing).
@@ -192,6 +195,9 @@
 	return q.fill(now)
 }
 
+// Expire refuses the waiting requests that can no longer end in time while no slot comes free.
+func (q *Queue) Expire(now time.Time) []Decision { return q.prune(now) }
+
 // Cancel takes a waiting request out; false if it does not wait (any more).
 func (q *Queue) Cancel(id uint64) bool {
 	i := slices.IndexFunc(q.queue, func(w waiting) bool { return w.ID == id })
--- a/egress/local.go
+++ b/egress/local.go
@@ -52,10 +52,12 @@
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
 	r := admit.Request{ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline}
-	wait, end := l.offer(r)
+	wait, until, end := l.offer(r)
 	if wait == nil {
 		return end
 	}
+	expire := time.AfterFunc(time.Until(until), l.expire)
+	defer expire.Stop()
 	select {
 	case decision := <-wait:
 		return refusal(decision)
@@ -64,17 +66,23 @@
 	}
 }
 
-func (l *local) offer(r admit.Request) (chan admit.Decision, *peerpb.End) {
+func (l *local) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deliver(l.queue.Expire(time.Now()))
+}
+
+func (l *local) offer(r admit.Request) (chan admit.Decision, time.Time, *peerpb.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	decision, evicted := l.queue.Offer(time.Now(), r)
 	l.deliver(evicted)
 	if decision.Action != admit.Wait {
-		return nil, refusal(decision)
+		return nil, time.Time{}, refusal(decision)
 	}
 	wait := make(chan admit.Decision, 1)
 	l.waiters[r.ID] = wait
-	return wait, nil
+	return wait, decision.Until, nil
 }
 
 // deliver hands decisions to the requests that wait for them; the lock is held.
--- a/eject/service.go
+++ b/eject/service.go
@@ -8,10 +8,12 @@
 
 const (
 	failureMemory = 50.0
-	marksEvery    = 16
-	marksLeast    = 20
-	rateWindow    = 10 * time.Second
-	rampStart     = 0.25
+	// What failed just now, over about this many answers, shows a common cause before the long shares do.
+	recentMemory = 5.0
+	marksEvery   = 16
+	marksLeast   = 20
+	rateWindow   = 10 * time.Second
+	rampStart    = 0.25
 )
 
 type endpoint struct {
@@ -20,6 +22,7 @@
 	times     histogram
 	failShare float64
 	failSeen  float64
+	failNow   float64
 	phase     Phase
 	ejections int
 	until     time.Time
@@ -133,6 +136,7 @@
 	}
 	e.failSeen = min(e.failSeen+1, failureMemory)
 	e.failShare += (hit - e.failShare) / e.failSeen
+	e.failNow += (hit - e.failNow) / recentMemory
 }
 
 func (e *endpoint) countRate(now time.Time) {
@@ -146,21 +150,31 @@
 	e.rateCount = 0
 }
 
-// healthyFailures is the failure share of the other endpoints in use, the comparison that tells a bad endpoint from a
-// bad service: when all fail together, no test rises.
+// healthyFailures is the failure share of the service's other endpoints in use, the comparison that tells a bad
+// endpoint from a bad service. The worst third of them is left out, so that one bad endpoint does not hide another;
+// when most of them have failed just now, the cause is common and the share rises at once.
 func (s *Service) healthyFailures(e *endpoint) float64 {
-	sum, seen := 0.0, 0.0
+	others := make([]*endpoint, 0, len(s.endpoints))
 	for _, o := range s.endpoints {
-		if o == e || o.phase == Ejected || o.phase == Trickle {
-			continue
+		if o != e && !out(o.phase) {
+			others = append(others, o)
 		}
+	}
+	if len(others) == 0 {
+		return leastFailureShare
+	}
+	slices.SortFunc(others, func(a, b *endpoint) int { return cmp.Compare(a.failNow, b.failNow) })
+	now := others[(len(others)-1)/2].failNow
+	slices.SortFunc(others, func(a, b *endpoint) int { return cmp.Compare(a.failShare, b.failShare) })
+	sum, seen := 0.0, 0.0
+	for _, o := range others[:len(others)-len(others)/3] {
 		sum += o.failShare * o.failSeen
 		seen += o.failSeen
 	}
-	// One failure that nobody has seen yet keeps a handful of observations from looking like certainty.
+	// A few answers that nobody has given yet keep a handful of observations from looking like certainty.
 	const priorSeen = 20
 	share := (sum + leastFailureShare*priorSeen) / (seen + priorSeen)
-	return min(max(share, leastFailureShare), mostFailureShare)
+	return min(max(share, now, leastFailureShare), mostFailureShare)
 }
 
 // refreshMarks takes the median over the endpoints of each one's own quantiles, which up to half of them cannot move.
--- a/eject/tests.go
+++ b/eject/tests.go
@@ -8,8 +8,11 @@
 const (
 	// The failure share of a healthy endpoint is never taken to be below this.
 	leastFailureShare = 0.002
-	// No failure share above this is told apart from a failing service.
-	mostFailureShare = 0.9
+	// When the other endpoints fail more than this, a failure says nothing about one endpoint.
+	mostFailureShare = 0.5
+	// An alternative is at least this much worse than the others, and never certain.
+	leastRatio   = 2
+	mostBadShare = 0.95
 
 	slowShare     = 0.05
 	slowShareBad  = 0.4
@@ -48,14 +51,11 @@
 
 // failure feeds the failure tests; healthy is the failure share of the service's other endpoints.
 func (t *tests) failure(failed bool, healthy float64) {
+	if failed && healthy >= mostFailureShare {
+		return
+	}
 	for i, bad := range failureShares {
-		if bad < healthy*2 {
-			bad = min(healthy*2, mostFailureShare+(1-mostFailureShare)/2)
-		}
-		if bad <= healthy {
-			t.sums[i] = 0
-			continue
-		}
+		bad = min(max(bad, healthy*leastRatio), mostBadShare)
 		t.add(i, llr(failed, healthy, bad))
 	}
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -90,8 +90,8 @@
 // Operators is the listener for operators.
 type Operators struct {
 	Listener `yaml:",inline"`
-	// Token must come with every request; without one the listener is off.
-	Token Secret `yaml:"token"`
+	// Token must come with every request.
+	Token Secret `yaml:"token" validate:"required"`
 }
 
 // Platform says where the platform is and how it is read.
--- a/settings/load.go
+++ b/settings/load.go
@@ -37,8 +37,21 @@
 	dec := yaml.NewDecoder(bytes.NewReader(text))
 	dec.KnownFields(true)
 	bad := decodeFaults(name, dec.Decode(cfg), fields)
-	bad = append(bad, checkFaults(name, cfg, fields)...)
-	return bad.OrNil()
+	return withoutRepeats(bad, checkFaults(name, cfg, fields)).OrNil()
+}
+
+// withoutRepeats adds the faults of the second list for lines that the first does not name.
+func withoutRepeats(first, second fault.ListError) fault.ListError {
+	named := make(map[string]bool)
+	for _, f := range first {
+		named[f.Where] = true
+	}
+	for _, f := range second {
+		if !named[f.Where] {
+			first = append(first, f)
+		}
+	}
+	return first
 }
 
 var lineOf = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
@@ -109,6 +122,7 @@
 	var bad fault.ListError
 	for _, f := range failed {
 		_, path, _ := strings.Cut(f.Namespace(), ".")
+		path = strings.Replace(path, inlineListener, "", 1)
 		line, at := nearest(fields, path)
 		detail := ruleText(f)
 		if at != path {
@@ -119,6 +133,9 @@
 	return bad
 }
 
+// inlineListener is how the checker names the embedded section, which the file does not show.
+const inlineListener = "Listener."
+
 func ruleText(f validator.FieldError) string {
 	switch f.Tag() {
 	case "required", "required_with":
--- a/table/state.go
+++ b/table/state.go
@@ -178,9 +178,13 @@
 		return nil, false
 	}
 	seen := make(map[change]bool)
-	for _, c := range s.tail {
+	// From the last change of each row backwards: a deleted row must carry the revision that deleted it.
+	for _, c := range slices.Backward(s.tail) {
+		if c.revision <= from {
+			break
+		}
 		id := change{kind: c.kind, key: c.key}
-		if c.revision <= from || seen[id] {
+		if seen[id] {
 			continue
 		}
 		seen[id] = true
