--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench measures the running nodes and prints one line a figure: "measure NAME VALUE UNIT".
+package bench
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
 	"github.com/lynxplank/lynxplank/table"
@@ -236,6 +237,19 @@
 	})
 }
 
+// NodePID returns the process id of the member's node.
+func (m *Member) NodePID() int { return m.node.cmd.Process.Pid }
+
+// EndpointPID returns the process id of the member's endpoint.
+func (m *Member) EndpointPID() int { return m.endpoint.cmd.Process.Pid }
+
+// Status returns what the member's node says of itself.
+func (m *Member) Status() (operator.Status, error) {
+	var s operator.Status
+	err := get(m.Operators+operator.PathStatus, &s)
+	return s, err
+}
+
 // Running tells whether the member's node was started and has not been stopped or killed.
 func (m *Member) Running() bool { return m.node != nil }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"runtime/metrics"
 
 	"github.com/zeromicro/go-zero/rest"
 
@@ -45,10 +46,32 @@
 	LinksAccepted int `json:"links_accepted"`
 	// Keys counts the idempotency keys at home here.
 	Keys int `json:"keys"`
+	// Process is what the node's process has used.
+	Process Process `json:"process"`
 	// Endpoints are those beside the node that have had work.
 	Endpoints []egress.Status `json:"endpoints"`
 }
 
+// Process is what a node's process has used since it started, by Go's runtime metrics.
+type Process struct {
+	// Allocations counts heap objects.
+	Allocations uint64 `json:"allocations"`
+	// HeapBytes is the size of the live heap.
+	HeapBytes uint64 `json:"heap_bytes"`
+	// Goroutines counts the live ones.
+	Goroutines uint64 `json:"goroutines"`
+}
+
+func process() Process {
+	samples := []metrics.Sample{
+		{Name: "/gc/heap/allocs:objects"}, {Name: "/memory/classes/heap/objects:bytes"}, {Name: "/sched/goroutines:goroutines"},
+	}
+	metrics.Read(samples)
+	return Process{
+		Allocations: samples[0].Value.Uint64(), HeapBytes: samples[1].Value.Uint64(), Goroutines: samples[2].Value.Uint64(),
+	}
+}
+
 // Row is a row in force.
 type Row struct {
 	// Kind is the sheet's name.
@@ -123,7 +146,7 @@
 	snap := o.snapshot()
 	s := Status{
 		Node: o.node, Hall: o.hall, Ready: snap.Ready, Revision: snap.State.Revision(), Hosts: len(snap.Hosts),
-		Keys: o.egress.Keys(), Endpoints: o.egress.Statuses(),
+		Process: process(), Keys: o.egress.Keys(), Endpoints: o.egress.Statuses(),
 	}
 	s.LinksDialed, s.LinksAccepted = o.links.Links()
 	reply(w, s)
