Peer: a short answer goes out in one write

Cause: the egress wrote head, body and end as three yamux frames, three system calls and three wake-ups at the ingress.

Done: the sink holds what is known to be followed by more without a wait (a known short length, the last piece) and writes it with the end.

Ruled out: holding every head until the first piece (a streaming endpoint's head would wait for its first byte).

--- a/egress/keys.go
+++ b/egress/keys.go
@@ -146,7 +146,7 @@
 		return end
 	}
 	head := &peerpb.Head{Status: a.Head.GetStatus(), Headers: a.Head.GetHeaders(), Replayed: true}
-	if sink.Head(head) != nil || sink.Data(a.Body) != nil {
+	if sink.Head(head, true) != nil || sink.Data(a.Body, true) != nil {
 		return end
 	}
 	end.Complete = true
@@ -163,19 +163,19 @@
 }
 
 // Head implements peer.Sink.
-func (s *keepingSink) Head(h *peerpb.Head) error {
+func (s *keepingSink) Head(h *peerpb.Head, soon bool) error {
 	s.head = h
-	s.passed(s.Sink.Head(h))
+	s.passed(s.Sink.Head(h, soon))
 	return nil
 }
 
 // Data implements peer.Sink.
-func (s *keepingSink) Data(b []byte) error {
+func (s *keepingSink) Data(b []byte, last bool) error {
 	if len(s.body) <= dedupe.KeptBody {
 		s.body = append(s.body, b...)
 	}
 	if !s.lost {
-		s.passed(s.Sink.Data(b))
+		s.passed(s.Sink.Data(b, last))
 	}
 	return nil
 }
--- a/egress/run.go
+++ b/egress/run.go
@@ -129,7 +129,8 @@
 	ran := &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN}
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	head := &peerpb.Head{Status: uint32(resp.StatusCode), Headers: header.FromHTTP(resp.Header)} //nolint:gosec // 3 digits
-	if sink.Head(head) != nil {
+	soon := resp.ContentLength >= 0 && resp.ContentLength <= answerBuffer
+	if sink.Head(head, soon) != nil {
 		return result{end: ran, worked: true, failed: failed}
 	}
 	p, _ := answerBuffers.Get().(*[]byte)
@@ -137,7 +138,7 @@
 	buf := *p
 	for {
 		n, err := resp.Body.Read(buf)
-		if n > 0 && sink.Data(buf[:n]) != nil {
+		if n > 0 && sink.Data(buf[:n], err == io.EOF) != nil {
 			return result{end: ran, worked: true, failed: failed}
 		}
 		if err == io.EOF {
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -47,7 +47,7 @@
 }
 
 // Head implements peer.Sink.
-func (a *answer) Head(h *peerpb.Head) error {
+func (a *answer) Head(h *peerpb.Head, _ bool) error {
 	a.head = h
 	if a.mayHold && h.GetStatus() >= http.StatusInternalServerError {
 		a.held = h
@@ -71,7 +71,7 @@
 }
 
 // Data implements peer.Sink.
-func (a *answer) Data(b []byte) error {
+func (a *answer) Data(b []byte, _ bool) error {
 	if a.keep && len(a.kept) <= dedupe.KeptBody {
 		a.kept = append(a.kept, b...)
 	}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -14,10 +14,10 @@
 type Sink interface {
 	// Late tells that the endpoint has taken long already.
 	Late()
-	// Head takes the status and headers, once.
-	Head(h *peerpb.Head) error
-	// Data takes a piece of the body; the bytes are valid during the call only.
-	Data(b []byte) error
+	// Head takes the status and headers, once; soon tells that the body or the end follows without a wait.
+	Head(h *peerpb.Head, soon bool) error
+	// Data takes a piece of the body, valid during the call only; last tells that the end follows without a wait.
+	Data(b []byte, last bool) error
 }
 
 // NotRun returns the end of an exchange whose request was provably not handed to the endpoint.
@@ -101,9 +101,9 @@
 		case *peerpb.Frame_Late:
 			sink.Late()
 		case *peerpb.Frame_Head:
-			err = sink.Head(k.Head)
+			err = sink.Head(k.Head, false)
 		case *peerpb.Frame_Data:
-			err = sink.Data(k.Data.GetBytes())
+			err = sink.Data(k.Data.GetBytes(), false)
 		case *peerpb.Frame_End:
 			return k.End
 		default:
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -32,15 +32,32 @@
 func WriteFrame(w io.Writer, f *peerpb.Frame) error {
 	p, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
-	size := proto.Size(f)
-	b := protowire.AppendVarint((*p)[:0], uint64(size)) //nolint:gosec // sizes are not negative
-	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, f)
+	b, err := appendFrame((*p)[:0], f)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "frame", "cannot be encoded")
+		return err
 	}
+	keep(p, b)
+	return writeAll(w, b)
+}
+
+// keep leaves a buffer that has grown a little in the pool; a large one goes to the collector.
+func keep(p *[]byte, b []byte) {
 	if cap(b) <= DataChunk+maxPrefix+readBuffer {
 		*p = b
 	}
+}
+
+func appendFrame(b []byte, f *peerpb.Frame) ([]byte, error) {
+	size := proto.Size(f)
+	b = protowire.AppendVarint(b, uint64(size)) //nolint:gosec // sizes are not negative
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, f)
+	if err != nil {
+		return b, fault.Wrap(err, fault.Internal, "frame", "cannot be encoded")
+	}
+	return b, nil
+}
+
+func writeAll(w io.Writer, b []byte) error {
 	if _, err := w.Write(b); err != nil {
 		return fault.Wrap(err, fault.LinkLost, "frame", "cannot be written")
 	}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -81,8 +81,9 @@
 		_ = pw.CloseWithError(receiveBody(r, pw, d.GetBodyLength()))
 		cancel()
 	}()
-	end := m.handler.Serve(ctx, d, pr, streamSink{stream})
-	_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_End{End: end}})
+	sink := newStreamSink(stream)
+	end := m.handler.Serve(ctx, d, pr, sink)
+	sink.end(end)
 }
 
 // receiveBody copies the body to w, then waits for the stream's end and returns why it ended.
@@ -107,30 +108,3 @@
 		}
 	}
 }
-
-// streamSink passes an answer to the ingress.
-type streamSink struct {
-	stream net.Conn
-}
-
-// Late implements Sink.
-func (s streamSink) Late() {
-	_ = WriteFrame(s.stream, &peerpb.Frame{Kind: &peerpb.Frame_Late{Late: &peerpb.Late{}}})
-}
-
-// Head implements Sink.
-func (s streamSink) Head(h *peerpb.Head) error {
-	return WriteFrame(s.stream, &peerpb.Frame{Kind: &peerpb.Frame_Head{Head: h}})
-}
-
-// Data implements Sink.
-func (s streamSink) Data(b []byte) error {
-	for len(b) > 0 {
-		n := min(len(b), DataChunk)
-		if err := WriteFrame(s.stream, &peerpb.Frame{Kind: &peerpb.Frame_Data{Data: &peerpb.Data{Bytes: b[:n]}}}); err != nil {
-			return err
-		}
-		b = b[n:]
-	}
-	return nil
-}
