--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -62,7 +62,7 @@
 // each node's settings.
 func NewFleet(bin, dir string, size, halls int, extra string) (*Fleet, error) {
 	const perMember = 4
-	ports, err := freePorts(1 + perMember*size)
+	ports, err := FreePorts(1 + perMember*size)
 	if err != nil {
 		return nil, err
 	}
@@ -85,8 +85,8 @@
 
 var nextPort atomic.Uint32
 
-// freePorts returns ports that nobody listens on; no two calls of a process return the same one.
-func freePorts(n int) ([]string, error) {
+// FreePorts returns ports that nobody listens on; no two calls of a process return the same one.
+func FreePorts(n int) ([]string, error) {
 	out := make([]string, 0, n)
 	start := uint32(os.Getpid()) * 131 //nolint:gosec // spreads processes over the range
 	for range portCount {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -192,13 +192,15 @@
 	return io.MultiReader(bytes.NewReader(b.head), b.rest)
 }
 
-func (g *Ingress) takeBody(w http.ResponseWriter, r *http.Request) (*requestBody, *fault.Error) {
+// takeBody reads the body, or its start if it is large; a body that comes slower than the request's time is broken off.
+func (g *Ingress) takeBody(w http.ResponseWriter, r *http.Request, limit time.Duration) (*requestBody, *fault.Error) {
 	if r.ContentLength > g.cfg.BodyBytes {
 		return nil, fault.New(fault.BodyTooLarge, "", "the body is larger than "+strconv.FormatInt(g.cfg.BodyBytes, 10)+" bytes")
 	}
 	if r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
 	limited := http.MaxBytesReader(w, r.Body, g.cfg.BodyBytes)
 	head, err := io.ReadAll(io.LimitReader(limited, g.cfg.ReplayBytes+1))
 	var tooLarge *http.MaxBytesError
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -45,12 +45,13 @@
 			}
 			return x.truth(peer.NotRun(fault.CodeOf(err), 0))
 		}
+		// Only now that another endpoint is there, what the last one answered is given up.
+		x.answer.reset()
 		end := x.send(ctx, pick, nil)
 		if !x.again(ctx, pick, end) {
 			return x.truth(end)
 		}
 		last = end
-		x.answer.reset()
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -109,7 +109,7 @@
 		refuse(w, c.id, end, "the customer sends more than its limit")
 		return end
 	}
-	body, err := g.takeBody(w, r)
+	body, err := g.takeBody(w, r, c.timeout)
 	if err != nil {
 		end := peer.NotRun(err.Code, 0)
 		refuse(w, c.id, end, err.Detail)
--- /dev/null
+++ b/peer/link_test.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"io"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+)
+
+// echo answers every dispatch with its own request id.
+type echo struct{}
+
+func (echo) Serve(_ context.Context, d *peerpb.Dispatch, _ io.Reader, sink Sink) *peerpb.End {
+	_ = sink.Head(&peerpb.Head{Status: 200}, true)
+	_ = sink.Data([]byte(d.GetRequestId()), true)
+	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
+}
+
+func (echo) Settle(*peerpb.Settle) {}
+
+func (echo) Deltas(uint64) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
+
+type kept struct{ body []byte }
+
+func (*kept) Late()                         {}
+func (*kept) Head(*peerpb.Head, bool) error { return nil }
+func (k *kept) Data(b []byte, _ bool) error { k.body = append(k.body, b...); return nil }
+
+func startManager(t *testing.T, config *tls.Config) (*Manager, string) {
+	t.Helper()
+	log := zerolog.Nop()
+	m := NewManager(Config{
+		Node: "n", Listen: "127.0.0.1:0", Heartbeat: 10 * time.Millisecond, CutAfter: 100 * time.Millisecond,
+		IdleClose: time.Minute, Conns: 10, TLS: config,
+	}, &log)
+	m.Handle(echo{})
+	if err := m.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
+	return m, m.listener.Addr().String()
+}
+
+func exchange(t *testing.T, m *Manager, address, id string) (*peerpb.End, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s, err := m.Session(ctx, address)
+	if err != nil {
+		return NotRun("link_down", 0), ""
+	}
+	k := &kept{}
+	end := s.Exchange(ctx, &peerpb.Dispatch{RequestId: id, BudgetMicros: 1e6}, nil, k)
+	return end, string(k.body)
+}
+
+// authority signs certificates for the test's nodes.
+func authority(t *testing.T) (*x509.CertPool, func() tls.Certificate) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ca := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, ca, ca, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parent, _ := x509.ParseCertificate(der)
+	pool := x509.NewCertPool()
+	pool.AddCert(parent)
+	return pool, func() tls.Certificate {
+		leaf, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		template := &x509.Certificate{
+			SerialNumber: big.NewInt(2), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+			NotBefore: ca.NotBefore, NotAfter: ca.NotAfter,
+		}
+		der, err := x509.CreateCertificate(rand.Reader, template, parent, &leaf.PublicKey, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: leaf}
+	}
+}
+
+// TestMutualTLS checks that a peer with a certificate of the authority is served and that one with none, or with one
+// of another authority, is refused.
+func TestMutualTLS(t *testing.T) {
+	pool, issue := authority(t)
+	_, issueOther := authority(t)
+	config := func(certs ...tls.Certificate) *tls.Config {
+		return &tls.Config{
+			Certificates: certs, RootCAs: pool, ClientCAs: pool,
+			ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+		}
+	}
+	_, address := startManager(t, config(issue()))
+	cases := []struct {
+		name   string
+		client *tls.Config
+		want   peerpb.Outcome
+	}{
+		{"own authority", config(issue()), peerpb.Outcome_OUTCOME_RAN},
+		{"no certificate", config(), peerpb.Outcome_OUTCOME_UNKNOWN},
+		{"other authority", config(issueOther()), peerpb.Outcome_OUTCOME_UNKNOWN},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m, _ := startManager(t, c.client)
+			end, _ := exchange(t, m, address, "x")
+			if got := end.GetOutcome(); got != c.want && (c.want == peerpb.Outcome_OUTCOME_RAN || got == peerpb.Outcome_OUTCOME_RAN) {
+				t.Errorf("outcome: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestOwnAnswer runs many exchanges at once over one link, some of them given up midway, and checks that each gets its
+// own answer.
+func TestOwnAnswer(t *testing.T) {
+	server, address := startManager(t, nil)
+	_ = server
+	m, _ := startManager(t, nil)
+	done := make(chan string, 200)
+	for i := range 200 {
+		go func() {
+			id := "request-" + time.Duration(i).String()
+			if i%5 == 0 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i)*10*time.Microsecond)
+				defer cancel()
+				if s, err := m.Session(ctx, address); err == nil {
+					_ = s.Exchange(ctx, &peerpb.Dispatch{RequestId: "given up", BudgetMicros: 1e6}, nil, &kept{})
+				}
+				done <- ""
+				return
+			}
+			if end, got := exchange(t, m, address, id); end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN || got != id {
+				done <- "got " + end.GetCode() + " " + got + ", want " + id
+				return
+			}
+			done <- ""
+		}()
+	}
+	for range 200 {
+		if got := <-done; got != "" {
+			t.Error(got)
+		}
+	}
+}
+
+// TestGarbledPeer checks that unreadable bytes end their own stream or link and disturb nothing else.
+func TestGarbledPeer(t *testing.T) {
+	_, address := startManager(t, nil)
+	m, _ := startManager(t, nil)
+	if end, _ := exchange(t, m, address, "before"); end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN {
+		t.Fatalf("before: got %v, want it to run", end)
+	}
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n\x00\xff\xff\xff\xff"))
+	_ = raw.Close()
+	s, err := m.Session(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = stream.Write([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x7f garbage"))
+	if n, err := stream.Read(make([]byte, 1)); err == nil {
+		t.Errorf("garbled stream: got %d bytes, want its end", n)
+	}
+	if end, got := exchange(t, m, address, "after"); end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN || got != "after" {
+		t.Errorf("after: got %v %q, want its own answer", end, got)
+	}
+}
+
+// FuzzFrame reads arbitrary bytes as frames: an error at most, never a panic or an endless read.
+func FuzzFrame(f *testing.F) {
+	good := &recorder{}
+	_ = WriteFrame(good, &peerpb.Frame{Kind: &peerpb.Frame_Head{Head: &peerpb.Head{Status: 200}}})
+	f.Add(good.bytes.Bytes())
+	f.Add([]byte{0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0x7f})
+	f.Add([]byte("\x05\x0a\x03abc"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewFrameReader(&recorderReader{b})
+		for range len(b) + 1 {
+			if _, err := r.Read(); err != nil {
+				return
+			}
+		}
+		t.Errorf("got %d frames from %d bytes, want fewer", len(b)+1, len(b))
+	})
+}
+
+type recorderReader struct{ b []byte }
+
+func (r *recorderReader) Read(p []byte) (int, error) {
+	if len(r.b) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.b)
+	r.b = r.b[n:]
+	return n, nil
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -22,7 +22,7 @@
 	HalfPercent int `json:"half_percent"`
 	// FlapMillis switches the faults on and off with this period.
 	FlapMillis int `json:"flap_millis"`
-	// ShedAbove refuses, unrun, what would be more than this at once; 0 for never.
+	// ShedAbove refuses, unrun, what would be more than this at once; 0 for never, below 0 for always.
 	ShedAbove int `json:"shed_above"`
 	// ColdMillis is how long it takes three times as long after this behaviour was set.
 	ColdMillis int `json:"cold_millis"`
@@ -102,7 +102,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := plan{leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report()}
-	if b.how.ShedAbove > 0 && b.busy >= b.how.ShedAbove {
+	if b.how.ShedAbove != 0 && b.busy >= b.how.ShedAbove {
 		p.shed = true
 		return p
 	}
