--- a/node/node.go
+++ b/node/node.go
@@ -188,6 +188,7 @@
 // Start starts every component; the node serves once it holds a configuration.
 func (n *Node) Start(ctx context.Context) error {
 	if err := n.kernel.Start(ctx); err != nil {
+		events.NodeFailed.Log(n.log).Err(err).Send()
 		return err
 	}
 	events.NodeStarted.Log(n.log).Str("hall", n.cfg.Node.Hall).
