--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -9,11 +9,27 @@
 	"github.com/lynxplank/lynxplank/bench"
 )
 
+// defaultHours keeps the healthy runs to a few minutes on eight cores.
+const defaultHours = 1000
+
 func main() {
 	bin := flag.String("bin", "bin", "directory of the programs")
+	only := flag.String("only", "", `"path", "decisions", "healthy" or "overload"; all without it`)
+	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
 	flag.Parse()
-	if err := bench.Path(*bin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	if *only == "" || *only == "path" {
+		if err := bench.Path(*bin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if *only == "" || *only == "decisions" {
+		bench.Decisions(os.Stdout)
+	}
+	if *only == "" || *only == "healthy" {
+		bench.Healthy(os.Stdout, *hours)
+	}
+	if *only == "" || *only == "overload" {
+		bench.Overload(os.Stdout)
 	}
 }
