Balance: work is not steered away from an endpoint under suspicion

Cause: the chooser preferred others as soon as one answer was slow or failed, and so kept the detector from the evidence that clears or ejects an endpoint: slow_3 took 5.5 to 14.9 s though 21 to 34 requests were enough.

Ruled out: fewer answers needed (the counts were near what the tests can do).

An endpoint is under suspicion while its score is above 1.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,9 @@
 	Distance time.Duration
 	// SuccessShare is the recent share of good answers, 0 to 1.
 	SuccessShare float64
+	// Suspect is judged by its load alone: steering work away from it would starve the detector of the evidence that
+	// clears it or takes it out.
+	Suspect bool
 	// LastChoice is used only when every other candidate is full.
 	LastChoice bool
 }
@@ -40,16 +43,39 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
+	success := max(c.SuccessShare, leastSuccess)
 	slots := float64(max(c.Slots, 1))
 	waiting := max(0, float64(c.Outstanding)+1-slots) / slots
 	busy := float64(c.Outstanding) / slots
 	work := latency.Seconds() * (1 + waiting + busy/2)
-	return (work + c.Distance.Seconds()) / max(c.SuccessShare, leastSuccess)
+	return (work + c.Distance.Seconds()) / success
+}
+
+// neutral gives those under suspicion the best latency and success of the others.
+func neutral(candidates []Candidate) {
+	best := time.Duration(0)
+	some := false
+	for _, c := range candidates {
+		some = some || c.Suspect
+		if !c.Suspect && c.Latency > 0 && (best == 0 || c.Latency < best) {
+			best = c.Latency
+		}
+	}
+	if !some {
+		return
+	}
+	for i := range candidates {
+		if candidates[i].Suspect {
+			candidates[i].Latency = best
+			candidates[i].SuccessShare = 1
+		}
+	}
 }
 
 // Choose returns the index of a candidate, -1 if there is none. Two are drawn by weight and the cheaper one is
 // taken: with views that lag, taking the cheapest of all sends every chooser to the same endpoint.
 func Choose(candidates []Candidate, r *rand.Rand) int {
+	neutral(candidates)
 	if i := choose(candidates, r, func(c Candidate) bool { return !c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
 		return i
 	}
--- a/director/pick.go
+++ b/director/pick.go
@@ -91,6 +91,7 @@
 		Distance:     distance,
 		SuccessShare: math.Float64frombits(e.target.success.Load()),
 		LastChoice:   e.verdict.Phase == eject.LastChoice,
+		Suspect:      e.verdict.Suspect,
 	}
 }
 
--- a/eject/config.go
+++ b/eject/config.go
@@ -101,6 +101,9 @@
 	Phase Phase
 	// Share scales its weight, 0 to 1.
 	Share float64
+	// Suspect is set while there is some evidence against a serving endpoint: its latency and errors should not
+	// steer work away from it, for it is the work that settles the matter.
+	Suspect bool
 	// Score is the highest of its tests, in nats.
 	Score float64
 	// Threshold is the score that ejects.
--- a/eject/service.go
+++ b/eject/service.go
@@ -318,6 +318,9 @@
 	}
 }
 
+// suspicion is the score from which an endpoint is under suspicion, in nats.
+const suspicion = 1
+
 // Verdict returns what to do with an endpoint; an unknown one serves.
 func (s *Service) Verdict(key string) Verdict {
 	e := s.byKey[key]
@@ -327,6 +330,7 @@
 	score, test := e.tests.worst()
 	return Verdict{
 		Phase: e.phase, Share: e.share, Score: score, Threshold: s.threshold(e),
-		Test: test, Ejections: e.ejections, Until: e.until,
+		Suspect: e.phase == Serving && score >= suspicion,
+		Test:    test, Ejections: e.ejections, Until: e.until,
 	}
 }
--- a/virtual/policy.go
+++ b/virtual/policy.go
@@ -220,7 +220,7 @@
 		}
 		candidates = append(candidates, balance.Candidate{
 			Weight: float64(p.service.Slots) * v.Share, Slots: p.service.Slots, Outstanding: p.inFlight[i],
-			Latency: time.Duration(p.latency[i]), SuccessShare: p.success[i], LastChoice: v.Phase == eject.LastChoice,
+			Latency: time.Duration(p.latency[i]), SuccessShare: p.success[i], LastChoice: v.Phase == eject.LastChoice, Suspect: v.Suspect,
 		})
 		from = append(from, i)
 	}
--- a/virtual/stream.go
+++ b/virtual/stream.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/lynxplank/lynxplank/admit"
@@ -275,7 +276,7 @@
 func (r *run) offer(s *send) {
 	e := r.endpoints[s.endpoint]
 	if r.FairQueue {
-		name := string(rune('a' + s.request.customer))
+		name := strconv.Itoa(s.request.customer)
 		d, evicted := e.queue.Offer(r.clock.now, admit.Request{ID: s.id, Customer: name, Deadline: s.request.arrived.Add(deadline)})
 		e.waiting[s.id] = s
 		r.decide(e, append(evicted, d))
