Eject: late answers weigh more, overlapping ones less lightly

Cause: slow_10 and slow_30 fill the endpoint's slots, so few answers come, and each late one counted 3.4 nats, the overlapping ones half.

--- a/eject/tests.go
+++ b/eject/tests.go
@@ -16,13 +16,13 @@
 
 	slowShare     = 0.05
 	slowShareBad  = 0.4
-	lateShare     = 0.01
-	lateShareBad  = 0.3
+	lateShare     = 0.004
+	lateShareBad  = 0.5
 	slowQuantile  = 0.95
 	lateQuantile  = 0.995
 	slowAtLeast   = 2.0
 	lateAtLeast   = 6.0
-	overlapWeight = 0.5
+	overlapWeight = 0.75
 
 	failureTests = 3
 	testCount    = failureTests + 2
