Eject: a test of the whole of the times; a common slowdown is taken out

Cause: slow_3 needed 26 to 42 answers, since only the share beyond one mark was tested. The new test weighs each answer's time against the others' median and spread. Alone it ejected two of four endpoints when the whole service became ten times slower (script common_cause): the marks follow within two hundred answers, the test within five. All tests of time now take out by how much most of the other endpoints are slower just now.

Ruled out: a spread read from the bucket width (an endpoint slower by half was ejected from a service with constant times: script slow); 0.55 is the least.

--- a/bench/decisions.go
+++ b/bench/decisions.go
@@ -41,6 +41,8 @@
 	faultLength = 60 * time.Second
 	never       = -1
 	parallel    = 8
+	// baselinePart is how much shorter the baseline's healthy runs are.
+	baselinePart = 20
 )
 
 // Decisions prints detection time, work begun until then, and what callers got, for each service, fault and policy:
@@ -112,6 +114,11 @@
 func Healthy(out io.Writer, endpointHours float64) {
 	for _, s := range virtual.Services {
 		for _, p := range policies[:2] {
+			endpointHours := endpointHours
+			if p.name != "ours" {
+				// The common rule shows its rate in far less time.
+				endpointHours /= baselinePart
+			}
 			hours := endpointHours / float64(s.Endpoints)
 			const parts = parallel
 			length := time.Duration(hours / parts * float64(time.Hour))
@@ -159,9 +166,9 @@
 	measure(out, name+".false_ejections", medianOf(results, func(r virtual.Result) float64 { return float64(r.FalseEjections) }), "endpoints")
 }
 
-// floodOf has one of ten customers send ten times its share, to twice the capacity in all.
+// floodOf has one of ten customers send twenty times what each other sends, to twice the capacity in all.
 func floodOf(out io.Writer, s virtual.Service) {
-	const flood = 10
+	const flood = 20
 	for _, p := range policies {
 		results := runAll(seeds, func(seed uint64) virtual.Result {
 			return virtual.Stream{
--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -7,12 +7,14 @@
 	"os"
 
 	"github.com/lynxplank/lynxplank/bench"
+	"github.com/lynxplank/lynxplank/outbound"
 )
 
 // defaultHours keeps the healthy runs to a few minutes on eight cores.
 const defaultHours = 1000
 
 func main() {
+	outbound.Tune()
 	bin := flag.String("bin", "bin", "directory of the programs")
 	only := flag.String("only", "", `"path", "decisions", "healthy" or "overload"; all without it`)
 	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
--- a/eject/config.go
+++ b/eject/config.go
@@ -122,6 +122,18 @@
 	Slow time.Duration
 	// Late is exceeded by about one healthy answer in two hundred.
 	Late time.Duration
+	// Middle is the median service time, and Spread the width of the times around it in natural logarithms, at least
+	// as wide as any part of the upper half shows.
+	Middle time.Duration
+	Spread float64
 	// Known is false until enough work was seen.
 	Known bool
 }
+
+// times returns the marks of a service that is slower by a factor as a whole.
+func (m Marks) times(factor float64) Marks {
+	m.Slow = time.Duration(float64(m.Slow) * factor)
+	m.Late = time.Duration(float64(m.Late) * factor)
+	m.Middle = time.Duration(float64(m.Middle) * factor)
+	return m
+}
--- a/eject/service.go
+++ b/eject/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,13 @@
 	marksLeast   = 20
 	rateWindow   = 10 * time.Second
 	rampStart    = 0.25
+
+	// Where a normal distribution has the quantiles that the spread is read from, in standard deviations.
+	upperQuantile = 0.84
+	slowNormal    = 1.645
+	lateNormal    = 2.576
+	// Times longer by less than half never count as shifted, however alike the others' times are.
+	leastSpread = 0.55
 )
 
 type endpoint struct {
@@ -23,6 +31,7 @@
 	failShare float64
 	failSeen  float64
 	failNow   float64
+	timeNow   float64
 	phase     Phase
 	ejections int
 	until     time.Time
@@ -120,8 +129,11 @@
 		return true
 	}
 	if s.marks.Known && !ev.Counted {
-		e.tests.slowness(now, ev.Latency, s.marks)
+		m := s.marks.times(s.commonSlowdown(e))
+		e.tests.slowness(now, ev.Latency, m)
+		e.tests.shift(ev.Latency, m)
 	}
+	e.noteRecent(ev.Latency)
 	if ev.Kind == Success {
 		e.times.add(ev.Latency)
 		s.refreshMarks()
@@ -129,6 +141,32 @@
 	return late
 }
 
+// noteRecent keeps the mean of the last few service times, in natural logarithms of nanoseconds.
+func (e *endpoint) noteRecent(latency time.Duration) {
+	t := math.Log(float64(max(latency, time.Microsecond)))
+	if e.timeNow == 0 {
+		e.timeNow = t
+		return
+	}
+	e.timeNow += (t - e.timeNow) / recentMemory
+}
+
+// commonSlowdown is by how much most of the other endpoints are slower just now than the marks know, at least 1.
+func (s *Service) commonSlowdown(e *endpoint) float64 {
+	others := make([]float64, 0, len(s.endpoints))
+	for _, o := range s.endpoints {
+		if o != e && !out(o.phase) && o.timeNow > 0 {
+			others = append(others, o.timeNow)
+		}
+	}
+	if len(others) == 0 {
+		return 1
+	}
+	slices.Sort(others)
+	now := others[(len(others)-1)/2]
+	return max(1, math.Exp(now-math.Log(float64(s.marks.Middle))))
+}
+
 func (e *endpoint) noteFailure(failed bool) {
 	hit := 0.0
 	if failed {
@@ -184,12 +222,13 @@
 		return
 	}
 	s.sinceMark = 0
-	var middle, slow, late []time.Duration
+	var middle, upper, slow, late []time.Duration
 	for _, e := range s.endpoints {
 		if e.times.seen < marksLeast {
 			continue
 		}
 		middle = append(middle, e.times.quantile(0.5))
+		upper = append(upper, e.times.quantile(upperQuantile))
 		slow = append(slow, e.times.quantile(slowQuantile))
 		late = append(late, e.times.quantile(lateQuantile))
 	}
@@ -198,10 +237,16 @@
 		return
 	}
 	typical := float64(median(middle))
+	spread := max(
+		math.Log(float64(median(upper))/typical),
+		math.Log(float64(median(slow))/typical)/slowNormal,
+		math.Log(float64(median(late))/typical)/lateNormal,
+		leastSpread,
+	)
 	s.marks = Marks{
-		Slow:  max(median(slow), time.Duration(slowAtLeast*typical)),
-		Late:  max(median(late), time.Duration(lateAtLeast*typical)),
-		Known: true,
+		Slow:   max(median(slow), time.Duration(slowAtLeast*typical)),
+		Late:   max(median(late), time.Duration(lateAtLeast*typical)),
+		Middle: median(middle), Spread: spread, Known: true,
 	}
 }
 
--- a/eject/tests.go
+++ b/eject/tests.go
@@ -25,13 +25,20 @@
 	overlapWeight = 0.75
 
 	failureTests = 3
-	testCount    = failureTests + 2
+	slowTest     = failureTests
+	lateTest     = failureTests + 1
+	shiftTest    = failureTests + 2
+	testCount    = failureTests + 3
+
+	// The shift that the shift test looks for, and the most that one answer may count, in spreads.
+	shiftSize  = 1.5
+	shiftLimit = 3.0
 )
 
 // failureShares are the alternatives that the failure tests look for.
 var failureShares = [failureTests]float64{0.1, 0.3, 0.9}
 
-var testNames = [testCount]string{"fails 10%", "fails 30%", "fails 90%", "slow", "late"}
+var testNames = [testCount]string{"fails 10%", "fails 30%", "fails 90%", "slow", "late", "shifted"}
 
 // llr returns the log likelihood ratio of one yes-or-no observation.
 func llr(hit bool, healthy, bad float64) float64 {
@@ -71,8 +78,16 @@
 		}
 		t.lastSlow = now
 	}
-	t.add(failureTests, weight*llr(slow, slowShare, slowShareBad))
-	t.add(failureTests+1, weight*llr(late, lateShare, lateShareBad))
+	t.add(slowTest, weight*llr(slow, slowShare, slowShareBad))
+	t.add(lateTest, weight*llr(late, lateShare, lateShareBad))
+}
+
+// shift feeds the test of a service time against the whole of the others' times: whether it is likelier under times
+// longer by a factor than under theirs.
+func (t *tests) shift(latency time.Duration, m Marks) {
+	z := math.Log(float64(latency)/float64(m.Middle)) / m.Spread
+	z = min(max(z, -shiftLimit), shiftLimit)
+	t.add(shiftTest, shiftSize*z-shiftSize*shiftSize/2)
 }
 
 func (t *tests) reset() { t.sums = [testCount]float64{} }
