Operators' page and designs; beats of idle links slow down; pulls carry hosts only when they differ

Done: a link without requests beats every 2 s and is woken by its first one; a pull names the digest of the list that the asker holds.

--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -10,13 +10,16 @@
 	"github.com/lynxplank/lynxplank/outbound"
 )
 
+// scaleSizes are the fleets of the scale measurements, in nodes.
+var scaleSizes = []int{10, 50, 100, 200}
+
 // defaultHours keeps the healthy runs to a few minutes on eight cores.
 const defaultHours = 1000
 
 func main() {
 	outbound.Tune()
 	bin := flag.String("bin", "bin", "directory of the programs")
-	only := flag.String("only", "", `"path", "decisions", "healthy" or "overload"; all without it`)
+	only := flag.String("only", "", `"path", "decisions", "healthy", "overload" or "scale"; all but the last without it`)
 	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
 	flag.Parse()
 	if *only == "" || *only == "path" {
@@ -25,6 +28,12 @@
 			os.Exit(1)
 		}
 	}
+	if *only == "scale" {
+		if err := bench.Scale(*bin, os.Stdout, scaleSizes); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
 	if *only == "" || *only == "decisions" {
 		bench.Decisions(os.Stdout)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -24,7 +24,7 @@
 
 const (
 	operatorToken = "demo"
-	waitLimit     = 10 * time.Second
+	waitLimit     = 30 * time.Second
 	lookEvery     = 10 * time.Millisecond
 )
 
@@ -47,6 +47,9 @@
 	// PeerAddress, if set, gives the address under which the list of hosts shows a member to its peers.
 	PeerAddress func(m *Member) string
 
+	// Bare fleets have no endpoint processes, only their rows.
+	Bare bool
+
 	bin      string
 	dir      string
 	platform string
@@ -105,6 +108,19 @@
 	return nil, fault.New(fault.Unavailable, "loopback", "no free ports")
 }
 
+// PlatformAddress returns the platform's IP and port.
+func (f *Fleet) PlatformAddress() string { return f.platform }
+
+// LogFile returns the path of the log of the member's node.
+func (f *Fleet) LogFile(m *Member) string { return filepath.Join(f.dir, m.Host+".log") }
+
+// PlatformStats returns the platform's counts of calls.
+func (f *Fleet) PlatformStats() (store.Stats, error) {
+	var s store.Stats
+	err := get(f.platform+store.PathStats, &s)
+	return s, err
+}
+
 // Key returns the key of the member's endpoint.
 func (m *Member) Key() string { return "e" + m.Host }
 
@@ -168,6 +184,9 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, m.Host, "behaviour cannot be encoded")
 	}
+	if f.Bare {
+		return f.StartNode(m)
+	}
 	m.endpoint, err = f.spawn(m.Key(), "lynxplank-standin", "-role", "endpoint", "-name", m.Key(),
 		"-listen", m.Endpoint, "-behaviour", string(text), "-seed", strconv.Itoa(i+1))
 	if err != nil {
@@ -181,7 +200,7 @@
 	path := filepath.Join(f.dir, m.Host+".yaml")
 	text := fmt.Sprintf(`node: {id: %s, hall: %s}
 callers: {listen: %q}
-peers: {listen: %q, seeds: [%q, %q]}
+peers: {listen: %q, seeds: [%q, %q], idle_close: 3s}
 operators: {listen: %q, token: %s}
 platform: {address: %q, poll: 250ms}
 %s`, m.Host, m.Hall, m.Callers, m.Peers, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, f.platform, f.extra)
@@ -316,7 +335,7 @@
 }
 
 func (f *Fleet) spawn(name, program string, args ...string) (*process, error) {
-	out, err := os.Create(filepath.Join(f.dir, name+".log"))
+	out, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, name, "no log file")
 	}
--- /dev/null
+++ b/eject/capacity_test.go
@@ -0,0 +1,31 @@
+package eject
+
+import (
+	"fmt"
+	"testing"
+	"time"
+	"unsafe"
+)
+
+// BenchmarkCapacityObserve reports the time of one piece of evidence by the number of endpoints, and the bytes that
+// an endpoint takes.
+func BenchmarkCapacityObserve(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := NewService(DefaultConfig())
+			var list []Endpoint
+			for i := range n {
+				list = append(list, Endpoint{Key: fmt.Sprint(i), Capacity: 4, Usable: true})
+			}
+			now := time.Unix(0, 0)
+			s.SetEndpoints(now, list)
+			i := 0
+			for b.Loop() {
+				i++
+				now = now.Add(time.Millisecond)
+				s.Observe(now, list[i%n].Key, Event{Latency: time.Duration(1+i%7) * time.Millisecond})
+			}
+			b.ReportMetric(float64(unsafe.Sizeof(endpoint{})), "bytes/endpoint")
+		})
+	}
+}
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -124,12 +124,13 @@
 // pull asks one peer for what is missing, in a goroutine of its own.
 func (f *Follower) pull(ctx context.Context, address string) {
 	f.pulling = true
-	state := f.State()
+	snap := f.Snapshot()
+	state := snap.State
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 		defer cancel()
 		m := pulled{address: address}
-		m.parts, m.err = f.pullFrom(ctx, address, state.Revision())
+		m.parts, m.err = f.pullFrom(ctx, address, state.Revision(), hostsDigest(snap.Hosts))
 		if m.err == nil {
 			m.state, m.err = applyParts(state, m.parts)
 		}
@@ -137,12 +138,12 @@
 	}()
 }
 
-func (f *Follower) pullFrom(ctx context.Context, address string, from uint64) ([]*peerpb.Delta, error) {
+func (f *Follower) pullFrom(ctx context.Context, address string, from, hosts uint64) ([]*peerpb.Delta, error) {
 	s, err := f.links.Session(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return s.Pull(ctx, from)
+	return s.Pull(ctx, from, hosts)
 }
 
 // pulled is the result of one pull.
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -11,8 +11,8 @@
 const rowsPerPart = 2000
 
 // Deltas returns what leads a peer from a revision to the snapshot's, in parts that fit a frame; with it goes the list
-// of hosts.
-func Deltas(snap *Snapshot, from uint64) []*peerpb.Delta {
+// of hosts, unless the peer's has the same digest.
+func Deltas(snap *Snapshot, from, hosts uint64) []*peerpb.Delta {
 	rows, ok := snap.State.Since(from)
 	full := !ok
 	if full {
@@ -28,6 +28,9 @@
 		}
 		parts = append(parts, d)
 	}
+	if hosts == hostsDigest(snap.Hosts) {
+		return parts
+	}
 	for _, h := range snap.Hosts {
 		parts[0].Hosts = append(parts[0].Hosts, &peerpb.Host{Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n := &Node{cfg: cfg, log: &log, kernel: kernel.New()}
 	if err := n.build(); err != nil {
@@ -227,7 +228,9 @@
 }
 
 // Deltas implements peer.Handler.
-func (h handler) Deltas(from uint64) []*peerpb.Delta { return follow.Deltas(h.snapshot(), from) }
+func (h handler) Deltas(from, hosts uint64) []*peerpb.Delta {
+	return follow.Deltas(h.snapshot(), from, hosts)
+}
 
 // hostView tells what the host list and the links say of a host.
 type hostView struct {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -47,6 +47,8 @@
 	// LinksDialed and LinksAccepted count its links to peers.
 	LinksDialed   int `json:"links_dialed"`
 	LinksAccepted int `json:"links_accepted"`
+	// PeerBytes counts the bytes read from and written to peers since the start.
+	PeerBytes uint64 `json:"peer_bytes"`
 	// Keys counts the idempotency keys at home here.
 	Keys int `json:"keys"`
 	// Process is what the node's process has used.
@@ -88,10 +90,12 @@
 	Cells map[string]string `json:"cells"`
 }
 
-// Links counts a node's links.
+// Links counts a node's links and their bytes.
 type Links interface {
 	// Links returns the number of dialed and accepted links.
 	Links() (dialed, accepted int)
+	// Bytes returns the bytes read and written since the start.
+	Bytes() uint64
 }
 
 // Operator answers operators.
@@ -153,6 +157,7 @@
 		Process: process(), Keys: o.egress.Keys(), Endpoints: o.egress.Statuses(),
 	}
 	s.LinksDialed, s.LinksAccepted = o.links.Links()
+	s.PeerBytes = o.links.Bytes()
 	reply(w, s)
 }
 
--- a/peer/control.go
+++ b/peer/control.go
@@ -71,7 +71,7 @@
 		return
 	}
 	go s.listen(NewFrameReader(stream))
-	tick := time.NewTicker(s.m.cfg.Heartbeat)
+	tick := time.NewTimer(s.m.cfg.Heartbeat)
 	defer tick.Stop()
 	for seq := uint64(1); ; seq++ {
 		beat := s.m.beat()
@@ -83,14 +83,28 @@
 		select {
 		case <-s.done:
 			return
+		case <-s.wake:
 		case <-tick.C:
 		}
+		tick.Reset(s.interval(time.Now()))
 		if !s.judge(time.Now()) {
 			return
 		}
 	}
 }
 
+// interval is the time to the next beat. A link that carries no requests beats slowly: what its peer has to tell comes
+// without being asked, and nothing is sent that a cut could harm.
+func (s *Session) interval(now time.Time) time.Duration {
+	idle := now.Sub(s.lastUse()) > s.m.cfg.CutAfter && s.inFlight.Load() == 0 && !s.suspect.Load()
+	if idle {
+		return idleFactor * s.m.cfg.Heartbeat
+	}
+	return s.m.cfg.Heartbeat
+}
+
+const idleFactor = 8
+
 func (s *Session) listen(r FrameReader) {
 	defer s.close()
 	for {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -70,12 +70,12 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkDown, address, "peer cannot be reached")
 	}
-	mux, err := yamux.Client(c, m.cfg.mux())
+	mux, err := yamux.Client(counted{c, &m.bytes}, m.cfg.mux())
 	if err != nil {
 		_ = c.Close()
 		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
 	}
-	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{})}
+	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.used()
 	return s, nil
 }
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -72,6 +72,7 @@
 	closed   atomic.Bool
 	inbound  atomic.Int64
 	working  flight.Counter
+	bytes    atomic.Uint64
 
 	mu          sync.Mutex
 	sessions    map[string]*Session
@@ -151,7 +152,7 @@
 			_ = c.Close()
 			continue
 		}
-		go m.serveConn(c)
+		go m.serveConn(counted{c, &m.bytes})
 	}
 }
 
@@ -179,6 +180,9 @@
 }
 
 func handshake(c net.Conn) error {
+	if inner, ok := c.(counted); ok {
+		c = inner.Conn
+	}
 	t, ok := c.(*tls.Conn)
 	if !ok {
 		return nil
@@ -260,6 +264,29 @@
 	return s == nil || !s.suspect.Load() && !s.leaving.Load()
 }
 
+// Bytes returns how many bytes were read from and written to peers since the start.
+func (m *Manager) Bytes() uint64 { return m.bytes.Load() }
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n)) //nolint:gosec // counts are not negative
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n)) //nolint:gosec // counts are not negative
+	return n, err
+}
+
 // Links returns the number of dialed links and of accepted ones.
 func (m *Manager) Links() (dialed, accepted int) {
 	m.mu.Lock()
--- a/peer/session.go
+++ b/peer/session.go
@@ -25,6 +25,7 @@
 	usedAt    atomic.Int64
 	roundTrip atomic.Int64
 	done      chan struct{}
+	wake      chan struct{}
 	closeOnce sync.Once
 
 	mu        sync.Mutex
@@ -32,7 +33,17 @@
 	pendingAt time.Time
 }
 
-func (s *Session) used() { s.usedAt.Store(time.Now().UnixNano()) }
+// used notes that the link carries a request, and wakes the heartbeat of one that was idle.
+func (s *Session) used() {
+	now := time.Now().UnixNano()
+	if now-s.usedAt.Swap(now) < int64(s.m.cfg.Heartbeat) {
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
 
 func (s *Session) lastUse() time.Time { return time.Unix(0, s.usedAt.Load()) }
 
@@ -45,16 +56,15 @@
 	})
 }
 
-// Pull asks the peer for every change after a revision.
-func (s *Session) Pull(ctx context.Context, from uint64) ([]*peerpb.Delta, error) {
+// Pull asks the peer for every change after a revision, and for its list of hosts if that has another digest.
+func (s *Session) Pull(ctx context.Context, from, hosts uint64) ([]*peerpb.Delta, error) {
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkDown, s.address, "stream cannot be opened")
 	}
-	s.used()
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
-	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: &peerpb.Pull{From: from}}}); err != nil {
+	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: &peerpb.Pull{From: from, Hosts: hosts}}}); err != nil {
 		return nil, err
 	}
 	r := NewFrameReader(stream)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// work takes the plan's time, less when the caller goes away or the deadline comes.
+// wait takes the plan's time, less when the caller goes away or the deadline comes.
 func (p plan) wait(ctx context.Context, deadline time.Duration) bool {
 	t := time.NewTimer(p.work)
 	defer t.Stop()
