Mutants: each mechanism switched off on a copy must fail its check

Done: proofs/run (make mutants) applies one patch after the other to a copy of the tree and wants the named test to fail.

A mutant of the writer hung its test, which had no time limit: it has one.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test lint generate bench bench-scale
+.PHONY: build demo test lint generate bench bench-scale mutants
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -11,6 +11,9 @@
 test:
 	$(GO) test -race ./...
 
+mutants:
+	proofs/run
+
 lint:
 	golangci-lint run ./...
 
--- a/changes/history_test.go
+++ b/changes/history_test.go
@@ -234,20 +234,22 @@
 // unknown can be settled for good.
 func TestLostReply(t *testing.T) {
 	s := store.New()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
 	w := changes.NewWriter(store.NewLocal(s))
 	row, _ := table.NewRow(table.KindService, "dd", nil)
 	s.SetFaults(store.Faults{LoseReplies: 1})
-	got, err := w.Accept(t.Context(), changes.Change{Op: "1", Edits: []changes.Edit{{Row: row}}})
+	got, err := w.Accept(ctx, changes.Change{Op: "1", Edits: []changes.Edit{{Row: row}}})
 	if want := uint64(1); err != nil || got != want {
 		t.Errorf("lost reply: got revision %d and %v, want %d", got, err, want)
 	}
-	if got, err := w.Settle(t.Context(), "1"); err != nil || got != 1 {
+	if got, err := w.Settle(ctx, "1"); err != nil || got != 1 {
 		t.Errorf("settle: got %d and %v, want 1", got, err)
 	}
-	if got, err := w.Settle(t.Context(), "2"); err != nil || got != 0 {
+	if got, err := w.Settle(ctx, "2"); err != nil || got != 0 {
 		t.Errorf("settle of what never came: got %d and %v, want 0", got, err)
 	}
-	_, err = w.Accept(t.Context(), changes.Change{Op: "2", Edits: []changes.Edit{{Row: row, Expect: 1}}})
+	_, err = w.Accept(ctx, changes.Change{Op: "2", Edits: []changes.Edit{{Row: row, Expect: 1}}})
 	if got, want := fault.CodeOf(err), fault.Conflict; got != want {
 		t.Errorf("a voided change that comes late: got %q, want %q", got, want)
 	}
