--- a/bench/decisions.go
+++ b/bench/decisions.go
@@ -191,3 +191,35 @@
 	slices.Sort(sorted)
 	return sorted[int(q*float64(len(sorted)-1))]
 }
+
+// Curve prints detection time against false ejections for several settings of each rule, at booking-desk's size, for an
+// endpoint that fails 30% of its work and one that answers three times slower.
+func Curve(out io.Writer) {
+	const hours = 50
+	s := virtual.Services[2]
+	for _, falsePerDay := range []float64{0.001, 0.05, 1, 24} {
+		s.FalseEjections = falsePerDay
+		curvePoint(out, s, fmt.Sprintf("ours_%g_a_day", falsePerDay), virtual.NewOurs, hours)
+	}
+	for _, limit := range []int{2, 3, 5} {
+		curvePoint(out, s, fmt.Sprintf("in_row_%d", limit), virtual.NewInRow(limit), hours)
+	}
+	curvePoint(out, s, "common", virtual.NewCommon, hours)
+}
+
+func curvePoint(out io.Writer, s virtual.Service, name string, policy virtual.NewPolicy, hours float64) {
+	for _, f := range []virtual.Fault{{Name: "fails_30", Fail: 0.3}, {Name: "slow_3", Slow: 3}} {
+		results := runAll(seeds, func(seed uint64) virtual.Result {
+			return virtual.Stream{Service: s, Policy: policy, Fault: f, Seed: seed, Length: faultLength}.Run()
+		})
+		measure(out, "curve."+name+"."+f.Name+".detection", medianOf(results, detection), "s")
+	}
+	length := time.Duration(hours / float64(s.Endpoints) / parallel * float64(time.Hour))
+	sum := 0
+	for _, r := range runAll(parallel, func(seed uint64) virtual.Result {
+		return virtual.Stream{Service: s, Policy: policy, Seed: seed, Length: length}.Run()
+	}) {
+		sum += r.FalseEjections
+	}
+	measure(out, "curve."+name+".false_ejections", float64(sum)/hours*24, "an_endpoint_and_day")
+}
--- a/bench/scale.go
+++ b/bench/scale.go
@@ -300,7 +300,7 @@
 }
 
 func readInForce(path string) ([]inForce, error) {
-	file, err := os.Open(path) //nolint:gosec // a log of our own
+	file, err := os.Open(path)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, path, "log cannot be read")
 	}
--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -19,7 +19,7 @@
 func main() {
 	outbound.Tune()
 	bin := flag.String("bin", "bin", "directory of the programs")
-	only := flag.String("only", "", `"path", "decisions", "healthy", "overload" or "scale"; all but the last without it`)
+	only := flag.String("only", "", `"path", "decisions", "healthy", "curve", "overload" or "scale"; all but the last without it`)
 	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
 	flag.Parse()
 	if *only == "" || *only == "path" {
@@ -40,6 +40,9 @@
 	if *only == "" || *only == "healthy" {
 		bench.Healthy(os.Stdout, *hours)
 	}
+	if *only == "" || *only == "curve" {
+		bench.Curve(os.Stdout)
+	}
 	if *only == "" || *only == "overload" {
 		bench.Overload(os.Stdout)
 	}
--- a/virtual/policy.go
+++ b/virtual/policy.go
@@ -95,6 +95,8 @@
 
 type common struct {
 	roundRobin
+	limit    int
+	byShare  bool
 	inRow    []int
 	until    []time.Time
 	ok, all  []float64
@@ -103,9 +105,17 @@
 }
 
 // NewCommon returns the second baseline.
-func NewCommon(s Service, _ *rand.Rand) Policy {
+func NewCommon(s Service, _ *rand.Rand) Policy { return newCommon(s, commonInRow, true) }
+
+// NewInRow returns the common rule with another number of failures in a row and without the failure share.
+func NewInRow(limit int) NewPolicy {
+	return func(s Service, _ *rand.Rand) Policy { return newCommon(s, limit, false) }
+}
+
+func newCommon(s Service, limit int, byShare bool) Policy {
 	n := s.Endpoints
 	return &common{
+		limit: limit, byShare: byShare,
 		roundRobin: roundRobin{n: n}, inRow: make([]int, n), until: make([]time.Time, n),
 		ok: make([]float64, n), all: make([]float64, n),
 	}
@@ -131,7 +141,7 @@
 		p.inRow[i] = 0
 		return
 	}
-	if p.inRow[i]++; p.inRow[i] >= commonInRow {
+	if p.inRow[i]++; p.inRow[i] >= p.limit {
 		p.eject(now, i)
 	}
 }
@@ -151,7 +161,7 @@
 
 func (p *common) Tick(now time.Time) {
 	p.now = now
-	if now.Sub(p.measured) < commonInterval {
+	if !p.byShare || now.Sub(p.measured) < commonInterval {
 		return
 	}
 	p.measured = now
