--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	bin/lynxplank-demo -bin bin
 
 test:
-	$(GO) test -race ./...
+	$(GO) test -race -count=1 ./...
 
 mutants:
 	proofs/run
