--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -19,12 +20,18 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 )
 
-// echo answers every dispatch with its own request id.
+// echo answers every dispatch with its own request id and body.
 type echo struct{}
 
-func (echo) Serve(_ context.Context, d *peerpb.Dispatch, _ io.Reader, sink Sink) *peerpb.End {
+func (echo) Serve(_ context.Context, d *peerpb.Dispatch, body io.Reader, sink Sink) *peerpb.End {
 	_ = sink.Head(&peerpb.Head{Status: 200}, true)
 	_ = sink.Data([]byte(d.GetRequestId()), true)
+	if d.GetBodyLength() != 0 {
+		all, err := io.ReadAll(body)
+		if err != nil || sink.Data(all, true) != nil {
+			return Unknown("endpoint_cut")
+		}
+	}
 	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
 }
 
@@ -166,6 +173,30 @@
 	}
 }
 
+// TestLargeBodies sends bodies of known and unknown length, larger than a frame, through a link and back.
+func TestLargeBodies(t *testing.T) {
+	_, address := startManager(t, nil)
+	m, _ := startManager(t, nil)
+	s, err := m.Session(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := bytes.Repeat([]byte("0123456789abcdef"), 3*MaxFrame/16)
+	for _, length := range []int64{int64(len(body)), -1} {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		k := &kept{}
+		d := &peerpb.Dispatch{RequestId: "id:", BudgetMicros: 1e7, BodyLength: length}
+		end := s.Exchange(ctx, d, bytes.NewReader(body), k)
+		cancel()
+		if got, want := end.GetOutcome(), peerpb.Outcome_OUTCOME_RAN; got != want {
+			t.Errorf("length %d: got %v, want %v", length, end, want)
+		}
+		if got, want := k.body, append([]byte("id:"), body...); !bytes.Equal(got, want) {
+			t.Errorf("length %d: got %d bytes, want the %d sent", length, len(got), len(want))
+		}
+	}
+}
+
 // TestGarbledPeer checks that unreadable bytes end their own stream or link and disturb nothing else.
 func TestGarbledPeer(t *testing.T) {
 	_, address := startManager(t, nil)
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,14 @@
+package settings
+
+import "testing"
+
+// FuzzDaemon reads arbitrary text as settings: an error at most, never a panic.
+func FuzzDaemon(f *testing.F) {
+	f.Add([]byte("node: {id: a, hall: b}"))
+	f.Add([]byte("peers: {seeds: [1, {a: b}], tls: 5}\nlog: {level: [x]}"))
+	f.Add([]byte("&a [*a]"))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		cfg := DefaultDaemon()
+		_ = Parse("in", text, &cfg)
+	})
+}
