--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -145,10 +145,10 @@
 // It prints the status, the outcome, the system's own code and the fields of the contract that came back.
 func TestCallersContract(t *testing.T) {
 	f := start(t, `
-service: {desk: {queue: 0}, slow: {timeout: 50ms}}
+service: {desk: {queue: 0}, slow: {timeout: 500ms}}
 endpoint: {e1: {service: desk, host: h1, hall: hall-1, address: "ENDPOINT", slots: 1}, e2: {service: slow, host: h1, hall: hall-1, address: "ENDPOINT"}}
 route: {all: {service: desk}, slow: {prefix: /slow, service: slow}, pay: {prefix: /pay, service: desk, repeatable: "no"}, named: {host: desk.example, prefix: /only, service: desk}, lost: {prefix: /lost, service: desk, repeatable: "yes"}}
-customer: {limited: {limit: 1}}
+customer: {limited: {limit: 0.01}}
 `)
 	defer f.stop(t)
 	datadriven.RunTest(t, "testdata/callers", func(t *testing.T, d *datadriven.TestData) string {
@@ -161,7 +161,7 @@
 				how.HalfPercent = 100
 			}
 			if d.HasArg("slow") {
-				how.WorkMillis = 500
+				how.WorkMillis = 60000
 			}
 			if d.HasArg("shed") {
 				how.ShedAbove = -1
