--- a/demo/proxy_test.go
+++ b/demo/proxy_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // proxy stands on the way to one node's peer listener and can hold the bytes of one direction, as a link does that is
@@ -14,6 +15,7 @@
 	mu       sync.Mutex
 	cond     *sync.Cond
 	held     map[string]bool
+	delay    time.Duration
 	conns    []net.Conn
 }
 
@@ -66,12 +68,22 @@
 	}
 }
 
+// wait returns once the direction is not held, after the link's delay.
 func (p *proxy) wait(direction string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	for p.held[direction] {
 		p.cond.Wait()
 	}
+	delay := p.delay
+	p.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// slow delays what comes from now on, in both directions.
+func (p *proxy) slow(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
 }
 
 func (p *proxy) hold(direction string, on bool) {
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -51,6 +52,7 @@
 //	mark on=h1, new on=h1                                           work begun since the mark
 //	kill, start, stop, freeze, thaw on=h1
 //	cut, heal on=h1 way=to|from                                     one direction of every link dialed to the node
+//	slow on=h1 ms=N                                                 delays every link dialed to the node, both ways
 //	platform up|down
 //	leaving on=h1                                                   the platform's list shows the host as leaving
 //	ctl ARGS...                                                     the operators' tool; prints "ok" or the exit
@@ -89,7 +91,7 @@
 		"fleet": s.start, "send": s.send, "hold": s.hold, "held": s.wait, "endpoint": s.endpoint,
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
-		"cut": s.link, "heal": s.link, "platform": s.platform, "leaving": s.leaving, "inforce": s.inForce, "check": s.check,
+		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "inforce": s.inForce, "check": s.check,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -305,6 +307,12 @@
 	return ""
 }
 
+func (s *scenario) slow(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	s.proxies[s.member(t, d).Host].slow(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
+	return ""
+}
+
 func (s *scenario) platform(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	must(t, d, s.fleet.SetFaults(store.Faults{Down: d.HasArg("down"), DelayMillis: number(t, d, "delay", 0)}))
