--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -249,9 +249,6 @@
 // NodePID returns the process id of the member's node.
 func (m *Member) NodePID() int { return m.node.cmd.Process.Pid }
 
-// EndpointPID returns the process id of the member's endpoint.
-func (m *Member) EndpointPID() int { return m.endpoint.cmd.Process.Pid }
-
 // Status returns what the member's node says of itself.
 func (m *Member) Status() (operator.Status, error) {
 	var s operator.Status
--- a/header/header.go
+++ b/header/header.go
@@ -43,9 +43,12 @@
 // own are the fields that the system itself sets towards endpoints or callers.
 var own = []string{Deadline, RequestID, Outcome, RetryAfter, Replayed, Leaving, NotRun}
 
+// never are the fields that no message passes on.
+var never = slices.Concat(hopByHop, own)
+
 // FromHTTP returns the fields that go on: neither those of one connection nor the system's own.
 func FromHTTP(h http.Header) []*peerpb.Header {
-	dropped := slices.Concat(hopByHop, own)
+	dropped := slices.Clip(never)
 	for _, names := range h["Connection"] {
 		for name := range strings.SplitSeq(names, ",") {
 			dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
--- a/peer/control.go
+++ b/peer/control.go
@@ -155,7 +155,6 @@
 	s.mu.Unlock()
 	if waiting > s.m.cfg.CutAfter && s.suspect.CompareAndSwap(false, true) {
 		events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Dur("silent", waiting).Send()
-		s.m.linkChanged()
 	}
 	if waiting > acceptorPatience*s.m.cfg.CutAfter {
 		return false
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -81,7 +81,6 @@
 	subscribers map[chan struct{}]struct{}
 
 	onBeat func(peer string, revision, hosts uint64)
-	onLink func()
 }
 
 type dial struct {
@@ -98,9 +97,6 @@
 	return func(m *Manager) { m.onBeat = f }
 }
 
-// WithLinkHook calls f whenever a link becomes suspect; f must not block.
-func WithLinkHook(f func()) Option { return func(m *Manager) { m.onLink = f } }
-
 // NewManager returns a manager without links.
 func NewManager(cfg Config, log *zerolog.Logger, opts ...Option) *Manager {
 	m := &Manager{
@@ -110,7 +106,6 @@
 		accepted:    make(map[*yamux.Session]struct{}),
 		subscribers: make(map[chan struct{}]struct{}),
 		onBeat:      func(string, uint64, uint64) {},
-		onLink:      func() {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -254,8 +249,6 @@
 	return &peerpb.Beat{Revision: m.revision.Load(), Hosts: m.hosts.Load(), Leaving: m.leaving.Load()}
 }
 
-func (m *Manager) linkChanged() { m.onLink() }
-
 // Usable tells whether a peer may get new work as far as the link shows; a peer without a link may.
 func (m *Manager) Usable(address string) bool {
 	m.mu.Lock()
