Peer: a frozen peer keeps its suspicion over a new link

Cause, read from the code after one red run of frozen_nodes (a lookup ended unknown, link_lost): yamux closes a session whose stream is not acknowledged within 2 s, and the new session to the frozen node, whose kernel still takes connections, began without suspicion and drew more work.

Done: a link that closed under suspicion comes back under it until an echo; the stream's own limit is 30 s, so that the heartbeat judges.

No test of its own that fails first yet: the scenario shows it only now and then.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -77,6 +77,11 @@
 	}
 	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.used()
+	// A frozen peer takes connections too: a link that closed under suspicion comes back under it, until an echo.
+	m.mu.Lock()
+	s.suspect.Store(m.suspects[address])
+	delete(m.suspects, address)
+	m.mu.Unlock()
 	return s, nil
 }
 
@@ -100,6 +105,9 @@
 func (m *Manager) forget(s *Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if s.suspect.Load() {
+		m.suspects[s.address] = true
+	}
 	if m.sessions[s.address] == s {
 		delete(m.sessions, s.address)
 	}
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -47,6 +47,8 @@
 	writeTimeout  = 2 * time.Second
 	acceptBacklog = 1024
 	streamWindow  = 512 << 10
+
+	streamOpenLimit = 30 * time.Second
 )
 
 func (c Config) mux() *yamux.Config {
@@ -54,7 +56,8 @@
 	y.EnableKeepAlive = false
 	y.AcceptBacklog = acceptBacklog
 	y.ConnectionWriteTimeout = writeTimeout
-	y.StreamOpenTimeout = writeTimeout
+	// The heartbeat judges a silent peer; this must not cut what a frozen one may still answer.
+	y.StreamOpenTimeout = streamOpenLimit
 	y.MaxStreamWindowSize = streamWindow
 	y.LogOutput = io.Discard
 	return y
@@ -77,6 +80,7 @@
 	mu          sync.Mutex
 	sessions    map[string]*Session
 	dialing     map[string]*dial
+	suspects    map[string]bool
 	accepted    map[*yamux.Session]struct{}
 	subscribers map[chan struct{}]struct{}
 
@@ -103,6 +107,7 @@
 		cfg: cfg, log: log,
 		sessions:    make(map[string]*Session),
 		dialing:     make(map[string]*dial),
+		suspects:    make(map[string]bool),
 		accepted:    make(map[*yamux.Session]struct{}),
 		subscribers: make(map[chan struct{}]struct{}),
 		onBeat:      func(string, uint64, uint64) {},
