--- /dev/null
+++ b/announce/announcer.go
@@ -0,0 +1,201 @@
+package announce
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/changes"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Config is the announcer's section of the settings.
+type Config struct {
+	// Host is what is announced besides the endpoints.
+	Host table.HostInfo
+	// Retry is the time between attempts while the platform fails.
+	Retry time.Duration
+	// Timeout bounds one attempt.
+	Timeout time.Duration
+}
+
+// gather lets a burst of changes become one write.
+const gather = 20 * time.Millisecond
+
+// Announcer writes this host's line; it is a kernel component.
+type Announcer struct {
+	cfg   Config
+	log   *zerolog.Logger
+	table changes.Table
+	wake  chan struct{}
+	stop  context.CancelFunc
+	done  chan struct{}
+
+	mu   sync.Mutex
+	want table.HostInfo
+	// withdrawn is set once the line is to be taken out.
+	withdrawn bool
+	dirty     bool
+	// written is the version of the line as this process last wrote it.
+	written uint64
+}
+
+// New returns an announcer that has written nothing.
+func New(cfg Config, log *zerolog.Logger, t changes.Table) *Announcer {
+	return &Announcer{cfg: cfg, log: log, table: t, want: cfg.Host, wake: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// Start writes the line and keeps it as it should be.
+func (a *Announcer) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	a.mark()
+	go a.run(ctx)
+	return nil
+}
+
+// Stop ends the writing; it does not take the line out.
+func (a *Announcer) Stop(context.Context) error {
+	a.stop()
+	<-a.done
+	return nil
+}
+
+// Announce replaces the endpoints of the line.
+func (a *Announcer) Announce(endpoints []table.Announced) {
+	a.mu.Lock()
+	a.want.Endpoints = endpoints
+	a.mu.Unlock()
+	a.mark()
+}
+
+// Withdraw takes the line out, because host and endpoint leave for good.
+func (a *Announcer) Withdraw() {
+	a.mu.Lock()
+	a.withdrawn = true
+	a.mu.Unlock()
+	a.mark()
+}
+
+// Observe looks whether a snapshot in force shows the line as it was written; another node may have taken it out.
+func (a *Announcer) Observe(snap *follow.Snapshot) {
+	a.mu.Lock()
+	seen, ok := snap.ByID[a.cfg.Host.ID]
+	known := a.written != 0 && snap.State.Revisions()[table.PlaneHosts] > a.written
+	lost := known && !a.withdrawn && (!ok || seen.Incarnation != a.cfg.Host.Incarnation)
+	a.mu.Unlock()
+	if lost {
+		a.mark()
+	}
+}
+
+func (a *Announcer) mark() {
+	a.mu.Lock()
+	a.dirty = true
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Announcer) run(ctx context.Context) {
+	defer close(a.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		}
+		if !sleep(ctx, gather) {
+			return
+		}
+		for a.write(ctx) != nil {
+			if !sleep(ctx, a.cfg.Retry) {
+				return
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// next takes what is to be written; false when all is written.
+func (a *Announcer) next() (write platform.Write, ok bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.dirty {
+		return platform.Write{}, false, nil
+	}
+	a.dirty = false
+	write = platform.Write{Key: follow.HostPrefix + a.want.ID, Delete: a.withdrawn}
+	if a.withdrawn {
+		return write, true, nil
+	}
+	write.Value, err = json.Marshal(a.want)
+	if err != nil {
+		err = fault.Wrap(err, fault.Internal, write.Key, "announcement cannot be encoded")
+	}
+	return write, true, err
+}
+
+// write makes one attempt to bring the line to what it should be.
+//
+// Invariant: each write names the version of the line that it replaces, so that one which the store does late, after
+// its answer was lost, cannot undo a newer one.
+func (a *Announcer) write(ctx context.Context) error {
+	w, ok, err := a.next()
+	if !ok {
+		return nil
+	}
+	if err == nil {
+		err = a.commit(ctx, w)
+	}
+	if err != nil {
+		a.mu.Lock()
+		a.dirty = true
+		a.mu.Unlock()
+		events.AnnounceFailed.Log(a.log).Err(err).Send()
+	}
+	return err
+}
+
+func (a *Announcer) commit(ctx context.Context, w platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
+	defer cancel()
+	recs, err := a.table.Get(ctx, w.Key)
+	if err != nil {
+		return err
+	}
+	if w.Delete && recs[0].Version == 0 {
+		return nil
+	}
+	reply, err := a.table.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: w.Key, Version: recs[0].Version}}, Writes: []platform.Write{w},
+	})
+	if err != nil {
+		return err
+	}
+	if !reply.Committed {
+		return fault.New(fault.Conflict, w.Key, "line was written meanwhile")
+	}
+	a.mu.Lock()
+	a.written = reply.Version
+	a.mu.Unlock()
+	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).Send()
+	return nil
+}
--- a/changes/reader.go
+++ b/changes/reader.go
@@ -8,7 +8,7 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
-const scanPage = 1000
+const scanPage = platform.MostRows
 
 // Reader reads accepted changes in their order.
 type Reader struct {
--- a/changes/writer.go
+++ b/changes/writer.go
@@ -13,7 +13,7 @@
 
 // Table is the part of the platform's table that this package uses.
 type Table interface {
-	// Get reads records by key at one moment.
+	// Get reads records by key, each at a moment of its own; a transaction's checks see whether they still hold.
 	Get(ctx context.Context, keys ...string) ([]platform.Record, error)
 	// Scan reads records in key order.
 	Scan(ctx context.Context, prefix, after string, limit int) (platform.Records, error)
@@ -120,6 +120,9 @@
 	if err != nil {
 		return 0, true, err
 	}
+	if txn.Entries() > platform.MostEntries {
+		return 0, true, fault.New(fault.BadRow, c.Op, "the platform takes no more than about 40 rows in one change: apply it in parts")
+	}
 	*sent = true
 	reply, err := w.table.Commit(ctx, txn)
 	if err != nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -21,7 +21,6 @@
 	service     = "booking-desk"
 	normalWork  = 4
 	calm        = 2 * time.Second
-	listLag     = time.Second
 	leaveLimit  = 3 * time.Second
 	inForceMost = 3 * time.Second
 )
@@ -187,14 +186,14 @@
 func killOne(f *Fleet, out io.Writer) error {
 	m := f.Members[3]
 	fmt.Fprintf(out, "node %s killed without notice\n", m.Host)
-	err := m.KillNode()
-	time.Sleep(listLag)
-	f.forget(m)
-	return err
+	if err := m.KillNode(); err != nil {
+		return err
+	}
+	return f.forget(m)
 }
 
-// forget takes a member's host out of the platform's list, as the platform does some time after it is gone.
-func (f *Fleet) forget(m *Member) {
+// forget waits until the other nodes have taken a member's host out of the list, as they do some time after it is gone.
+func (f *Fleet) forget(m *Member) error {
 	m.gone = true
-	_ = f.listHosts("")
+	return f.waitHosts()
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -15,7 +15,6 @@
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
-	"github.com/lynxplank/lynxplank/table"
 )
 
 const (
@@ -40,7 +39,7 @@
 type Fleet struct {
 	// Members are the nodes with their endpoints.
 	Members []*Member
-	// PeerAddress, if set, gives the address under which the list of hosts shows a member to its peers.
+	// PeerAddress, if set, gives the address that a member's node advertises to its peers.
 	PeerAddress func(m *Member) string
 
 	// Bare fleets have no endpoint processes, only their rows.
@@ -101,9 +100,6 @@
 	if err := waitFor("platform", func() bool { return get(f.platform+store.PathStats, nil) == nil }); err != nil {
 		return err
 	}
-	if err := f.listHosts(""); err != nil {
-		return err
-	}
 	for i, m := range f.Members {
 		if err := f.startMember(m, how, i); err != nil {
 			return err
@@ -112,6 +108,9 @@
 	if err := f.WaitReady(); err != nil {
 		return err
 	}
+	if err := f.waitHosts(); err != nil {
+		return err
+	}
 	// The nodes run before the service is made, and so know that no key of it can have run before.
 	if err := f.declare(service, serviceCells); err != nil {
 		return err
@@ -119,6 +118,25 @@
 	return f.WaitRevision(1)
 }
 
+// waitHosts waits until every node knows every other.
+func (f *Fleet) waitHosts() error {
+	want := 0
+	for _, m := range f.Members {
+		if !m.gone {
+			want++
+		}
+	}
+	return waitFor("hosts known", func() bool {
+		for _, m := range f.Members {
+			var s operator.Status
+			if m.Running() && (get(m.Operators+operator.PathStatus, &s) != nil || s.Hosts != want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // WaitRevision waits until every running node has a revision in force.
 func (f *Fleet) WaitRevision(revision uint64) error {
 	return waitFor("revision in force", func() bool {
@@ -132,22 +150,6 @@
 	})
 }
 
-// listHosts tells the platform its list of hosts; leaving names one that it is about to take away.
-func (f *Fleet) listHosts(leaving string) error {
-	hosts := make([]table.HostInfo, 0, len(f.Members))
-	for _, m := range f.Members {
-		if m.gone {
-			continue
-		}
-		address := m.Peers
-		if f.PeerAddress != nil {
-			address = f.PeerAddress(m)
-		}
-		hosts = append(hosts, table.HostInfo{ID: m.Host, Hall: m.Hall, Address: address, Leaving: m.Host == leaving})
-	}
-	return post(f.platform+store.PathHosts, hosts)
-}
-
 func (f *Fleet) startMember(m *Member, how backend.Behaviour, i int) error {
 	text, err := json.Marshal(how)
 	if err != nil {
@@ -167,12 +169,16 @@
 // StartNode starts a member's node with empty memory.
 func (f *Fleet) StartNode(m *Member) error {
 	path := filepath.Join(f.dir, m.Host+".yaml")
+	advertise := m.Peers
+	if f.PeerAddress != nil {
+		advertise = f.PeerAddress(m)
+	}
 	text := fmt.Sprintf(`node: {id: %s, hall: %s}
 callers: {listen: %q}
-peers: {listen: %q, seeds: [%q, %q], idle_close: 3s}
+peers: {listen: %q, advertise: %q, seeds: [%q, %q], idle_close: 3s, gone_after: 3s}
 operators: {listen: %q, token: %s}
-platform: {address: %q, poll: 250ms}
-%s`, m.Host, m.Hall, m.Callers, m.Peers, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, f.platform, f.extra)
+platform: {address: %q}
+%s`, m.Host, m.Hall, m.Callers, m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, f.platform, f.extra)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fault.Wrap(err, fault.Unavailable, path, "cannot be written")
 	}
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -54,7 +54,7 @@
 //	cut, heal on=h1 way=to|from                                     one direction of every link dialed to the node
 //	slow on=h1 ms=N                                                 delays every link dialed to the node, both ways
 //	platform up|down
-//	leaving on=h1                                                   the platform's list shows the host as leaving
+//	leaving on=h1                                                   the operator drains the host; waits until all know
 //	ctl ARGS...                                                     the operators' tool; prints "ok" or the exit
 //	inforce                                                         waits until every running node holds the same revision
 //	inforce after=down                                              the same, without asking the platform
@@ -321,9 +321,10 @@
 
 func (s *scenario) leaving(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	must(t, d, s.fleet.listHosts(word(t, d, "on", "")))
+	_, err := s.fleet.Ctl("drain", "host", word(t, d, "on", ""))
+	must(t, d, err)
 	key := s.member(t, d).Key()
-	must(t, d, waitFor("list known", func() bool { return !s.openAnywhere(key) }))
+	must(t, d, waitFor("drain known", func() bool { return !s.openAnywhere(key) }))
 	return ""
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -24,6 +24,9 @@
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
 	BadTable        = Event{203, "table cannot be read", zerolog.ErrorLevel}
 	ConfigReady     = Event{204, "configuration ready", zerolog.InfoLevel}
+	Announced       = Event{205, "host announced", zerolog.InfoLevel}
+	AnnounceFailed  = Event{206, "host cannot be announced", zerolog.WarnLevel}
+	HostReaped      = Event{207, "host is gone", zerolog.WarnLevel}
 	LinkUp          = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect     = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed      = Event{302, "link closed", zerolog.InfoLevel}
@@ -33,14 +36,19 @@
 	EndpointLeaving = Event{401, "endpoint says it is leaving", zerolog.InfoLevel}
 	EndpointBack    = Event{402, "endpoint takes work again", zerolog.InfoLevel}
 	ReportsDropped  = Event{403, "work reports dropped", zerolog.WarnLevel}
+
+	EndpointAnnounced = Event{404, "endpoint announced itself", zerolog.InfoLevel}
+	BadHeartbeat      = Event{405, "heartbeat refused", zerolog.WarnLevel}
 )
 
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
+	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
+	EndpointAnnounced, BadHeartbeat,
 }
 
 // Log begins a log line of the event; the caller adds fields and sends it.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -38,6 +38,8 @@
 	Protocol Code = "protocol"
 	// Unauthorized is a missing or wrong credential.
 	Unauthorized Code = "unauthorized"
+	// Gone is a part of the platform's history that it no longer has.
+	Gone Code = "gone"
 	// Internal is a broken expectation inside the program.
 	Internal Code = "internal"
 
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -14,68 +16,115 @@
 	apply(ctx context.Context, f *Follower)
 }
 
-// heard notes that a reader is linked and answers.
-type heard struct{}
-
-func (heard) apply(_ context.Context, f *Follower) { f.heardAt = time.Now() }
-
-// polled is the result of one look at the platform.
-type polled struct {
+// ownRead is the result of one look at the product's own table.
+type ownRead struct {
 	state    *table.State
 	hosts    []table.HostInfo
-	hasHosts bool
+	revision uint64
 	err      error
 }
 
-func (m polled) apply(_ context.Context, f *Follower) {
-	f.polling = false
-	f.notePlatform(m.err)
-	if m.state != nil {
-		f.adopt(m.state)
+func (m ownRead) apply(_ context.Context, f *Follower) {
+	err := m.err
+	if err == nil {
+		err = f.adoptHosts(m.hosts, m.revision)
 	}
-	if m.hasHosts {
-		f.adoptHosts(m.hosts)
+	if err == nil {
+		err = f.adoptRows(m.state)
 	}
+	f.notePlatform(table.PlaneRows, err)
 	f.checkReady()
 }
 
-// hint tells that a peer shows a later revision or another list of hosts.
-type hint struct {
-	peer     string
-	revision uint64
-	hosts    uint64
+// selfShown tells that this host's own line has changed.
+type selfShown struct{}
+
+func (selfShown) apply(_ context.Context, f *Follower) {
+	if err := f.putHosts(); err != nil {
+		f.notePlatform(table.PlaneRows, err)
+	}
 }
 
-func (m hint) apply(ctx context.Context, f *Follower) {
-	f.heardAt = time.Now()
-	address := f.addressOf(m.peer)
-	if address == "" {
-		return
+// adoptRows brings the operators' rows to a state that only holds these.
+func (f *Follower) adoptRows(s *table.State) error {
+	from := f.State().Revision()
+	if s.Revision() <= from {
+		return nil
 	}
-	if m.revision <= f.State().Revision() {
-		f.hintHosts(ctx, address, m.hosts)
-		return
+	d := table.Delta{Plane: table.PlaneRows, From: from, To: s.Revision()}
+	rows, ok := s.Since(table.PlaneRows, from)
+	if !ok {
+		d.Full = true
+		s.PlaneRows(table.PlaneRows, func(r table.Row) { rows = append(rows, r) })
 	}
-	f.wanted[address] = m.revision
-	f.pullNext(ctx)
+	d.Rows = rows
+	return f.apply(d)
 }
 
-// hintHosts pulls the list of hosts from the hall's first reader, at most once a second: the others may lag or lead.
-func (f *Follower) hintHosts(ctx context.Context, address string, digest uint64) {
-	hosts := f.Snapshot().Hosts
-	first := Readers(hosts, f.cfg.Hall, 1)
-	fromFirst := len(first) == 1 && first[0].Address == address
-	if !fromFirst || f.isReader(hosts) || digest == hostsDigest(hosts) {
-		return
+// configRead is the result of one look at the platform's configuration.
+type configRead struct {
+	config *platform.Config
+	bad    error
+	err    error
+}
+
+func (m configRead) apply(_ context.Context, f *Follower) {
+	err := m.err
+	if m.config != nil {
+		err = f.adoptConfig(*m.config)
 	}
-	if f.pulling || time.Since(f.hostsAt) < hostsPause {
-		return
+	f.notePlatform(table.PlaneConfig, err)
+	if m.bad != nil {
+		f.notePlatform(table.PlaneConfig, m.bad)
+	}
+	f.checkReady()
+}
+
+// adoptConfig puts a later configuration in force; what it leaves as it was keeps its revision.
+func (f *Follower) adoptConfig(c platform.Config) error {
+	state := f.State()
+	from := state.Revisions()[table.PlaneConfig]
+	if c.Version <= from {
+		return nil
+	}
+	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version}
+	type id struct {
+		kind table.Kind
+		key  string
+	}
+	kept := make(map[id]bool, len(c.Rows))
+	for _, row := range c.Rows {
+		kept[id{row.Kind, row.Key}] = true
+		old, ok := state.Row(row.Kind, row.Key)
+		if !ok || old.Plane != table.PlaneConfig || !slices.Equal(old.Cells, row.Cells) {
+			d.Rows = append(d.Rows, row)
+		}
 	}
-	f.hostsAt = time.Now()
-	f.pull(ctx, address)
+	state.PlaneRows(table.PlaneConfig, func(r table.Row) {
+		if !kept[id{r.Kind, r.Key}] {
+			gone := table.Row{Kind: r.Kind, Key: r.Key, Deleted: true}
+			gone.Revision = c.Version
+			d.Rows = append(d.Rows, gone)
+		}
+	})
+	return f.apply(d)
+}
+
+// hint tells that a peer shows a later revision of something.
+type hint struct {
+	peer      string
+	revisions table.Revisions
 }
 
-const hostsPause = time.Second
+func (m hint) apply(ctx context.Context, f *Follower) {
+	f.heardAt = time.Now()
+	address := f.addressOf(m.peer)
+	if address == "" || !f.State().Revisions().Behind(m.revisions) {
+		return
+	}
+	f.wanted[address] = m.revisions
+	f.pullNext(ctx)
+}
 
 // addressOf takes a peer's address or its host id.
 func (f *Follower) addressOf(name string) string {
@@ -84,10 +133,8 @@
 			return h.Address
 		}
 	}
-	for _, seed := range f.cfg.Seeds {
-		if seed == name {
-			return seed
-		}
+	if slices.Contains(f.cfg.Seeds, name) {
+		return name
 	}
 	return ""
 }
@@ -97,9 +144,9 @@
 	if f.pulling {
 		return
 	}
-	for address, revision := range f.wanted {
+	for address, revisions := range f.wanted {
 		delete(f.wanted, address)
-		if revision > f.State().Revision() {
+		if f.State().Revisions().Behind(revisions) {
 			f.pull(ctx, address)
 			return
 		}
@@ -116,7 +163,7 @@
 			return
 		}
 	}
-	if f.State().Revision() == 0 {
+	if !f.holdsConfig(f.Snapshot()) {
 		clear(f.seedsAsked)
 	}
 }
@@ -124,47 +171,41 @@
 // pull asks one peer for what is missing, in a goroutine of its own.
 func (f *Follower) pull(ctx context.Context, address string) {
 	f.pulling = true
-	snap := f.Snapshot()
-	state := snap.State
+	from := f.State().Revisions()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 		defer cancel()
 		m := pulled{address: address}
-		m.parts, m.err = f.pullFrom(ctx, address, state.Revision(), hostsDigest(snap.Hosts))
-		if m.err == nil {
-			m.state, m.err = applyParts(state, m.parts)
-		}
-		f.deliver(ctx, m)
+		m.parts, m.err = f.pullFrom(ctx, address, from)
+		f.deliver(m)
 	}()
 }
 
-func (f *Follower) pullFrom(ctx context.Context, address string, from, hosts uint64) ([]*peerpb.Delta, error) {
+func (f *Follower) pullFrom(ctx context.Context, address string, from table.Revisions) ([]*peerpb.Delta, error) {
 	s, err := f.links.Session(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return s.Pull(ctx, from, hosts)
+	return s.Pull(ctx, from)
 }
 
 // pulled is the result of one pull.
 type pulled struct {
 	address string
 	parts   []*peerpb.Delta
-	state   *table.State
 	err     error
 }
 
 func (m pulled) apply(ctx context.Context, f *Follower) {
 	f.pulling = false
 	f.seedsAsked[m.address] = true
-	if m.err == nil {
+	err := m.err
+	if err == nil {
 		f.heardAt = time.Now()
-		f.adopt(m.state)
-		if hosts := hostsOf(m.parts); len(hosts) > 0 && (f.platformDown || len(f.Snapshot().Hosts) == 0 || !f.isReader(f.Snapshot().Hosts)) {
-			f.adoptHosts(hosts)
-		}
-	} else {
-		f.notePullError(m)
+		err = f.applyParts(m.parts)
+	}
+	if code := fault.CodeOf(err); code == fault.BadRow || code == fault.Protocol {
+		f.notePlatform(table.PlaneRows, err)
 	}
 	f.checkReady()
 	if !f.Snapshot().Ready {
@@ -173,8 +214,16 @@
 	f.pullNext(ctx)
 }
 
-func (f *Follower) notePullError(m pulled) {
-	if code := fault.CodeOf(m.err); code == fault.BadRow || code == fault.Protocol {
-		f.notePlatform(m.err)
+// applyParts puts a peer's deltas in force; one that does not lead forward changes nothing.
+func (f *Follower) applyParts(parts []*peerpb.Delta) error {
+	deltas, hosts, revision := fromParts(parts)
+	for _, d := range deltas {
+		if err := f.apply(d); err != nil {
+			return err
+		}
+	}
+	if revision == 0 {
+		return nil
 	}
+	return f.adoptHosts(hosts, revision)
 }
--- /dev/null
+++ b/follow/read.go
@@ -0,0 +1,183 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lynxplank/lynxplank/changes"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+const (
+	// HostPrefix starts the keys under which nodes announce themselves in the product's own table.
+	HostPrefix = "host/"
+	// gather is how long a reader lets changes of the hosts come together before it looks again: a fleet that starts
+	// writes a row a node within a second or so.
+	gather      = 200 * time.Millisecond
+	retryJitter = 0.4
+)
+
+// pause waits before the next look at a platform that failed; false when the node stops.
+func (f *Follower) pause(ctx context.Context, d time.Duration) bool {
+	jitter := 1 + retryJitter*(rand.Float64()-0.5) //nolint:gosec // spreads the readers, no secret
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(float64(d) * jitter)):
+		return true
+	}
+}
+
+// ownReader reads the product's own table: the operators' rows and what the nodes announce. One goroutine owns it.
+type ownReader struct {
+	f      *Follower
+	rows   *changes.Reader
+	state  *table.State
+	hosts  map[string]table.HostInfo
+	cursor uint64
+	loaded bool
+	// revision is the newest version of an announcement, or of one that was taken out.
+	revision uint64
+}
+
+// readOwn keeps reading the product's own table until the node stops.
+func (f *Follower) readOwn(ctx context.Context) {
+	r := &ownReader{f: f, rows: changes.NewReader(f.platform), state: table.NewState()}
+	for {
+		wait := f.cfg.Retry
+		if f.reading.Load() {
+			m, again := r.look(ctx)
+			f.deliver(m)
+			wait = again
+		}
+		if !f.pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// look reads once and returns what was found and when to look again.
+func (r *ownReader) look(ctx context.Context) (ownRead, time.Duration) {
+	changed, err := r.advance(ctx)
+	if err != nil {
+		if fault.CodeOf(err) == fault.Gone {
+			r.loaded = false
+		}
+		return ownRead{err: err}, r.f.cfg.Retry
+	}
+	m := ownRead{state: r.state, hosts: slices.Collect(maps.Values(r.hosts)), revision: r.revision}
+	slices.SortFunc(m.hosts, func(a, b table.HostInfo) int { return strings.Compare(a.ID, b.ID) })
+	if changed {
+		return m, gather
+	}
+	return m, 0
+}
+
+func (r *ownReader) advance(ctx context.Context) (changed bool, err error) {
+	var recs platform.Records
+	if r.loaded {
+		recs, err = r.f.platform.Feed(ctx, platform.TableOwn, r.cursor, r.f.cfg.Wait)
+	} else {
+		recs, err = r.f.platform.All(ctx, platform.TableOwn)
+	}
+	if err != nil {
+		return false, err
+	}
+	if !r.loaded {
+		// A read of the whole table shows what is gone by not showing it.
+		r.hosts = make(map[string]table.HostInfo)
+		r.revision = max(r.revision, recs.Version)
+	}
+	rows := false
+	for _, rec := range recs.Records {
+		if !strings.HasPrefix(rec.Key, HostPrefix) {
+			rows = true
+			continue
+		}
+		if err := r.noteHost(rec); err != nil {
+			return false, err
+		}
+	}
+	if rows {
+		if r.state, err = r.rows.Advance(ctx, r.state); err != nil {
+			return false, err
+		}
+	}
+	r.loaded = true
+	r.cursor = recs.Version
+	return len(recs.Records) > 0, nil
+}
+
+func (r *ownReader) noteHost(rec platform.Record) error {
+	r.revision = max(r.revision, rec.Version)
+	id := strings.TrimPrefix(rec.Key, HostPrefix)
+	if rec.Deleted {
+		delete(r.hosts, id)
+		return nil
+	}
+	var h table.HostInfo
+	if err := json.Unmarshal(rec.Value, &h); err != nil || h.ID != id {
+		return fault.New(fault.BadRow, rec.Key, "announcement cannot be read")
+	}
+	h.Version = rec.Version
+	r.hosts[id] = h
+	return nil
+}
+
+// readConfig keeps reading the configuration of the platform's operators until the node stops.
+func (f *Follower) readConfig(ctx context.Context) {
+	var cursor uint64
+	loaded := false
+	for {
+		wait := f.cfg.Retry
+		if f.reading.Load() {
+			version, m := f.lookConfig(ctx, loaded, cursor)
+			f.deliver(m)
+			if m.err == nil {
+				cursor, loaded = version, true
+				wait = 0
+			}
+			if fault.CodeOf(m.err) == fault.Gone {
+				loaded = false
+				wait = 0
+			}
+		}
+		if !f.pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (f *Follower) lookConfig(ctx context.Context, loaded bool, cursor uint64) (uint64, configRead) {
+	var recs platform.Records
+	var err error
+	if loaded {
+		recs, err = f.platform.Feed(ctx, platform.TableOperators, cursor, f.cfg.Wait)
+	} else {
+		recs, err = f.platform.All(ctx, platform.TableOperators)
+	}
+	if err != nil {
+		return 0, configRead{err: err}
+	}
+	m := configRead{}
+	for _, rec := range recs.Records {
+		if rec.Key != platform.KeyConfig || rec.Deleted {
+			continue
+		}
+		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
+		if err != nil {
+			// The version is taken all the same: the next one may be good, and this one will not get better.
+			m.bad = err
+			continue
+		}
+		m.config = &cfg
+	}
+	return recs.Version, m
+}
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -10,33 +10,58 @@
 // rowsPerPart keeps a part of the table well under the largest frame.
 const rowsPerPart = 2000
 
-// Deltas returns what leads a peer from a revision to the snapshot's, in parts that fit a frame; with it goes the list
-// of hosts, unless the peer's has the same digest.
-func Deltas(snap *Snapshot, from, hosts uint64) []*peerpb.Delta {
-	rows, ok := snap.State.Since(from)
-	full := !ok
-	if full {
-		snap.State.Rows(func(r table.Row) { rows = append(rows, r) })
+// Deltas returns what leads a peer from its revisions to the snapshot's, in parts that fit a frame.
+func Deltas(snap *Snapshot, from table.Revisions) []*peerpb.Delta {
+	var parts []*peerpb.Delta
+	to := snap.State.Revisions()
+	for _, p := range []table.Plane{table.PlaneRows, table.PlaneConfig} {
+		if to[p] > from[p] {
+			parts = append(parts, planeDeltas(snap.State, p, from[p], to[p])...)
+		}
+	}
+	if to[table.PlaneHosts] > from[table.PlaneHosts] {
+		parts = append(parts, hostsDelta(snap.Hosts, to[table.PlaneHosts]))
+	}
+	if len(parts) == 0 {
+		parts = append(parts, &peerpb.Delta{})
+	}
+	for _, d := range parts[:len(parts)-1] {
+		d.More = true
+	}
+	return parts
+}
+
+func planeDeltas(s *table.State, p table.Plane, from, to uint64) []*peerpb.Delta {
+	rows, ok := s.Since(p, from)
+	if !ok {
+		s.PlaneRows(p, func(r table.Row) { rows = append(rows, r) })
 	}
-	to := snap.State.Revision()
 	var parts []*peerpb.Delta
 	for start := 0; start < len(rows) || start == 0; start += rowsPerPart {
 		end := min(start+rowsPerPart, len(rows))
-		d := &peerpb.Delta{From: from, To: to, Full: full, More: end < len(rows)}
+		d := &peerpb.Delta{From: from, To: to, Full: !ok, Plane: uint32(p)}
 		for _, r := range rows[start:end] {
 			d.Rows = append(d.Rows, toWire(r))
 		}
 		parts = append(parts, d)
 	}
-	if hosts == hostsDigest(snap.Hosts) {
-		return parts
-	}
-	for _, h := range snap.Hosts {
-		parts[0].Hosts = append(parts[0].Hosts, &peerpb.Host{Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving})
-	}
 	return parts
 }
 
+func hostsDelta(hosts []table.HostInfo, revision uint64) *peerpb.Delta {
+	d := &peerpb.Delta{Plane: uint32(table.PlaneHosts), HostsRevision: revision}
+	for _, h := range hosts {
+		line := &peerpb.Host{
+			Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving, Version: h.Version, Incarnation: h.Incarnation,
+		}
+		for _, e := range h.Endpoints {
+			line.Endpoints = append(line.Endpoints, toWire(table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value)))
+		}
+		d.Hosts = append(d.Hosts, line)
+	}
+	return d
+}
+
 func toWire(r table.Row) *peerpb.Row {
 	return &peerpb.Row{
 		Kind: uint32(r.Kind), Key: r.Key, Version: r.Version, Revision: r.Revision,
@@ -51,26 +76,40 @@
 	}
 }
 
-// applyParts returns the state after a peer's delta; a delta that does not lead forward changes nothing.
-func applyParts(s *table.State, parts []*peerpb.Delta) (*table.State, error) {
-	d := table.Delta{}
-	for i, p := range parts {
-		if i == 0 {
-			d.From, d.To, d.Full = p.GetFrom(), p.GetTo(), p.GetFull()
+// fromParts puts a peer's pieces together: one delta for each plane, and the hosts with their revision, 0 for none.
+func fromParts(parts []*peerpb.Delta) (deltas []table.Delta, hosts []table.HostInfo, revision uint64) {
+	for _, p := range parts {
+		if p.GetHostsRevision() > 0 {
+			revision = p.GetHostsRevision()
+			hosts = append(hosts, hostsOf(p)...)
+			continue
+		}
+		plane := table.Plane(min(p.GetPlane(), math.MaxUint8))
+		if len(deltas) == 0 || deltas[len(deltas)-1].Plane != plane {
+			deltas = append(deltas, table.Delta{Plane: plane, From: p.GetFrom(), To: p.GetTo(), Full: p.GetFull()})
 		}
+		last := &deltas[len(deltas)-1]
 		for _, r := range p.GetRows() {
-			d.Rows = append(d.Rows, fromWire(r))
+			last.Rows = append(last.Rows, fromWire(r))
 		}
 	}
-	return s.With(d)
+	return deltas, hosts, revision
 }
 
-func hostsOf(parts []*peerpb.Delta) []table.HostInfo {
-	var out []table.HostInfo
-	for _, p := range parts {
-		for _, h := range p.GetHosts() {
-			out = append(out, table.HostInfo{ID: h.GetId(), Hall: h.GetHall(), Address: h.GetAddress(), Leaving: h.GetLeaving()})
+func hostsOf(p *peerpb.Delta) []table.HostInfo {
+	out := make([]table.HostInfo, 0, len(p.GetHosts()))
+	for _, h := range p.GetHosts() {
+		info := table.HostInfo{
+			ID: h.GetId(), Hall: h.GetHall(), Address: h.GetAddress(), Leaving: h.GetLeaving(),
+			Version: h.GetVersion(), Incarnation: h.GetIncarnation(),
+		}
+		for _, r := range h.GetEndpoints() {
+			// A row of another program's version that cannot be read is no endpoint for this one.
+			if value, err := table.Decode[table.Endpoint](fromWire(r)); err == nil {
+				info.Endpoints = append(info.Endpoints, table.Announced{Key: r.GetKey(), Value: value})
+			}
 		}
+		out = append(out, info)
 	}
 	return out
 }
--- a/node/node.go
+++ b/node/node.go
@@ -6,11 +6,13 @@
 	"crypto/x509"
 	"io"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/announce"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
@@ -25,6 +27,7 @@
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/serve"
 	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // The names by which a node's services find each other.
@@ -33,6 +36,10 @@
 	Links = "links"
 	// Follower is the follow.Follower.
 	Follower = "follower"
+	// Announcer is the announce.Announcer.
+	Announcer = "announcer"
+	// Reaper is the announce.Reaper.
+	Reaper = "reaper"
 	// Director is the director.Director.
 	Director = "director"
 	// Egress is the egress.Egress.
@@ -84,18 +91,25 @@
 	}
 	var follower *follow.Follower
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
-		peer.WithBeatHook(func(name string, revision, hosts uint64) { follower.Hint(name, revision, hosts) }))
+		peer.WithBeatHook(func(name string, revisions table.Revisions) { follower.Hint(name, revisions) }))
 	client := platform.NewClient(n.cfg.Platform.Address.String(),
 		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
 	var e *egress.Egress
-	follower = follow.New(n.followConfig(), n.log, client, links,
-		follow.WithChangeHook(func(s *follow.Snapshot) { e.Observe(time.Now(), s) }))
+	a := announce.New(n.announceConfig(incarnation), n.log, client)
+	follower = follow.New(n.followConfig(), n.log, client, links, follow.WithChangeHook(func(s *follow.Snapshot) {
+		e.Observe(time.Now(), s)
+		a.Observe(s)
+	}))
+	follower.ShowSelf(n.announceConfig(incarnation).Host)
 	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
 	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance}, n.log,
 		follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State)
 	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
 	g := ingress.New(n.ingressConfig(), n.log, follower.Snapshot, d, links, e, m)
+	n.kernel.Register(Announcer, a)
+	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
+		n.log, client, links, follower.Snapshot))
 	n.register(links, follower, d, e, g, m)
 	return nil
 }
@@ -134,17 +148,35 @@
 
 func (n *Node) followConfig() follow.Config {
 	c := follow.Config{
-		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Poll: n.cfg.Platform.Poll.Std(),
-		Readers: n.cfg.Platform.Readers, Timeout: n.cfg.Platform.Timeout.Std(),
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Retry: n.cfg.Platform.Retry.Std(),
+		Wait: n.cfg.Platform.Wait.Std(), Readers: n.cfg.Platform.Readers, Timeout: n.cfg.Platform.Timeout.Std(),
 	}
 	for _, seed := range n.cfg.Peers.Seeds {
-		if seed != n.cfg.Peers.Listen {
-			c.Seeds = append(c.Seeds, seed.String())
+		address := seed.AddrPort
+		if n.cfg.Peers.SeedsPort != 0 {
+			address = netip.AddrPortFrom(address.Addr(), uint16(n.cfg.Peers.SeedsPort)) //nolint:gosec // checked
+		}
+		if address != n.cfg.Peers.Listen.AddrPort {
+			c.Seeds = append(c.Seeds, address.String())
 		}
 	}
 	return c
 }
 
+// announceConfig is what the node tells of its host.
+func (n *Node) announceConfig(incarnation uint64) announce.Config {
+	address := n.cfg.Peers.Advertise
+	if !address.IsValid() {
+		address = n.cfg.Peers.Listen
+	}
+	return announce.Config{
+		Host: table.HostInfo{
+			ID: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Address: address.String(), Incarnation: incarnation,
+		},
+		Retry: n.cfg.Platform.Retry.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
+	}
+}
+
 func (n *Node) egressConfig(incarnation uint64) egress.Config {
 	c := n.cfg.Endpoints
 	return egress.Config{
@@ -228,8 +260,8 @@
 }
 
 // Deltas implements peer.Handler.
-func (h handler) Deltas(from, hosts uint64) []*peerpb.Delta {
-	return follow.Deltas(h.snapshot(), from, hosts)
+func (h handler) Deltas(from table.Revisions) []*peerpb.Delta {
+	return follow.Deltas(h.snapshot(), from)
 }
 
 // hostView tells what the host list and the links say of a host.
--- a/peer/control.go
+++ b/peer/control.go
@@ -138,6 +138,7 @@
 	if s.pending == 0 || seq < s.pending {
 		return
 	}
+	s.m.heard(s.address)
 	s.roundTrip.Store(int64(time.Since(s.pendingAt)))
 	s.pending = 0
 	if s.suspect.CompareAndSwap(true, false) {
@@ -154,6 +155,7 @@
 	}
 	s.mu.Unlock()
 	if waiting > s.m.cfg.CutAfter && s.suspect.CompareAndSwap(false, true) {
+		s.m.lost(s.address)
 		events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Dur("silent", waiting).Send()
 	}
 	if waiting > acceptorPatience*s.m.cfg.CutAfter {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -54,6 +54,7 @@
 	d.session, d.err = s, err
 	close(d.done)
 	if err != nil {
+		m.lost(address)
 		return
 	}
 	events.LinkUp.Log(m.log).Str("peer", address).Send()
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // echo answers every dispatch with its own request id and body.
@@ -37,7 +38,7 @@
 
 func (echo) Settle(*peerpb.Settle) {}
 
-func (echo) Deltas(uint64, uint64) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
+func (echo) Deltas(table.Revisions) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
 
 type kept struct{ body []byte }
 
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -18,6 +18,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // Config is what the links of a node are built from.
@@ -69,22 +70,23 @@
 	log      *zerolog.Logger
 	handler  Handler
 	listener net.Listener
-	revision atomic.Uint64
-	hosts    atomic.Uint64
-	leaving  atomic.Bool
-	closed   atomic.Bool
-	inbound  atomic.Int64
-	working  flight.Counter
-	bytes    atomic.Uint64
+	// revisions is what this node has in force.
+	revisions atomic.Pointer[table.Revisions]
+	leaving   atomic.Bool
+	closed    atomic.Bool
+	inbound   atomic.Int64
+	working   flight.Counter
+	bytes     atomic.Uint64
 
 	mu          sync.Mutex
 	sessions    map[string]*Session
 	dialing     map[string]*dial
 	suspects    map[string]bool
+	unreachable map[string]time.Time
 	accepted    map[*yamux.Session]struct{}
 	subscribers map[chan struct{}]struct{}
 
-	onBeat func(peer string, revision, hosts uint64)
+	onBeat func(peer string, revisions table.Revisions)
 }
 
 type dial struct {
@@ -96,8 +98,8 @@
 // Option changes a manager under construction.
 type Option func(*Manager)
 
-// WithBeatHook calls f whenever a peer shows a later revision or another list of hosts; f must not block.
-func WithBeatHook(f func(peer string, revision, hosts uint64)) Option {
+// WithBeatHook calls f whenever a peer shows a later revision of something; f must not block.
+func WithBeatHook(f func(peer string, revisions table.Revisions)) Option {
 	return func(m *Manager) { m.onBeat = f }
 }
 
@@ -108,10 +110,12 @@
 		sessions:    make(map[string]*Session),
 		dialing:     make(map[string]*dial),
 		suspects:    make(map[string]bool),
+		unreachable: make(map[string]time.Time),
 		accepted:    make(map[*yamux.Session]struct{}),
 		subscribers: make(map[chan struct{}]struct{}),
-		onBeat:      func(string, uint64, uint64) {},
+		onBeat:      func(string, table.Revisions) {},
 	}
+	m.revisions.Store(new(table.Revisions))
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -211,11 +215,11 @@
 	m.tell()
 }
 
-// Announce tells every connected peer the revision in force and the digest of the list of hosts.
-func (m *Manager) Announce(revision, hosts uint64) {
-	m.revision.Store(revision)
-	m.hosts.Store(hosts)
-	m.tell()
+// Announce tells every connected peer the revisions in force.
+func (m *Manager) Announce(revisions table.Revisions) {
+	if old := m.revisions.Swap(&revisions); *old != revisions {
+		m.tell()
+	}
 }
 
 func (m *Manager) tell() {
@@ -244,14 +248,55 @@
 }
 
 func (m *Manager) heardBeat(peer string, b *peerpb.Beat) {
-	if b.GetRevision() > m.revision.Load() || b.GetHosts() != m.hosts.Load() {
-		m.onBeat(peer, b.GetRevision(), b.GetHosts())
+	if r := revisionsOf(b.GetRevisions()); m.revisions.Load().Behind(r) {
+		m.onBeat(peer, r)
 	}
 }
 
 // beat returns a beat that shows what this node holds.
 func (m *Manager) beat() *peerpb.Beat {
-	return &peerpb.Beat{Revision: m.revision.Load(), Hosts: m.hosts.Load(), Leaving: m.leaving.Load()}
+	return &peerpb.Beat{Revisions: revisionsToWire(*m.revisions.Load()), Leaving: m.leaving.Load()}
+}
+
+func revisionsOf(r *peerpb.Revisions) table.Revisions {
+	var out table.Revisions
+	out[table.PlaneRows] = r.GetRows()
+	out[table.PlaneConfig] = r.GetConfig()
+	out[table.PlaneHosts] = r.GetHosts()
+	return out
+}
+
+func revisionsToWire(r table.Revisions) *peerpb.Revisions {
+	return &peerpb.Revisions{Rows: r[table.PlaneRows], Config: r[table.PlaneConfig], Hosts: r[table.PlaneHosts]}
+}
+
+// Unreachable returns since when a peer cannot be reached, the zero time for one that can or was not tried.
+func (m *Manager) Unreachable(address string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unreachable[address]
+}
+
+// heard notes that a peer can be reached, lost that it cannot.
+func (m *Manager) heard(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.unreachable, address)
+}
+
+func (m *Manager) lost(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unreachable[address].IsZero() {
+		m.unreachable[address] = time.Now()
+	}
+}
+
+// Linked tells whether there is a link to a peer, or one is being opened.
+func (m *Manager) Linked(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[address] != nil || m.dialing[address] != nil
 }
 
 // Usable tells whether a peer may get new work as far as the link shows; a peer without a link may.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -9,6 +9,7 @@
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // Handler answers what peers ask of this node.
@@ -17,9 +18,8 @@
 	Serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
-	// Deltas returns what leads from a revision to the one in force, in parts that fit a frame, and the list of hosts
-	// if it differs from the one of that digest.
-	Deltas(from, hosts uint64) []*peerpb.Delta
+	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame.
+	Deltas(from table.Revisions) []*peerpb.Delta
 }
 
 const firstFrameTimeout = 5 * time.Second
@@ -65,7 +65,7 @@
 }
 
 func (m *Manager) servePull(stream net.Conn, p *peerpb.Pull) {
-	for _, d := range m.handler.Deltas(p.GetFrom(), p.GetHosts()) {
+	for _, d := range m.handler.Deltas(revisionsOf(p.GetFrom())) {
 		if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Delta{Delta: d}}); err != nil {
 			return
 		}
--- a/peer/session.go
+++ b/peer/session.go
@@ -11,6 +11,7 @@
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // Session is a dialed link to one peer.
@@ -56,15 +57,15 @@
 	})
 }
 
-// Pull asks the peer for every change after a revision, and for its list of hosts if that has another digest.
-func (s *Session) Pull(ctx context.Context, from, hosts uint64) ([]*peerpb.Delta, error) {
+// Pull asks the peer for every change after these revisions.
+func (s *Session) Pull(ctx context.Context, from table.Revisions) ([]*peerpb.Delta, error) {
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkDown, s.address, "stream cannot be opened")
 	}
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
-	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: &peerpb.Pull{From: from, Hosts: hosts}}}); err != nil {
+	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: &peerpb.Pull{From: revisionsToWire(from)}}}); err != nil {
 		return nil, err
 	}
 	r := NewFrameReader(stream)
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,201 @@
+package registry
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+const (
+	// mostEnded bounds the instances remembered after their end, whose late heartbeats must change nothing.
+	mostEnded = 256
+	// mostSlots is the largest number of slots that is believed.
+	mostSlots = 10000
+)
+
+// Beat is one heartbeat of an endpoint.
+type Beat struct {
+	// Key names the endpoint's instance.
+	Key string
+	// Service is the key of the service's row.
+	Service string
+	// Address is the endpoint's IP and port.
+	Address string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Draining is set when it takes nothing new.
+	Draining bool
+	// Cold is how much longer it is slow from its start.
+	Cold time.Duration
+	// Sequence rises with each call of the instance.
+	Sequence uint64
+}
+
+// Endpoint is one endpoint beside this node.
+type Endpoint struct {
+	// Entry is its row.
+	table.Entry[table.Endpoint]
+	// Leaving is set for good once it has said that it drains or leaves.
+	Leaving bool
+	// ColdUntil is when it stops being slow from its start.
+	ColdUntil time.Time
+	sequence  uint64
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	host, hall string
+	log        *zerolog.Logger
+	onChange   func([]table.Announced)
+
+	mu    sync.Mutex
+	live  map[string]Endpoint
+	ended []string
+}
+
+// New returns an empty registry of a host; onChange is called with every endpoint after each change, and must not block.
+func New(host, hall string, log *zerolog.Logger, onChange func([]table.Announced)) *Registry {
+	return &Registry{host: host, hall: hall, log: log, onChange: onChange, live: make(map[string]Endpoint)}
+}
+
+// Beat takes a heartbeat, BadRequest for one that makes no sense. Once it returns, a draining endpoint gets nothing new.
+//
+// Invariant: an instance that was ever draining or leaving never takes new work again, whatever comes later.
+func (r *Registry) Beat(now time.Time, b Beat) error {
+	if err := check(b); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Contains(r.ended, b.Key) {
+		return nil
+	}
+	old, known := r.live[b.Key]
+	if known && b.Sequence <= old.sequence && !b.Draining {
+		return nil
+	}
+	next := Endpoint{
+		Entry: table.Entry[table.Endpoint]{Key: b.Key, Value: table.Endpoint{
+			Service: b.Service, Host: r.host, Hall: r.hall, Address: b.Address,
+			Slots: table.Count(b.Slots), Weight: 1, //nolint:gosec // checked
+		}},
+		Leaving: old.Leaving || b.Draining, ColdUntil: now.Add(b.Cold), sequence: max(old.sequence, b.Sequence),
+	}
+	if next.Leaving {
+		next.Value.Phase = table.Draining
+	}
+	r.replaceOthers(next)
+	r.live[b.Key] = next
+	if !known || old.Value != next.Value {
+		r.changed(next)
+	}
+	return nil
+}
+
+func check(b Beat) error {
+	switch {
+	case b.Key == "":
+		return fault.New(fault.BadRequest, "heartbeat", "want the instance")
+	case b.Service == "":
+		return fault.New(fault.BadRequest, "heartbeat.service", "want a service")
+	case b.Slots <= 0 || b.Slots > mostSlots:
+		return fault.New(fault.BadRequest, "heartbeat.slots", "want 1 to 10000 slots")
+	}
+	if _, err := netip.ParseAddrPort(b.Address); err != nil {
+		return fault.New(fault.BadRequest, "heartbeat.address", "want an IP and port")
+	}
+	return nil
+}
+
+// replaceOthers ends the instances that were at the same address before.
+func (r *Registry) replaceOthers(next Endpoint) {
+	for key, e := range r.live {
+		if key != next.Key && e.Value.Address == next.Value.Address {
+			r.end(key)
+		}
+	}
+}
+
+func (r *Registry) end(key string) {
+	delete(r.live, key)
+	r.ended = append(r.ended, key)
+	if extra := len(r.ended) - mostEnded; extra > 0 {
+		r.ended = slices.Delete(r.ended, 0, extra)
+	}
+}
+
+func (r *Registry) changed(e Endpoint) {
+	events.EndpointAnnounced.Log(r.log).Str("endpoint", e.Key).Str("service", e.Value.Service).
+		Bool("leaving", e.Leaving).Uint64("sequence", e.sequence).Send()
+	r.onChange(r.list())
+}
+
+// Leave takes an instance's word that it leaves for good; it may finish what it has.
+func (r *Registry) Leave(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.live[key]
+	if !ok {
+		// One that this process never met must not begin later by a heartbeat that was on its way.
+		r.end(key)
+		return
+	}
+	if e.Leaving {
+		return
+	}
+	e.Leaving = true
+	e.Value.Phase = table.Draining
+	r.live[key] = e
+	r.changed(e)
+}
+
+// Endpoint returns one endpoint beside this node.
+func (r *Registry) Endpoint(key string) (Endpoint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.live[key]
+	return e, ok
+}
+
+// Ended tells that an instance has ended here.
+func (r *Registry) Ended(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.ended, key)
+}
+
+// Serving tells whether some endpoint takes new work.
+func (r *Registry) Serving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.live {
+		if !e.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Known returns how many endpoints have announced themselves, leaving ones included.
+func (r *Registry) Known() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.live)
+}
+
+func (r *Registry) list() []table.Announced {
+	out := make([]table.Announced, 0, len(r.live))
+	for _, e := range r.live {
+		out = append(out, table.Announced{Key: e.Key, Value: e.Value})
+	}
+	slices.SortFunc(out, func(a, b table.Announced) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -63,14 +63,20 @@
 type Peers struct {
 	// Listen is the IP and port.
 	Listen Address `yaml:"listen" validate:"required"`
+	// Advertise is the IP and port that other nodes dial; Listen if empty.
+	Advertise Address `yaml:"advertise"`
 	// Seeds are peers to start from while the platform does not answer.
 	Seeds []Address `yaml:"seeds"`
+	// SeedsPort replaces the port of each seed, for seeds that are known by another listener; 0 keeps it.
+	SeedsPort int `yaml:"seeds_port" validate:"min=0,max=65535"`
 	// Heartbeat is the time between heartbeats.
 	Heartbeat Duration `yaml:"heartbeat" validate:"min=10000000"`
 	// CutAfter is how long a link may be silent before it gets no new work.
 	CutAfter Duration `yaml:"cut_after" validate:"min=30000000"`
 	// IdleClose is how long a link may carry no request before it is closed.
 	IdleClose Duration `yaml:"idle_close" validate:"min=1000000000"`
+	// GoneAfter is how long a host must be out of reach before its line is taken out of the table.
+	GoneAfter Duration `yaml:"gone_after" validate:"min=1"`
 	// Conns bounds the peers connected at once.
 	Conns int `yaml:"conns" validate:"min=1"`
 	// TLS turns on mutual TLS.
@@ -102,8 +108,10 @@
 	Token Secret `yaml:"token"`
 	// Timeout bounds a call.
 	Timeout Duration `yaml:"timeout" validate:"min=1"`
-	// Poll is the time between a reader's looks at the log.
-	Poll Duration `yaml:"poll" validate:"min=10000000"`
+	// Retry is the time between a reader's looks at a platform that fails.
+	Retry Duration `yaml:"retry" validate:"min=10000000"`
+	// Wait is how long one look waits for a change.
+	Wait Duration `yaml:"wait" validate:"min=10000000"`
 	// Readers is how many nodes of a hall read the platform.
 	Readers int `yaml:"readers" validate:"min=1"`
 }
@@ -146,11 +154,12 @@
 		Callers: Callers{Listener: listener, BodyBytes: 16 << 20, ReplayBytes: 64 << 10},
 		Peers: Peers{
 			Heartbeat: Duration(250 * time.Millisecond), CutAfter: Duration(time.Second),
-			IdleClose: Duration(time.Minute), Conns: 4000,
+			IdleClose: Duration(time.Minute), GoneAfter: Duration(30 * time.Second), Conns: 4000,
 		},
 		Operators: Operators{Listener: listener},
 		Platform: Platform{
-			Timeout: Duration(2 * time.Second), Poll: Duration(500 * time.Millisecond), Readers: 2,
+			Timeout: Duration(2 * time.Second), Retry: Duration(250 * time.Millisecond),
+			Wait: Duration(10 * time.Second), Readers: 2,
 		},
 		Endpoints: Endpoints{
 			ProbePath: "/healthz", ProbeEvery: Duration(5 * time.Second),
--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -1,11 +1,14 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -13,19 +16,20 @@
 
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/serve"
-	"github.com/lynxplank/lynxplank/table"
 )
 
 // The paths that switch the stand-in itself; they answer whatever the faults are.
 const (
 	// PathFaults takes Faults by POST.
 	PathFaults = "/admin/faults"
-	// PathHosts takes the list of hosts by POST.
-	PathHosts = "/admin/hosts"
 	// PathStats answers Stats.
 	PathStats = "/admin/stats"
+	// PathOperators takes a row of the platform's operators by POST, with the query's "table" and "key".
+	PathOperators = "/admin/operators"
 )
 
+const mostWait = 30 * time.Second
+
 // NewServer returns the stand-in's listener.
 func NewServer(s *Store, address netip.AddrPort) *serve.Server {
 	return serve.New("platform-standin", address, serve.WithRoutes(s.routes()...))
@@ -33,21 +37,24 @@
 
 func (s *Store) routes() []rest.Route {
 	return []rest.Route{
-		{Method: http.MethodPost, Path: platform.PathGet, Handler: s.faulty(false, s.handleGet)},
-		{Method: http.MethodGet, Path: platform.PathScan, Handler: s.faulty(false, s.handleScan)},
 		{Method: http.MethodPost, Path: platform.PathTxn, Handler: s.faulty(true, s.handleTxn)},
-		{Method: http.MethodGet, Path: platform.PathHosts, Handler: s.faulty(false, s.handleHosts)},
-		{Method: http.MethodGet, Path: platform.PathObjects, Handler: s.faulty(false, s.handleObject)},
-		{Method: http.MethodPut, Path: platform.PathObjects, Handler: s.faulty(true, s.handlePutObject)},
+		{Method: http.MethodGet, Path: platform.PathRows, Handler: s.faulty(false, s.handleRows)},
+		{Method: http.MethodGet, Path: platform.PathFeed, Handler: s.faulty(false, s.handleFeed)},
+		{Method: http.MethodGet, Path: platform.PathObject + ":name", Handler: s.faulty(false, s.handleObject)},
+		{Method: http.MethodPut, Path: platform.PathPut + ":name", Handler: s.faulty(true, s.handlePutObject)},
 		{Method: http.MethodPost, Path: PathFaults, Handler: s.handleFaults},
-		{Method: http.MethodPost, Path: PathHosts, Handler: s.handleSetHosts},
+		{Method: http.MethodPost, Path: PathOperators, Handler: s.handleOperators},
 		{Method: http.MethodGet, Path: PathStats, Handler: s.handleStats},
 	}
 }
 
+func tokenOf(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+}
+
 func (s *Store) faulty(write bool, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		down, delay := s.enter(write)
+		down, delay := s.enter(write, tokenOf(r))
 		time.Sleep(delay)
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -57,37 +64,71 @@
 	}
 }
 
-func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
-	var req platform.GetRequest
-	if read(w, r, &req) {
-		reply(w, platform.Records{Records: s.get(req.Keys)})
+func number(w http.ResponseWriter, q url.Values, name string) (uint64, bool) {
+	n, err := strconv.ParseUint(q.Get(name), 10, 63)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
 	}
+	return n, err == nil
 }
 
-func (s *Store) handleScan(w http.ResponseWriter, r *http.Request) {
+func (s *Store) handleRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get("limit"))
-	if err != nil || limit <= 0 {
-		w.WriteHeader(http.StatusBadRequest)
+	limit, ok := number(w, q, "limit")
+	if !ok {
 		return
 	}
-	reply(w, s.scan(q.Get("prefix"), q.Get("after"), limit))
+	reply(w, http.StatusOK, s.read(query{
+		table: q.Get("table"), part: q.Get("part"), from: q.Get("from"), to: q.Get("newVersion"),
+		limit: int(min(limit, platform.MostRows)), //nolint:gosec // bounded
+	}))
+}
+
+func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, ok := number(w, q, "after")
+	if !ok {
+		return
+	}
+	millis, ok := number(w, q, "waitMs")
+	if !ok {
+		return
+	}
+	wait := min(time.Duration(millis)*time.Millisecond, mostWait) //nolint:gosec // bounded
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	changes, gone, down := s.feed(ctx, q.Get("table"), after, tokenOf(r))
+	switch {
+	case gone:
+		w.WriteHeader(http.StatusGone)
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		reply(w, http.StatusOK, changes)
+	}
 }
 
 func (s *Store) handleTxn(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn platform.WireTxn
 	if !read(w, r, &txn) {
 		return
 	}
-	done := s.commit(txn)
-	if s.loseReply() {
+	if len(txn.Expected)+len(txn.Set)+len(txn.Remove) > platform.MostEntries {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	if lost, late := s.loseReply(); lost {
+		time.AfterFunc(late, func() { s.commit(txn) })
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, done)
+	done, ok := s.commit(txn)
+	if !ok {
+		reply(w, http.StatusPreconditionFailed, done)
+		return
+	}
+	reply(w, http.StatusOK, done)
 }
 
-func (s *Store) handleHosts(w http.ResponseWriter, _ *http.Request) { reply(w, s.hostList()) }
-
 func (s *Store) handleObject(w http.ResponseWriter, r *http.Request) {
 	body, ok := s.object(pathvar.Vars(r)["name"])
 	if !ok {
@@ -105,6 +146,15 @@
 	s.putObject(pathvar.Vars(r)["name"], body)
 }
 
+func (s *Store) handleOperators(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	version := s.SetOperatorRow(r.URL.Query().Get("table"), r.URL.Query().Get("key"), body)
+	reply(w, http.StatusOK, platform.WireReply{Rows: []platform.WireRow{}, Version: version})
+}
+
 func (s *Store) handleFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if read(w, r, &f) {
@@ -112,15 +162,10 @@
 	}
 }
 
-func (s *Store) handleSetHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts []table.HostInfo
-	if read(w, r, &hosts) {
-		s.SetHosts(hosts)
-	}
+func (s *Store) handleStats(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.Stats())
 }
 
-func (s *Store) handleStats(w http.ResponseWriter, _ *http.Request) { reply(w, s.Stats()) }
-
 func read(w http.ResponseWriter, r *http.Request, out any) bool {
 	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -129,7 +174,8 @@
 	return true
 }
 
-func reply(w http.ResponseWriter, value any) {
+func reply(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
 }
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
 )
 
-// Local answers the platform's calls inside the process, with the same faults as over HTTP.
+// Local answers the product's calls inside the process, with the same faults as over HTTP.
 type Local struct {
 	store *Store
 }
@@ -17,7 +19,7 @@
 func NewLocal(s *Store) Local { return Local{store: s} }
 
 func (l Local) enter(ctx context.Context, write bool) error {
-	down, delay := l.store.enter(write)
+	down, delay := l.store.enter(write, "")
 	select {
 	case <-ctx.Done():
 		return fault.Wrap(ctx.Err(), fault.Unavailable, "platform", "no answer in time")
@@ -29,12 +31,25 @@
 	return nil
 }
 
-// Get reads records by key at one moment.
+// Get reads records by key.
 func (l Local) Get(ctx context.Context, keys ...string) ([]platform.Record, error) {
 	if err := l.enter(ctx, false); err != nil {
 		return nil, err
 	}
-	return l.store.get(keys), nil
+	out := make([]platform.Record, 0, len(keys))
+	for _, key := range keys {
+		rec := platform.Record{Key: key}
+		page := l.store.read(query{table: platform.TableOwn, from: key, to: key + "\x00", limit: 1})
+		if len(page.Rows) == 1 {
+			rec = record(page.Rows[0])
+		}
+		out = append(out, rec)
+	}
+	return out, nil
+}
+
+func record(r platform.WireRow) platform.Record {
+	return platform.Record{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Removed}
 }
 
 // Scan reads records in key order.
@@ -42,7 +57,20 @@
 	if err := l.enter(ctx, false); err != nil {
 		return platform.Records{}, err
 	}
-	return l.store.scan(prefix, after, limit), nil
+	from := prefix
+	if after != "" {
+		from = max(prefix, after+"\x00")
+	}
+	page := l.store.read(query{table: platform.TableOwn, from: from, limit: limit})
+	out := platform.Records{Version: page.Version, More: page.More}
+	for _, row := range page.Rows {
+		out.Records = append(out.Records, record(row))
+	}
+	i := slices.IndexFunc(out.Records, func(r platform.Record) bool { return !strings.HasPrefix(r.Key, prefix) })
+	if i >= 0 {
+		out.Records, out.More = out.Records[:i], false
+	}
+	return out, nil
 }
 
 // Commit runs a transaction; its reply may be lost.
@@ -50,17 +78,15 @@
 	if err := l.enter(ctx, true); err != nil {
 		return platform.TxnReply{}, err
 	}
-	done := l.store.commit(txn)
-	if l.store.loseReply() {
+	wire := platform.WireOf(txn)
+	if lost, late := l.store.loseReply(); lost {
+		if late == 0 {
+			l.store.commit(wire)
+		} else {
+			time.AfterFunc(late, func() { l.store.commit(wire) })
+		}
 		return platform.TxnReply{}, fault.New(fault.Unavailable, "platform", "reply lost")
 	}
-	return done, nil
-}
-
-// Hosts reads the lagging list of hosts.
-func (l Local) Hosts(ctx context.Context) (platform.Hosts, error) {
-	if err := l.enter(ctx, false); err != nil {
-		return platform.Hosts{}, err
-	}
-	return l.store.hostList(), nil
+	done, ok := l.store.commit(wire)
+	return platform.TxnReply{Committed: ok, Version: done.Version}, nil
 }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -1,48 +1,71 @@
 package store
 
 import (
-	"sort"
-	"strings"
+	"cmp"
+	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/lynxplank/lynxplank/platform"
-	"github.com/lynxplank/lynxplank/table"
 )
 
+// historyLength is how many changes the stand-in can tell a feed of.
+const historyLength = 10000
+
 // Faults are what goes wrong with the platform from now on.
 type Faults struct {
 	// Down refuses every call.
 	Down bool `json:"down"`
 	// DelayMillis slows every call.
 	DelayMillis int `json:"delay_millis"`
-	// LoseReplies is how many commits take effect without an answer.
+	// LoseReplies is how many transactions take effect without an answer.
 	LoseReplies int `json:"lose_replies"`
+	// LateMillis is how much later those transactions take effect, if their conditions hold then.
+	LateMillis int `json:"late_millis"`
+	// TurnAway refuses the calls that come with one of these tokens.
+	TurnAway []string `json:"turn_away"`
+	// ForgetHistory drops what feeds could tell, once.
+	ForgetHistory bool `json:"forget_history"`
 }
 
 // Stats count the calls since the start.
 type Stats struct {
-	// Reads are gets, scans, host lists and objects read.
+	// Reads are rows, feeds and objects read.
 	Reads int64 `json:"reads"`
-	// Writes are commits, committed or not, and objects written.
+	// Writes are transactions, committed or not, and objects written.
 	Writes int64 `json:"writes"`
 }
 
+type rowKey struct{ table, part, key string }
+
+// change is one entry of the history.
+type change struct {
+	row     platform.WireRow
+	version uint64
+}
+
 // Store is the platform's state.
 type Store struct {
 	mu      sync.Mutex
-	commits uint64
-	records map[string]platform.Record
-	keys    []string
-	objects map[string][]byte
-	hosts   []table.HostInfo
-	faults  Faults
-	stats   Stats
+	version uint64
+	rows    map[rowKey]platform.WireRow
+	history []change
+	// forgotten is the version up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	objects   map[string][]byte
+	faults    Faults
+	stats     Stats
+	start     time.Time
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{records: make(map[string]platform.Record), objects: make(map[string][]byte)}
+	return &Store{
+		rows: make(map[rowKey]platform.WireRow), objects: make(map[string][]byte),
+		changed: make(chan struct{}), start: time.Now(),
+	}
 }
 
 // SetFaults replaces the faults.
@@ -50,13 +73,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
-}
-
-// SetHosts replaces the list of hosts.
-func (s *Store) SetHosts(hosts []table.HostInfo) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hosts = hosts
+	if f.ForgetHistory {
+		s.forgotten, s.history = s.version, nil
+	}
+	// Waiting feeds look again, and so meet the faults.
+	s.wake()
 }
 
 // Stats returns the counts of calls.
@@ -67,7 +88,7 @@
 }
 
 // enter counts a call and returns whether it must fail and how long it takes.
-func (s *Store) enter(write bool) (down bool, delay time.Duration) {
+func (s *Store) enter(write bool, token string) (down bool, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if write {
@@ -75,81 +96,129 @@
 	} else {
 		s.stats.Reads++
 	}
-	return s.faults.Down, time.Duration(s.faults.DelayMillis) * time.Millisecond
+	return s.refuses(token), time.Duration(s.faults.DelayMillis) * time.Millisecond
 }
 
-func (s *Store) loseReply() bool {
+func (s *Store) refuses(token string) bool {
+	return s.faults.Down || slices.Contains(s.faults.TurnAway, token)
+}
+
+// loseReply tells whether the next transaction's answer is lost, and how much later it takes effect.
+func (s *Store) loseReply() (bool, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LoseReplies == 0 {
-		return false
+		return false, 0
 	}
 	s.faults.LoseReplies--
-	return true
+	return true, time.Duration(s.faults.LateMillis) * time.Millisecond
 }
 
-func (s *Store) get(keys []string) []platform.Record {
+// query is one read of rows.
+type query struct {
+	table, part, from, to string
+	limit                 int
+}
+
+func (s *Store) read(q query) platform.WireReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]platform.Record, 0, len(keys))
-	for _, key := range keys {
-		rec := s.records[key]
-		rec.Key = key
-		out = append(out, rec)
+	reply := s.reply()
+	for id, row := range s.rows {
+		if id.table == q.table && id.part == q.part && id.key >= q.from && (q.to == "" || id.key < q.to) {
+			reply.Rows = append(reply.Rows, row)
+		}
 	}
-	return out
+	slices.SortFunc(reply.Rows, func(a, b platform.WireRow) int { return cmp.Compare(a.Key, b.Key) })
+	if len(reply.Rows) > q.limit {
+		reply.Rows, reply.More = reply.Rows[:q.limit], true
+	}
+	return reply
 }
 
-func (s *Store) scan(prefix, after string, limit int) platform.Records {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out platform.Records
-	start := max(after+"\x00", prefix)
-	for i := sort.SearchStrings(s.keys, start); i < len(s.keys); i++ {
-		key := s.keys[i]
-		if !strings.HasPrefix(key, prefix) {
-			break
+func (s *Store) reply() platform.WireReply {
+	return platform.WireReply{Rows: []platform.WireRow{}, Version: s.version, Now: time.Since(s.start).Seconds()}
+}
+
+// feed returns a table's changes after a version once there are some; gone when the history does not reach back so far.
+func (s *Store) feed(ctx context.Context, table string, after uint64, token string) (reply platform.WireReply, gone, down bool) {
+	for {
+		s.mu.Lock()
+		reply = s.reply()
+		gone, down = after < s.forgotten, s.refuses(token)
+		for _, c := range s.history {
+			if c.version > after && c.row.Table == table {
+				reply.Rows = append(reply.Rows, c.row)
+			}
+		}
+		wait := s.changed
+		s.mu.Unlock()
+		if gone || down || len(reply.Rows) > 0 {
+			return reply, gone, down
 		}
-		if len(out.Records) == limit {
-			out.More = true
-			break
+		select {
+		case <-ctx.Done():
+			return reply, false, false
+		case <-wait:
 		}
-		out.Records = append(out.Records, s.records[key])
 	}
-	return out
 }
 
-func (s *Store) commit(txn platform.Txn) platform.TxnReply {
+// commit applies a transaction; ok is false when a condition does not hold, and the reply shows the rows then.
+func (s *Store) commit(txn platform.WireTxn) (reply platform.WireReply, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range txn.Checks {
-		if s.records[c.Key].Version != c.Version {
-			return platform.TxnReply{}
+	ok = true
+	reply = s.reply()
+	for _, want := range txn.Expected {
+		row := s.rows[rowKey{want.Table, want.Part, want.Key}]
+		ok = ok && row.Version == want.Version
+		if row.Version != 0 {
+			reply.Rows = append(reply.Rows, row)
 		}
 	}
-	s.commits++
-	for _, w := range txn.Writes {
-		s.write(w)
+	if !ok {
+		return reply, false
+	}
+	s.version++
+	for _, w := range txn.Set {
+		s.put(platform.WireRow{Table: w.Table, Part: w.Part, Key: w.Key, Value: w.Value, Version: s.version})
 	}
-	return platform.TxnReply{Committed: true, Version: s.commits}
+	for _, k := range txn.Remove {
+		delete(s.rows, rowKey{k.Table, k.Part, k.Key})
+		s.note(platform.WireRow{Table: k.Table, Part: k.Part, Key: k.Key, Version: s.version, Removed: true})
+	}
+	s.wake()
+	return s.reply(), true
 }
 
-func (s *Store) write(w platform.Write) {
-	i := sort.SearchStrings(s.keys, w.Key)
-	_, exists := s.records[w.Key]
-	if w.Delete {
-		if exists {
-			s.keys = append(s.keys[:i], s.keys[i+1:]...)
-			delete(s.records, w.Key)
-		}
-		return
-	}
-	if !exists {
-		s.keys = append(s.keys, "")
-		copy(s.keys[i+1:], s.keys[i:])
-		s.keys[i] = w.Key
+func (s *Store) put(row platform.WireRow) {
+	s.rows[rowKey{row.Table, row.Part, row.Key}] = row
+	s.note(row)
+}
+
+func (s *Store) note(row platform.WireRow) {
+	s.history = append(s.history, change{row: row, version: s.version})
+	if extra := len(s.history) - historyLength; extra > 0 {
+		s.forgotten = s.history[extra-1].version
+		s.history = slices.Clone(s.history[extra:])
 	}
-	s.records[w.Key] = platform.Record{Key: w.Key, Version: s.commits, Value: w.Value}
+}
+
+// wake lets every waiting feed look again; the lock is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetOperatorRow writes a row as the platform's operators do, under their own table.
+func (s *Store) SetOperatorRow(table, key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(platform.WireRow{Table: table, Key: key, Value: value, Version: s.version})
+	s.wake()
+	return s.version
 }
 
 func (s *Store) object(name string) ([]byte, bool) {
@@ -164,9 +233,3 @@
 	defer s.mu.Unlock()
 	s.objects[name] = body
 }
-
-func (s *Store) hostList() platform.Hosts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return platform.Hosts{Hosts: s.hosts}
-}
--- a/table/apply.go
+++ b/table/apply.go
@@ -10,13 +10,15 @@
 	"github.com/lynxplank/lynxplank/fault"
 )
 
-// Delta is the set of rows that leads from one revision to a later one.
+// Delta is the set of rows that leads a plane from one revision to a later one.
 type Delta struct {
+	// Plane is the part of the table that the rows belong to.
+	Plane Plane
 	// From is the revision that the delta starts at; ignored when Full.
 	From uint64
 	// To is the revision that the delta ends at.
 	To uint64
-	// Full marks a delta that holds the whole table.
+	// Full marks a delta that holds the whole plane.
 	Full bool
 	// Rows are the changed rows, or every row when Full.
 	Rows []Row
@@ -25,56 +27,122 @@
 // With returns the state after a delta. A delta that would not lead forward leaves the state as it is;
 // one that starts past the state's revision, or holds a row that cannot be read, is refused whole.
 //
-// Invariant: the revision of the result is never below that of s, and no row goes back to an older revision.
+// Invariant: no plane's revision of the result is below that of s, and no row goes back to an older revision.
 func (s *State) With(d Delta) (*State, error) {
-	if d.To <= s.revision {
+	if d.Plane >= planeCount {
+		return s, fault.New(fault.Protocol, "delta", "no such plane")
+	}
+	revision := s.revisions[d.Plane]
+	if d.To <= revision {
 		return s, nil
 	}
-	if !d.Full && d.From > s.revision {
+	if !d.Full && d.From > revision {
 		return s, fault.New(fault.Protocol, "delta", "starts past the revision in force")
 	}
-	next := *s
 	if d.Full {
-		next = *NewState()
+		d.Rows = s.fullChanges(d)
 	}
-	b := builder{state: &next, touched: make(map[string]bool)}
+	next := *s
+	b := newBuilder(&next, d.Plane)
 	for _, row := range d.Rows {
-		if err := b.apply(row, d.Full); err != nil {
+		if err := b.apply(row); err != nil {
 			return s, err
 		}
 	}
-	b.rebuildServices()
-	next.revision = d.To
+	b.finish()
+	next.revisions[d.Plane] = d.To
 	next.extendTail(s, d)
 	return &next, nil
 }
 
+// WithEndpoints returns the state with the endpoints that the hosts announce, at the hosts' revision. Unlike other
+// planes this one is put together by each node, whose own endpoint is known here before the store has heard of it.
+func (s *State) WithEndpoints(revision uint64, announced []Announced) (*State, error) {
+	next := *s
+	next.announcements++
+	d := Delta{Plane: PlaneHosts, Full: true, To: next.announcements}
+	changed := revision > s.revisions[PlaneHosts]
+	for _, a := range announced {
+		old, ok := s.endpoints.Get(a.Key)
+		same := ok && old.Plane == PlaneHosts && old.Value == a.Value
+		changed = changed || !same
+		meta := Meta{Revision: next.announcements, Plane: PlaneHosts}
+		if same {
+			meta = old.Meta
+		}
+		d.Rows = append(d.Rows, Encode(KindEndpoint, a.Key, meta, a.Value))
+	}
+	before := len(d.Rows)
+	d.Rows = s.fullChanges(d)
+	if !changed && len(d.Rows) == before {
+		return s, nil
+	}
+	b := newBuilder(&next, PlaneHosts)
+	for _, row := range d.Rows {
+		if err := b.apply(row); err != nil {
+			return s, err
+		}
+	}
+	b.finish()
+	next.revisions[PlaneHosts] = max(revision, s.revisions[PlaneHosts])
+	return &next, nil
+}
+
+// fullChanges turns a whole plane into what it changes: the rows that it holds, and deletions of those that it lacks.
+func (s *State) fullChanges(d Delta) []Row {
+	type id struct {
+		kind Kind
+		key  string
+	}
+	kept := make(map[id]bool, len(d.Rows))
+	rows := make([]Row, 0, len(d.Rows))
+	for _, row := range d.Rows {
+		if row.Deleted {
+			continue
+		}
+		kept[id{row.Kind, row.Key}] = true
+		rows = append(rows, row)
+	}
+	s.PlaneRows(d.Plane, func(r Row) {
+		if !kept[id{r.Kind, r.Key}] {
+			gone := Row{Kind: r.Kind, Key: r.Key, Deleted: true, Meta: Meta{Revision: d.To, Plane: d.Plane}}
+			rows = append(rows, gone)
+		}
+	})
+	return rows
+}
+
 func (s *State) extendTail(old *State, d Delta) {
+	t := &s.tails[d.Plane]
 	if d.Full {
-		s.tail = nil
-		s.tailFrom = d.To
+		*t = tail{from: d.To}
 		return
 	}
-	tail := slices.Clone(old.tail)
+	changes := slices.Clone(old.tails[d.Plane].changes)
 	for _, row := range d.Rows {
-		tail = append(tail, change{revision: row.Revision, kind: row.Kind, key: row.Key})
+		changes = append(changes, change{revision: row.Revision, kind: row.Kind, key: row.Key})
 	}
-	if extra := len(tail) - tailLength; extra > 0 {
-		s.tailFrom = tail[extra-1].revision
-		tail = tail[extra:]
+	if extra := len(changes) - tailLength; extra > 0 {
+		t.from = changes[extra-1].revision
+		changes = changes[extra:]
 	}
-	s.tail = tail
+	t.changes = changes
 }
 
+// builder applies rows to a state that nobody else sees yet.
 type builder struct {
-	state   *State
-	touched map[string]bool
+	state  *State
+	plane  Plane
+	views  map[string]*ServiceView
+	routes map[string][]Entry[Route]
 }
 
-func (b *builder) apply(row Row, full bool) error {
-	if full && row.Deleted {
-		return nil
-	}
+func newBuilder(s *State, p Plane) *builder {
+	return &builder{state: s, plane: p, views: make(map[string]*ServiceView), routes: make(map[string][]Entry[Route])}
+}
+
+func (b *builder) apply(row Row) (err error) {
+	row.Plane = b.plane
 	switch row.Kind {
 	case KindService:
 		return b.applyService(row)
@@ -83,19 +151,28 @@
 	case KindRoute:
 		return b.applyRoute(row)
 	case KindCustomer:
-		next, err := applyRow(b.state.customers, row)
-		b.state.customers = next
+		b.state.customers, err = applyRow(b.state.customers, row)
 		return err
 	case KindHost:
-		next, err := applyRow(b.state.hosts, row)
-		b.state.hosts = next
+		b.state.hosts, err = applyRow(b.state.hosts, row)
+		return err
+	case KindListener:
+		b.state.listeners, err = applyRow(b.state.listeners, row)
 		return err
 	}
 	return fault.New(fault.BadRow, row.Key, "no such kind of row")
 }
 
+// stands tells whether a row that is there stays as it is under a change.
+func stands(old Meta, row Row) bool {
+	if old.Plane != row.Plane {
+		return old.Plane > row.Plane || row.Deleted
+	}
+	return old.Revision >= row.Revision
+}
+
 func applyRow[T any](m *immutable.Map[string, Entry[T]], row Row) (*immutable.Map[string, Entry[T]], error) {
-	if old, ok := m.Get(row.Key); ok && old.Revision >= row.Revision {
+	if old, ok := m.Get(row.Key); ok && stands(old.Meta, row) {
 		return m, nil
 	}
 	if row.Deleted {
@@ -109,14 +186,22 @@
 	return m.Set(key, Entry[T]{Meta: row.Meta, Key: key, Value: value}), nil
 }
 
+// view returns the builder's own copy of a service, whose endpoints may be changed until finish.
+func (b *builder) view(service string) *ServiceView {
+	if v := b.views[service]; v != nil {
+		return v
+	}
+	found, _ := b.state.services.Get(service)
+	found.Endpoints = slices.Clone(found.Endpoints)
+	b.views[service] = &found
+	return &found
+}
+
 func (b *builder) applyService(row Row) error {
-	view, _ := b.state.services.Get(row.Key)
-	if view.Known && view.Revision >= row.Revision {
+	view := b.view(row.Key)
+	if view.Known && stands(view.Meta, row) {
 		return nil
 	}
-	view.Known = !row.Deleted
-	view.Key = row.Key
-	view.Meta = row.Meta
 	if !row.Deleted {
 		value, err := Decode[Service](row)
 		if err != nil {
@@ -124,7 +209,9 @@
 		}
 		view.Value = value
 	}
-	b.state.services = b.state.services.Set(row.Key, view)
+	view.Known = !row.Deleted
+	view.Key = strings.Clone(row.Key)
+	view.Meta = row.Meta
 	return nil
 }
 
@@ -135,54 +222,25 @@
 		return err
 	}
 	b.state.endpoints = next
-	after, _ := next.Get(row.Key)
-	if before.Value.Service == after.Value.Service && before.Key != "" && after.Key != "" {
-		b.replaceEndpoint(after)
-		return nil
+	if before.Key != "" {
+		view := b.view(before.Value.Service)
+		view.Endpoints = slices.DeleteFunc(view.Endpoints, func(o Entry[Endpoint]) bool { return o.Key == row.Key })
 	}
-	b.dropEndpoint(before)
-	b.replaceEndpoint(after)
-	return nil
-}
-
-func (b *builder) dropEndpoint(e Entry[Endpoint]) {
-	if e.Key == "" {
-		return
+	if after, ok := next.Get(row.Key); ok && after.Value.Phase != Retired {
+		view := b.view(after.Value.Service)
+		view.Endpoints = append(view.Endpoints, after)
 	}
-	view, _ := b.state.services.Get(e.Value.Service)
-	view.Endpoints = slices.DeleteFunc(slices.Clone(view.Endpoints), func(o Entry[Endpoint]) bool { return o.Key == e.Key })
-	b.state.services = b.state.services.Set(e.Value.Service, view)
-}
-
-func (b *builder) replaceEndpoint(e Entry[Endpoint]) {
-	if e.Key == "" {
-		return
-	}
-	if e.Value.Phase == Retired {
-		b.dropEndpoint(e)
-		return
-	}
-	service := e.Value.Service
-	view, _ := b.state.services.Get(service)
-	if !b.touched[service] {
-		view.Endpoints = slices.Clone(view.Endpoints)
-		b.touched[service] = true
-	}
-	// The slice is the builder's own from here on; rebuildServices sorts it once at the end.
-	i := slices.IndexFunc(view.Endpoints, func(o Entry[Endpoint]) bool { return o.Key == e.Key })
-	if i >= 0 {
-		view.Endpoints[i] = e
-	} else {
-		view.Endpoints = append(view.Endpoints, e)
-	}
-	b.state.services = b.state.services.Set(service, view)
+	return nil
 }
 
-func (b *builder) rebuildServices() {
-	for service := range b.touched {
-		view, _ := b.state.services.Get(service)
-		slices.SortFunc(view.Endpoints, func(a, o Entry[Endpoint]) int { return cmp.Compare(a.Key, o.Key) })
+// hostRoutes returns the builder's own copy of a host's routes, which may be changed until finish.
+func (b *builder) hostRoutes(host string) []Entry[Route] {
+	host = strings.ToLower(host)
+	if routes, ok := b.routes[host]; ok {
+		return routes
 	}
+	old, _ := b.state.byHost.Get(host)
+	return slices.Clone(old)
 }
 
 func (b *builder) applyRoute(row Row) error {
@@ -193,21 +251,23 @@
 	}
 	b.state.routes = next
 	if had {
-		b.setRoutes(before.Value.Host, before.Key, nil)
+		routes := b.hostRoutes(before.Value.Host)
+		b.routes[strings.ToLower(before.Value.Host)] = slices.DeleteFunc(routes, func(o Entry[Route]) bool { return o.Key == row.Key })
 	}
 	if after, ok := next.Get(row.Key); ok {
-		b.setRoutes(after.Value.Host, after.Key, &after)
+		b.routes[strings.ToLower(after.Value.Host)] = append(b.hostRoutes(after.Value.Host), after)
 	}
 	return nil
 }
 
-func (b *builder) setRoutes(host, key string, add *Entry[Route]) {
-	host = strings.ToLower(host)
-	old, _ := b.state.byHost.Get(host)
-	routes := slices.DeleteFunc(slices.Clone(old), func(o Entry[Route]) bool { return o.Key == key })
-	if add != nil {
-		routes = append(routes, *add)
+// finish sorts what was touched, once, and puts it in place.
+func (b *builder) finish() {
+	for service, view := range b.views {
+		slices.SortFunc(view.Endpoints, func(a, o Entry[Endpoint]) int { return cmp.Compare(a.Key, o.Key) })
+		b.state.services = b.state.services.Set(strings.Clone(service), *view)
+	}
+	for host, routes := range b.routes {
+		sortRoutes(routes)
+		b.state.byHost = b.state.byHost.Set(host, routes)
 	}
-	sortRoutes(routes)
-	b.state.byHost = b.state.byHost.Set(host, routes)
 }
--- a/table/columns.go
+++ b/table/columns.go
@@ -40,6 +40,7 @@
 	newSheet[Route](KindRoute, "route"),
 	newSheet[Customer](KindCustomer, "customer"),
 	newSheet[Host](KindHost, "host"),
+	newSheet[Listener](KindListener, "listener"),
 }
 
 func newSheet[T any](kind Kind, name string) Sheet {
--- /dev/null
+++ b/table/plane.go
@@ -0,0 +1,42 @@
+package table
+
+// Plane says where a row comes from. Each plane has revisions of its own; a row belongs to one plane, and a row of a
+// later plane hides one of the same key in an earlier plane.
+type Plane uint8
+
+// The planes.
+const (
+	// PlaneRows is what operators write with the product's own tool.
+	PlaneRows Plane = iota
+	// PlaneConfig is the configuration that the platform's operators write.
+	PlaneConfig
+	// PlaneHosts is what nodes announce of the endpoints beside them.
+	PlaneHosts
+	planeCount
+)
+
+// Planes lists every plane.
+var Planes = []Plane{PlaneRows, PlaneConfig, PlaneHosts}
+
+var planeNames = []string{"rows", "config", "hosts"}
+
+// String returns the plane's name.
+func (p Plane) String() string {
+	if p >= planeCount {
+		return "unknown"
+	}
+	return planeNames[p]
+}
+
+// Revisions is how far each plane has come.
+type Revisions [planeCount]uint64
+
+// Behind tells whether another node has come further in some plane.
+func (r Revisions) Behind(o Revisions) bool {
+	for p := range r {
+		if r[p] < o[p] {
+			return true
+		}
+	}
+	return false
+}
--- a/table/rows.go
+++ b/table/rows.go
@@ -15,6 +15,8 @@
 	KindCustomer
 	// KindHost is a row of type Host.
 	KindHost
+	// KindListener is a row of type Listener.
+	KindListener
 )
 
 // Service is a named group of endpoints with its policy.
@@ -31,6 +33,10 @@
 	Queue Count `col:"queue" default:"16" help:"requests that may wait beside each endpoint"`
 	// Warmup is how long a cold endpoint's share grows to its full weight.
 	Warmup Duration `col:"warmup" default:"10s" help:"time over which a new endpoint's share grows"`
+	// ProbePath is asked of an endpoint beside its node when that must know which instance it is.
+	ProbePath string `col:"probe_path" help:"path that tells an endpoint's instance, empty for none"`
+	// Conns is how many connections an endpoint takes from its node; 0 stands for no limit.
+	Conns Count `col:"conns" default:"0" help:"connections that an endpoint takes, 0 for no limit"`
 }
 
 // Endpoint is one target of a service, beside one host's node.
@@ -63,8 +69,31 @@
 	Repeatable Repeat `col:"repeatable" default:"method" help:"method, no or yes"`
 	// Timeout replaces the service's, if not zero.
 	Timeout Duration `col:"timeout" default:"0s" help:"replaces the service's timeout unless 0s"`
+	// Attempts is how many endpoints a request may be sent to; 0 stands for the product's own limit.
+	Attempts Count `col:"attempts" default:"0" help:"endpoints that a request may be sent to, 0 for the usual"`
+	// Priority ranks the route's requests where they wait; 0 goes first.
+	Priority Count `col:"priority" default:"0" help:"rank among waiting requests, 0 first"`
+	// Aim is the time within which an answer is worth its full value; 0 while nobody says.
+	Aim Duration `col:"aim" default:"0s" help:"time within which an answer has its full worth, 0s if nobody says"`
+	// Split shares the requests among services by weight; Service is the first of them then.
+	Split Split `col:"split" help:"services by weight, such as a=90,b=10, empty for one service"`
 }
 
+// Listener bounds what the callers' listeners take; its row has the key CallersListener and goes before the settings.
+type Listener struct {
+	// HeaderBytes bounds a request's header.
+	HeaderBytes Count `col:"header_bytes" default:"65536" help:"largest header in bytes"`
+	// BodyBytes bounds a request's body.
+	BodyBytes Count `col:"body_bytes" default:"16777216" help:"largest body in bytes"`
+	// HeaderTimeout bounds the reading of a header.
+	HeaderTimeout Duration `col:"header_timeout" default:"10s" help:"longest time for a header"`
+	// IdleTimeout bounds the wait for a connection's next request.
+	IdleTimeout Duration `col:"idle_timeout" default:"2m" help:"longest wait for a next request"`
+}
+
+// CallersListener is the key of the row of the callers' listeners.
+const CallersListener = "callers"
+
 // Customer is one payer of the callers' requests, with its share and limit.
 type Customer struct {
 	// Weight is its share when an endpoint's queue is full.
@@ -83,8 +112,10 @@
 type Meta struct {
 	// Version is the platform's count of writes to the row, 0 before the first.
 	Version uint64
-	// Revision is the fleet-wide revision of the row's last change.
+	// Revision is the fleet-wide revision of the row's last change, within its plane.
 	Revision uint64
+	// Plane is where the row comes from.
+	Plane Plane
 }
 
 // Row is one row of any kind, its cells in the order of the kind's columns.
--- a/table/state.go
+++ b/table/state.go
@@ -11,7 +11,7 @@
 // tailLength is how many changes a state keeps for peers that are a little behind.
 const tailLength = 4096
 
-// HostInfo is one line of the platform's lagging list of hosts.
+// HostInfo is one host as its node announces it.
 type HostInfo struct {
 	// ID names the host.
 	ID string `json:"id"`
@@ -19,8 +19,22 @@
 	Hall string `json:"hall"`
 	// Address is the IP and port of its node's peer listener.
 	Address string `json:"address"`
-	// Leaving is set when the platform is about to take the host away.
-	Leaving bool `json:"leaving"`
+	// Leaving is set when the host's node is stopping.
+	Leaving bool `json:"leaving,omitempty"`
+	// Incarnation tells the node's life from earlier ones of the same host.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Endpoints are those beside the node that have announced themselves.
+	Endpoints []Announced `json:"endpoints,omitempty"`
+	// Version is the store's version of the announcement; a later one replaces an earlier one.
+	Version uint64 `json:"-"`
+}
+
+// Announced is an endpoint that has announced itself to the node beside it.
+type Announced struct {
+	// Key names the endpoint's instance.
+	Key string `json:"key"`
+	// Value is its row.
+	Value Endpoint `json:"value"`
 }
 
 // Entry is a typed row.
@@ -47,17 +61,25 @@
 	key      string
 }
 
+// tail is the latest changes of one plane, for peers that are a little behind.
+type tail struct {
+	changes []change
+	from    uint64
+}
+
 // State is one immutable revision of the whole table.
 type State struct {
-	revision  uint64
+	revisions Revisions
 	services  *immutable.Map[string, ServiceView]
 	endpoints *immutable.Map[string, Entry[Endpoint]]
 	routes    *immutable.Map[string, Entry[Route]]
 	byHost    *immutable.Map[string, []Entry[Route]]
 	customers *immutable.Map[string, Entry[Customer]]
 	hosts     *immutable.Map[string, Entry[Host]]
-	tail      []change
-	tailFrom  uint64
+	listeners *immutable.Map[string, Entry[Listener]]
+	tails     [planeCount]tail
+	// announcements counts the changes of announced endpoints that this node has put together.
+	announcements uint64
 }
 
 // NewState returns the empty state at revision 0.
@@ -69,11 +91,18 @@
 		byHost:    immutable.NewMap[string, []Entry[Route]](nil),
 		customers: immutable.NewMap[string, Entry[Customer]](nil),
 		hosts:     immutable.NewMap[string, Entry[Host]](nil),
+		listeners: immutable.NewMap[string, Entry[Listener]](nil),
 	}
 }
 
-// Revision returns the fleet-wide revision that the state shows.
-func (s *State) Revision() uint64 { return s.revision }
+// Revision returns the fleet-wide revision of the operators' rows that the state shows.
+func (s *State) Revision() uint64 { return s.revisions[PlaneRows] }
+
+// Revisions returns how far each plane has come.
+func (s *State) Revisions() Revisions { return s.revisions }
+
+// Callers returns the row that bounds the callers' listeners.
+func (s *State) Callers() (Entry[Listener], bool) { return s.listeners.Get(CallersListener) }
 
 // Service returns a service with its endpoints.
 func (s *State) Service(key string) (ServiceView, bool) {
@@ -147,6 +176,8 @@
 		return rowOf(s.customers, kind, key)
 	case KindHost:
 		return rowOf(s.hosts, kind, key)
+	case KindListener:
+		return rowOf(s.listeners, kind, key)
 	}
 	return Row{}, false
 }
@@ -163,6 +194,7 @@
 	visitRows(s.routes, KindRoute, visit)
 	visitRows(s.customers, KindCustomer, visit)
 	visitRows(s.hosts, KindHost, visit)
+	visitRows(s.listeners, KindListener, visit)
 }
 
 func visitRows[T any](m *immutable.Map[string, Entry[T]], kind Kind, visit func(Row)) {
@@ -172,14 +204,23 @@
 	}
 }
 
-// Since returns every row changed after a revision; ok is false when the state no longer knows them all.
-func (s *State) Since(from uint64) (rows []Row, ok bool) {
-	if from < s.tailFrom {
+// PlaneRows calls visit for every row of one plane.
+func (s *State) PlaneRows(p Plane, visit func(Row)) {
+	s.Rows(func(r Row) {
+		if r.Plane == p {
+			visit(r)
+		}
+	})
+}
+
+// Since returns every row of a plane changed after a revision; ok is false when the state no longer knows them all.
+func (s *State) Since(p Plane, from uint64) (rows []Row, ok bool) {
+	if from < s.tails[p].from {
 		return nil, false
 	}
 	seen := make(map[change]bool)
 	// From the last change of each row backwards: a deleted row must carry the revision that deleted it.
-	for _, c := range slices.Backward(s.tail) {
+	for _, c := range slices.Backward(s.tails[p].changes) {
 		if c.revision <= from {
 			break
 		}
@@ -189,8 +230,8 @@
 		}
 		seen[id] = true
 		row, exists := s.Row(c.kind, c.key)
-		if !exists {
-			row = Row{Kind: c.kind, Key: c.key, Deleted: true, Meta: Meta{Revision: c.revision}}
+		if !exists || row.Plane != p {
+			row = Row{Kind: c.kind, Key: c.key, Deleted: true, Meta: Meta{Revision: c.revision, Plane: p}}
 		}
 		rows = append(rows, row)
 	}
--- a/table/state_test.go
+++ b/table/state_test.go
@@ -78,7 +78,7 @@
 }
 
 func showSince(s *State, from uint64) string {
-	rows, ok := s.Since(from)
+	rows, ok := s.Since(PlaneRows, from)
 	lines := []string{fmt.Sprintln("known", ok)}
 	for _, r := range rows {
 		lines = append(lines, fmt.Sprintln(r.Revision, r.Kind, r.Key, r.Deleted))
@@ -138,7 +138,7 @@
 
 func deltaBetween(from uint64, to *State) Delta {
 	d := Delta{From: from, To: to.Revision()}
-	rows, ok := to.Since(from)
+	rows, ok := to.Since(PlaneRows, from)
 	if ok {
 		d.Rows = rows
 		return d
--- a/table/values.go
+++ b/table/values.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -146,3 +147,58 @@
 	}
 	return 0, fault.New(fault.BadRow, "", "want one of "+strings.Join(names, ", "))
 }
+
+// Split shares a route's requests among services by weight; empty for one service. It is immutable.
+type Split struct {
+	parts []Part
+}
+
+// Part is one service's share of a split.
+type Part struct {
+	// Service is the key of the service's row.
+	Service string
+	// Weight is its share relative to the other parts.
+	Weight float64
+}
+
+// NewSplit returns a split of the given parts.
+func NewSplit(parts ...Part) Split { return Split{parts: slices.Clone(parts)} }
+
+// Parts returns the parts; the caller must not change them.
+func (s Split) Parts() []Part { return s.parts }
+
+// MarshalText writes the parts as "a=90,b=10".
+func (s Split) MarshalText() ([]byte, error) {
+	var b []byte
+	for i, p := range s.parts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, p.Service...)
+		b = append(b, '=')
+		b = strconv.AppendFloat(b, p.Weight, 'g', -1, 64)
+	}
+	return b, nil
+}
+
+// UnmarshalText reads "a=90,b=10", BadRow unless some weight is above zero.
+func (s *Split) UnmarshalText(text []byte) error {
+	s.parts = nil
+	if len(text) == 0 {
+		return nil
+	}
+	sum := 0.0
+	for part := range strings.SplitSeq(string(text), ",") {
+		name, number, ok := strings.Cut(part, "=")
+		weight, err := strconv.ParseFloat(number, 64)
+		if !ok || name == "" || err != nil || !(weight >= 0 && weight <= maxRate) {
+			return fault.New(fault.BadRow, "", "want services by weight, such as a=90,b=10")
+		}
+		sum += weight
+		s.parts = append(s.parts, Part{Service: name, Weight: weight})
+	}
+	if sum == 0 {
+		return fault.New(fault.BadRow, "", "want some weight above 0")
+	}
+	return nil
+}
