--- a/admit/queue.go
+++ b/admit/queue.go
@@ -16,6 +16,10 @@
 	Customer string
 	// Weight is the customer's share relative to the others; 0 stands for 1.
 	Weight float64
+	// Priority ranks the request among waiting ones, 0 first.
+	Priority int
+	// NoWait refuses the request as Busy when no slot is free.
+	NoWait bool
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
 }
@@ -105,9 +109,12 @@
 		q.charge(r)
 		return Decision{ID: r.ID, Action: Run}, nil
 	}
+	if r.NoWait {
+		return q.refuse(r.ID, fault.Busy), nil
+	}
 	w := waiting{Request: r, tag: q.startTag(r)}
 	at, _ := slices.BinarySearchFunc(q.queue, w, func(a, b waiting) int {
-		if a.tag <= b.tag {
+		if a.Priority < b.Priority || a.Priority == b.Priority && a.tag <= b.tag {
 			return -1
 		}
 		return 1
@@ -144,9 +151,12 @@
 	q.finish[w.Customer] -= 1 / w.Weight
 }
 
-// victim returns the newest request of the customer that holds the most of the queue for its weight, if that is more
-// than the new request's customer would hold.
+// victim returns the newest request of the lowest rank, if that is below the new one's; else the newest of the customer
+// that holds the most of the queue for its weight, if that is more than the new request's customer would hold.
 func (q *Queue) victim(r Request) (int, bool) {
+	if last := len(q.queue) - 1; last >= 0 && q.queue[last].Priority > r.Priority {
+		return last, true
+	}
 	held := make(map[string]float64)
 	for _, w := range q.queue {
 		held[w.Customer] += 1 / w.Weight
@@ -154,7 +164,7 @@
 	mine := held[r.Customer] + 1/r.Weight
 	worst, most := -1, mine
 	for i, w := range q.queue {
-		if h := held[w.Customer]; w.Customer != r.Customer && h >= most && h > mine {
+		if h := held[w.Customer]; w.Customer != r.Customer && w.Priority == r.Priority && h >= most && h > mine {
 			worst, most = i, h
 		}
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,9 @@
 	Outstanding int
 	// Latency is its recent service time, 0 while unknown.
 	Latency time.Duration
+	// Far is set for an endpoint of another hall, which is chosen only when those of the own hall are full: the way costs
+	// time and the links between halls are dear.
+	Far bool
 	// Distance is the time that the way there and back takes.
 	Distance time.Duration
 	// SuccessShare is the recent share of good answers, 0 to 1.
@@ -76,7 +79,11 @@
 // taken: with views that lag, taking the cheapest of all sends every chooser to the same endpoint.
 func Choose(candidates []Candidate, r *rand.Rand) int {
 	neutral(candidates)
-	if i := choose(candidates, r, func(c Candidate) bool { return !c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
+	free := func(c Candidate) bool { return !c.LastChoice && c.Outstanding < c.Slots }
+	if i := choose(candidates, r, func(c Candidate) bool { return !c.Far && free(c) }); i >= 0 {
+		return i
+	}
+	if i := choose(candidates, r, free); i >= 0 {
 		return i
 	}
 	if i := choose(candidates, r, func(c Candidate) bool { return c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
--- /dev/null
+++ b/breaker/breaker.go
@@ -0,0 +1,209 @@
+package breaker
+
+import "time"
+
+// Config is the policy of one breaker.
+type Config struct {
+	// Broken is the evidence that one answer which broke off gives, Failed that of one whole answer that says the work
+	// failed. A breaker opens at evidence 1.
+	Broken, Failed float64
+	// Forget is the time in which evidence halves.
+	Forget time.Duration
+	// Pause is how long an open breaker takes no request that must not repeat, at least; it doubles with each trial
+	// that fails, up to LongestPause.
+	Pause, LongestPause time.Duration
+	// TrialEvery is the least time between two trials; it doubles with each one that fails, up to LongestTrial.
+	TrialEvery, LongestTrial time.Duration
+	// Barren is how long no repeatable request must have come for one that must not repeat to be the trial.
+	Barren time.Duration
+	// Successes is how many trials in a row close the breaker after it has opened once, and one more for each time that
+	// it opened again within Memory, up to MostSuccesses.
+	Successes, MostSuccesses int
+	// Memory is how long an opening counts.
+	Memory time.Duration
+}
+
+// DefaultConfig returns the policy for endpoints that break off most of their work for about a second every ten
+// seconds. The figures come from rounds on the users' bench (docs/MEASUREMENTS.md).
+func DefaultConfig() Config {
+	return Config{
+		Broken: 1, Failed: 0.4, Forget: time.Second,
+		Pause: 250 * time.Millisecond, LongestPause: 5 * time.Second,
+		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond, Barren: time.Second,
+		Successes: 1, MostSuccesses: 3, Memory: 8 * time.Second,
+	}
+}
+
+// State says what an endpoint takes.
+type State uint8
+
+// The states.
+const (
+	// Closed takes every request.
+	Closed State = iota
+	// Trial takes one repeatable request at a time.
+	Trial
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	if s == Trial {
+		return "trial"
+	}
+	return "closed"
+}
+
+// Result is how one request went at the endpoint.
+type Result uint8
+
+// The results.
+const (
+	// OK is a whole answer that says nothing of a failure.
+	OK Result = iota
+	// Failed is a whole answer that says the work failed.
+	Failed
+	// Broken is an answer that broke off, could not be read or never came.
+	Broken
+)
+
+// Breaker watches one endpoint; its owner locks it.
+type Breaker struct {
+	cfg      Config
+	state    State
+	evidence float64
+	seenAt   time.Time
+	// pause is the present length of a pause, pausedUntil when it ends.
+	pause       time.Duration
+	pausedUntil time.Time
+	openings    []time.Time
+	successes   int
+	// trialEvery is the present time between two trials, trialAt when the last one began.
+	trialEvery time.Duration
+	trialAt    time.Time
+	trialing   bool
+}
+
+// New returns a closed breaker.
+func New(cfg Config) *Breaker {
+	return &Breaker{cfg: cfg, pause: cfg.Pause, trialEvery: cfg.TrialEvery}
+}
+
+// State returns what the endpoint takes.
+func (b *Breaker) State() State { return b.state }
+
+// Pause returns how long the endpoint takes nothing that must not repeat, at least; 0 when it takes everything.
+func (b *Breaker) Pause(now time.Time) time.Duration {
+	if b.state == Closed {
+		return 0
+	}
+	return max(0, b.pausedUntil.Sub(now))
+}
+
+// Allow tells whether a request may run now, and whether it is a trial, whose result must be reported with Done.
+func (b *Breaker) Allow(now time.Time, repeatable bool) (ok, trial bool) {
+	if b.state == Closed {
+		return true, false
+	}
+	if b.trialing || now.Sub(b.trialAt) < b.trialEvery {
+		return false, false
+	}
+	// Where nothing repeatable comes, what must not repeat finds out once the pause is over.
+	if !repeatable && (now.Before(b.pausedUntil) || now.Sub(b.trialAt) < b.cfg.Barren) {
+		return false, false
+	}
+	b.trialing = true
+	b.trialAt = now
+	return true, true
+}
+
+// Release takes back a trial that did not run after all.
+func (b *Breaker) Release(trial bool) {
+	if trial {
+		b.trialing = false
+	}
+}
+
+// Done takes the result of a request.
+func (b *Breaker) Done(now time.Time, r Result, trial bool) {
+	if trial {
+		b.trialing = false
+	}
+	b.fade(now)
+	switch r {
+	case OK:
+		b.good(now, trial)
+	case Failed:
+		b.bad(now, b.cfg.Failed, trial)
+	case Broken:
+		b.bad(now, b.cfg.Broken, trial)
+	}
+}
+
+func (b *Breaker) fade(now time.Time) {
+	elapsed := now.Sub(b.seenAt)
+	b.seenAt = now
+	for ; elapsed >= b.cfg.Forget && b.evidence > 0.01; elapsed -= b.cfg.Forget {
+		b.evidence /= 2
+	}
+	b.evidence *= 1 - float64(min(elapsed, b.cfg.Forget))/float64(2*b.cfg.Forget)
+}
+
+func (b *Breaker) good(now time.Time, trial bool) {
+	if b.state == Closed {
+		b.evidence /= 2
+		return
+	}
+	// Only a trial shows how the endpoint is now: other answers are of work that began before it was suspected.
+	if !trial {
+		return
+	}
+	b.successes++
+	if b.successes >= b.needed(now) {
+		b.state = Closed
+		b.evidence = 0
+		b.pause = b.cfg.Pause
+		b.trialEvery = b.cfg.TrialEvery
+	}
+}
+
+// needed is how many trials in a row must succeed.
+func (b *Breaker) needed(now time.Time) int {
+	recent := 0
+	for _, at := range b.openings {
+		if now.Sub(at) < b.cfg.Memory {
+			recent++
+		}
+	}
+	return min(b.cfg.Successes+max(recent-1, 0), b.cfg.MostSuccesses)
+}
+
+func (b *Breaker) bad(now time.Time, weight float64, trial bool) {
+	if b.state == Closed {
+		b.evidence += weight
+		if b.evidence < 1 {
+			return
+		}
+		b.open(now)
+		return
+	}
+	if !trial {
+		return
+	}
+	b.successes = 0
+	b.pause = min(2*b.pause, b.cfg.LongestPause)
+	b.trialEvery = min(2*b.trialEvery, b.cfg.LongestTrial)
+	b.pausedUntil = now.Add(b.pause)
+}
+
+const mostOpenings = 8
+
+func (b *Breaker) open(now time.Time) {
+	b.state = Trial
+	b.successes = 0
+	b.pausedUntil = now.Add(b.pause)
+	b.trialAt = now
+	b.openings = append(b.openings, now)
+	if len(b.openings) > mostOpenings {
+		b.openings = b.openings[1:]
+	}
+}
--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -20,12 +20,22 @@
 	exitSetting = 2
 )
 
+// settingsEnv names the settings file when no flag does.
+const settingsEnv = "LYNXPLANK_SETTINGS"
+
+func defaultPath() string {
+	if path := os.Getenv(settingsEnv); path != "" {
+		return path
+	}
+	return "lynxplankd.yaml"
+}
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
-	path := flag.String("config", "lynxplankd.yaml", "settings file")
+	path := flag.String("config", defaultPath(), "settings file, or $"+settingsEnv)
 	check := flag.Bool("check", false, "check the settings and exit")
 	show := flag.Bool("print", false, "print the resolved settings, secrets masked, and exit")
 	flag.Parse()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -103,7 +103,11 @@
 	return err
 }
 
-// ejectedEverywhere tells whether every node that serves the service keeps ordinary work from an endpoint.
+// idleMillis is how long a node must have given an endpoint nothing for it to count as keeping work from it.
+const idleMillis = 500
+
+// ejectedEverywhere tells whether every node that has given an endpoint work keeps ordinary work from it; the nodes of
+// other halls have no need of it while their own have room.
 func (f *Fleet) ejectedEverywhere(key string) bool {
 	seen := 0
 	for _, m := range f.Members {
@@ -115,10 +119,13 @@
 			if e.Endpoint != key {
 				continue
 			}
-			if e.Phase != "ejected" && e.Phase != "trickle" {
+			out := e.Phase == "ejected" || e.Phase == "trickle" || e.Trial
+			if !out && e.IdleMillis >= 0 && e.IdleMillis < idleMillis {
 				return false
 			}
-			seen++
+			if out {
+				seen++
+			}
 		}
 	}
 	return seen > 0
--- a/director/pick.go
+++ b/director/pick.go
@@ -23,6 +23,8 @@
 	Tried []string
 	// Only restricts the choice to one endpoint.
 	Only string
+	// Free restricts the choice to endpoints that seem to have a free slot and to take such requests.
+	Free bool
 }
 
 const leastShare = 0.05
@@ -54,7 +56,11 @@
 			continue
 		case eject.Serving, eject.LastChoice, eject.Ramp:
 		}
-		candidates = append(candidates, d.candidate(v, e, now))
+		c := d.candidate(v, e, now)
+		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
+			continue
+		}
+		candidates = append(candidates, c)
 		from = append(from, i)
 	}
 	i := balance.Choose(candidates, rand.New(globalSource{})) //nolint:gosec // a draw, no secret
@@ -89,6 +95,7 @@
 		Outstanding:  e.target.outstanding(now),
 		Latency:      time.Duration(math.Float64frombits(e.target.latency.Load())),
 		Distance:     distance,
+		Far:          row.Hall != d.cfg.Hall,
 		SuccessShare: math.Float64frombits(e.target.success.Load()),
 		LastChoice:   e.verdict.Phase == eject.LastChoice,
 		Suspect:      e.verdict.Suspect,
--- a/director/report.go
+++ b/director/report.go
@@ -17,6 +17,8 @@
 	Worked bool
 	// Failed is set when it did not do the work.
 	Failed bool
+	// Declined is set when it turned the request away before anything was sent.
+	Declined bool
 	// WasLate is set when the exchange was reported overdue before.
 	WasLate bool
 	// Load is what the egress attached, nil when nothing came back.
@@ -32,6 +34,9 @@
 		t.trickling.Store(false)
 	}
 	t.noteLoad(now, r.Load)
+	if r.Declined {
+		t.declinedAt.Store(now.UnixNano())
+	}
 	if r.Worked {
 		success := 1.0
 		if r.Failed {
@@ -132,6 +137,10 @@
 	Threshold float64 `json:"threshold"`
 	// Ejections is how often it was ejected of late.
 	Ejections int `json:"ejections"`
+	// IdleMillis is how long this node has had no word from it, -1 if it never asked; others may make it needless.
+	IdleMillis int64 `json:"idle_millis"`
+	// Trial is set while the node beside it takes only trials.
+	Trial bool `json:"trial"`
 	// HeldByFloor is set when only the floor keeps it in use.
 	HeldByFloor bool `json:"held_by_floor"`
 	// InFlight is how many of this node's requests it holds.
@@ -161,6 +170,8 @@
 	return Explanation{
 		Endpoint: e.endpoint.Key, Phase: e.verdict.Phase.String(), Test: e.verdict.Test,
 		Score: e.verdict.Score, Threshold: e.verdict.Threshold, Ejections: e.verdict.Ejections,
+		IdleMillis:  e.target.idle(now),
+		Trial:       e.target.trialAt.Load() != 0,
 		HeldByFloor: e.verdict.Phase == eject.LastChoice,
 		InFlight:    e.target.inFlight.Load(), Open: d.open(e, now),
 	}
--- a/director/target.go
+++ b/director/target.go
@@ -18,6 +18,9 @@
 	success   atomic.Uint64
 	leavingAt atomic.Int64
 	trickling atomic.Bool
+	// declinedAt is when it last turned a request away, trialAt when it last said that it takes only trials.
+	declinedAt atomic.Int64
+	trialAt    atomic.Int64
 
 	// The control goroutine alone uses these: the egress's totals at the last report, and our own share since.
 	incarnation   uint64
@@ -32,8 +35,20 @@
 	// A load report counts for less with age and for nothing after this.
 	reportLife  = 500 * time.Millisecond
 	leavingLife = 5 * time.Second
+	// declinedLife is how long an endpoint that turned a request away is left alone while others may be free.
+	declinedLife = 20 * time.Millisecond
+	// trialLife is how long an endpoint's word that it takes only trials is believed for what must not repeat.
+	trialLife = 100 * time.Millisecond
 )
 
+// declining tells whether an endpoint has just said that it would turn such a request away.
+func (t *target) declining(now time.Time, repeatable bool) bool {
+	if now.UnixNano()-t.declinedAt.Load() < int64(declinedLife) {
+		return true
+	}
+	return !repeatable && now.UnixNano()-t.trialAt.Load() < int64(trialLife)
+}
+
 func newTarget() *target {
 	t := new(target)
 	t.success.Store(math.Float64bits(1))
@@ -62,12 +77,26 @@
 	return int(max(own, int64(faded)))
 }
 
+// idle is how long ago the endpoint's node last said anything, in milliseconds, -1 for never.
+func (t *target) idle(now time.Time) int64 {
+	at := t.reportAt.Load()
+	if at == 0 {
+		return -1
+	}
+	return (now.UnixNano() - at) / int64(time.Millisecond)
+}
+
 func (t *target) noteLoad(now time.Time, load *peerpb.Load) {
 	if load == nil {
 		return
 	}
 	t.reported.Store(int64(load.GetBusy()) + int64(load.GetQueued()))
 	t.reportAt.Store(now.UnixNano())
+	if load.GetTrial() {
+		t.trialAt.Store(now.UnixNano())
+	} else {
+		t.trialAt.Store(0)
+	}
 	if load.GetLeaving() {
 		t.leavingAt.Store(now.UnixNano())
 	}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -10,13 +10,18 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/table"
+	"github.com/lynxplank/lynxplank/upstream"
 )
 
 // Config is the egress's section of the settings.
@@ -35,6 +40,10 @@
 	KeySettle time.Duration
 	// KeyBytes bounds the memory for keys, in bytes.
 	KeyBytes int
+	// Contract says how endpoints are spoken to; nil stands for the product's own.
+	Contract contract.Contract
+	// Breaker is the policy for endpoints that break off their work.
+	Breaker breaker.Config
 }
 
 // Egress serves the endpoints beside this node; it is a kernel component.
@@ -43,10 +52,14 @@
 	log     *zerolog.Logger
 	state   func() *table.State
 	keys    *keys
-	nextID  atomic.Uint64
-	closing atomic.Bool
-	flight  flight.Counter
-	cancel  context.CancelFunc
+	records *records
+	pool    *upstream.Pool
+	// announced are the endpoints that announce themselves beside this node.
+	announced *registry.Registry
+	nextID    atomic.Uint64
+	closing   atomic.Bool
+	flight    flight.Counter
+	cancel    context.CancelFunc
 
 	mu     sync.Mutex
 	locals map[string]*local
@@ -57,13 +70,29 @@
 	shortRetryAfter = 100 * time.Millisecond
 )
 
+// Option changes an egress under construction.
+type Option func(*Egress)
+
+// WithRegistry has the egress serve the endpoints that announce themselves to r, besides those of the table.
+func WithRegistry(r *registry.Registry) Option { return func(e *Egress) { e.announced = r } }
+
 // New returns an egress that reads the configuration from state.
-func New(cfg Config, log *zerolog.Logger, state func() *table.State) *Egress {
-	return &Egress{
+func New(cfg Config, log *zerolog.Logger, state func() *table.State, opts ...Option) *Egress {
+	if cfg.Contract == nil {
+		cfg.Contract = contract.Own{}
+	}
+	if cfg.Breaker == (breaker.Config{}) {
+		cfg.Breaker = breaker.DefaultConfig()
+	}
+	e := &Egress{
 		cfg: cfg, log: log, state: state,
 		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.KeySettle),
-		locals: make(map[string]*local),
+		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(),
+	}
+	for _, opt := range opts {
+		opt(e)
 	}
+	return e
 }
 
 // Start begins to watch the endpoints that say they are leaving.
@@ -81,6 +110,7 @@
 func (e *Egress) Stop(ctx context.Context) error {
 	e.Close()
 	defer e.cancel()
+	defer e.pool.CloseIdle()
 	return e.flight.Wait(ctx, "egress")
 }
 
@@ -128,24 +158,87 @@
 	if end != nil {
 		return end
 	}
+	if !l.takes(time.Now(), d) {
+		end = peer.NotRun(fault.Suspect, l.pauseLeft(time.Now()))
+		end.Load = l.load(0, e.cfg.Incarnation)
+		return end
+	}
+	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
+		p.Waiting()
+	}
 	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
 		end.Load = l.load(0, e.cfg.Incarnation)
 		return end
 	}
+	trial, end := e.permit(ctx, l, d, sink)
+	if end != nil {
+		l.free(0)
+		end.Load = l.load(0, e.cfg.Incarnation)
+		return end
+	}
+	return e.runAt(ctx, l, d, body, sink, trial)
+}
+
+// permit looks once more, at the moment of the hand-over, whether the request may run, and asks whoever sent it.
+func (e *Egress) permit(ctx context.Context, l *local, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+	if _, end := e.find(d); end != nil {
+		return false, end
+	}
+	if ctx.Err() != nil {
+		return false, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+	}
+	ok, trial := l.allow(time.Now(), d)
+	if !ok {
+		return false, peer.NotRun(fault.Suspect, l.pauseLeft(time.Now()))
+	}
+	p, asks := sink.(peer.Permitter)
+	if !asks {
+		return trial, nil
+	}
+	deadline, _ := ctx.Deadline()
+	id := d.GetExchange()
+	e.records.begin(time.Now(), id, deadline)
+	if p.Permit(ctx, l.load(0, e.cfg.Incarnation)) && e.records.hand(id) {
+		return trial, nil
+	}
+	e.records.void(id)
+	l.untry(trial)
+	return false, peer.NotRun(fault.OfferLapsed, 0)
+}
+
+func (e *Egress) runAt(
+	ctx context.Context, l *local, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
+) *peerpb.End {
 	if d.GetClaim() != nil {
 		var cancel context.CancelFunc
 		ctx, cancel = detach(ctx)
 		defer cancel()
 	}
+	recording := &recordingSink{Sink: sink}
+	_, kept := sink.(peer.Permitter)
+	if kept {
+		sink = recording
+	}
 	start := time.Now()
 	result := l.run(ctx, d, body, sink)
 	service := time.Since(start)
-	l.release(service, result)
+	l.release(service, result, trial)
+	e.noteState(l)
 	e.noteLeaving(l, result.leaving)
 	result.end.Load = l.load(service, e.cfg.Incarnation)
+	if kept {
+		e.records.finish(d.GetExchange(), recording, result.end)
+	}
 	return result.end
 }
 
+// noteState logs when the breaker of an endpoint has opened or closed.
+func (e *Egress) noteState(l *local) {
+	if from, to, changed := l.stateChange(); changed {
+		events.BreakerChanged.Log(e.log).Str("endpoint", l.key).Str("from", from.String()).Str("to", to.String()).Send()
+	}
+}
+
 // detach keeps the deadline but not the cancellation: a keyed request runs on when its caller is gone, so that the
 // re-send finds an answer and not an unknown fate.
 func detach(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -163,12 +256,24 @@
 	if e.closing.Load() {
 		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
 	}
+	if r, ok := e.announcedHere(d); ok {
+		if r.Leaving {
+			return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+		}
+		return e.open(r.Entry, r.Leaving)
+	}
 	if !e.here(d) {
 		return nil, peer.NotRun(fault.WrongHost, shortRetryAfter)
 	}
 	s := e.state()
 	row, _ := s.Endpoint(d.GetEndpoint())
-	if s.EndpointPhase(row) != table.Active {
+	return e.open(row, s.EndpointPhase(row) != table.Active)
+}
+
+// open returns the runtime of an endpoint beside this node unless it takes nothing new.
+func (e *Egress) open(row table.Entry[table.Endpoint], closed bool) (*local, *peerpb.End) {
+	s := e.state()
+	if closed || s.HostPhase(e.cfg.Host) != table.Active {
 		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
 	}
 	l := e.local(row, s)
@@ -178,10 +283,20 @@
 	return l, nil
 }
 
-// here tells whether the endpoint stands beside this node and belongs to the service.
+// announcedHere returns the endpoint if it has announced itself to this node.
+func (e *Egress) announcedHere(d *peerpb.Dispatch) (registry.Endpoint, bool) {
+	if e.announced == nil {
+		return registry.Endpoint{}, false
+	}
+	r, ok := e.announced.Endpoint(d.GetEndpoint())
+	return r, ok && r.Value.Service == d.GetService()
+}
+
+// here tells whether the table has the endpoint beside this node, and of this service. An endpoint that announces
+// itself and that this life of the node has not heard of is not here: whatever the store shows of it may be old.
 func (e *Egress) here(d *peerpb.Dispatch) bool {
 	row, ok := e.state().Endpoint(d.GetEndpoint())
-	return ok && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
+	return ok && row.Plane != table.PlaneHosts && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
 }
 
 func (e *Egress) local(row table.Entry[table.Endpoint], s *table.State) *local {
@@ -190,7 +305,7 @@
 	defer e.mu.Unlock()
 	l := e.locals[row.Key]
 	if l == nil {
-		l = newLocal(row, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
+		l = newLocal(row, e.cfg, e.pool, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
 		e.locals[row.Key] = l
 	}
 	l.configure(row, int(view.Value.Queue))
--- a/egress/local.go
+++ b/egress/local.go
@@ -8,10 +8,13 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/admit"
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/table"
+	"github.com/lynxplank/lynxplank/upstream"
 )
 
 // local is the runtime of one endpoint beside this node.
@@ -22,15 +25,21 @@
 	finished atomic.Uint64
 	failed   atomic.Uint64
 
+	contract contract.Contract
+	pool     *upstream.Pool
+
 	mu      sync.Mutex
+	breaker *breaker.Breaker
+	// shown is the breaker's state as it was last logged.
+	shown   breaker.State
 	queue   *admit.Queue
 	slots   int
 	waiters map[uint64]chan admit.Decision
 }
 
-func newLocal(row table.Entry[table.Endpoint], random *rand.Rand) *local {
+func newLocal(row table.Entry[table.Endpoint], cfg Config, pool *upstream.Pool, random *rand.Rand) *local {
 	return &local{
-		key:     row.Key,
+		key: row.Key, contract: cfg.Contract, pool: pool, breaker: breaker.New(cfg.Breaker),
 		queue:   admit.NewQueue(int(row.Value.Slots), 0, random),
 		waiters: make(map[uint64]chan admit.Decision),
 	}
@@ -51,7 +60,10 @@
 func (l *local) admit(ctx context.Context, id uint64, d *peerpb.Dispatch, s *table.State) *peerpb.End {
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
-	r := admit.Request{ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline}
+	r := admit.Request{
+		ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline,
+		Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(),
+	}
 	wait, until, end := l.offer(r)
 	if wait == nil {
 		return end
@@ -126,8 +138,50 @@
 	l.deliver(l.queue.Done(time.Now(), service))
 }
 
+// takes tells whether the endpoint may take a request of this kind at all just now.
+func (l *local) takes(now time.Time, d *peerpb.Dispatch) bool {
+	if d.GetLastResort() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ok, trial := l.breaker.Allow(now, d.GetRepeatable())
+	l.breaker.Release(trial)
+	return ok
+}
+
+// allow is the same at the moment of the hand-over; a trial must end with untry or release.
+func (l *local) allow(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ok, trial = l.breaker.Allow(now, d.GetRepeatable())
+	return ok || d.GetLastResort(), trial
+}
+
+func (l *local) untry(trial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breaker.Release(trial)
+}
+
+// pauseLeft is when a request that was not taken may come back.
+func (l *local) pauseLeft(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.breaker.Pause(now), shortRetryAfter)
+}
+
+func (l *local) stateChange() (from, to breaker.State, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from, to = l.shown, l.breaker.State()
+	l.shown = to
+	return from, to, from != to
+}
+
 // release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
-func (l *local) release(service time.Duration, r result) {
+func (l *local) release(service time.Duration, r result, trial bool) {
+	l.judge(r, trial)
 	if !r.worked {
 		service = 0
 	}
@@ -141,6 +195,22 @@
 	}
 }
 
+// judge tells the breaker how a run went. A refusal, and work that its caller broke off, say nothing.
+func (l *local) judge(r result, trial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case r.broken:
+		l.breaker.Done(time.Now(), breaker.Broken, trial)
+	case !r.worked:
+		l.breaker.Release(trial)
+	case r.failed:
+		l.breaker.Done(time.Now(), breaker.Failed, trial)
+	default:
+		l.breaker.Done(time.Now(), breaker.OK, trial)
+	}
+}
+
 func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -148,5 +218,6 @@
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.leaving.Load(),
+		Trial: l.breaker.State() == breaker.Trial,
 	}
 }
--- a/egress/run.go
+++ b/egress/run.go
@@ -1,21 +1,21 @@
 package egress
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/zeromicro/go-zero/rest/httpc"
-
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/upstream"
 )
 
 // result is how one run went.
@@ -25,11 +25,18 @@
 	worked bool
 	// failed is set when the endpoint did not do the work.
 	failed bool
+	// broken is set when its answer broke off, could not be read or never came.
+	broken bool
 	// leaving is set when the endpoint's answer said that it is leaving.
 	leaving bool
 }
 
-const answerBuffer = 32 << 10
+const (
+	answerBuffer = 32 << 10
+	// freshConn is how long a connection may have been idle for a request that must not repeat: an endpoint may have
+	// forgotten an older one, and then nobody could tell whether the request ran.
+	freshConn = 2 * time.Second
+)
 
 var answerBuffers = sync.Pool{New: func() any {
 	b := make([]byte, answerBuffer)
@@ -38,65 +45,60 @@
 
 // run hands the request to the endpoint and passes its answer to sink.
 func (l *local) run(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) result {
-	var handed atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { handed.Store(true) }}
-	req, err := l.request(httptrace.WithClientTrace(ctx, trace), d, body)
-	if err != nil {
-		return result{end: peer.NotRun(fault.BadRequest, 0)}
-	}
 	stopLate := watchLate(d, sink)
-	resp, err := httpc.DoRequest(req)
+	resp, err := l.pool.Do(ctx, l.request(ctx, d, body))
 	stopLate()
 	if err != nil {
-		return brokenOff(ctx, handed.Load())
+		return brokenOff(ctx, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	leaving := resp.Header.Get(header.Leaving) != ""
-	if resp.Header.Get(header.NotRun) != "" {
-		end := peer.NotRun(fault.EndpointShed, retryAfterOf(resp))
-		return result{end: end, leaving: leaving}
+	defer resp.Close()
+	answer := l.contract.Answer(resp.StatusCode, resp.Header)
+	switch {
+	case answer.NotRun:
+		return notRun(resp, answer)
+	case answer.Foreign:
+		return result{end: peer.Unknown(fault.EndpointCut), worked: true, failed: true, broken: true}
 	}
-	r := pass(ctx, resp, sink)
-	r.leaving = leaving
+	r := l.pass(ctx, resp, sink)
+	r.leaving = answer.Leaving
 	return r
 }
 
-func (l *local) request(ctx context.Context, d *peerpb.Dispatch, body io.Reader) (*http.Request, error) {
-	url := "http://" + *l.address.Load() + d.GetTarget()
-	req, err := http.NewRequestWithContext(ctx, d.GetMethod(), url, guard(d, body))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.BadRequest, d.GetTarget(), "request cannot be built")
+// notRun passes on the endpoint's word that it did not run the request.
+func notRun(resp *upstream.Response, answer contract.Answer) result {
+	// The rest of the answer is read, so that the connection can be used again.
+	_, _ = io.Copy(io.Discard, resp)
+	end := peer.NotRun(fault.EndpointShed, retryAfterOf(resp.Header))
+	if answer.Misplaced {
+		end = peer.NotRun(fault.WrongHost, shortRetryAfter)
 	}
-	req.Host = d.GetHost()
-	req.ContentLength = d.GetBodyLength()
-	header.ToHTTP(d.GetHeaders(), req.Header)
-	deadline, _ := ctx.Deadline()
-	req.Header.Set(header.Deadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)+"ms")
-	req.Header.Set(header.RequestID, d.GetRequestId())
-	return req, nil
+	return result{end: end, leaving: answer.Leaving}
 }
 
-// guard keeps the HTTP transport from sending a request a second time by itself, which it does when a connection
-// breaks and the request has no body, or an Idempotency-Key header, by giving every request that must not repeat a
-// body that cannot be rewound.
-func guard(d *peerpb.Dispatch, body io.Reader) io.Reader {
-	if d.GetBodyLength() != 0 {
-		return io.NopCloser(body)
+func (l *local) request(ctx context.Context, d *peerpb.Dispatch, body io.Reader) upstream.Request {
+	deadline, _ := ctx.Deadline()
+	h := make(http.Header, len(d.GetHeaders()))
+	header.ToHTTP(d.GetHeaders(), h)
+	l.contract.Dispatch(h, contract.Dispatch{
+		ID: d.GetRequestId(), Endpoint: d.GetEndpoint(), Caller: d.GetCaller(), Left: time.Until(deadline),
+	})
+	r := upstream.Request{
+		Address: *l.address.Load(), Method: d.GetMethod(), Target: d.GetTarget(), Host: d.GetHost(), Header: h,
+		Body: body, Length: d.GetBodyLength(),
 	}
-	if d.GetRepeatable() {
-		return nil
+	if len(d.GetBody()) > 0 {
+		r.Body, r.Length = bytes.NewReader(d.GetBody()), int64(len(d.GetBody()))
 	}
-	return emptyBody{}
+	if !d.GetRepeatable() {
+		r.Fresh = freshConn
+	}
+	r.Mine = func(status int, h http.Header) bool {
+		id := l.contract.Answer(status, h).ID
+		return id == "" || id == d.GetRequestId()
+	}
+	return r
 }
 
-type emptyBody struct{}
-
-// Read returns the end at once.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close does nothing.
-func (emptyBody) Close() error { return nil }
-
 func watchLate(d *peerpb.Dispatch, sink peer.Sink) func() {
 	if d.GetLateMicros() <= 0 {
 		return func() {}
@@ -106,29 +108,24 @@
 }
 
 // brokenOff tells how a request without an answer ended.
-func brokenOff(ctx context.Context, handed bool) result {
-	if !handed {
-		code := fault.EndpointUnreachable
+func brokenOff(ctx context.Context, err error) result {
+	code := fault.CodeOf(err)
+	canceled := ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if code == fault.EndpointUnreachable {
 		if ctx.Err() != nil {
-			code = fault.Canceled
+			return result{end: peer.NotRun(fault.Canceled, shortRetryAfter)}
 		}
 		// An endpoint that takes no connection has failed at its work, though the request was not run.
-		return result{end: peer.NotRun(code, shortRetryAfter), worked: ctx.Err() == nil, failed: true}
-	}
-	switch ctx.Err() {
-	case context.DeadlineExceeded:
-		return result{end: peer.Unknown(fault.DeadlineExceeded), worked: true, failed: true}
-	case context.Canceled:
-		return result{end: peer.Unknown(fault.Canceled)}
+		return result{end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true}
 	}
-	return result{end: peer.Unknown(fault.EndpointCut), worked: true, failed: true}
+	return result{end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut}
 }
 
 // pass copies the answer. An answer that breaks off ends as RAN but not complete.
-func pass(ctx context.Context, resp *http.Response, sink peer.Sink) result {
+func (l *local) pass(ctx context.Context, resp *upstream.Response, sink peer.Sink) result {
 	ran := &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN}
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	head := &peerpb.Head{Status: uint32(resp.StatusCode), Headers: header.FromHTTP(resp.Header)} //nolint:gosec // 3 digits
+	head := &peerpb.Head{Status: uint32(resp.StatusCode), Headers: l.contract.Return(resp.Header)} //nolint:gosec // 3 digits
 	soon := resp.ContentLength >= 0 && resp.ContentLength <= answerBuffer
 	if sink.Head(head, soon) != nil {
 		return result{end: ran, worked: true, failed: failed}
@@ -137,7 +134,7 @@
 	defer answerBuffers.Put(p)
 	buf := *p
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := resp.Read(buf)
 		if n > 0 && sink.Data(buf[:n], err == io.EOF) != nil {
 			return result{end: ran, worked: true, failed: failed}
 		}
@@ -148,15 +145,15 @@
 		if err != nil {
 			ran.Code = string(fault.EndpointCut)
 			canceled := ctx.Err() == context.Canceled
-			return result{end: ran, worked: !canceled, failed: true}
+			return result{end: ran, worked: !canceled, failed: true, broken: !canceled}
 		}
 	}
 }
 
-func retryAfterOf(resp *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
+func retryAfterOf(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
 		return shortRetryAfter
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/events/events.go
+++ b/events/events.go
@@ -39,6 +39,11 @@
 
 	EndpointAnnounced = Event{404, "endpoint announced itself", zerolog.InfoLevel}
 	BadHeartbeat      = Event{405, "heartbeat refused", zerolog.WarnLevel}
+	BreakerChanged    = Event{406, "endpoint's breaker changed", zerolog.InfoLevel}
+
+	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
+	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
+	AnswerRecovered = Event{502, "answer asked for again", zerolog.InfoLevel}
 )
 
 // All lists every event.
@@ -48,7 +53,8 @@
 	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged,
+	RequestRefused, RequestFailed, AnswerRecovered,
 }
 
 // Log begins a log line of the event; the caller adds fields and sends it.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -45,6 +45,14 @@
 
 	// Overloaded is a refusal because the endpoints' slots and queues are full.
 	Overloaded Code = "overloaded"
+	// Busy is an offer that would have to wait for a slot and was not to.
+	Busy Code = "busy"
+	// Suspect is a refusal by an endpoint that takes only trials, because it broke off its work just now.
+	Suspect Code = "suspect"
+	// OfferLapsed is an offer whose ingress did not take the slot in time.
+	OfferLapsed Code = "offer_lapsed"
+	// RetryBudget is a request that was not sent again because the service's retries are spent.
+	RetryBudget Code = "retry_budget"
 	// DeadlineTooShort is a refusal because the work cannot end before the deadline.
 	DeadlineTooShort Code = "deadline_too_short"
 	// CustomerLimit is a refusal because a customer exceeds its limit.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -83,6 +83,8 @@
 	links    *peer.Manager
 	current  atomic.Pointer[Snapshot]
 	reading  atomic.Bool
+	// configCursor is the store's version up to which its configuration was read.
+	configCursor atomic.Uint64
 	// self is this host's own line as this node knows it.
 	self     atomic.Pointer[table.HostInfo]
 	messages chan message
--- a/follow/read.go
+++ b/follow/read.go
@@ -142,6 +142,7 @@
 			f.deliver(m)
 			if m.err == nil {
 				cursor, loaded = version, true
+				f.configCursor.Store(version)
 				wait = 0
 			}
 			if fault.CodeOf(m.err) == fault.Gone {
@@ -181,3 +182,32 @@
 	}
 	return recs.Version, m
 }
+
+// Confirm tells whether the configuration in force is the platform's newest; a newer one is in force when it returns.
+func (f *Follower) Confirm(ctx context.Context) bool {
+	if !f.cfg.WithConfig {
+		return true
+	}
+	recs, err := f.platform.Feed(ctx, platform.TableOperators, f.configCursor.Load(), 0)
+	if err != nil {
+		return false
+	}
+	want := uint64(0)
+	for _, rec := range recs.Records {
+		if rec.Key != platform.KeyConfig || rec.Deleted {
+			continue
+		}
+		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
+		if err != nil {
+			continue
+		}
+		want = cfg.Version
+		f.deliver(configRead{config: &cfg})
+	}
+	for f.State().Revisions()[table.PlaneConfig] < want {
+		if !f.pause(ctx, time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
--- a/header/header.go
+++ b/header/header.go
@@ -43,12 +43,15 @@
 // own are the fields that the system itself sets towards endpoints or callers.
 var own = []string{Deadline, RequestID, Outcome, RetryAfter, Replayed, Leaving, NotRun}
 
-// never are the fields that no message passes on.
-var never = slices.Concat(hopByHop, own)
-
 // FromHTTP returns the fields that go on: neither those of one connection nor the system's own.
 func FromHTTP(h http.Header) []*peerpb.Header {
-	dropped := slices.Clip(never)
+	return without(h, slices.Concat(hopByHop, own))
+}
+
+// EndToEnd returns the fields that go on but for those of one connection.
+func EndToEnd(h http.Header) []*peerpb.Header { return without(h, slices.Clip(hopByHop)) }
+
+func without(h http.Header, dropped []string) []*peerpb.Header {
 	for _, names := range h["Connection"] {
 		for name := range strings.SplitSeq(names, ",") {
 			dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -2,22 +2,26 @@
 
 import (
 	"net/http"
+	"strconv"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
 )
 
-// heldBody is the largest body of a failed answer that is held while another try is possible, in bytes.
-const heldBody = 64 << 10
+// heldBody is the largest body that is held until the answer is whole, in bytes: one that breaks off before it was passed
+// on can still be asked for elsewhere, or told as what it is.
+const heldBody = 256 << 10
 
-// answer passes one endpoint's answer to the caller. A failed answer is held as long as another endpoint may do
-// better.
+// answer passes one endpoint's answer to the caller. A short answer is held until it is whole, and a failed one as long
+// as another endpoint may do better.
 //
 // Invariant: bytes of at most one exchange reach the caller.
 type answer struct {
 	w       http.ResponseWriter
 	call    call
+	say     contract.Contract
 	mayHold bool
 	keep    bool
 	started bool
@@ -29,14 +33,14 @@
 	onLate  func()
 }
 
-func newAnswer(w http.ResponseWriter, c call, replayable bool) *answer {
-	return &answer{w: w, call: c, mayHold: c.repeatable && replayable, keep: c.keyed()}
+func newAnswer(w http.ResponseWriter, c call, say contract.Contract, replayable bool) *answer {
+	return &answer{w: w, call: c, say: say, mayHold: c.repeatable && replayable, keep: c.keyed()}
 }
 
 // reset forgets a held answer before the next exchange.
 func (a *answer) reset() {
-	a.held = nil
-	a.body = nil
+	a.held, a.head = nil, nil
+	a.body, a.kept = nil, nil
 }
 
 // Late implements peer.Sink.
@@ -49,7 +53,7 @@
 // Head implements peer.Sink.
 func (a *answer) Head(h *peerpb.Head, _ bool) error {
 	a.head = h
-	if a.mayHold && h.GetStatus() >= http.StatusInternalServerError {
+	if a.mayHold && h.GetStatus() >= http.StatusInternalServerError || short(h) {
 		a.held = h
 		return nil
 	}
@@ -57,15 +61,24 @@
 	return nil
 }
 
+// short tells whether an answer's whole body is small enough to be held.
+func short(h *peerpb.Head) bool {
+	for _, f := range h.GetHeaders() {
+		if f.GetName() == "Content-Length" {
+			n, err := strconv.ParseInt(f.GetValue(), 10, 64)
+			return err == nil && n <= heldBody
+		}
+	}
+	return false
+}
+
 func (a *answer) start(h *peerpb.Head) {
 	a.started = true
 	out := a.w.Header()
 	header.ToHTTP(h.GetHeaders(), out)
-	out.Set(header.Outcome, outcomeName(peerpb.Outcome_OUTCOME_RAN))
-	out.Set(header.RequestID, a.call.id)
-	if h.GetReplayed() {
-		out.Set(header.Replayed, "yes")
-	}
+	a.say.Outcome(out, contract.Outcome{
+		ID: a.call.id, Outcome: peerpb.Outcome_OUTCOME_RAN, Replayed: h.GetReplayed(),
+	})
 	a.chunked = out.Get("Content-Length") == ""
 	a.w.WriteHeader(int(h.GetStatus()))
 }
@@ -117,7 +130,7 @@
 		}
 		return end
 	}
-	refuse(a.w, a.call.id, end, detailOf(end))
+	refuse(a.w, a.say, a.call.id, end, detailOf(end))
 	// The refusal is a whole answer of its own.
 	end.Complete = true
 	return end
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -2,28 +2,24 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
-	"github.com/lynxplank/lynxplank/header"
 	"github.com/lynxplank/lynxplank/table"
 )
 
 // call is what the caller asks for, as the contract reads it.
 type call struct {
 	id         string
-	route      table.Entry[table.Route]
+	route      route
 	service    table.ServiceView
 	customer   string
 	repeatable bool
@@ -37,41 +33,25 @@
 	revision   uint64
 }
 
-const (
-	anonymous     = "anonymous"
-	maxKeyLength  = 256
-	maxNameLength = 128
-)
-
-// parse reads the contract's headers; the failure says which one is wrong.
+// parse reads what the caller asks for; the failure says what is wrong.
 func (g *Ingress) parse(snap *follow.Snapshot, r *http.Request) (call, *fault.Error) {
+	say, bad := g.cfg.Contract.Call(r.Header)
 	c := call{
-		id: uuid.NewString(), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
-		revision: snap.State.Revision(), customer: r.Header.Get(header.Customer),
-	}
-	if !strings.HasPrefix(c.target, "/") {
-		return c, fault.New(fault.BadRequest, "target", "want a target that starts with /")
-	}
-	if c.customer == "" {
-		c.customer = anonymous
-	}
-	if len(c.customer) > maxNameLength {
-		return c, fault.New(fault.BadRequest, header.Customer, header.Customer+" is too long")
-	}
-	if bad := c.findRoute(snap.State, r); bad != nil {
-		return c, bad
+		id: say.ID, method: r.Method, target: r.RequestURI, host: r.Host, customer: say.Customer,
+		key: say.Key, attempt: say.Attempt, revision: snap.State.Revision(),
 	}
-	if bad := c.readDeadline(r); bad != nil {
+	if bad != nil {
 		return c, bad
 	}
-	if bad := c.readRepeatable(r); bad != nil {
-		return c, bad
+	if !strings.HasPrefix(c.target, "/") {
+		return c, fault.New(fault.BadRequest, "target", "want a target that starts with /")
 	}
-	if bad := c.readKey(r); bad != nil {
+	if bad := g.findRoute(&c, snap.State, r); bad != nil {
 		return c, bad
 	}
-	c.headers = header.FromHTTP(r.Header)
-	c.headers = append(c.headers, &peerpb.Header{Name: "X-Forwarded-For", Value: clientIP(r)})
+	c.timeout = c.route.timeout(c.service, say.Timeout)
+	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
+	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
 	return c, nil
 }
 
@@ -83,58 +63,55 @@
 	return host
 }
 
-func (c *call) findRoute(s *table.State, r *http.Request) *fault.Error {
+func (g *Ingress) findRoute(c *call, s *table.State, r *http.Request) *fault.Error {
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	route, ok := s.Match(host, r.URL.Path)
+	row, ok := s.Match(host, r.URL.EscapedPath())
 	if !ok {
 		return fault.New(fault.UnknownRoute, "", "no route for this host and path")
 	}
-	c.route = route
-	c.service, ok = s.Service(route.Value.Service)
+	c.route = route{row}
+	name := row.Value.Service
+	if parts := row.Value.Split.Parts(); len(parts) > 0 {
+		name = g.splits.choose(row.Key, parts)
+	}
+	c.service, ok = s.Service(name)
 	if !ok {
 		return fault.New(fault.UnknownRoute, "", "the route's service is not in the table")
 	}
 	return nil
 }
 
-// readDeadline takes the shorter of the caller's deadline and the row's timeout.
-func (c *call) readDeadline(r *http.Request) *fault.Error {
-	c.timeout = time.Duration(c.service.Value.Timeout)
-	if t := time.Duration(c.route.Value.Timeout); t > 0 {
-		c.timeout = t
-	}
-	text := r.Header.Get(header.Deadline)
-	if text == "" {
-		return nil
+// route is the row that a request goes by.
+type route struct {
+	table.Entry[table.Route]
+}
+
+// timeout is the shorter of the caller's time and the row's, or the service's where the row has none.
+func (r route) timeout(s table.ServiceView, caller time.Duration) time.Duration {
+	limit := time.Duration(s.Value.Timeout)
+	if t := time.Duration(r.Value.Timeout); t > 0 {
+		limit = t
 	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 {
-		return fault.New(fault.BadDeadline, header.Deadline, `want a time left with its unit, such as "1500ms"`)
+	if caller > 0 {
+		limit = min(limit, caller)
 	}
-	c.timeout = min(c.timeout, d)
-	return nil
+	return limit
 }
 
-// readRepeatable decides whether the request may run more than once. Whoever says no wins: the header or the row;
-// then whoever says yes; then the method.
-func (c *call) readRepeatable(r *http.Request) *fault.Error {
-	word := r.Header.Get(header.Repeatable)
-	if word != "" && word != "yes" && word != "no" {
-		return fault.New(fault.BadRequest, header.Repeatable, header.Repeatable+` wants "yes" or "no"`)
-	}
-	row := c.route.Value.Repeatable
+// repeatable decides whether the request may run more than once. Whoever says no wins: the caller or the row; then
+// whoever says yes; then the method.
+func (r route) repeatable(method, word string) bool {
+	row := r.Value.Repeatable
 	switch {
 	case word == "no" || row == table.Never:
-		c.repeatable = false
+		return false
 	case word == "yes" || row == table.Always:
-		c.repeatable = true
-	default:
-		c.repeatable = safeMethod(r.Method)
+		return true
 	}
-	return nil
+	return safeMethod(method)
 }
 
 func safeMethod(method string) bool {
@@ -145,23 +122,6 @@
 	return false
 }
 
-func (c *call) readKey(r *http.Request) *fault.Error {
-	c.key = r.Header.Get(header.IdempotencyKey)
-	if len(c.key) > maxKeyLength {
-		return fault.New(fault.BadRequest, header.IdempotencyKey, header.IdempotencyKey+" is too long")
-	}
-	text := r.Header.Get(header.Attempt)
-	if text == "" {
-		return nil
-	}
-	n, err := strconv.ParseUint(text, 10, 32)
-	if err != nil || n == 0 {
-		return fault.New(fault.BadRequest, header.Attempt, header.Attempt+" wants a whole number from 1")
-	}
-	c.attempt = uint32(n)
-	return nil
-}
-
 // keyed tells whether the request runs under an idempotency key.
 func (c *call) keyed() bool { return !c.repeatable && c.key != "" }
 
@@ -175,43 +135,21 @@
 	return d.Sum64()
 }
 
-// requestBody is a request's body: whole in memory when it is small, else its start and the rest still to come.
+// requestBody is a request's whole body.
 type requestBody struct {
-	head   []byte
-	rest   io.Reader
-	length int64
+	head []byte
 }
 
-// replayable tells whether the whole body can be sent again.
-func (b *requestBody) replayable() bool { return b.rest == nil }
-
-func (b *requestBody) reader() io.Reader {
-	if b.rest == nil {
-		return bytes.NewReader(b.head)
-	}
-	return io.MultiReader(bytes.NewReader(b.head), b.rest)
-}
+func (b *requestBody) reader() io.Reader { return bytes.NewReader(b.head) }
 
-// takeBody reads the body, or its start if it is large; a body that comes slower than the request's time is broken off.
-func (g *Ingress) takeBody(w http.ResponseWriter, r *http.Request, limit time.Duration) (*requestBody, *fault.Error) {
-	if r.ContentLength > g.cfg.BodyBytes {
-		return nil, fault.New(fault.BodyTooLarge, "", "the body is larger than "+strconv.FormatInt(g.cfg.BodyBytes, 10)+" bytes")
-	}
-	if r.ContentLength == 0 {
+// takeBody takes the body, which the callers' listener has read whole.
+func takeBody(r *http.Request) (*requestBody, *fault.Error) {
+	if r.Body == nil || r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
-	limited := http.MaxBytesReader(w, r.Body, g.cfg.BodyBytes)
-	head, err := io.ReadAll(io.LimitReader(limited, g.cfg.ReplayBytes+1))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.BodyTooLarge, "", "the body is larger than "+strconv.FormatInt(g.cfg.BodyBytes, 10)+" bytes")
-	}
+	head, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "", "the body broke off")
 	}
-	if int64(len(head)) <= g.cfg.ReplayBytes {
-		return &requestBody{head: head, length: int64(len(head))}, nil
-	}
-	return &requestBody{head: head, rest: limited, length: r.ContentLength}, nil
+	return &requestBody{head: head}, nil
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
@@ -13,6 +15,15 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
+const (
+	// mostOffers bounds the endpoints that are asked for a free slot before the request waits for one.
+	mostOffers = 6
+	// mostWaits bounds the endpoints at whose queues it waits, one after the other.
+	mostWaits = 3
+	// inlineBody is the largest body that goes with an offer, in bytes; a longer one follows the hand-over.
+	inlineBody = 16 << 10
+)
+
 // exchange is one caller's request on its way through one or more sends.
 type exchange struct {
 	g      *Ingress
@@ -20,8 +31,18 @@
 	body   *requestBody
 	answer *answer
 	budget *budget
-	tried  []string
-	sends  int
+	// tried are the endpoints that have had the request or have turned it away for a reason that lasts.
+	tried []string
+	// declined are those that had no free slot, or took only trials, when they were asked.
+	declined []string
+	// suspects are those of the declined that took only trials; lastResort is set once nothing else is left.
+	suspects   []string
+	lastResort bool
+	offers     int
+	waits      int
+	sends      int
+	// last is the endpoint that was asked last, for the log.
+	last string
 	// ran and unknown are set once a send may have run or did.
 	ran     bool
 	unknown bool
@@ -38,7 +59,7 @@
 func (x *exchange) runAnywhere(ctx context.Context) *peerpb.End {
 	var last *peerpb.End
 	for {
-		pick, err := x.g.director.Pick(ctx, x.wish())
+		pick, wait, err := x.pick(ctx)
 		if err != nil {
 			if last != nil {
 				return x.truth(last)
@@ -47,7 +68,7 @@
 		}
 		// Only now that another endpoint is there, what the last one answered is given up.
 		x.answer.reset()
-		end := x.send(ctx, pick, nil)
+		end := x.send(ctx, pick, nil, wait)
 		if !x.again(ctx, pick, end) {
 			return x.truth(end)
 		}
@@ -55,23 +76,50 @@
 	}
 }
 
+// pick chooses the next endpoint: first those with a free slot, which are asked and not waited for, then the one where
+// the wait is shortest, and when every endpoint is under suspicion one of these all the same.
+func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
+	if x.offers < mostOffers {
+		x.offers++
+		wish := x.wish()
+		wish.Free = true
+		wish.Tried = slices.Concat(x.tried, x.declined)
+		if pick, err := x.g.director.Pick(ctx, wish); err == nil {
+			return pick, false, nil
+		}
+	}
+	x.offers = mostOffers
+	if x.waits++; x.waits > mostWaits {
+		return director.Pick{}, true, fault.New(fault.Overloaded, x.call.service.Key, "every endpoint asked is full")
+	}
+	pick, err := x.g.director.Pick(ctx, x.wish())
+	if err != nil && len(x.suspects) > 0 && !x.lastResort {
+		x.lastResort = true
+		x.tried = slices.DeleteFunc(x.tried, func(key string) bool { return slices.Contains(x.suspects, key) })
+		pick, err = x.g.director.Pick(ctx, x.wish())
+	}
+	return pick, true, err
+}
+
 func (x *exchange) wish() director.Wish {
 	return director.Wish{Service: x.call.service.Key, Repeatable: x.call.repeatable, Tried: x.tried}
 }
 
 // send makes one send and reports what it showed of the endpoint.
-func (x *exchange) send(ctx context.Context, pick director.Pick, claim *peerpb.Claim) *peerpb.End {
-	x.sends++
+func (x *exchange) send(ctx context.Context, pick director.Pick, claim *peerpb.Claim, wait bool) *peerpb.End {
 	late := false
 	x.answer.onLate = func() {
 		late = true
 		x.g.director.Late(x.call.service.Key, pick)
 	}
-	end := x.deliver(ctx, pick.Endpoint, x.dispatch(ctx, pick, claim))
+	d := x.dispatch(ctx, pick, claim)
+	d.Wait, d.LastResort = wait, x.lastResort
+	x.last = pick.Endpoint.Key
+	end := x.deliver(ctx, pick.Endpoint, d)
 	x.note(end)
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: pick, WasLate: late, Load: end.GetLoad(),
-		Worked: worked(end), Failed: x.failed(end),
+		Worked: worked(end), Failed: x.failed(end), Declined: declined(end) || misplaced(end),
 	})
 	return end
 }
@@ -83,12 +131,22 @@
 
 func (x *exchange) dispatch(ctx context.Context, pick director.Pick, claim *peerpb.Claim) *peerpb.Dispatch {
 	deadline, _ := ctx.Deadline()
-	return &peerpb.Dispatch{
+	d := &peerpb.Dispatch{
 		RequestId: x.call.id, Endpoint: pick.Endpoint.Key, Service: x.call.service.Key, Customer: x.call.customer,
 		Method: x.call.method, Target: x.call.target, Host: x.call.host, Headers: x.call.headers,
 		BudgetMicros: time.Until(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
-		Revision: x.call.revision, BodyLength: x.body.length, LateMicros: pick.Late.Microseconds(),
+		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
+		Priority: uint32(x.call.route.Value.Priority), AimMicros: time.Duration(x.call.route.Value.Aim).Microseconds(),
 	}
+	if len(x.body.head) <= inlineBody {
+		d.Body = x.body.head
+	} else {
+		d.BodyLength = int64(len(x.body.head))
+	}
+	if claim == nil {
+		d.Exchange = x.g.cfg.Incarnation + x.g.sent.Add(1)
+	}
+	return d
 }
 
 // deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
@@ -104,14 +162,23 @@
 	if err != nil {
 		return peer.NotRun(fault.LinkDown, 0)
 	}
-	return s.Exchange(ctx, d, x.body.reader(), x.answer)
+	end := s.Exchange(ctx, d, x.body.reader(), x.answer)
+	if lost(end) && d.GetExchange() != 0 && !x.call.repeatable {
+		return x.recover(ctx, host, d.GetExchange(), end)
+	}
+	return end
+}
+
+// lost tells that a request was handed over and that its link broke.
+func lost(end *peerpb.End) bool {
+	return end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN && fault.Code(end.GetCode()) == fault.LinkLost
 }
 
 // worked tells whether an end is evidence about the endpoint. A lost link is evidence about the link, and a refusal
 // about load; what timed out counts against the endpoint, which had the request.
 func worked(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.Protocol:
+	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.Protocol, fault.OfferLapsed:
 		return false
 	case fault.EndpointUnreachable, fault.DeadlineExceeded, fault.EndpointCut:
 		return true
@@ -126,22 +193,56 @@
 	return x.answer.head.GetStatus() >= http.StatusInternalServerError
 }
 
+// declined tells that an endpoint turned the request away for want of a slot or of trust, before anything was sent.
+func declined(end *peerpb.End) bool {
+	switch fault.Code(end.GetCode()) {
+	case fault.Busy, fault.Suspect, fault.OfferLapsed:
+		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return false
+}
+
+// misplaced tells that the sender's view was old, or its link down.
+func misplaced(end *peerpb.End) bool {
+	switch fault.Code(end.GetCode()) {
+	case fault.Draining, fault.WrongHost, fault.LinkDown:
+		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return false
+}
+
 // again decides on a further send.
 func (x *exchange) again(ctx context.Context, pick director.Pick, end *peerpb.End) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	key := pick.Endpoint.Key
+	if declined(end) {
+		x.declined = append(x.declined, key)
+		if fault.Code(end.GetCode()) == fault.Suspect {
+			x.suspects = append(x.suspects, key)
+		}
+		if x.offers >= mostOffers {
+			x.tried = append(x.tried, key)
+		}
+		return true
+	}
+	x.tried = append(x.tried, key)
+	if misplaced(end) {
+		return true
+	}
+	x.sends++
 	deadline, _ := ctx.Deadline()
 	code := fault.Code(end.GetCode())
 	a := retry.Attempt{
-		Number: x.sends, Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
+		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
 		Overloaded: code == fault.Overloaded || code == fault.DeadlineTooShort || code == fault.EndpointShed,
-		Misplaced:  code == fault.Draining || code == fault.WrongHost || code == fault.LinkDown,
-		Failed:     x.answer.held != nil || end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN,
-		Started:    x.answer.started, Replayable: x.body.replayable(),
+		Failed:     x.failed(end), Started: x.answer.started, Replayable: true,
 		Left: time.Until(deadline), Typical: pick.Typical,
 	}
-	if ctx.Err() != nil || !x.budget.decide(a) {
+	if !x.budget.decide(a) {
 		return false
 	}
-	x.tried = append(x.tried, pick.Endpoint.Key)
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
 	return true
 }
@@ -156,3 +257,15 @@
 	}
 	return end
 }
+
+// log tells how a request ended that was not simply served.
+func (x *exchange) log(end *peerpb.End) {
+	status := x.answer.head.GetStatus()
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && end.GetComplete() && status < http.StatusInternalServerError {
+		return
+	}
+	events.RequestFailed.Log(x.g.log).Str("request", x.call.id).Str("service", x.call.service.Key).
+		Str("route", x.call.route.Key).Str("outcome", end.GetOutcome().String()).Str("code", end.GetCode()).
+		Uint32("status", status).Str("endpoint", x.last).Int("sends", x.sends).Strs("declined", x.declined).
+		Bool("repeatable", x.call.repeatable).Send()
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -5,11 +5,14 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
@@ -17,16 +20,21 @@
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // Config is the ingress's section of the settings.
 type Config struct {
 	// Host is this node's host.
 	Host string
-	// BodyBytes bounds a request's body.
-	BodyBytes int64
-	// ReplayBytes is the largest body that is kept to be sent again.
-	ReplayBytes int64
+	// Service is the service of the endpoint beside this node, which endpoints are told as a request's caller.
+	Service string
+	// Incarnation tells this process from earlier ones.
+	Incarnation uint64
+	// Contract says how callers are spoken to; nil stands for the product's own.
+	Contract contract.Contract
+	// Retries is the fleet's budget of retries.
+	Retries retry.Share
 }
 
 // Local runs a request at an endpoint beside this node.
@@ -47,7 +55,12 @@
 	local    Local
 	metrics  *metrics.Metrics
 	limits   *limiters
+	splits   *splits
 	settling flight.Counter
+	// sent numbers this node's offers.
+	sent atomic.Uint64
+	// confirm asks the platform whether this node's configuration is the newest.
+	confirm func(ctx context.Context) bool
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -59,15 +72,29 @@
 	*retry.Budget
 }
 
+// Option changes an ingress under construction.
+type Option func(*Ingress)
+
+// WithConfirm has an unknown route told as such only after f has said that the configuration in force is the newest.
+func WithConfirm(f func(ctx context.Context) bool) Option { return func(g *Ingress) { g.confirm = f } }
+
 // New returns an ingress.
 func New(
 	cfg Config, log *zerolog.Logger, snapshot func() *follow.Snapshot, d *director.Director,
-	links *peer.Manager, local Local, m *metrics.Metrics,
+	links *peer.Manager, local Local, m *metrics.Metrics, opts ...Option,
 ) *Ingress {
-	return &Ingress{
+	if cfg.Contract == nil {
+		cfg.Contract = contract.Own{}
+	}
+	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: newLimiters(), budgets: make(map[string]*budget),
+		limits: newLimiters(), splits: newSplits(), budgets: make(map[string]*budget),
+		confirm: func(context.Context) bool { return true },
+	}
+	for _, opt := range opts {
+		opt(g)
 	}
+	return g
 }
 
 // Start is part of the component's interface; the listener feeds the ingress.
@@ -83,17 +110,22 @@
 	start := time.Now()
 	snap := g.snapshot()
 	if !snap.Ready {
-		refuse(w, "", peer.NotRun(fault.NotReady, time.Second), "the node holds no configuration yet")
+		g.refuse(w, "", peer.NotRun(fault.NotReady, time.Second), "the node holds no configuration yet")
 		return
 	}
 	c, bad := g.parse(snap, r)
+	if bad != nil && bad.Code == fault.UnknownRoute {
+		c, bad = g.parseAgain(r, c, bad)
+	}
 	if bad != nil {
-		refuse(w, c.id, peer.NotRun(bad.Code, 0), bad.Detail)
+		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", string(bad.Code)).
+			Str("where", bad.Where).Uint64("config", snap.State.Revisions()[table.PlaneConfig]).Send()
+		g.refuse(w, c.id, peer.NotRun(bad.Code, 0), bad.Detail)
 		return
 	}
 	class := g.metrics.Service(c.service.Key)
 	end := g.serve(w, r, c)
-	class.Count(outcomeName(end.GetOutcome()), end.GetCode())
+	class.Count(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	class.Latency.RecordDuration(elapsed)
 	g.metrics.Customer(c.customer).RecordDuration(elapsed)
@@ -103,24 +135,47 @@
 	}
 }
 
+// confirmLimit bounds the question whether the configuration in force is the newest.
+const confirmLimit = 250 * time.Millisecond
+
+// parseAgain looks once more for a route that the configuration in force does not have: one that the platform has
+// accepted meanwhile must not be told as unknown.
+func (g *Ingress) parseAgain(r *http.Request, c call, unknown *fault.Error) (call, *fault.Error) {
+	ctx, cancel := context.WithTimeout(r.Context(), confirmLimit)
+	defer cancel()
+	if !g.confirm(ctx) {
+		return c, fault.New(fault.NotReady, "", "whether the route exists cannot be told now")
+	}
+	again, bad := g.parse(g.snapshot(), r)
+	if bad != nil {
+		return c, unknown
+	}
+	return again, nil
+}
+
+func (g *Ingress) refuse(w http.ResponseWriter, id string, end *peerpb.End, detail string) {
+	refuse(w, g.cfg.Contract, id, end, detail)
+}
+
 func (g *Ingress) serve(w http.ResponseWriter, r *http.Request, c call) *peerpb.End {
 	if wait, ok := g.limits.take(g.snapshot().State, c.customer); !ok {
 		end := peer.NotRun(fault.CustomerLimit, wait)
-		refuse(w, c.id, end, "the customer sends more than its limit")
+		g.refuse(w, c.id, end, "the customer sends more than its limit")
 		return end
 	}
-	body, err := g.takeBody(w, r, c.timeout)
+	body, err := takeBody(r)
 	if err != nil {
 		end := peer.NotRun(err.Code, 0)
-		refuse(w, c.id, end, err.Detail)
+		g.refuse(w, c.id, end, err.Detail)
 		return end
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, call: c, body: body, answer: newAnswer(w, c, body.replayable())}
+	x := &exchange{g: g, call: c, body: body, answer: newAnswer(w, c, g.cfg.Contract, true)}
 	x.budget = g.budget(c.service.Key)
 	x.budget.request(float64(c.service.Value.RetryBudget))
 	end := x.run(ctx)
+	x.log(end)
 	return x.answer.finish(end)
 }
 
@@ -129,7 +184,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = &budget{Budget: retry.NewBudget()}
+		b = &budget{Budget: retry.NewBudget(g.cfg.Retries.Burst(len(g.snapshot().Hosts)))}
 		g.budgets[service] = b
 	}
 	return b
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -120,7 +120,7 @@
 // ask brings a claim to a home without a wish to run there.
 func (x *exchange) ask(ctx context.Context, home table.Entry[table.Endpoint], c *peerpb.Claim) *peerpb.End {
 	d := x.dispatch(ctx, director.Pick{Endpoint: home}, c)
-	d.BodyLength = 0
+	d.BodyLength, d.Body = 0, nil
 	return x.deliver(ctx, home, d)
 }
 
@@ -130,7 +130,7 @@
 	wish.Only = home.Key
 	pick, err := x.g.director.Pick(ctx, wish)
 	if err == nil {
-		end := x.send(ctx, pick, vouch(x.claim(false, false), vouched))
+		end := x.send(ctx, pick, vouch(x.claim(false, false), vouched), true)
 		if !refusedForLoad(end) || !x.again(ctx, pick, end) {
 			return end
 		}
@@ -147,7 +147,8 @@
 // refusedForLoad tells that the home granted the key but its endpoint did not take the work.
 func refusedForLoad(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.EndpointShed, fault.EndpointUnreachable:
+	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.EndpointShed, fault.EndpointUnreachable,
+		fault.Busy, fault.Suspect:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
-	"github.com/lynxplank/lynxplank/header"
 )
 
 // Problem is the JSON body of every answer that the system itself gives.
@@ -26,17 +24,6 @@
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 }
 
-func outcomeName(o peerpb.Outcome) string {
-	switch o {
-	case peerpb.Outcome_OUTCOME_RAN:
-		return "ran"
-	case peerpb.Outcome_OUTCOME_NOT_RUN:
-		return "not-run"
-	case peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_UNSPECIFIED, peerpb.Outcome_OUTCOME_CLAIMED:
-	}
-	return "unknown"
-}
-
 var statusOf = map[fault.Code]int{
 	fault.BadRequest:       http.StatusBadRequest,
 	fault.BadDeadline:      http.StatusBadRequest,
@@ -59,27 +46,32 @@
 	return http.StatusBadGateway
 }
 
+// RefuseUnread answers a request that could not be read; the callers' listener calls it.
+func RefuseUnread(say contract.Contract) func(w http.ResponseWriter, status int, err *fault.Error) {
+	return func(w http.ResponseWriter, status int, err *fault.Error) {
+		h := w.Header()
+		h.Set("Content-Type", "application/json")
+		say.Outcome(h, contract.Outcome{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN})
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(Problem{Code: err.Code, Outcome: "not-run", Detail: err.Detail})
+	}
+}
+
 // refuse gives the system's own final answer, at once.
-func refuse(w http.ResponseWriter, id string, end *peerpb.End, detail string) {
+func refuse(w http.ResponseWriter, say contract.Contract, id string, end *peerpb.End, detail string) {
 	p := Problem{
-		Code: fault.Code(end.GetCode()), Outcome: outcomeName(end.GetOutcome()), Detail: detail,
+		Code: fault.Code(end.GetCode()), Outcome: contract.OutcomeName(end.GetOutcome()), Detail: detail,
 		RequestID: id, RetryAfterMillis: end.GetRetryAfterMillis(),
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(header.Outcome, p.Outcome)
-	if id != "" {
-		h.Set(header.RequestID, id)
-	}
 	code := status(end)
 	if p.RetryAfterMillis == 0 && code == http.StatusServiceUnavailable {
 		p.RetryAfterMillis = defaultRetryAfter.Milliseconds()
 	}
-	if p.RetryAfterMillis > 0 {
-		d := time.Duration(p.RetryAfterMillis) * time.Millisecond
-		h.Set(header.RetryAfter, d.String())
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
-	}
+	say.Outcome(h, contract.Outcome{
+		ID: id, Outcome: end.GetOutcome(), RetryAfter: time.Duration(p.RetryAfterMillis) * time.Millisecond,
+	})
 	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(p)
 }
@@ -87,6 +79,10 @@
 const defaultRetryAfter = time.Second
 
 var details = map[fault.Code]string{
+	fault.Busy:                "no endpoint has a free slot",
+	fault.Suspect:             "the endpoints broke off their work just now",
+	fault.OfferLapsed:         "the offered slot was not taken in time",
+	fault.RetryBudget:         "the service's retries are spent",
 	fault.Overloaded:          "the endpoints' slots and queues are full",
 	fault.DeadlineTooShort:    "the work could not end before the deadline",
 	fault.Draining:            "the endpoint takes nothing new",
--- a/node/node.go
+++ b/node/node.go
@@ -8,11 +8,14 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/announce"
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
@@ -24,7 +27,10 @@
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/pipeline"
 	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/registry"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/serve"
 	"github.com/lynxplank/lynxplank/settings"
 	"github.com/lynxplank/lynxplank/table"
@@ -52,6 +58,10 @@
 	Callers = "callers"
 	// Metrics is the metrics.Metrics.
 	Metrics = "metrics"
+	// Heartbeats is the endpoints' serve.Server.
+	Heartbeats = "heartbeats"
+	// Readiness is the serve.Server that tells whether the node may get callers.
+	Readiness = "readiness"
 )
 
 // hallDistance is the time to another hall and back, until links are measured between halls: 1.5 ms each way.
@@ -62,6 +72,8 @@
 	cfg    settings.Daemon
 	log    *zerolog.Logger
 	kernel *kernel.Kernel
+	// stopping is set once the planned stop has begun.
+	stopping atomic.Bool
 }
 
 // New builds a node; nothing runs or listens before Start.
@@ -95,6 +107,7 @@
 	client := platform.NewClient(n.cfg.Platform.Address.String(),
 		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
 	var e *egress.Egress
+	var egressOptions []egress.Option
 	a := announce.New(n.announceConfig(incarnation), n.log, client)
 	follower = follow.New(n.followConfig(), n.log, client, links, follow.WithChangeHook(func(s *follow.Snapshot) {
 		e.Observe(time.Now(), s)
@@ -102,11 +115,14 @@
 	}))
 	follower.ShowSelf(n.announceConfig(incarnation).Host)
 	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
+	if r := n.registry(a, follower, incarnation); r != nil {
+		egressOptions = append(egressOptions, egress.WithRegistry(r))
+	}
 	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance}, n.log,
 		follower.State, view.leaving, view.usable)
-	e = egress.New(n.egressConfig(incarnation), n.log, follower.State)
+	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
-	g := ingress.New(n.ingressConfig(), n.log, follower.Snapshot, d, links, e, m)
+	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm))
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
 		n.log, client, links, follower.Snapshot))
@@ -126,8 +142,58 @@
 	n.kernel.Register(Operators, serve.New(Operators, n.cfg.Operators.Listen.AddrPort,
 		serve.WithLimits(limits(n.cfg.Operators.Listener)), serve.WithRoutes(o.Routes()...)))
 	n.kernel.Register(Ingress, g)
-	n.kernel.Register(Callers, serve.New(Callers, n.cfg.Callers.Listen.AddrPort,
-		serve.WithLimits(limits(n.cfg.Callers.Listener)), serve.WithHandler(g)))
+	n.kernel.Register(Callers, pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
+		ingress.RefuseUnread(n.contract())))
+	if n.cfg.Readiness.Listen.IsValid() {
+		n.kernel.Register(Readiness, serve.New(Readiness, n.cfg.Readiness.Listen.AddrPort,
+			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.stopping.Load() }))))
+	}
+}
+
+// callerLimits are the settings' limits of the callers' listener, where no row goes before them.
+func (n *Node) callerLimits(state func() *table.State) func() pipeline.Limits {
+	c := n.cfg.Callers
+	base := pipeline.Limits{
+		HeaderBytes: int(c.HeaderBytes), BodyBytes: int64(c.BodyBytes), Conns: c.Conns,
+		HeaderTimeout: c.HeaderTimeout.Std(), IdleTimeout: c.IdleTimeout.Std(),
+	}
+	return func() pipeline.Limits {
+		row, ok := state().Callers()
+		if !ok {
+			return base
+		}
+		return pipeline.Limits{
+			HeaderBytes: int(row.Value.HeaderBytes), BodyBytes: int64(row.Value.BodyBytes), Conns: base.Conns,
+			HeaderTimeout: time.Duration(row.Value.HeaderTimeout), IdleTimeout: time.Duration(row.Value.IdleTimeout),
+		}
+	}
+}
+
+func (n *Node) contract() contract.Contract {
+	if n.cfg.Callers.Contract == "platform" {
+		return platform.Contract{}
+	}
+	return contract.Own{}
+}
+
+// registry holds the endpoints that announce themselves, nil where they are rows of the table.
+func (n *Node) registry(a *announce.Announcer, f *follow.Follower, incarnation uint64) *registry.Registry {
+	if !n.cfg.Announced.Listen.IsValid() {
+		return nil
+	}
+	self := n.announceConfig(incarnation).Host
+	r := registry.New(n.cfg.Node.ID, n.cfg.Node.Hall, n.log, func(endpoints []table.Announced) {
+		line := self
+		line.Endpoints = endpoints
+		f.ShowSelf(line)
+		a.Announce(endpoints)
+	})
+	bad := func(key string, err error) {
+		events.BadHeartbeat.Log(n.log).Str("endpoint", key).Err(err).Send()
+	}
+	n.kernel.Register(Heartbeats, serve.New(Heartbeats, n.cfg.Announced.Listen.AddrPort,
+		serve.WithRoutes(platform.EndpointRoutes(r, bad)...)))
+	return r
 }
 
 func limits(l settings.Listener) serve.Limits {
@@ -150,6 +216,7 @@
 	c := follow.Config{
 		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Retry: n.cfg.Platform.Retry.Std(),
 		Wait: n.cfg.Platform.Wait.Std(), Readers: n.cfg.Platform.Readers, Timeout: n.cfg.Platform.Timeout.Std(),
+		WithConfig: n.cfg.Platform.Config, Policy: n.policy(),
 	}
 	for _, seed := range n.cfg.Peers.Seeds {
 		address := seed.AddrPort
@@ -163,6 +230,16 @@
 	return c
 }
 
+// policy is what the platform's configuration leaves open of a service.
+func (n *Node) policy() table.Service {
+	c := n.cfg.Services
+	return table.Service{
+		Floor: table.Percent(c.Floor), FalseEjections: table.Rate(c.FalseEjections),
+		RetryBudget: table.Percent(c.RetryShare), Queue: table.Count(c.Queue), //nolint:gosec // checked
+		Warmup: table.Duration(c.Warmup), Timeout: table.Duration(c.Timeout),
+	}
+}
+
 // announceConfig is what the node tells of its host.
 func (n *Node) announceConfig(incarnation uint64) announce.Config {
 	address := n.cfg.Peers.Advertise
@@ -182,12 +259,14 @@
 	return egress.Config{
 		Host: n.cfg.Node.ID, Incarnation: incarnation, ProbePath: c.ProbePath, ProbeEvery: c.ProbeEvery.Std(),
 		KeyWindow: c.KeyWindow.Std(), KeySettle: c.KeySettle.Std(), KeyBytes: int(c.KeyBytes),
+		Contract: n.contract(), Breaker: breaker.DefaultConfig(),
 	}
 }
 
-func (n *Node) ingressConfig() ingress.Config {
+func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
-		Host: n.cfg.Node.ID, BodyBytes: int64(n.cfg.Callers.BodyBytes), ReplayBytes: int64(n.cfg.Callers.ReplayBytes),
+		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
+		Retries: retry.Share{Slack: n.cfg.Retries.Slack, MostBurst: n.cfg.Retries.MostBurst},
 	}
 }
 
@@ -232,6 +311,7 @@
 // fails when the grace time cut something.
 func (n *Node) Stop() error {
 	events.NodeStopping.Log(n.log).Send()
+	n.stopping.Store(true)
 	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
 	if err != nil {
 		return err
--- a/peer/control.go
+++ b/peer/control.go
@@ -154,9 +154,8 @@
 		waiting = now.Sub(s.pendingAt)
 	}
 	s.mu.Unlock()
-	if waiting > s.m.cfg.CutAfter && s.suspect.CompareAndSwap(false, true) {
-		s.m.lost(s.address)
-		events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Dur("silent", waiting).Send()
+	if waiting > s.m.cfg.CutAfter {
+		s.doubt("no echo for " + waiting.String())
 	}
 	if waiting > acceptorPatience*s.m.cfg.CutAfter {
 		return false
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// Renew returns a link to a peer; one under suspicion is left to its heartbeat and replaced by a new one.
+func (m *Manager) Renew(ctx context.Context, address string) (*Session, error) {
+	m.mu.Lock()
+	if s := m.sessions[address]; s != nil && s.suspect.Load() {
+		delete(m.sessions, address)
+		m.suspects[address] = true
+	}
+	m.mu.Unlock()
+	return m.Session(ctx, address)
+}
+
 // Pin keeps the link to a peer open while it carries nothing.
 func (m *Manager) Pin(ctx context.Context, address string) (*Session, error) {
 	s, err := m.Session(ctx, address)
@@ -76,7 +87,7 @@
 		_ = c.Close()
 		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
 	}
-	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{})}
 	s.used()
 	// A frozen peer takes connections too: a link that closed under suspicion comes back under it, until an echo.
 	m.mu.Lock()
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -36,6 +36,8 @@
 	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
 }
 
+func (echo) Fetch(context.Context, uint64, Sink) *peerpb.End { return Unknown("unknown_exchange") }
+
 func (echo) Settle(*peerpb.Settle) {}
 
 func (echo) Deltas(table.Revisions) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/events"
@@ -16,13 +18,22 @@
 type Handler interface {
 	// Serve runs a request at the endpoint beside this node and returns how it ended.
 	Serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink Sink) *peerpb.End
+	// Fetch returns how an exchange that was handed over here ended, once it has; one that was not never runs.
+	Fetch(ctx context.Context, exchange uint64, sink Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
 	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame.
 	Deltas(from table.Revisions) []*peerpb.Delta
 }
 
-const firstFrameTimeout = 5 * time.Second
+const (
+	firstFrameTimeout = 5 * time.Second
+	// grantLife is how long a slot is held for an ingress that does not answer: several round trips between regions
+	// (20 ms one way), and little beside the work of a slot (50 to 300 ms).
+	grantLife = 150 * time.Millisecond
+	// fetchLimit bounds how long a peer may wait here for an answer.
+	fetchLimit = 30 * time.Second
+)
 
 func (m *Manager) serveStream(stream net.Conn, remote string) {
 	defer func() { _ = stream.Close() }()
@@ -48,6 +59,10 @@
 	switch k := f.GetKind().(type) {
 	case *peerpb.Frame_Dispatch:
 		m.serveDispatch(stream, r, k.Dispatch)
+	case *peerpb.Frame_Fetch:
+		m.serveFetch(stream, r, k.Fetch)
+	case *peerpb.Frame_Relay:
+		m.serveRelay(stream, r, k.Relay)
 	case *peerpb.Frame_Pull:
 		m.servePull(stream, k.Pull)
 	case *peerpb.Frame_Settle:
@@ -72,40 +87,124 @@
 	}
 }
 
+// serving is the egress's side of one exchange.
+type serving struct {
+	*streamSink
+	// goes is closed by the ingress's word that the request may run, gone when the stream has ended.
+	goes, gone chan struct{}
+	once       sync.Once
+	canceled   atomic.Bool
+}
+
 func (m *Manager) serveDispatch(stream net.Conn, r FrameReader, d *peerpb.Dispatch) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetBudgetMicros())*time.Microsecond)
 	defer cancel()
 	pr, pw := io.Pipe()
 	defer func() { _ = pr.Close() }()
+	v := &serving{streamSink: newStreamSink(stream), goes: make(chan struct{}), gone: make(chan struct{})}
 	go func() {
 		// The ingress closes its side when it gives up; its body ends with a last piece before that.
-		_ = pw.CloseWithError(receiveBody(r, pw, d.GetBodyLength()))
-		cancel()
+		_ = pw.CloseWithError(v.receive(r, pw, d.GetBodyLength()))
+		close(v.gone)
+		// What was handed over by an offer runs on when the link breaks: its answer can be fetched.
+		if d.GetExchange() == 0 || v.canceled.Load() {
+			cancel()
+		}
 	}()
-	sink := newStreamSink(stream)
+	var sink Sink = v.streamSink
+	if d.GetExchange() != 0 {
+		sink = v
+	}
 	end := m.handler.Serve(ctx, d, pr, sink)
-	sink.end(end)
+	v.end(end)
+}
+
+// Waiting implements Permitter.
+func (v *serving) Waiting() {
+	_ = v.put(&peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}}, false)
 }
 
-// receiveBody copies the body to w, then waits for the stream's end and returns why it ended.
-func receiveBody(r FrameReader, w *io.PipeWriter, length int64) error {
+// Permit implements Permitter.
+//
+// Invariant: it returns true only after the ingress's word, and once it has returned false that word changes nothing.
+func (v *serving) Permit(ctx context.Context, load *peerpb.Load) bool {
+	if v.put(&peerpb.Frame{Kind: &peerpb.Frame_Grant{Grant: &peerpb.Grant{Load: load}}}, false) != nil {
+		return false
+	}
+	timer := time.NewTimer(grantLife)
+	defer timer.Stop()
+	select {
+	case <-v.goes:
+		return true
+	case <-v.gone:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// receive reads the ingress's words and body, then waits for the stream's end and returns why it ended.
+func (v *serving) receive(r FrameReader, w *io.PipeWriter, length int64) error {
 	open := length != 0
 	for {
 		f, err := r.Read()
 		if err != nil {
 			return fault.Wrap(err, fault.Canceled, "stream", "caller went away")
 		}
-		data := f.GetData()
-		if data == nil || !open {
-			return fault.New(fault.Protocol, "stream", "unexpected message in a body")
-		}
-		if _, err := w.Write(data.GetBytes()); err != nil {
-			open = !data.GetLast()
+		switch k := f.GetKind().(type) {
+		case *peerpb.Frame_Go:
+			v.once.Do(func() { close(v.goes) })
 			continue
-		}
-		if data.GetLast() {
-			open = false
-			_ = w.Close()
+		case *peerpb.Frame_Cancel:
+			v.canceled.Store(true)
+			return fault.New(fault.Canceled, "stream", "caller went away")
+		case *peerpb.Frame_Data:
+			if !open {
+				return fault.New(fault.Protocol, "stream", "unexpected message in a body")
+			}
+			if _, err := w.Write(k.Data.GetBytes()); err != nil {
+				open = !k.Data.GetLast()
+				continue
+			}
+			if k.Data.GetLast() {
+				open = false
+				_ = w.Close()
+			}
+		default:
+			return fault.New(fault.Protocol, "stream", "unexpected message in a body")
 		}
 	}
 }
+
+func (m *Manager) serveFetch(stream net.Conn, r FrameReader, f *peerpb.Fetch) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+	defer cancel()
+	go func() {
+		_, _ = r.Read()
+		cancel()
+	}()
+	sink := newStreamSink(stream)
+	_ = sink.put(&peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}}, false)
+	sink.end(m.handler.Fetch(ctx, f.GetExchange(), sink))
+}
+
+// serveRelay passes a stream on to a peer and back, for two nodes that cannot reach each other.
+func (m *Manager) serveRelay(stream net.Conn, r FrameReader, to *peerpb.Relay) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+	defer cancel()
+	s, err := m.Session(ctx, to.GetAddress())
+	if err != nil {
+		return
+	}
+	onward, err := s.mux.OpenStream()
+	if err != nil {
+		return
+	}
+	defer abandon(onward)
+	defer context.AfterFunc(ctx, func() { abandon(onward) })()
+	go func() {
+		_, _ = io.Copy(onward, r.r)
+		abandon(onward)
+	}()
+	_, _ = io.Copy(stream, onward)
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,20 +33,85 @@
 	mu        sync.Mutex
 	pending   uint64
 	pendingAt time.Time
+	// streams are the exchanges under way, which a link that turns suspect wakes.
+	streams map[net.Conn]struct{}
 }
 
-// used notes that the link carries a request, and wakes the heartbeat of one that was idle.
-func (s *Session) used() {
-	now := time.Now().UnixNano()
-	if now-s.usedAt.Swap(now) < int64(s.m.cfg.Heartbeat) {
+// Limits of the first word on an offer: a few round trips, and time for a node that gets little of its processor.
+const (
+	leastOffer  = 60 * time.Millisecond
+	mostOffer   = 300 * time.Millisecond
+	offerRounds = 8
+)
+
+// offerLimit is how long the first word on an offer may take.
+func (s *Session) offerLimit() time.Duration {
+	return min(max(leastOffer, offerRounds*time.Duration(s.roundTrip.Load())), mostOffer)
+}
+
+// begin notes an exchange under way; only an offer's answer can be fetched by another way when the link turns suspect.
+func (s *Session) begin(stream net.Conn, offered bool) {
+	s.inFlight.Add(1)
+	if offered {
+		s.mu.Lock()
+		s.streams[stream] = struct{}{}
+		s.mu.Unlock()
+	}
+	s.used()
+}
+
+func (s *Session) finish(stream net.Conn) {
+	s.inFlight.Add(-1)
+	s.mu.Lock()
+	delete(s.streams, stream)
+	s.mu.Unlock()
+}
+
+// unanswered takes an exchange whose stream says no more as evidence about the link: it gets no new work until an echo.
+func (s *Session) unanswered(x *sending) {
+	if x.ctx.Err() != nil || !x.offered || x.handed {
+		return
+	}
+	s.doubt("offer without an answer")
+}
+
+// doubt puts the link under suspicion.
+func (s *Session) doubt(reason string) {
+	if !s.suspect.CompareAndSwap(false, true) {
 		return
 	}
+	s.m.lost(s.address)
+	events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Str("reason", reason).Send()
+	s.wakeStreams()
+	s.nudge()
+}
+
+// wakeStreams ends the exchanges under way on a link under suspicion; their answers are fetched by another way.
+func (s *Session) wakeStreams() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream := range s.streams {
+		_ = stream.SetReadDeadline(time.Now())
+	}
+}
+
+// nudge has the next heartbeat sent now.
+func (s *Session) nudge() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
+// used notes that the link carries a request, and wakes the heartbeat of one that was idle.
+func (s *Session) used() {
+	now := time.Now().UnixNano()
+	if now-s.usedAt.Swap(now) < int64(s.m.cfg.Heartbeat) {
+		return
+	}
+	s.nudge()
+}
+
 func (s *Session) lastUse() time.Time { return time.Unix(0, s.usedAt.Load()) }
 
 func (s *Session) close() {
--- /dev/null
+++ b/pipeline/server.go
@@ -0,0 +1,124 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/flight"
+)
+
+// Limits bound what the listener takes from its callers; they may change while it runs.
+type Limits struct {
+	// HeaderBytes is the most that a request's header may hold.
+	HeaderBytes int
+	// BodyBytes is the most that a request's body may hold.
+	BodyBytes int64
+	// Conns is the most connections held at once; further ones are closed at once.
+	Conns int
+	// HeaderTimeout bounds the reading of a request's header, and each wait for a part of its body.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout time.Duration
+}
+
+// ErrorHandler answers a request that could not be read; status is what HTTP calls the failure.
+type ErrorHandler func(w http.ResponseWriter, status int, err *fault.Error)
+
+// Server is the callers' listener; it is a kernel component.
+type Server struct {
+	name    string
+	address string
+	limits  func() Limits
+	handler http.Handler
+	onError ErrorHandler
+
+	listener net.Listener
+	closing  atomic.Bool
+	flight   flight.Counter
+	open     atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New returns a server for an IP and port.
+func New(name, address string, limits func() Limits, handler http.Handler, onError ErrorHandler) *Server {
+	return &Server{
+		name: name, address: address, limits: limits, handler: handler, onError: onError,
+		conns: make(map[*conn]struct{}),
+	}
+}
+
+// Start listens, Unavailable when the address cannot be had.
+func (s *Server) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, s.address, s.name+" cannot listen")
+	}
+	s.listener = l
+	go s.accept(l)
+	return nil
+}
+
+// acceptPause is the wait after a failed accept, such as one without a free descriptor.
+const acceptPause = 10 * time.Millisecond
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if s.open.Add(1) > int64(s.limits().Conns) {
+			s.open.Add(-1)
+			_ = c.Close()
+			continue
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(raw net.Conn) {
+	defer s.open.Add(-1)
+	c := newConn(s, raw)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.serve()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Drain makes each connection's next answer its last; requests are still taken.
+func (s *Server) Drain() { s.closing.Store(true) }
+
+// Working returns the number of requests under way.
+func (s *Server) Working() int64 { return s.flight.Load() }
+
+// Stop takes no new connections, waits for the requests in flight as long as ctx allows, then closes what is left.
+func (s *Server) Stop(ctx context.Context) error {
+	s.Drain()
+	if s.listener == nil {
+		return nil
+	}
+	err := s.flight.Wait(ctx, s.name)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.end(nil)
+	}
+	return err
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -9,7 +9,6 @@
 const (
 	// MostAttempts bounds the sends of one request.
 	MostAttempts = 3
-	burst        = 10
 	// A service that refuses more than this share of its requests gets no retries.
 	refusingShare = 0.5
 	refusalMemory = 50
@@ -20,14 +19,18 @@
 // Invariant: over any stretch of n requests at most share*n + burst retries are granted.
 type Budget struct {
 	tokens   float64
+	burst    float64
 	refusing float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{tokens: burst} }
+// NewBudget returns a full budget that holds up to burst retries, at least one.
+func NewBudget(burst float64) *Budget {
+	burst = max(burst, 1)
+	return &Budget{tokens: burst, burst: burst}
+}
 
 // Request counts one request's first send and earns its share of a retry.
-func (b *Budget) Request(share float64) { b.tokens = min(burst, b.tokens+share) }
+func (b *Budget) Request(share float64) { b.tokens = min(b.burst, b.tokens+share) }
 
 // Take grants one retry if the budget has one left.
 func (b *Budget) Take() bool {
@@ -54,6 +57,8 @@
 type Attempt struct {
 	// Number is how many sends there were, 1 after the first.
 	Number int
+	// Most is how many sends the route allows; 0 stands for MostAttempts.
+	Most int
 	// Outcome is how the last one ended.
 	Outcome peerpb.Outcome
 	// Overloaded is set when it was refused for lack of capacity.
@@ -78,7 +83,11 @@
 //
 // Invariant: a request that is not repeatable is sent again only after proof that it was not run.
 func Worthwhile(a Attempt) bool {
-	if a.Number >= MostAttempts || a.Started || !a.Replayable || a.Left <= a.Typical {
+	most := MostAttempts
+	if a.Most > 0 {
+		most = a.Most
+	}
+	if a.Number >= most || a.Started || !a.Replayable || a.Left <= a.Typical {
 		return false
 	}
 	switch a.Outcome {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -30,7 +30,7 @@
 		d.MaybeScanArgs(t, "left", &left)
 		a.Outcome = outcomes[word]
 		a.Left, _ = time.ParseDuration(left)
-		b := NewBudget()
+		b := NewBudget(10)
 		b.tokens = 5
 		if d.HasArg("refusing") {
 			b.refusing = 1
@@ -43,7 +43,8 @@
 // TestBudgetBoundsRetries checks the budget's invariant over random sequences.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBudget()
+		const burst = 10
+		b := NewBudget(burst)
 		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
 		requests, retries := 0, 0
 		for _, again := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "sequence") {
@@ -71,7 +72,7 @@
 			Failed: rapid.Bool().Draw(t, "failed"), Started: rapid.Bool().Draw(t, "started"),
 			Replayable: true, Left: time.Hour,
 		}
-		if got, want := NewBudget().Decide(a), false; got != want {
+		if got, want := NewBudget(10).Decide(a), false; got != want {
 			t.Fatalf("%+v: got %v, want %v", a, got, want)
 		}
 	})
--- /dev/null
+++ b/retry/share.go
@@ -0,0 +1,18 @@
+package retry
+
+// Share is what one node may take of a budget of retries that the whole fleet keeps without agreeing on each.
+//
+// In any window, a service's retries over all nodes are at most Ratio times its requests plus Slack: each node earns
+// Ratio for each of its own requests, and the nodes' bursts add up to Slack at most. Nodes that have not heard of each
+// other yet count fewer nodes than there are; MostBurst bounds what one of them takes meanwhile.
+type Share struct {
+	// Slack is the fleet's retries beyond the ratio.
+	Slack float64
+	// MostBurst bounds one node's part of it.
+	MostBurst float64
+}
+
+// Burst returns the retries that a node may hold back when the fleet has so many nodes.
+func (s Share) Burst(nodes int) float64 {
+	return min(s.Slack/float64(max(nodes, 1)), s.MostBurst)
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -22,6 +22,14 @@
 	Platform Platform `yaml:"platform"`
 	// Endpoints is how the node treats the endpoints beside it.
 	Endpoints Endpoints `yaml:"endpoints"`
+	// Announced is how endpoints announce themselves to the node beside them.
+	Announced Announced `yaml:"announced"`
+	// Readiness is the listener that tells whether the node may get callers.
+	Readiness Readiness `yaml:"readiness"`
+	// Services is what the platform's configuration leaves open of a service.
+	Services Services `yaml:"services"`
+	// Retries is the fleet's budget of retries.
+	Retries Retries `yaml:"retries"`
 	// Stop is the planned stop.
 	Stop Stop `yaml:"stop"`
 	// Log is what is logged.
@@ -55,8 +63,48 @@
 	Listener `yaml:",inline"`
 	// BodyBytes bounds a request's body.
 	BodyBytes Size `yaml:"body_bytes" validate:"min=1"`
-	// ReplayBytes is the largest body that is kept to be sent again.
-	ReplayBytes Size `yaml:"replay_bytes"`
+	// Contract says which header fields callers and endpoints use: the product's own, or the platform's.
+	Contract string `yaml:"contract" validate:"oneof=own platform"`
+}
+
+// Announced is how endpoints announce themselves to the node beside them.
+type Announced struct {
+	// Listen is the IP and port for heartbeats; empty if endpoints are rows of the table.
+	Listen Address `yaml:"listen"`
+	// Address is where the endpoint beside the node listens, to ask it who it is after a restart of the node.
+	Address Address `yaml:"address"`
+	// Service is the service of the endpoint beside the node.
+	Service string `yaml:"service"`
+}
+
+// Readiness is the listener that tells whether the node may get callers.
+type Readiness struct {
+	// Listen is the IP and port; empty for none.
+	Listen Address `yaml:"listen"`
+}
+
+// Services is what the platform's configuration leaves open of a service, as the columns of a service's row.
+type Services struct {
+	// Floor is the share of capacity that ejections never touch, 0 to 1.
+	Floor float64 `yaml:"floor" validate:"min=0,max=1"`
+	// FalseEjections is how many wrong ejections per endpoint and day are bearable.
+	FalseEjections float64 `yaml:"false_ejections" validate:"min=0"`
+	// RetryShare is the share of requests that may be sent again, 0 to 1.
+	RetryShare float64 `yaml:"retry_share" validate:"min=0,max=1"`
+	// Queue is how many requests may wait beside each endpoint.
+	Queue int `yaml:"queue" validate:"min=0"`
+	// Warmup is how long a new endpoint's share grows.
+	Warmup Duration `yaml:"warmup"`
+	// Timeout bounds a request whose route says nothing.
+	Timeout Duration `yaml:"timeout" validate:"min=1"`
+}
+
+// Retries is the fleet's budget of retries besides the services' shares.
+type Retries struct {
+	// Slack is how many retries of a service the whole fleet may make at once beyond the share.
+	Slack float64 `yaml:"slack" validate:"min=0"`
+	// MostBurst bounds one node's part of the slack.
+	MostBurst float64 `yaml:"most_burst" validate:"min=0"`
 }
 
 // Peers is the listener and the links between nodes.
@@ -114,6 +162,8 @@
 	Wait Duration `yaml:"wait" validate:"min=10000000"`
 	// Readers is how many nodes of a hall read the platform.
 	Readers int `yaml:"readers" validate:"min=1"`
+	// Config makes the node read the configuration that the platform's operators keep.
+	Config bool `yaml:"config"`
 }
 
 // Endpoints is how the node treats the endpoints beside it.
@@ -151,7 +201,7 @@
 		HeaderTimeout: Duration(10 * time.Second), IdleTimeout: Duration(2 * time.Minute),
 	}
 	return Daemon{
-		Callers: Callers{Listener: listener, BodyBytes: 16 << 20, ReplayBytes: 64 << 10},
+		Callers: Callers{Listener: listener, BodyBytes: 16 << 20, Contract: "own"},
 		Peers: Peers{
 			Heartbeat: Duration(250 * time.Millisecond), CutAfter: Duration(time.Second),
 			IdleClose: Duration(time.Minute), GoneAfter: Duration(30 * time.Second), Conns: 4000,
@@ -165,8 +215,13 @@
 			ProbePath: "/healthz", ProbeEvery: Duration(5 * time.Second),
 			KeyWindow: Duration(2 * time.Minute), KeySettle: Duration(5 * time.Second), KeyBytes: 4 << 20,
 		},
-		Stop: Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
-		Log:  Log{Level: "info"},
+		Services: Services{
+			Floor: 0.6, FalseEjections: 0.05, RetryShare: 0.1, Queue: 16, Warmup: Duration(10 * time.Second),
+			Timeout: Duration(30 * time.Second),
+		},
+		Retries: Retries{Slack: 1000, MostBurst: 10},
+		Stop:    Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
+		Log:     Log{Level: "info"},
 	}
 }
 
--- a/settings/values.go
+++ b/settings/values.go
@@ -51,6 +51,10 @@
 
 // UnmarshalYAML reads an IP and port.
 func (a *Address) UnmarshalYAML(n *yaml.Node) error {
+	if n.Value == "" {
+		a.AddrPort = netip.AddrPort{}
+		return nil
+	}
 	v, err := netip.ParseAddrPort(n.Value)
 	if err != nil {
 		return badValue(n, `an IP and port, such as "127.0.0.1:8080"`)
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const readBuffer = 4 << 10
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	r       *bufio.Reader
+	address string
+	// idleSince and idleLimit say how long it may still be used again.
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), address: address}
+}
+
+// quiet tells whether a kept connection is open and nothing has come on it that nobody asked for.
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+		quiet = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/virtual/stream.go
+++ b/virtual/stream.go
@@ -66,6 +66,8 @@
 	fairQueue   = 16
 	tickEvery   = 100 * time.Millisecond
 	cutFoundIn  = 1250 * time.Millisecond
+	// retryBurst is what one node may retry at once.
+	retryBurst  = 10
 	defaultRate = 20
 	customers   = 10
 	retryShare  = 0.1
@@ -141,7 +143,7 @@
 	}
 	r := &run{
 		Stream: s, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), //nolint:gosec // seeded on purpose
-		budget: retry.NewBudget(), out: make([]bool, s.Service.Endpoints),
+		budget: retry.NewBudget(retryBurst), out: make([]bool, s.Service.Endpoints),
 	}
 	r.policy = s.Policy(s.Service, rand.New(rand.NewPCG(s.Seed, 2))) //nolint:gosec // seeded on purpose
 	r.result.Detected = -1
