Breaker: asking whether a request would run no longer uses the trial up

Cause: the egress asked the breaker once when an offer came and again at the hand-over; the first question took the trial, so that no trial ever ran and every endpoint that broke off once was out for good. Ruled out: ejections by the choosers (off in the log at that time).

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -99,18 +99,26 @@
 	return max(0, b.pausedUntil.Sub(now))
 }
 
-// Allow tells whether a request may run now, and whether it is a trial, whose result must be reported with Done.
-func (b *Breaker) Allow(now time.Time, repeatable bool) (ok, trial bool) {
+// Would tells whether Allow would let a request run.
+func (b *Breaker) Would(now time.Time, repeatable bool) bool {
 	if b.state == Closed {
-		return true, false
+		return true
 	}
 	if b.trialing || now.Sub(b.trialAt) < b.trialEvery {
-		return false, false
+		return false
 	}
 	// Where nothing repeatable comes, what must not repeat finds out once the pause is over.
-	if !repeatable && (now.Before(b.pausedUntil) || now.Sub(b.trialAt) < b.cfg.Barren) {
+	return repeatable || !now.Before(b.pausedUntil) && now.Sub(b.trialAt) >= b.cfg.Barren
+}
+
+// Allow tells whether a request may run now, and whether it is a trial, whose result must be reported with Done.
+func (b *Breaker) Allow(now time.Time, repeatable bool) (ok, trial bool) {
+	if !b.Would(now, repeatable) {
 		return false, false
 	}
+	if b.state == Closed {
+		return true, false
+	}
 	b.trialing = true
 	b.trialAt = now
 	return true, true
--- a/egress/local.go
+++ b/egress/local.go
@@ -145,9 +145,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ok, trial := l.breaker.Allow(now, d.GetRepeatable())
-	l.breaker.Release(trial)
-	return ok
+	return l.breaker.Would(now, d.GetRepeatable())
 }
 
 // allow is the same at the moment of the hand-over; a trial must end with untry or release.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -92,10 +92,11 @@
 	if x.waits++; x.waits > mostWaits {
 		return director.Pick{}, true, fault.New(fault.Overloaded, x.call.service.Key, "every endpoint asked is full")
 	}
-	pick, err := x.g.director.Pick(ctx, x.wish())
-	if err != nil && len(x.suspects) > 0 && !x.lastResort {
+	wish := x.wish()
+	wish.Tried = slices.Concat(x.tried, x.suspects)
+	pick, err := x.g.director.Pick(ctx, wish)
+	if err != nil && len(x.suspects) > 0 {
 		x.lastResort = true
-		x.tried = slices.DeleteFunc(x.tried, func(key string) bool { return slices.Contains(x.suspects, key) })
 		pick, err = x.g.director.Pick(ctx, x.wish())
 	}
 	return pick, true, err
@@ -222,7 +223,7 @@
 		if fault.Code(end.GetCode()) == fault.Suspect {
 			x.suspects = append(x.suspects, key)
 		}
-		if x.offers >= mostOffers {
+		if x.lastResort {
 			x.tried = append(x.tried, key)
 		}
 		return true
