Peer: a session's connection is closed before the session

Cause: on a planned stop yamux's Stream.Read looks again without a pause between a session's shutdown and the close of its connection; a node with one processor spun there until its grace time was over (found by a goroutine dump of the spinning process: Stream.Read under Session.listen, Close waiting for the descriptor). Ruled out: go-zero's end of the process, tickers of the stop.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -87,7 +87,7 @@
 		_ = c.Close()
 		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
 	}
-	s := &Session{m: m, address: address, mux: mux, done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{})}
+	s := &Session{m: m, address: address, mux: mux, conn: c, done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{})}
 	s.used()
 	// A frozen peer takes connections too: a link that closed under suspicion comes back under it, until an echo.
 	m.mu.Lock()
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -83,7 +83,7 @@
 	dialing     map[string]*dial
 	suspects    map[string]bool
 	unreachable map[string]time.Time
-	accepted    map[*yamux.Session]struct{}
+	accepted    map[*yamux.Session]net.Conn
 	subscribers map[chan struct{}]struct{}
 
 	onBeat func(peer string, revisions table.Revisions)
@@ -111,7 +111,7 @@
 		dialing:     make(map[string]*dial),
 		suspects:    make(map[string]bool),
 		unreachable: make(map[string]time.Time),
-		accepted:    make(map[*yamux.Session]struct{}),
+		accepted:    make(map[*yamux.Session]net.Conn),
 		subscribers: make(map[chan struct{}]struct{}),
 		onBeat:      func(string, table.Revisions) {},
 	}
@@ -171,9 +171,9 @@
 	if err != nil {
 		return
 	}
-	m.track(mux, true)
-	defer m.track(mux, false)
-	defer func() { _ = mux.Close() }()
+	m.track(mux, c)
+	defer m.track(mux, nil)
+	defer closeMux(c, mux)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
@@ -199,11 +199,11 @@
 	return nil
 }
 
-func (m *Manager) track(mux *yamux.Session, add bool) {
+func (m *Manager) track(mux *yamux.Session, c net.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if add {
-		m.accepted[mux] = struct{}{}
+	if c != nil {
+		m.accepted[mux] = c
 		return
 	}
 	delete(m.accepted, mux)
@@ -350,8 +350,8 @@
 	m.waitClosed(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for mux := range m.accepted {
-		_ = mux.Close()
+	for mux, c := range m.accepted {
+		closeMux(c, mux)
 	}
 	return err
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -20,6 +20,7 @@
 	m         *Manager
 	address   string
 	mux       *yamux.Session
+	conn      net.Conn
 	suspect   atomic.Bool
 	leaving   atomic.Bool
 	pinned    atomic.Bool
@@ -117,12 +118,19 @@
 func (s *Session) close() {
 	s.closeOnce.Do(func() {
 		close(s.done)
-		_ = s.mux.Close()
+		closeMux(s.conn, s.mux)
 		s.m.forget(s)
 		events.LinkClosed.Log(s.m.log).Str("peer", s.address).Send()
 	})
 }
 
+// closeMux ends a session, its connection first: between a session's end and that of its connection yamux has the readers
+// of its streams look again and again without a pause.
+func closeMux(c net.Conn, mux *yamux.Session) {
+	_ = c.Close()
+	_ = mux.Close()
+}
+
 // Pull asks the peer for every change after these revisions.
 func (s *Session) Pull(ctx context.Context, from table.Revisions) ([]*peerpb.Delta, error) {
 	stream, err := s.mux.OpenStream()
