Breaker: two good trials, trials apart from the choosers' evidence; a planned stop with notice; reload; failed work is logged

Ruled out: connections of ours over the endpoint's limit (it says 1 running, 0 waiting), answers lost on purpose (ended before).

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -23,14 +23,14 @@
 	Memory time.Duration
 }
 
-// DefaultConfig returns the policy for endpoints that break off most of their work for about a second every ten
-// seconds. The figures come from rounds on the users' bench (docs/MEASUREMENTS.md).
+// DefaultConfig returns the policy for endpoints that break off most of their work for some seconds at a time, and let
+// about one request in seven through meanwhile. The figures come from rounds on the users' bench (docs/MEASUREMENTS.md).
 func DefaultConfig() Config {
 	return Config{
 		Broken: 1, Failed: 0.4, Forget: time.Second,
 		Pause: 250 * time.Millisecond, LongestPause: 5 * time.Second,
 		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond, Barren: time.Second,
-		Successes: 1, MostSuccesses: 3, Memory: 8 * time.Second,
+		Successes: 2, MostSuccesses: 3, Memory: 8 * time.Second,
 	}
 }
 
--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/lynxplank/lynxplank/node"
 	"github.com/lynxplank/lynxplank/outbound"
@@ -51,7 +52,7 @@
 	case *show:
 		return printSettings(cfg)
 	}
-	return serve(cfg)
+	return serve(*path, cfg)
 }
 
 func printSettings(cfg settings.Daemon) int {
@@ -64,11 +65,16 @@
 	return exitOK
 }
 
-func serve(cfg settings.Daemon) int {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+// reloadEvery is the time between two looks at whether the settings file has changed without a signal.
+const reloadEvery = 2 * time.Second
+
+func serve(path string, cfg settings.Daemon) int {
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	outbound.Tune()
-	n, err := node.New(cfg, os.Stderr)
+	n, err := node.New(cfg, os.Stdout)
 	if err == nil {
 		err = n.Start(context.Background())
 	}
@@ -76,9 +82,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	<-signals
-	if err := n.Stop(); err != nil {
-		return exitFailed
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-reloads:
+			reload(n, path)
+		case <-tick.C:
+			reload(n, path)
+		case <-stops:
+			if n.Stop() != nil {
+				return exitFailed
+			}
+			return exitOK
+		}
 	}
-	return exitOK
+}
+
+func reload(n *node.Node, path string) {
+	cfg := settings.DefaultDaemon()
+	err := settings.Load(path, &cfg)
+	n.Reload(cfg, err)
 }
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -62,10 +62,18 @@
 	Misplaced bool
 	// Leaving is set by an endpoint that is about to stop.
 	Leaving bool
+	// Load is what the endpoint says of its own load.
+	Load Load
 	// Foreign is set when the answer cannot be the endpoint's own, or would tell the caller what is not so.
 	Foreign bool
 }
 
+// Load is an endpoint's own word about its load.
+type Load struct {
+	// Running and Waiting are its requests, Slots how many it runs at once; all zero if it says nothing.
+	Running, Waiting, Slots int
+}
+
 // Outcome is what a caller is told of how its request ended.
 type Outcome struct {
 	// ID names the request.
--- a/director/director.go
+++ b/director/director.go
@@ -20,6 +20,8 @@
 	Hall string
 	// Distance is the time there and back to another hall.
 	Distance time.Duration
+	// Ejection is the policy of ejections but for what a service's row says; the zero value stands for the default.
+	Ejection eject.Config
 }
 
 const (
@@ -70,7 +72,7 @@
 	targets  map[string]*target
 	added    map[string]time.Time
 	phases   map[string]eject.Phase
-	revision uint64
+	revision table.Revisions
 	usedAt   time.Time
 	// unsettled is set while some endpoint is not simply serving.
 	unsettled   bool
@@ -79,6 +81,9 @@
 
 // New returns a director; leaving and usable tell what the host list and the links say of a host.
 func New(cfg Config, log *zerolog.Logger, state func() *table.State, leaving, usable func(host string) bool) *Director {
+	if cfg.Ejection == (eject.Config{}) {
+		cfg.Ejection = eject.DefaultConfig()
+	}
 	d := &Director{
 		cfg: cfg, log: log, state: state, leaving: leaving, usable: usable,
 		messages: make(chan message, backlog), done: make(chan struct{}),
@@ -143,7 +148,7 @@
 			return nil
 		}
 		rt = &runtime{
-			key: key, detector: eject.NewService(eject.DefaultConfig()),
+			key: key, detector: eject.NewService(d.cfg.Ejection),
 			targets: make(map[string]*target), added: make(map[string]time.Time),
 			phases: make(map[string]eject.Phase),
 		}
@@ -162,10 +167,10 @@
 		d.publish(rt.key, nil)
 		return
 	}
-	if rt.revision != s.Revision() {
-		cfg := eject.DefaultConfig().With(float64(sv.Value.FalseEjections), float64(sv.Value.Floor))
+	if rt.revision != s.Revisions() {
+		cfg := d.cfg.Ejection.With(float64(sv.Value.FalseEjections), float64(sv.Value.Floor))
 		rt.detector.SetConfig(now, cfg)
-		rt.revision = s.Revision()
+		rt.revision = s.Revisions()
 	}
 	list := make([]eject.Endpoint, 0, len(sv.Endpoints))
 	for _, e := range sv.Endpoints {
--- a/director/target.go
+++ b/director/target.go
@@ -38,7 +38,7 @@
 	// declinedLife is how long an endpoint that turned a request away is left alone while others may be free.
 	declinedLife = 20 * time.Millisecond
 	// trialLife is how long an endpoint's word that it takes only trials is believed for what must not repeat.
-	trialLife = 100 * time.Millisecond
+	trialLife = 250 * time.Millisecond
 )
 
 // declining tells whether an endpoint has just said that it would turn such a request away.
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -223,6 +223,13 @@
 	result := l.run(ctx, d, body, sink)
 	service := time.Since(start)
 	l.release(service, result, trial)
+	if result.cause != nil {
+		events.WorkFailed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).
+			Str("outcome", result.end.GetOutcome().String()).Str("code", result.end.GetCode()).
+			Dur("after", service).Bool("trial", trial).
+			Bool("last_resort", d.GetLastResort()).Any("said", l.said.Load()).Uint32("busy", l.load(0, 0).GetBusy()).
+			Err(result.cause).Send()
+	}
 	e.noteState(l)
 	e.noteLeaving(l, result.leaving)
 	result.end.Load = l.load(service, e.cfg.Incarnation)
--- a/egress/local.go
+++ b/egress/local.go
@@ -24,6 +24,8 @@
 	leaving  atomic.Bool
 	finished atomic.Uint64
 	failed   atomic.Uint64
+	// said is the endpoint's last word about its load.
+	said atomic.Pointer[contract.Load]
 
 	contract contract.Contract
 	pool     *upstream.Pool
@@ -184,7 +186,8 @@
 		service = 0
 	}
 	l.free(service)
-	if !r.worked {
+	// Trials are the breaker's own evidence; choosers judge by the work that it let through.
+	if !r.worked || trial {
 		return
 	}
 	l.finished.Add(1)
--- a/egress/run.go
+++ b/egress/run.go
@@ -29,6 +29,8 @@
 	broken bool
 	// leaving is set when the endpoint's answer said that it is leaving.
 	leaving bool
+	// cause is why there was no whole answer, nil if there was one.
+	cause error
 }
 
 const (
@@ -53,11 +55,15 @@
 	}
 	defer resp.Close()
 	answer := l.contract.Answer(resp.StatusCode, resp.Header)
+	l.said.Store(&answer.Load)
 	switch {
 	case answer.NotRun:
 		return notRun(resp, answer)
 	case answer.Foreign:
-		return result{end: peer.Unknown(fault.EndpointCut), worked: true, failed: true, broken: true}
+		return result{
+			end: peer.Unknown(fault.EndpointCut), worked: true, failed: true, broken: true,
+			cause: fault.New(fault.EndpointCut, strconv.Itoa(resp.StatusCode), "answer is not the endpoint's own"),
+		}
 	}
 	r := l.pass(ctx, resp, sink)
 	r.leaving = answer.Leaving
@@ -116,9 +122,11 @@
 			return result{end: peer.NotRun(fault.Canceled, shortRetryAfter)}
 		}
 		// An endpoint that takes no connection has failed at its work, though the request was not run.
-		return result{end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true}
+		return result{end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true, cause: err}
+	}
+	return result{
+		end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut, cause: err,
 	}
-	return result{end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut}
 }
 
 // pass copies the answer. An answer that breaks off ends as RAN but not complete.
@@ -145,7 +153,7 @@
 		if err != nil {
 			ran.Code = string(fault.EndpointCut)
 			canceled := ctx.Err() == context.Canceled
-			return result{end: ran, worked: !canceled, failed: true, broken: !canceled}
+			return result{end: ran, worked: !canceled, failed: true, broken: !canceled, cause: err}
 		}
 	}
 }
--- a/events/events.go
+++ b/events/events.go
@@ -19,6 +19,8 @@
 	NodeStopped     = Event{102, "node stopped", zerolog.InfoLevel}
 	StopCut         = Event{103, "planned stop cut requests", zerolog.ErrorLevel}
 	NodeFailed      = Event{104, "node failed", zerolog.ErrorLevel}
+	Reloaded        = Event{105, "settings reloaded", zerolog.InfoLevel}
+	ReloadFailed    = Event{106, "settings cannot be reloaded", zerolog.ErrorLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -40,6 +42,7 @@
 	EndpointAnnounced = Event{404, "endpoint announced itself", zerolog.InfoLevel}
 	BadHeartbeat      = Event{405, "heartbeat refused", zerolog.WarnLevel}
 	BreakerChanged    = Event{406, "endpoint's breaker changed", zerolog.InfoLevel}
+	WorkFailed        = Event{407, "work failed at the endpoint", zerolog.WarnLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -48,12 +51,12 @@
 
 // All lists every event.
 var All = []Event{
-	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed,
+	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat, BreakerChanged,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed,
 	RequestRefused, RequestFailed, AnswerRecovered,
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -18,8 +18,14 @@
 const (
 	// mostOffers bounds the endpoints that are asked for a free slot before the request waits for one.
 	mostOffers = 6
+	// suspectPause is the wait between two rounds over endpoints that all take only trials, and mostSuspect how long a
+	// request waits so at most: such endpoints have mostly recovered within a second.
+	suspectPause = 40 * time.Millisecond
+	mostSuspect  = time.Second
 	// mostWaits bounds the endpoints at whose queues it waits, one after the other.
 	mostWaits = 3
+	// mostDeclined bounds how often a request may be turned away before it is given up.
+	mostDeclined = 100
 	// inlineBody is the largest body that goes with an offer, in bytes; a longer one follows the hand-over.
 	inlineBody = 16 << 10
 )
@@ -38,9 +44,11 @@
 	// suspects are those of the declined that took only trials; lastResort is set once nothing else is left.
 	suspects   []string
 	lastResort bool
-	offers     int
-	waits      int
-	sends      int
+	// suspectSince is when all endpoints were first found to take only trials.
+	suspectSince time.Time
+	offers       int
+	waits        int
+	sends        int
 	// last is the endpoint that was asked last, for the log.
 	last string
 	// ran and unknown are set once a send may have run or did.
@@ -96,12 +104,34 @@
 	wish.Tried = slices.Concat(x.tried, x.suspects)
 	pick, err := x.g.director.Pick(ctx, wish)
 	if err != nil && len(x.suspects) > 0 {
-		x.lastResort = true
-		pick, err = x.g.director.Pick(ctx, x.wish())
+		return x.pickSuspect(ctx)
 	}
 	return pick, true, err
 }
 
+// pickSuspect chooses among endpoints that all take only trials. The request waits for one of them to show that it works
+// again, round by round; when its time grows short it goes to one all the same.
+func (x *exchange) pickSuspect(ctx context.Context) (director.Pick, bool, error) {
+	now := time.Now()
+	if x.suspectSince.IsZero() {
+		x.suspectSince = now
+	}
+	deadline, _ := ctx.Deadline()
+	patience := min(mostSuspect, deadline.Sub(x.suspectSince)/2)
+	if now.Sub(x.suspectSince) >= patience {
+		x.lastResort = true
+		pick, err := x.g.director.Pick(ctx, x.wish())
+		return pick, true, err
+	}
+	select {
+	case <-ctx.Done():
+		return director.Pick{}, false, fault.New(fault.Suspect, x.call.service.Key, "every endpoint takes only trials")
+	case <-time.After(suspectPause):
+	}
+	x.offers, x.waits, x.declined, x.suspects = 0, 0, nil, nil
+	return x.pick(ctx)
+}
+
 func (x *exchange) wish() director.Wish {
 	return director.Wish{Service: x.call.service.Key, Repeatable: x.call.repeatable, Tried: x.tried}
 }
@@ -120,7 +150,7 @@
 	x.note(end)
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: pick, WasLate: late, Load: end.GetLoad(),
-		Worked: worked(end), Failed: x.failed(end), Declined: declined(end) || misplaced(end),
+		Worked: worked(end) && !end.GetLoad().GetTrial(), Failed: x.failed(end), Declined: declined(end) || misplaced(end),
 	})
 	return end
 }
@@ -225,8 +255,11 @@
 		}
 		if x.lastResort {
 			x.tried = append(x.tried, key)
+		} else if x.waits > 0 {
+			// Nothing was waited for: the next one may have a queue.
+			x.waits--
 		}
-		return true
+		return len(x.declined) < mostDeclined
 	}
 	x.tried = append(x.tried, key)
 	if misplaced(end) {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/eject"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
@@ -72,8 +73,26 @@
 	cfg    settings.Daemon
 	log    *zerolog.Logger
 	kernel *kernel.Kernel
+	// seen are the settings as they were last read, badReload what was wrong with a file that could not be.
+	seen      settings.Daemon
+	badReload string
+	level     levelHook
 	// stopping is set once the planned stop has begun.
 	stopping atomic.Bool
+	// announced holds the endpoints that announce themselves, nil where they are rows of the table.
+	announced *registry.Registry
+}
+
+// levelHook drops what is below a level that may change.
+type levelHook struct {
+	atomic.Int32
+}
+
+// Run implements zerolog.Hook.
+func (h *levelHook) Run(e *zerolog.Event, level zerolog.Level, _ string) {
+	if level < zerolog.Level(h.Load()) { //nolint:gosec // a level
+		e.Discard()
+	}
 }
 
 // New builds a node; nothing runs or listens before Start.
@@ -83,8 +102,10 @@
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
-	n := &Node{cfg: cfg, log: &log, kernel: kernel.New()}
+	n := &Node{cfg: cfg, seen: cfg, kernel: kernel.New()}
+	n.level.Store(int32(level))
+	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
+	n.log = &log
 	if err := n.build(); err != nil {
 		return nil, err
 	}
@@ -115,10 +136,10 @@
 	}))
 	follower.ShowSelf(n.announceConfig(incarnation).Host)
 	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
-	if r := n.registry(a, follower, incarnation); r != nil {
-		egressOptions = append(egressOptions, egress.WithRegistry(r))
+	if n.announced = n.registry(a, follower, incarnation); n.announced != nil {
+		egressOptions = append(egressOptions, egress.WithRegistry(n.announced))
 	}
-	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance}, n.log,
+	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance, Ejection: n.ejection()}, n.log,
 		follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
@@ -230,6 +251,14 @@
 	return c
 }
 
+func (n *Node) ejection() eject.Config {
+	c := n.cfg.Ejection
+	cfg := eject.DefaultConfig()
+	cfg.FirstEjection, cfg.LongestEjection, cfg.Forgive = c.First.Std(), c.Longest.Std(), c.Forgive.Std()
+	cfg.ProbeSuccesses, cfg.RampStep = c.Successes, c.RampStep.Std()
+	return cfg
+}
+
 // policy is what the platform's configuration leaves open of a service.
 func (n *Node) policy() table.Service {
 	c := n.cfg.Services
@@ -307,11 +336,29 @@
 	return nil
 }
 
-// Stop is the planned stop: it tells the peers, takes nothing new, lets everything in flight end and then stops. It
-// fails when the grace time cut something.
+// Stop is the planned stop: the node tells the platform and its peers, makes each caller's next answer the connection's
+// last, goes on with what it has and what still comes for the notice, and then stops. It fails when the grace time cut
+// something.
 func (n *Node) Stop() error {
+	start := time.Now()
 	events.NodeStopping.Log(n.log).Send()
 	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std())
+	defer cancel()
+	if err := n.announceStop(); err != nil {
+		return err
+	}
+	n.awaitCallers(ctx, start)
+	if err := n.kernel.Stop(ctx); err != nil {
+		events.StopCut.Log(n.log).Err(err).Send()
+		return err
+	}
+	events.NodeStopped.Log(n.log).Dur("after", time.Since(start)).Send()
+	return nil
+}
+
+// announceStop tells everyone that the node takes nothing new for its endpoint, and callers to come elsewhere.
+func (n *Node) announceStop() error {
 	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
 	if err != nil {
 		return err
@@ -320,17 +367,37 @@
 	if err != nil {
 		return err
 	}
+	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
+	if err != nil {
+		return err
+	}
 	links.Leave()
-	time.Sleep(n.cfg.Stop.Notice.Std())
 	e.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std())
-	defer cancel()
-	if err := n.kernel.Stop(ctx); err != nil {
-		events.StopCut.Log(n.log).Err(err).Send()
-		return err
+	callers.Drain()
+	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
+		return nil
+	}
+	// The endpoint has left for good, and the host with it.
+	a, err := kernel.Lookup[*announce.Announcer](n.kernel, Announcer)
+	if err == nil {
+		a.Withdraw()
+	}
+	return err
+}
+
+// stopLook is the time between two looks at whether callers still have requests here.
+const stopLook = 20 * time.Millisecond
+
+// awaitCallers serves on until the notice is over and no caller waits: callers learn only after some seconds that the
+// node is going, and their connections may carry new requests until then.
+func (n *Node) awaitCallers(ctx context.Context, start time.Time) {
+	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil && (time.Since(start) < n.cfg.Stop.Notice.Std() || callers.Working() > 0) {
+		time.Sleep(stopLook)
 	}
-	events.NodeStopped.Log(n.log).Send()
-	return nil
 }
 
 // handler answers peers.
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -365,7 +365,7 @@
 // waitClosed gives the peers, which know that this node leaves, the time of a few beats to read their last answers
 // and close: a link closed under unread bytes would lose the answers on their way.
 func (m *Manager) waitClosed(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveBeats*m.cfg.Heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, min(leaveBeats*m.cfg.Heartbeat, mostLeave))
 	defer cancel()
 	_ = m.inboundWait(ctx)
 }
@@ -383,4 +383,8 @@
 	}
 }
 
-const leaveBeats = 4
+const (
+	leaveBeats = 4
+	// mostLeave bounds that time: an answer takes a few round trips at most.
+	mostLeave = 250 * time.Millisecond
+)
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -30,6 +30,8 @@
 	Services Services `yaml:"services"`
 	// Retries is the fleet's budget of retries.
 	Retries Retries `yaml:"retries"`
+	// Ejection is how long endpoints are taken out and how they come back.
+	Ejection Ejection `yaml:"ejection"`
 	// Stop is the planned stop.
 	Stop Stop `yaml:"stop"`
 	// Log is what is logged.
@@ -194,6 +196,19 @@
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 }
 
+// Ejection is how long endpoints are taken out and how they come back; see eject.Config.
+type Ejection struct {
+	// First is how long the first ejection of an endpoint lasts; each further one doubles, up to Longest.
+	First   Duration `yaml:"first" validate:"min=1"`
+	Longest Duration `yaml:"longest" validate:"min=1"`
+	// Forgive is how long an endpoint must serve well before its count of ejections is halved.
+	Forgive Duration `yaml:"forgive" validate:"min=1"`
+	// Successes is how many good answers in a row end the trickle.
+	Successes int `yaml:"successes" validate:"min=1"`
+	// RampStep is how long each step of the growing share lasts.
+	RampStep Duration `yaml:"ramp_step" validate:"min=1"`
+}
+
 // DefaultDaemon returns the settings of a node whose file says nothing.
 func DefaultDaemon() Daemon {
 	listener := Listener{
@@ -220,8 +235,12 @@
 			Timeout: Duration(30 * time.Second),
 		},
 		Retries: Retries{Slack: 1000, MostBurst: 10},
-		Stop:    Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
-		Log:     Log{Level: "info"},
+		Ejection: Ejection{
+			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
+			Successes: 8, RampStep: Duration(2 * time.Second),
+		},
+		Stop: Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
+		Log:  Log{Level: "info"},
 	}
 }
 
