Trials only by requests that can be sent again; late answers queue behind those that can be in time

Cause: a failed trial used one of a request's two sends, the second went to another endpoint under suspicion; in a queue first come first served answered everything late. Change: a request is a trial only on its first send and while its service has a retry left; the egress's queue runs first what can still be answered by its aim; what waits goes where the wait is shortest.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -20,6 +20,8 @@
 	Priority int
 	// NoWait refuses the request as Busy when no slot is free.
 	NoWait bool
+	// Aim is when the answer loses most of its worth; the zero time stands for the deadline.
+	Aim time.Time
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
 }
@@ -221,8 +223,9 @@
 func (q *Queue) fill(now time.Time) []Decision {
 	var out []Decision
 	for q.busy < q.slots && len(q.queue) > 0 {
-		w := q.queue[0]
-		q.queue = slices.Delete(q.queue, 0, 1)
+		i := q.first(now)
+		w := q.queue[i]
+		q.queue = slices.Delete(q.queue, i, i+1)
 		q.clock = max(q.clock, w.tag)
 		if !now.Add(time.Duration(q.service * float64(time.Second))).Before(w.Deadline) {
 			out = append(out, q.refuse(w.ID, fault.DeadlineTooShort))
@@ -234,6 +237,18 @@
 	return append(out, q.prune(now)...)
 }
 
+// first returns the place of the request that runs next: the first whose answer can still come by its aim. With more
+// work than slots, first come first served would answer everything late; late answers get the slots that are left.
+func (q *Queue) first(now time.Time) int {
+	done := now.Add(time.Duration(q.service * float64(time.Second)))
+	for i, w := range q.queue {
+		if w.Aim.IsZero() || done.Before(w.Aim) {
+			return i
+		}
+	}
+	return 0
+}
+
 // prune refuses the waiting requests that cannot end in time any more, and forgets idle customers.
 func (q *Queue) prune(now time.Time) []Decision {
 	var out []Decision
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,6 +92,29 @@
 	return choose(candidates, r, func(Candidate) bool { return true })
 }
 
+// Least returns the index of the candidate with the least work outstanding for its slots and speed, -1 if there is none;
+// among equals one is drawn. It is for a request that will wait there anyway.
+func Least(candidates []Candidate, r *rand.Rand) int {
+	neutral(candidates)
+	best, least, ties := -1, 0.0, 0
+	for i, c := range candidates {
+		if c.Weight <= 0 {
+			continue
+		}
+		cost := Cost(c)
+		switch {
+		case best < 0 || cost < least:
+			best, least, ties = i, cost, 1
+		case cost == least:
+			ties++
+			if r.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
 func choose(candidates []Candidate, r *rand.Rand, fits func(Candidate) bool) int {
 	total := 0.0
 	for _, c := range candidates {
--- a/director/pick.go
+++ b/director/pick.go
@@ -25,6 +25,8 @@
 	Only string
 	// Free restricts the choice to endpoints that seem to have a free slot and to take such requests.
 	Free bool
+	// Least asks for the endpoint with the shortest wait instead of a draw.
+	Least bool
 }
 
 const leastShare = 0.05
@@ -63,7 +65,13 @@
 		candidates = append(candidates, c)
 		from = append(from, i)
 	}
-	i := balance.Choose(candidates, rand.New(globalSource{})) //nolint:gosec // a draw, no secret
+	random := rand.New(globalSource{}) //nolint:gosec // a draw, no secret
+	i := -1
+	if w.Least {
+		i = balance.Least(candidates, random)
+	} else {
+		i = balance.Choose(candidates, random)
+	}
 	if i < 0 {
 		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
 	}
--- a/egress/local.go
+++ b/egress/local.go
@@ -64,7 +64,7 @@
 	deadline, _ := ctx.Deadline()
 	r := admit.Request{
 		ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline,
-		Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(),
+		Aim: time.Now().Add(aimLeft(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(),
 	}
 	wait, until, end := l.offer(r)
 	if wait == nil {
@@ -80,6 +80,14 @@
 	}
 }
 
+// aimLeft is the time in which the answer is worth its full value; without one, the whole time left.
+func aimLeft(d *peerpb.Dispatch) time.Duration {
+	if aim := d.GetAimMicros(); aim != 0 {
+		return time.Duration(aim) * time.Microsecond
+	}
+	return time.Duration(d.GetBudgetMicros()) * time.Microsecond
+}
+
 func (l *local) expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,14 +155,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.breaker.Would(now, d.GetRepeatable())
+	return l.breaker.Would(now, d.GetCanary())
 }
 
 // allow is the same at the moment of the hand-over; a trial must end with untry or release.
 func (l *local) allow(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ok, trial = l.breaker.Allow(now, d.GetRepeatable())
+	ok, trial = l.breaker.Allow(now, d.GetCanary())
 	return ok || d.GetLastResort(), trial
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -33,6 +33,7 @@
 // exchange is one caller's request on its way through one or more sends.
 type exchange struct {
 	g      *Ingress
+	start  time.Time
 	call   call
 	body   *requestBody
 	answer *answer
@@ -101,6 +102,7 @@
 		return director.Pick{}, true, fault.New(fault.Overloaded, x.call.service.Key, "every endpoint asked is full")
 	}
 	wish := x.wish()
+	wish.Least = true
 	wish.Tried = slices.Concat(x.tried, x.suspects)
 	pick, err := x.g.director.Pick(ctx, wish)
 	if err != nil && len(x.suspects) > 0 {
@@ -133,7 +135,9 @@
 }
 
 func (x *exchange) wish() director.Wish {
-	return director.Wish{Service: x.call.service.Key, Repeatable: x.call.repeatable, Tried: x.tried}
+	return director.Wish{
+		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried,
+	}
 }
 
 // send makes one send and reports what it showed of the endpoint.
@@ -145,6 +149,7 @@
 	}
 	d := x.dispatch(ctx, pick, claim)
 	d.Wait, d.LastResort = wait, x.lastResort
+	d.Canary = x.call.repeatable && x.sends == 0 && x.budget.left()
 	x.last = pick.Endpoint.Key
 	end := x.deliver(ctx, pick.Endpoint, d)
 	x.note(end)
@@ -167,7 +172,7 @@
 		Method: x.call.method, Target: x.call.target, Host: x.call.host, Headers: x.call.headers,
 		BudgetMicros: time.Until(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
 		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
-		Priority: uint32(x.call.route.Value.Priority), AimMicros: time.Duration(x.call.route.Value.Aim).Microseconds(),
+		Priority: uint32(x.call.route.Value.Priority), AimMicros: x.aimLeft().Microseconds(),
 	}
 	if len(x.body.head) <= inlineBody {
 		d.Body = x.body.head
@@ -180,6 +185,15 @@
 	return d
 }
 
+// aimLeft is what is left of the time in which the answer is worth its full value, at least a moment if the route has one.
+func (x *exchange) aimLeft() time.Duration {
+	aim := time.Duration(x.call.route.Value.Aim)
+	if aim == 0 {
+		return 0
+	}
+	return max(aim-time.Since(x.start), time.Microsecond)
+}
+
 // deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
 func (x *exchange) deliver(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch) *peerpb.End {
 	if e.Value.Host == x.g.cfg.Host {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -171,7 +171,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, call: c, body: body, answer: newAnswer(w, c, g.cfg.Contract, true)}
+	x := &exchange{g: g, start: time.Now(), call: c, body: body, answer: newAnswer(w, c, g.cfg.Contract, true)}
 	x.budget = g.budget(c.service.Key)
 	x.budget.request(float64(c.service.Value.RetryBudget))
 	end := x.run(ctx)
@@ -196,6 +196,13 @@
 	b.Request(share)
 }
 
+// left tells whether a request that fails now could be sent again.
+func (b *budget) left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Left()
+}
+
 func (b *budget) decide(a retry.Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -32,6 +32,9 @@
 // Request counts one request's first send and earns its share of a retry.
 func (b *Budget) Request(share float64) { b.tokens = min(b.burst, b.tokens+share) }
 
+// Left tells whether Take would grant a retry.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Take grants one retry if the budget has one left.
 func (b *Budget) Take() bool {
 	if b.tokens < 1 {
