--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -24,6 +24,8 @@
 	Retry time.Duration
 	// Timeout bounds one attempt.
 	Timeout time.Duration
+	// FirstDelay is how long the first write waits for an endpoint to announce itself.
+	FirstDelay time.Duration
 }
 
 // gather lets a burst of changes become one write.
@@ -45,6 +47,8 @@
 	dirty     bool
 	// written is the version of the line as this process last wrote it.
 	written uint64
+	// sure is set while the line is known to be at that version.
+	sure bool
 }
 
 // New returns an announcer that has written nothing.
@@ -52,11 +56,16 @@
 	return &Announcer{cfg: cfg, log: log, table: t, want: cfg.Host, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
-// Start writes the line and keeps it as it should be.
+// Start keeps the line as it should be. With endpoints that announce themselves it is first written when one has, or
+// after the first delay, so that a node's start is mostly one write.
 func (a *Announcer) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
-	a.mark()
+	if a.cfg.FirstDelay == 0 {
+		a.mark()
+	} else {
+		time.AfterFunc(a.cfg.FirstDelay, a.mark)
+	}
 	go a.run(ctx)
 	return nil
 }
@@ -87,11 +96,13 @@
 // Observe looks whether a snapshot in force shows the line as it was written; another node may have taken it out.
 func (a *Announcer) Observe(snap *follow.Snapshot) {
 	a.mu.Lock()
-	seen, ok := snap.ByID[a.cfg.Host.ID]
 	known := a.written != 0 && snap.State.Revisions()[table.PlaneHosts] > a.written
-	lost := known && !a.withdrawn && (!ok || seen.Incarnation != a.cfg.Host.Incarnation)
+	lost := known && !a.withdrawn && !snap.SelfListed
 	a.mu.Unlock()
 	if lost {
+		a.mu.Lock()
+		a.sure = false
+		a.mu.Unlock()
 		a.mark()
 	}
 }
@@ -174,28 +185,45 @@
 	return err
 }
 
+// version returns the version of the line that the next write replaces.
+func (a *Announcer) version(ctx context.Context, key string) (uint64, error) {
+	a.mu.Lock()
+	known, sure := a.written, a.sure
+	a.mu.Unlock()
+	if sure {
+		return known, nil
+	}
+	recs, err := a.table.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	return recs[0].Version, nil
+}
+
 func (a *Announcer) commit(ctx context.Context, w platform.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
 	defer cancel()
-	recs, err := a.table.Get(ctx, w.Key)
+	version, err := a.version(ctx, w.Key)
 	if err != nil {
 		return err
 	}
-	if w.Delete && recs[0].Version == 0 {
+	if w.Delete && version == 0 {
 		return nil
 	}
 	reply, err := a.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: w.Key, Version: recs[0].Version}}, Writes: []platform.Write{w},
+		Checks: []platform.Check{{Key: w.Key, Version: version}}, Writes: []platform.Write{w},
 	})
+	if err == nil && !reply.Committed {
+		err = fault.New(fault.Conflict, w.Key, "line was written meanwhile")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	// After a failure the line may be at any version: the next attempt asks for it.
+	a.sure = err == nil
 	if err != nil {
 		return err
 	}
-	if !reply.Committed {
-		return fault.New(fault.Conflict, w.Key, "line was written meanwhile")
-	}
-	a.mu.Lock()
 	a.written = reply.Version
-	a.mu.Unlock()
 	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).Send()
 	return nil
 }
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -53,6 +53,7 @@
 	state   func() *table.State
 	keys    *keys
 	records *records
+	configs *seenConfigs
 	pool    *upstream.Pool
 	// announced are the endpoints that announce themselves beside this node.
 	announced *registry.Registry
@@ -87,7 +88,7 @@
 	e := &Egress{
 		cfg: cfg, log: log, state: state,
 		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.KeySettle),
-		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(),
+		locals: make(map[string]*local), records: newRecords(), configs: newSeenConfigs(), pool: upstream.NewPool(),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -263,6 +264,9 @@
 	if e.closing.Load() {
 		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
 	}
+	if e.configs.stale(e.state(), d) {
+		return nil, peer.NotRun(fault.Stale, shortRetryAfter)
+	}
 	if r, ok := e.announcedHere(d); ok {
 		if r.Leaving {
 			return nil, peer.NotRun(fault.Draining, drainRetryAfter)
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -53,6 +53,8 @@
 	OfferLapsed Code = "offer_lapsed"
 	// RetryBudget is a request that was not sent again because the service's retries are spent.
 	RetryBudget Code = "retry_budget"
+	// Stale is a refusal of a request that was sent by an older configuration, whose route has changed since.
+	Stale Code = "stale"
 	// DeadlineTooShort is a refusal because the work cannot end before the deadline.
 	DeadlineTooShort Code = "deadline_too_short"
 	// CustomerLimit is a refusal because a customer exceeds its limit.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -65,6 +65,8 @@
 	Hosts []table.HostInfo
 	// ByID is the list by the hosts' names.
 	ByID map[string]table.HostInfo
+	// SelfListed is set while the store's list shows this host as this life of its node announced it.
+	SelfListed bool
 	// Ready is false until the node may serve.
 	Ready bool
 }
@@ -298,12 +300,14 @@
 // putHosts publishes the list of hosts with this host's own line as this node knows it.
 func (f *Follower) putHosts() error {
 	hosts := slices.Clone(f.hosts)
+	selfListed := false
 	if p := f.self.Load(); p != nil {
 		self := *p
 		i := slices.IndexFunc(hosts, func(h table.HostInfo) bool { return h.ID == self.ID })
 		if i < 0 {
 			hosts = append(hosts, self)
 		} else {
+			selfListed = hosts[i].Incarnation == self.Incarnation
 			self.Version = hosts[i].Version
 			hosts[i] = self
 		}
@@ -320,6 +324,7 @@
 	next := *old
 	next.State = state
 	next.Hosts = hosts
+	next.SelfListed = selfListed
 	next.ByID = make(map[string]table.HostInfo, len(hosts))
 	for _, h := range hosts {
 		next.ByID[h.ID] = h
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -31,6 +31,7 @@
 	host       string
 	headers    []*peerpb.Header
 	revision   uint64
+	config     uint64
 }
 
 // parse reads what the caller asks for; the failure says what is wrong.
@@ -39,6 +40,7 @@
 	c := call{
 		id: say.ID, method: r.Method, target: r.RequestURI, host: r.Host, customer: say.Customer,
 		key: say.Key, attempt: say.Attempt, revision: snap.State.Revision(),
+		config: snap.State.Revisions()[table.PlaneConfig],
 	}
 	if bad != nil {
 		return c, bad
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -171,6 +171,7 @@
 		RequestId: x.call.id, Endpoint: pick.Endpoint.Key, Service: x.call.service.Key, Customer: x.call.customer,
 		Method: x.call.method, Target: x.call.target, Host: x.call.host, Headers: x.call.headers,
 		BudgetMicros: time.Until(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
+		Route: x.call.route.Key, Config: x.call.config,
 		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
 		Priority: uint32(x.call.route.Value.Priority), AimMicros: x.aimLeft().Microseconds(),
 	}
@@ -250,7 +251,7 @@
 // misplaced tells that the sender's view was old, or its link down.
 func misplaced(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Draining, fault.WrongHost, fault.LinkDown:
+	case fault.Draining, fault.WrongHost, fault.LinkDown, fault.Stale:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -81,6 +81,7 @@
 var details = map[fault.Code]string{
 	fault.Busy:                "no endpoint has a free slot",
 	fault.Suspect:             "the endpoints broke off their work just now",
+	fault.Stale:               "the route has changed meanwhile",
 	fault.OfferLapsed:         "the offered slot was not taken in time",
 	fault.RetryBudget:         "the service's retries are spent",
 	fault.Overloaded:          "the endpoints' slots and queues are full",
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,10 @@
 // hallDistance is the time to another hall and back, until links are measured between halls: 1.5 ms each way.
 const hallDistance = 3 * time.Millisecond
 
+// announceDelay is how long a node waits for its endpoint's first heartbeat before it announces itself without one: a
+// little more than the time between two heartbeats.
+const announceDelay = 2 * time.Second
+
 // Node is one process of the fleet.
 type Node struct {
 	cfg    settings.Daemon
@@ -275,7 +279,12 @@
 	if !address.IsValid() {
 		address = n.cfg.Peers.Listen
 	}
+	delay := time.Duration(0)
+	if n.cfg.Announced.Listen.IsValid() {
+		delay = announceDelay
+	}
 	return announce.Config{
+		FirstDelay: delay,
 		Host: table.HostInfo{
 			ID: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Address: address.String(), Incarnation: incarnation,
 		},
--- /dev/null
+++ b/pipeline/script_test.go
@@ -0,0 +1,182 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// fixture is a server whose handler is steered by paths, and one caller's connection.
+type fixture struct {
+	server *Server
+	conn   net.Conn
+	in     *bufio.Reader
+	mu     sync.Mutex
+	gates  map[string]chan struct{}
+	began  chan string
+	left   chan string
+}
+
+func (f *fixture) gate(name string) chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gates[name] == nil {
+		f.gates[name] = make(chan struct{})
+	}
+	return f.gates[name]
+}
+
+// ServeHTTP answers with the method, path and body; /gate/NAME waits for the gate, /cut and /short end too early.
+func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	f.began <- r.URL.Path
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/gate/"):
+		select {
+		case <-f.gate(strings.TrimPrefix(r.URL.Path, "/gate/")):
+		case <-r.Context().Done():
+			f.left <- r.URL.Path
+			return
+		}
+	case r.URL.Path == "/cut":
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case r.URL.Path == "/short":
+		w.Header().Set("Content-Length", "10")
+	case r.URL.Path == "/stream":
+		_, _ = io.WriteString(w, "part,")
+		_ = http.NewResponseController(w).Flush()
+	}
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{gates: make(map[string]chan struct{}), began: make(chan string, 100), left: make(chan string, 100)}
+	limits := func() Limits {
+		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	}
+	f.server = New("test", "127.0.0.1:0", limits, f, func(w http.ResponseWriter, status int, err *fault.Error) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, string(err.Code))
+	})
+	if err := f.server.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.dial(t)
+	return f
+}
+
+func (f *fixture) dial(t *testing.T) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.server.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.conn, f.in = c, bufio.NewReader(c)
+	t.Cleanup(func() { _ = c.Close() })
+}
+
+// TestScripts runs the scenarios of testdata, each line of a request ended by CRLF. Commands:
+//
+//	send            writes requests as they stand
+//	read [n=N]      reads N answers
+//	began n=N       waits until N requests have begun, and names them
+//	open NAME       opens a gate
+//	leave           closes the caller's connection
+//	gone            waits for a request whose caller has left
+//	dial            opens another connection
+//	drain           begins the planned stop
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		f := start(t)
+		t.Cleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = f.server.Stop(ctx)
+		})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return f.step(t, d)
+		})
+	})
+}
+
+func (f *fixture) step(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	n := 1
+	d.MaybeScanArgs(t, "n", &n)
+	switch d.Cmd {
+	case "send":
+		text := strings.ReplaceAll(d.Input, "\n", "\r\n")
+		text = strings.ReplaceAll(text, "~", "\r\n")
+		if _, err := io.WriteString(f.conn, text); err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+	case "read":
+		return f.read(n)
+	case "began":
+		return receive(t, f.began, n)
+	case "open":
+		close(f.gate(d.CmdArgs[0].Key))
+	case "leave":
+		_ = f.conn.Close()
+	case "gone":
+		return receive(t, f.left, n)
+	case "dial":
+		f.dial(t)
+	case "drain":
+		f.server.Drain()
+	default:
+		d.Fatalf(t, "no such command")
+	}
+	return ""
+}
+
+func receive(t *testing.T, c chan string, n int) string {
+	t.Helper()
+	var names []string
+	for range n {
+		select {
+		case name := <-c:
+			names = append(names, name)
+		case <-time.After(10 * time.Second):
+			t.Fatal("got nothing, want a request")
+		}
+	}
+	sort.Strings(names)
+	return strings.Join(names, "\n") + "\n"
+}
+
+func (f *fixture) read(n int) string {
+	var b strings.Builder
+	for range n {
+		resp, err := http.ReadResponse(f.in, nil)
+		if err != nil {
+			return b.String() + "closed\n"
+		}
+		body, err := io.ReadAll(resp.Body)
+		fmt.Fprintf(&b, "%d %q", resp.StatusCode, body)
+		if resp.Close {
+			b.WriteString(" close")
+		}
+		if err != nil {
+			b.WriteString(" broken off")
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
