--- a/egress/egress.go
+++ b/egress/egress.go
@@ -53,7 +53,7 @@
 	state   func() *table.State
 	keys    *keys
 	records *records
-	configs *seenConfigs
+	configs seenConfig
 	pool    *upstream.Pool
 	// announced are the endpoints that announce themselves beside this node.
 	announced *registry.Registry
@@ -88,7 +88,7 @@
 	e := &Egress{
 		cfg: cfg, log: log, state: state,
 		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.KeySettle),
-		locals: make(map[string]*local), records: newRecords(), configs: newSeenConfigs(), pool: upstream.NewPool(),
+		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(),
 	}
 	for _, opt := range opts {
 		opt(e)
--- a/egress/stale.go
+++ b/egress/stale.go
@@ -1,60 +1,50 @@
 package egress
 
 import (
-	"sync"
+	"sync/atomic"
 
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// mostSeen bounds the routes of which the newest configuration seen is remembered.
-const mostSeen = 100000
-
-// seenConfigs remembers by which configuration each route's requests have come, for a node that is itself behind.
-type seenConfigs struct {
-	mu      sync.Mutex
-	newest  uint64
-	byRoute map[string]uint64
+// seenConfig remembers the newest configuration by which a request has come: this node may itself be behind it.
+type seenConfig struct {
+	newest atomic.Uint64
 }
 
-func newSeenConfigs() *seenConfigs { return &seenConfigs{byRoute: make(map[string]uint64)} }
-
-// stale tells whether a request was sent by an older configuration than this node or one that it has served knows, and
-// the route may have changed since.
+// stale tells whether a request was sent by an older configuration than this node holds or has served, and its route may
+// have changed since. While the node is behind what it has served it cannot tell, and takes nothing older; its peers
+// bring it up to date within a heartbeat or two.
 //
 // Invariant: once a request of a newer configuration was served here, none goes by an older one to where only that
 // would send it.
-func (c *seenConfigs) stale(s *table.State, d *peerpb.Dispatch) bool {
+func (c *seenConfig) stale(s *table.State, d *peerpb.Dispatch) bool {
 	own := s.Revisions()[table.PlaneConfig]
 	if d.GetConfig() == 0 {
 		return false
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.newest = max(c.newest, d.GetConfig())
-	if d.GetConfig() >= c.newest {
-		c.note(d)
-		return d.GetConfig() < own && changed(s, d)
-	}
-	if own >= c.newest {
-		return changed(s, d)
+	newest := c.note(max(own, d.GetConfig()))
+	if d.GetConfig() >= newest {
+		return false
 	}
-	// This node does not hold the newest configuration it has served; what came by it shows at least that route.
-	return d.GetConfig() < c.byRoute[d.GetRoute()] || c.byRoute[d.GetRoute()] == 0 || changed(s, d)
+	return own < newest || changed(s, d)
 }
 
-func (c *seenConfigs) note(d *peerpb.Dispatch) {
-	if len(c.byRoute) >= mostSeen {
-		clear(c.byRoute)
+// note raises the newest configuration seen and returns it.
+func (c *seenConfig) note(version uint64) uint64 {
+	for {
+		old := c.newest.Load()
+		if version <= old {
+			return old
+		}
+		if c.newest.CompareAndSwap(old, version) {
+			return version
+		}
 	}
-	c.byRoute[d.GetRoute()] = d.GetConfig()
 }
 
 // changed tells whether the route has changed, or gone, since the configuration that the request came by.
 func changed(s *table.State, d *peerpb.Dispatch) bool {
-	if d.GetConfig() >= s.Revisions()[table.PlaneConfig] {
-		return false
-	}
 	row, ok := s.Row(table.KindRoute, d.GetRoute())
 	return !ok || row.Revision > d.GetConfig()
 }
--- /dev/null
+++ b/peer/offer_test.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// offers is an egress that holds a slot for each dispatch and notes what it was told.
+type offers struct {
+	permitted chan bool
+	// before runs between the arrival of a dispatch and the offer of a slot.
+	before func()
+	ends   map[uint64]*peerpb.End
+}
+
+func (o *offers) Serve(ctx context.Context, d *peerpb.Dispatch, _ io.Reader, sink Sink) *peerpb.End {
+	if o.before != nil {
+		o.before()
+	}
+	p, ok := sink.(Permitter)
+	if !ok {
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
+	}
+	if d.GetWait() {
+		p.Waiting()
+	}
+	ok = p.Permit(ctx, &peerpb.Load{})
+	o.permitted <- ok
+	if !ok {
+		return NotRun(fault.OfferLapsed, 0)
+	}
+	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
+}
+
+func (o *offers) Fetch(_ context.Context, exchange uint64, sink Sink) *peerpb.End {
+	if end := o.ends[exchange]; end != nil {
+		_ = sink.Head(&peerpb.Head{Status: 200}, true)
+		_ = sink.Data([]byte("kept"), true)
+		return end
+	}
+	return Unknown(fault.LinkLost)
+}
+
+func (*offers) Settle(*peerpb.Settle) {}
+
+func (*offers) Deltas(table.Revisions) []*peerpb.Delta { return nil }
+
+func startOffers(t *testing.T, o *offers) (*Manager, string) {
+	t.Helper()
+	log := zerolog.Nop()
+	m := NewManager(Config{
+		Node: "n", Listen: "127.0.0.1:0", Heartbeat: 20 * time.Millisecond, CutAfter: time.Second,
+		IdleClose: time.Minute, Conns: 10,
+	}, &log)
+	m.Handle(o)
+	if err := m.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
+	return m, m.listener.Addr().String()
+}
+
+func session(t *testing.T, m *Manager, address string) *Session {
+	t.Helper()
+	s, err := m.Session(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func offer(t *testing.T, ctx context.Context, s *Session, wait bool) *peerpb.End {
+	t.Helper()
+	d := &peerpb.Dispatch{RequestId: "q", BudgetMicros: 5e6, Exchange: 7, Wait: wait}
+	return s.Exchange(ctx, d, nil, &kept{})
+}
+
+// TestOfferIsTaken checks that a request runs once its ingress has taken the slot.
+func TestOfferIsTaken(t *testing.T) {
+	o := &offers{permitted: make(chan bool, 1)}
+	_, address := startOffers(t, o)
+	m, _ := startOffers(t, o)
+	end := offer(t, t.Context(), session(t, m, address), true)
+	if got, want := end.GetOutcome(), peerpb.Outcome_OUTCOME_RAN; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	if got, want := <-o.permitted, true; got != want {
+		t.Errorf("permitted: got %v, want %v", got, want)
+	}
+}
+
+// TestSilentOfferIsNotRun checks that an egress which does not answer an offer in time gets no word later, and that the
+// request is told as not run: it may go elsewhere.
+func TestSilentOfferIsNotRun(t *testing.T) {
+	release := make(chan struct{})
+	o := &offers{permitted: make(chan bool, 1), before: func() { <-release }}
+	_, address := startOffers(t, o)
+	m, _ := startOffers(t, o)
+	s := session(t, m, address)
+	end := offer(t, t.Context(), s, false)
+	if got, want := end.GetOutcome(), peerpb.Outcome_OUTCOME_NOT_RUN; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	if got, want := s.suspect.Load(), true; got != want {
+		t.Errorf("link under suspicion: got %v, want %v", got, want)
+	}
+	close(release)
+	if got, want := <-o.permitted, false; got != want {
+		t.Errorf("permitted after the ingress gave up: got %v, want %v", got, want)
+	}
+}
+
+// TestCanceledOfferIsNotRun checks that a caller that leaves while its request waits ends it as not run.
+func TestCanceledOfferIsNotRun(t *testing.T) {
+	waiting := make(chan struct{})
+	release := make(chan struct{})
+	o := &offers{permitted: make(chan bool, 1), before: func() { close(waiting); <-release }}
+	_, address := startOffers(t, o)
+	m, _ := startOffers(t, o)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-waiting
+		cancel()
+	}()
+	end := offer(t, ctx, session(t, m, address), true)
+	if got, want := end.GetOutcome(), peerpb.Outcome_OUTCOME_NOT_RUN; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	close(release)
+	if got, want := <-o.permitted, false; got != want {
+		t.Errorf("permitted: got %v, want %v", got, want)
+	}
+}
+
+// TestFetch checks that a kept answer is found on the direct way and through a third node, and that what the egress does
+// not know stays unknown.
+func TestFetch(t *testing.T) {
+	whole := &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Complete: true}
+	_, address := startOffers(t, &offers{ends: map[uint64]*peerpb.End{7: whole}})
+	relay, relayAddress := startOffers(t, &offers{})
+	m, _ := startOffers(t, &offers{})
+	_ = relay
+	ways := map[string]func(exchange uint64, sink Sink) *peerpb.End{
+		"direct": func(exchange uint64, sink Sink) *peerpb.End {
+			return session(t, m, address).Fetch(t.Context(), exchange, sink)
+		},
+		"through a third node": func(exchange uint64, sink Sink) *peerpb.End {
+			return session(t, m, relayAddress).FetchVia(t.Context(), address, exchange, sink)
+		},
+	}
+	for name, fetch := range ways {
+		k := &kept{}
+		if got, want := fetch(7, k).GetOutcome(), peerpb.Outcome_OUTCOME_RAN; got != want {
+			t.Errorf("%s: outcome: got %v, want %v", name, got, want)
+		}
+		if got, want := string(k.body), "kept"; got != want {
+			t.Errorf("%s: body: got %q, want %q", name, got, want)
+		}
+		if got, want := fetch(8, &kept{}).GetOutcome(), peerpb.Outcome_OUTCOME_UNKNOWN; got != want {
+			t.Errorf("%s: of another exchange: got %v, want %v", name, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/registry/script_test.go
@@ -0,0 +1,55 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// TestScripts runs the scenarios of testdata. Commands:
+//
+//	beat key=K [service=S] [at=IP:PORT] [slots=N] [draining] seq=N
+//	leave key=K
+//	serving
+//
+// Each prints what the registry announces, if that has changed.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		log := zerolog.Nop()
+		var announced []string
+		r := New("h1", "hall-1", &log, func(list []table.Announced) {
+			announced = nil
+			for _, a := range list {
+				announced = append(announced, fmt.Sprintln("announces", a.Key, a.Value.Service, a.Value.Address, a.Value.Phase))
+			}
+		})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			announced = nil
+			b := Beat{Service: "desk", Address: "10.0.0.1:80", Slots: 4, Draining: d.HasArg("draining")}
+			d.MaybeScanArgs(t, "key", &b.Key)
+			d.MaybeScanArgs(t, "service", &b.Service)
+			d.MaybeScanArgs(t, "at", &b.Address)
+			d.MaybeScanArgs(t, "slots", &b.Slots)
+			d.MaybeScanArgs(t, "seq", &b.Sequence)
+			switch d.Cmd {
+			case "beat":
+				if err := r.Beat(time.Unix(1000, 0), b); err != nil {
+					return err.Error() + "\n"
+				}
+			case "leave":
+				r.Leave(b.Key)
+			case "serving":
+				return fmt.Sprintln(r.Serving())
+			default:
+				d.Fatalf(t, "no such command")
+			}
+			return strings.Join(announced, "")
+		})
+	})
+}
