Links: a host out of reach gets no work and is not dialed in a request's path; hosts' revision is that of their lines

A read of the whole table raised the hosts' revision to the store's newest version, so that every restart had all others pull the list.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -51,8 +51,13 @@
 	// lonelyAfter is how many retries a node waits without word from a reader before it reads itself.
 	lonelyAfter    = 10
 	neighbourHalls = 2
+	// pullAfter is how long a node that reads the platform itself may be behind a peer before it asks it: mostly its own
+	// reading comes first, and a list of hosts between halls costs more.
+	pullAfter = 300 * time.Millisecond
+	// pullHostsAfter is the same for the list of hosts, whose changes readers gather.
+	pullHostsAfter = 3 * gather
 	messageBacklog = 64
-	keepLinksEvery = 500 * time.Millisecond
+	keepLinksEvery = 250 * time.Millisecond
 	// mostPinned bounds the fleet in which each node keeps a link to every other; links of larger fleets open by need.
 	mostPinned = 64
 )
@@ -98,7 +103,7 @@
 	pulling    bool
 	sources    map[table.Plane]*sourceState
 	heardAt    time.Time
-	wanted     map[string]table.Revisions
+	wanted     map[string]wantedPull
 	seedsAsked map[string]bool
 	startedAt  time.Time
 	// hosts is the newest list of hosts.
@@ -127,7 +132,7 @@
 		cfg: cfg, log: log, platform: p, links: links,
 		messages: make(chan message, messageBacklog), done: make(chan struct{}),
 		sources: map[table.Plane]*sourceState{table.PlaneRows: {}},
-		wanted:  make(map[string]table.Revisions), seedsAsked: make(map[string]bool),
+		wanted:  make(map[string]wantedPull), seedsAsked: make(map[string]bool),
 	}
 	if cfg.WithConfig {
 		f.sources[table.PlaneConfig] = &sourceState{}
@@ -208,6 +213,7 @@
 		f.askSeeds(ctx)
 	}
 	f.keepLinks(ctx, snap.Hosts, reader)
+	f.pullNext(ctx)
 }
 
 func (f *Follower) isReader(hosts []table.HostInfo) bool {
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -21,13 +21,15 @@
 	state    *table.State
 	hosts    []table.HostInfo
 	revision uint64
-	err      error
+	// at is the store's version that the read shows.
+	at  uint64
+	err error
 }
 
 func (m ownRead) apply(_ context.Context, f *Follower) {
 	err := m.err
 	if err == nil {
-		err = f.adoptHosts(m.hosts, m.revision)
+		err = f.readHosts(m)
 	}
 	if err == nil {
 		err = f.adoptRows(m.state)
@@ -45,6 +47,17 @@
 	}
 }
 
+// readHosts takes the list of hosts as the store showed it. A read of the whole table tells of hosts that are gone only
+// by not showing them, and so counts whatever the newest line's version; one that is older than what a peer has told is
+// followed by another.
+func (f *Follower) readHosts(m ownRead) error {
+	if m.at < f.hostsRevision {
+		return nil
+	}
+	f.hosts, f.hostsRevision = m.hosts, max(f.hostsRevision, m.revision)
+	return f.putHosts()
+}
+
 // adoptRows brings the operators' rows to a state that only holds these.
 func (f *Follower) adoptRows(s *table.State) error {
 	from := f.State().Revision()
@@ -122,8 +135,18 @@
 	if address == "" || !f.State().Revisions().Behind(m.revisions) {
 		return
 	}
-	f.wanted[address] = m.revisions
-	f.pullNext(ctx)
+	if _, ok := f.wanted[address]; !ok {
+		f.wanted[address] = wantedPull{revisions: m.revisions, since: time.Now()}
+	}
+	if !f.reading.Load() {
+		f.pullNext(ctx)
+	}
+}
+
+// wantedPull is what a peer has shown that this node lacks.
+type wantedPull struct {
+	revisions table.Revisions
+	since     time.Time
 }
 
 // addressOf takes a peer's address or its host id.
@@ -139,18 +162,48 @@
 	return ""
 }
 
-// pullNext pulls from one peer that shows a later revision; at most one pull is under way.
+// pullNext pulls from one peer that shows a later revision, of this hall if there is one; at most one pull is under way.
 func (f *Follower) pullNext(ctx context.Context) {
 	if f.pulling {
 		return
 	}
-	for address, revisions := range f.wanted {
-		delete(f.wanted, address)
-		if f.State().Revisions().Behind(revisions) {
-			f.pull(ctx, address)
-			return
+	now := time.Now()
+	best := ""
+	for address, w := range f.wanted {
+		if !f.State().Revisions().Behind(w.revisions) {
+			delete(f.wanted, address)
+			continue
+		}
+		if f.reading.Load() && now.Sub(w.since) < f.patience(w.revisions) {
+			continue
+		}
+		if best == "" || f.near(address) {
+			best = address
+		}
+	}
+	if best != "" {
+		delete(f.wanted, best)
+		f.pull(ctx, best)
+	}
+}
+
+// patience is how long this node, which reads the platform itself, waits for what a peer has shown.
+func (f *Follower) patience(shown table.Revisions) time.Duration {
+	shown[table.PlaneHosts] = 0
+	if f.State().Revisions().Behind(shown) {
+		return pullAfter
+	}
+	return pullHostsAfter
+}
+
+// near tells whether a peer is of this hall.
+func (f *Follower) near(address string) bool {
+	for _, h := range f.Snapshot().Hosts {
+		if h.Address == address {
+			return h.Hall == f.cfg.Hall
 		}
 	}
+	return false
 }
 
 func (f *Follower) askSeeds(ctx context.Context) {
--- a/follow/read.go
+++ b/follow/read.go
@@ -72,7 +72,7 @@
 		}
 		return ownRead{err: err}, r.f.cfg.Retry
 	}
-	m := ownRead{state: r.state, hosts: slices.Collect(maps.Values(r.hosts)), revision: r.revision}
+	m := ownRead{state: r.state, hosts: slices.Collect(maps.Values(r.hosts)), revision: r.revision, at: r.cursor}
 	slices.SortFunc(m.hosts, func(a, b table.HostInfo) int { return strings.Compare(a.ID, b.ID) })
 	if changed {
 		return m, gather
@@ -93,7 +93,6 @@
 	if !r.loaded {
 		// A read of the whole table shows what is gone by not showing it.
 		r.hosts = make(map[string]table.HostInfo)
-		r.revision = max(r.revision, recs.Version)
 	}
 	rows := false
 	for _, rec := range recs.Records {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -204,7 +204,7 @@
 	if !ok {
 		return peer.NotRun(fault.LinkDown, 0)
 	}
-	s, err := x.g.links.Session(ctx, host.Address)
+	s, err := x.session(ctx, host.Address)
 	if err != nil {
 		return peer.NotRun(fault.LinkDown, 0)
 	}
@@ -215,6 +215,16 @@
 	return end
 }
 
+// linkLimit is how long a request waits for a link that is not up: a few round trips between regions. The link is opened
+// all the same; a host without power would hold the request for the whole time of a connection.
+const linkLimit = 100 * time.Millisecond
+
+func (x *exchange) session(ctx context.Context, address string) (*peer.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, linkLimit)
+	defer cancel()
+	return x.g.links.Session(ctx, address)
+}
+
 // lost tells that a request was handed over and that its link broke.
 func lost(end *peerpb.End) bool {
 	return end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN && fault.Code(end.GetCode()) == fault.LinkLost
--- a/ingress/recover.go
+++ b/ingress/recover.go
@@ -41,7 +41,10 @@
 // fetchOnce tries each way once.
 func (x *exchange) fetchOnce(ctx context.Context, host table.HostInfo, exchange uint64, end *peerpb.End) *peerpb.End {
 	x.answer.reset()
-	if s, err := x.g.links.Renew(ctx, host.Address); err == nil {
+	renew, cancel := context.WithTimeout(ctx, linkLimit)
+	s, err := x.g.links.Renew(renew, host.Address)
+	cancel()
+	if err == nil {
 		if end = s.Fetch(ctx, exchange, x.answer); !lost(end) {
 			return end
 		}
@@ -50,7 +53,7 @@
 		if ctx.Err() != nil || x.answer.started {
 			return end
 		}
-		s, err := x.g.links.Session(ctx, relay.Address)
+		s, err := x.session(ctx, relay.Address)
 		if err != nil {
 			continue
 		}
--- a/peer/control.go
+++ b/peer/control.go
@@ -18,7 +18,7 @@
 
 // serveControl is the acceptor's side.
 func (m *Manager) serveControl(stream net.Conn, r FrameReader, hello *peerpb.Hello) {
-	news := m.subscribe()
+	news := m.subscribe(hello.GetHall())
 	defer m.unsubscribe(news)
 	heard := make(chan uint64, 1)
 	go func() {
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -84,7 +84,7 @@
 	suspects    map[string]bool
 	unreachable map[string]time.Time
 	accepted    map[*yamux.Session]net.Conn
-	subscribers map[chan struct{}]struct{}
+	subscribers map[chan struct{}]string
 
 	onBeat func(peer string, revisions table.Revisions)
 }
@@ -112,7 +112,7 @@
 		suspects:    make(map[string]bool),
 		unreachable: make(map[string]time.Time),
 		accepted:    make(map[*yamux.Session]net.Conn),
-		subscribers: make(map[chan struct{}]struct{}),
+		subscribers: make(map[chan struct{}]string),
 		onBeat:      func(string, table.Revisions) {},
 	}
 	m.revisions.Store(new(table.Revisions))
@@ -212,20 +212,25 @@
 // Leave tells every peer that this node takes nothing new.
 func (m *Manager) Leave() {
 	m.leaving.Store(true)
-	m.tell()
+	m.tell(func(string) bool { return true })
 }
 
-// Announce tells every connected peer the revisions in force.
+// Announce tells the connected peers of this hall the revisions in force; those of other halls, the links to which are
+// dear, hear of them by the next heartbeat.
 func (m *Manager) Announce(revisions table.Revisions) {
 	if old := m.revisions.Swap(&revisions); *old != revisions {
-		m.tell()
+		m.tell(func(hall string) bool { return hall == m.cfg.Hall })
 	}
 }
 
-func (m *Manager) tell() {
+// tell has a beat sent to the connected peers of some halls.
+func (m *Manager) tell(which func(hall string) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for c := range m.subscribers {
+	for c, hall := range m.subscribers {
+		if !which(hall) {
+			continue
+		}
 		select {
 		case c <- struct{}{}:
 		default:
@@ -233,11 +238,11 @@
 	}
 }
 
-func (m *Manager) subscribe() chan struct{} {
+func (m *Manager) subscribe(hall string) chan struct{} {
 	c := make(chan struct{}, 1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.subscribers[c] = struct{}{}
+	m.subscribers[c] = hall
 	return c
 }
 
@@ -299,12 +304,16 @@
 	return m.sessions[address] != nil || m.dialing[address] != nil
 }
 
-// Usable tells whether a peer may get new work as far as the link shows; a peer without a link may.
+// Usable tells whether a peer may get new work as far as links show: one that cannot be reached may not until a link to it
+// is up again, one that was never tried may.
 func (m *Manager) Usable(address string) bool {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	s := m.sessions[address]
-	m.mu.Unlock()
-	return s == nil || !s.suspect.Load() && !s.leaving.Load()
+	if s == nil {
+		return m.unreachable[address].IsZero()
+	}
+	return !s.suspect.Load() && !s.leaving.Load()
 }
 
 // Bytes returns how many bytes were read from and written to peers since the start.
