--- a/director/target.go
+++ b/director/target.go
@@ -32,7 +32,9 @@
 
 const (
 	latencyMemory = 0.1
-	// A load report counts for less with age and for nothing after this.
+	// A load report counts in full for about the time in which a busy endpoint frees a slot (work of 50 to 300 ms on 3
+	// or 4 slots), then for less with age, and for nothing after its life.
+	reportFull  = 100 * time.Millisecond
 	reportLife  = 500 * time.Millisecond
 	leavingLife = 5 * time.Second
 	// declinedLife is how long an endpoint that turned a request away is left alone while others may be free.
@@ -73,7 +75,8 @@
 	if age >= int64(reportLife) {
 		return int(own)
 	}
-	faded := float64(t.reported.Load()) * (1 - float64(age)/float64(reportLife))
+	left := 1 - max(0, float64(age)-float64(reportFull))/float64(reportLife-reportFull)
+	faded := float64(t.reported.Load()) * left
 	return int(max(own, int64(faded)))
 }
 
--- a/peer/control.go
+++ b/peer/control.go
@@ -86,18 +86,17 @@
 		case <-s.wake:
 		case <-tick.C:
 		}
-		tick.Reset(s.interval(time.Now()))
+		tick.Reset(s.interval())
 		if !s.judge(time.Now()) {
 			return
 		}
 	}
 }
 
-// interval is the time to the next beat. A link that carries no requests beats slowly: what its peer has to tell comes
-// without being asked, and nothing is sent that a cut could harm.
-func (s *Session) interval(now time.Time) time.Duration {
-	idle := now.Sub(s.lastUse()) > s.m.cfg.CutAfter && s.inFlight.Load() == 0 && !s.suspect.Load()
-	if idle {
+// interval is the time to the next beat. A link on which no request is under way beats slowly: an offer finds out at
+// once whether it is cut, and what its peer has to tell comes without being asked.
+func (s *Session) interval() time.Duration {
+	if s.inFlight.Load() == 0 && !s.suspect.Load() {
 		return idleFactor * s.m.cfg.Heartbeat
 	}
 	return s.m.cfg.Heartbeat
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -58,7 +58,11 @@
 		return end
 	}
 	defer x.close()
-	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Dispatch{Dispatch: d}}); err != nil {
+	first := d
+	if x.offered {
+		first = offerOf(d)
+	}
+	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Dispatch{Dispatch: first}}); err != nil {
 		return x.broken()
 	}
 	if x.handed {
@@ -67,6 +71,30 @@
 	return x.receive(sink, func() error { return x.handOver(d, body) })
 }
 
+// offerOf is a dispatch without what only the endpoint needs: most offers to a busy fleet are turned away, and the links
+// between halls are dear.
+func offerOf(d *peerpb.Dispatch) *peerpb.Dispatch {
+	return &peerpb.Dispatch{
+		RequestId: d.GetRequestId(), Endpoint: d.GetEndpoint(), Service: d.GetService(), Customer: d.GetCustomer(),
+		BudgetMicros: d.GetBudgetMicros(), Repeatable: d.GetRepeatable(), Revision: d.GetRevision(),
+		BodyLength: d.GetBodyLength(), LateMicros: d.GetLateMicros(), Exchange: d.GetExchange(), Wait: d.GetWait(),
+		Priority: d.GetPriority(), Caller: d.GetCaller(), AimMicros: d.GetAimMicros(),
+		LastResort: d.GetLastResort(), Canary: d.GetCanary(), Route: d.GetRoute(), Config: d.GetConfig(),
+	}
+}
+
+// goOf is the rest of it.
+func goOf(d *peerpb.Dispatch) *peerpb.Go {
+	return &peerpb.Go{
+		Method: d.GetMethod(), Target: d.GetTarget(), Host: d.GetHost(), Headers: d.GetHeaders(), Body: d.GetBody(),
+	}
+}
+
+// complete adds the rest to an offer.
+func complete(d *peerpb.Dispatch, g *peerpb.Go) {
+	d.Method, d.Target, d.Host, d.Headers, d.Body = g.GetMethod(), g.GetTarget(), g.GetHost(), g.GetHeaders(), g.GetBody()
+}
+
 // Fetch asks the egress at the other side for the answer of an exchange that this node offered and handed over, and
 // whose link broke. If the hand-over never arrived, it never will have: the answer is NOT_RUN.
 func (s *Session) Fetch(ctx context.Context, exchange uint64, sink Sink) *peerpb.End {
@@ -155,7 +183,7 @@
 		return fault.Wrap(x.ctx.Err(), ctxCode(x.ctx), "exchange", "caller went away")
 	}
 	x.handed = true
-	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Go{Go: &peerpb.Go{}}}); err != nil {
+	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Go{Go: goOf(d)}}); err != nil {
 		return err
 	}
 	x.sendBody(d, body)
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -90,10 +89,11 @@
 // serving is the egress's side of one exchange.
 type serving struct {
 	*streamSink
-	// goes is closed by the ingress's word that the request may run, gone when the stream has ended.
-	goes, gone chan struct{}
-	once       sync.Once
-	canceled   atomic.Bool
+	offer *peerpb.Dispatch
+	// goes takes the ingress's word that the request may run, gone is closed when the stream has ended.
+	goes     chan *peerpb.Go
+	gone     chan struct{}
+	canceled atomic.Bool
 }
 
 func (m *Manager) serveDispatch(stream net.Conn, r FrameReader, d *peerpb.Dispatch) {
@@ -101,7 +101,9 @@
 	defer cancel()
 	pr, pw := io.Pipe()
 	defer func() { _ = pr.Close() }()
-	v := &serving{streamSink: newStreamSink(stream), goes: make(chan struct{}), gone: make(chan struct{})}
+	v := &serving{
+		streamSink: newStreamSink(stream), offer: d, goes: make(chan *peerpb.Go, 1), gone: make(chan struct{}),
+	}
 	go func() {
 		// The ingress closes its side when it gives up; its body ends with a last piece before that.
 		_ = pw.CloseWithError(v.receive(r, pw, d.GetBodyLength()))
@@ -134,7 +136,8 @@
 	timer := time.NewTimer(grantLife)
 	defer timer.Stop()
 	select {
-	case <-v.goes:
+	case rest := <-v.goes:
+		complete(v.offer, rest)
 		return true
 	case <-v.gone:
 	case <-ctx.Done():
@@ -153,8 +156,11 @@
 		}
 		switch k := f.GetKind().(type) {
 		case *peerpb.Frame_Go:
-			v.once.Do(func() { close(v.goes) })
-			continue
+			select {
+			case v.goes <- k.Go:
+			default:
+				return fault.New(fault.Protocol, "stream", "handed over twice")
+			}
 		case *peerpb.Frame_Cancel:
 			v.canceled.Store(true)
 			return fault.New(fault.Canceled, "stream", "caller went away")
