--- a/demo/demo.go
+++ b/demo/demo.go
@@ -159,10 +159,11 @@
 func stopOne(f *Fleet, out io.Writer) error {
 	m := f.Members[2]
 	start := time.Now()
-	err := m.StopNode()
-	f.forget(m)
+	if err := m.StopNode(); err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "node %s stopped in a planned way: exit 0 after %s\n", m.Host, time.Since(start).Round(time.Millisecond))
-	return err
+	return f.forget(m)
 }
 
 func changeRow(f *Fleet, out io.Writer) error {
--- a/director/pick.go
+++ b/director/pick.go
@@ -42,42 +42,49 @@
 	from := make([]int, 0, len(v.entries))
 	for i := range v.entries {
 		e := &v.entries[i]
-		if !d.open(e, now) || slices.Contains(w.Tried, e.endpoint.Key) {
+		if !w.allows(e.endpoint.Key) || !d.open(e, now) {
 			continue
 		}
-		if w.Only != "" && e.endpoint.Key != w.Only {
-			continue
-		}
-		switch e.verdict.Phase {
-		case eject.Ejected:
-			continue
-		case eject.Trickle:
-			if w.Repeatable && len(w.Tried) == 0 && e.target.trickling.CompareAndSwap(false, true) {
-				return v.pick(i, true), nil
-			}
-			continue
-		case eject.Serving, eject.LastChoice, eject.Ramp:
+		if e.verdict.Phase == eject.Trickle && e.trickles(w) {
+			return v.pick(i, true), nil
 		}
 		c := d.candidate(v, e, now)
-		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
+		if e.out() || w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
 			continue
 		}
 		candidates = append(candidates, c)
 		from = append(from, i)
 	}
-	random := rand.New(globalSource{}) //nolint:gosec // a draw, no secret
-	i := -1
-	if w.Least {
-		i = balance.Least(candidates, random)
-	} else {
-		i = balance.Choose(candidates, random)
-	}
+	i := w.choose(candidates)
 	if i < 0 {
 		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
 	}
 	return v.pick(from[i], false), nil
 }
 
+// allows tells whether the wish leaves an endpoint to choose.
+func (w Wish) allows(key string) bool {
+	return !slices.Contains(w.Tried, key) && (w.Only == "" || key == w.Only)
+}
+
+func (w Wish) choose(candidates []balance.Candidate) int {
+	random := rand.New(globalSource{}) //nolint:gosec // a draw, no secret
+	if w.Least {
+		return balance.Least(candidates, random)
+	}
+	return balance.Choose(candidates, random)
+}
+
+// out tells whether the detector keeps ordinary work from the endpoint.
+func (e *entry) out() bool {
+	return e.verdict.Phase == eject.Ejected || e.verdict.Phase == eject.Trickle
+}
+
+// trickles takes the endpoint's one trial at a time, if the request may be it.
+func (e *entry) trickles(w Wish) bool {
+	return w.Repeatable && len(w.Tried) == 0 && e.target.trickling.CompareAndSwap(false, true)
+}
+
 // globalSource draws from the runtime's random numbers, which need no lock.
 type globalSource struct{}
 
--- a/egress/run.go
+++ b/egress/run.go
@@ -143,10 +143,10 @@
 	buf := *p
 	for {
 		n, err := resp.Read(buf)
-		if n > 0 && sink.Data(buf[:n], err == io.EOF) != nil {
+		if n > 0 && sink.Data(buf[:n], errors.Is(err, io.EOF)) != nil {
 			return result{end: ran, worked: true, failed: failed}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			ran.Complete = true
 			return result{end: ran, worked: true, failed: failed}
 		}
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -276,7 +276,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, x := range c.ahead {
-		if c.last || i > 0 && !(x.safe() && c.ahead[i-1].safe()) {
+		alone := !x.safe() || i > 0 && !c.ahead[i-1].safe()
+		if c.last || i > 0 && alone {
 			return
 		}
 		if !x.started {
--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -80,7 +80,7 @@
 	}
 	reply(w, http.StatusOK, s.read(query{
 		table: q.Get("table"), part: q.Get("part"), from: q.Get("from"), to: q.Get("newVersion"),
-		limit: int(min(limit, platform.MostRows)), //nolint:gosec // bounded
+		limit: int(min(limit, platform.MostRows)),
 	}))
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,7 +39,7 @@
 	quiet := false
 	err = rc.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = e == syscall.EAGAIN
 		return true
 	})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -215,7 +216,7 @@
 				return werr
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_, err = io.WriteString(w, "0\r\n\r\n")
 			return err
 		}
