A restarted node asks its endpoint who it is; log lines wait for nobody

Cause: after a restart of the node its endpoint got nothing until its next heartbeat (1.5 s); a full pipe of the log would have held up traffic. Change: the store's line of the host names the endpoint, a probe confirms the instance; the log goes through a bounded ring and counts what it drops.

--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/node"
 	"github.com/lynxplank/lynxplank/outbound"
 	"github.com/lynxplank/lynxplank/settings"
@@ -74,7 +75,9 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	outbound.Tune()
-	n, err := node.New(cfg, os.Stdout)
+	out := events.NewWriter(os.Stdout)
+	defer out.Close()
+	n, err := node.New(cfg, out)
 	if err == nil {
 		err = n.Start(context.Background())
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -21,6 +21,7 @@
 	NodeFailed      = Event{104, "node failed", zerolog.ErrorLevel}
 	Reloaded        = Event{105, "settings reloaded", zerolog.InfoLevel}
 	ReloadFailed    = Event{106, "settings cannot be reloaded", zerolog.ErrorLevel}
+	LinesDropped    = Event{107, "log lines dropped", zerolog.WarnLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -51,7 +52,7 @@
 
 // All lists every event.
 var All = []Event{
-	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed,
+	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -70,6 +70,8 @@
 	Hosts []table.HostInfo
 	// ByID is the list by the hosts' names.
 	ByID map[string]table.HostInfo
+	// SelfLine is this host's line as the store shows it, which an earlier life of its node may have written.
+	SelfLine table.HostInfo
 	// SelfListed is set while the store's list shows this host as this life of its node announced it.
 	SelfListed bool
 	// Ready is false until the node may serve.
@@ -306,6 +308,7 @@
 // putHosts publishes the list of hosts with this host's own line as this node knows it.
 func (f *Follower) putHosts() error {
 	hosts := slices.Clone(f.hosts)
+	var selfLine table.HostInfo
 	selfListed := false
 	if p := f.self.Load(); p != nil {
 		self := *p
@@ -313,6 +316,7 @@
 		if i < 0 {
 			hosts = append(hosts, self)
 		} else {
+			selfLine = hosts[i]
 			selfListed = hosts[i].Incarnation == self.Incarnation
 			self.Version = hosts[i].Version
 			hosts[i] = self
@@ -331,6 +335,7 @@
 	next.State = state
 	next.Hosts = hosts
 	next.SelfListed = selfListed
+	next.SelfLine = selfLine
 	next.ByID = make(map[string]table.HostInfo, len(hosts))
 	for _, h := range hosts {
 		next.ByID[h.ID] = h
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,8 @@
 	Follower = "follower"
 	// Announcer is the announce.Announcer.
 	Announcer = "announcer"
+	// Restorer asks the endpoint beside a restarted node who it is.
+	Restorer = "restorer"
 	// Reaper is the announce.Reaper.
 	Reaper = "reaper"
 	// Director is the director.Director.
@@ -166,6 +168,11 @@
 	n.kernel.Register(Egress, e)
 	n.kernel.Register(Operators, serve.New(Operators, n.cfg.Operators.Listen.AddrPort,
 		serve.WithLimits(limits(n.cfg.Operators.Listener)), serve.WithRoutes(o.Routes()...)))
+	if n.announced != nil && n.cfg.Announced.Address.IsValid() {
+		n.kernel.Register(Restorer, &restorer{
+			address: n.cfg.Announced.Address.String(), registry: n.announced, snapshot: f.Snapshot,
+		})
+	}
 	n.kernel.Register(Ingress, g)
 	n.kernel.Register(Callers, pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
 		ingress.RefuseUnread(n.contract())))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -100,6 +100,19 @@
 	return nil
 }
 
+// Restore takes back an endpoint that an earlier life of the node knew and that has just said that it is still the same
+// and not leaving; one that has spoken to this life goes by its own word.
+func (r *Registry) Restore(a table.Announced) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.live) > 0 || slices.Contains(r.ended, a.Key) || a.Value.Phase != table.Active {
+		return
+	}
+	e := Endpoint{Entry: table.Entry[table.Endpoint]{Key: a.Key, Value: a.Value}}
+	r.live[a.Key] = e
+	r.changed(e)
+}
+
 func check(b Beat) error {
 	switch {
 	case b.Key == "":
--- a/registry/script_test.go
+++ b/registry/script_test.go
@@ -17,6 +17,8 @@
 //	beat key=K [service=S] [at=IP:PORT] [slots=N] [draining] seq=N
 //	leave key=K
 //	serving
+//	new                    another life of the node
+//	restore key=K [draining]
 //
 // Each prints what the registry announces, if that has changed.
 func TestScripts(t *testing.T) {
@@ -44,6 +46,14 @@
 				}
 			case "leave":
 				r.Leave(b.Key)
+			case "new":
+				r = New("h1", "hall-1", &log, r.onChange)
+			case "restore":
+				a := table.Announced{Key: b.Key, Value: table.Endpoint{Service: b.Service, Address: b.Address}}
+				if b.Draining {
+					a.Value.Phase = table.Draining
+				}
+				r.Restore(a)
 			case "serving":
 				return fmt.Sprintln(r.Serving())
 			default:
