--- a/admit/queue.go
+++ b/admit/queue.go
@@ -121,7 +121,7 @@
 		}
 		return 1
 	})
-	if !q.inTime(now, at, r.Deadline) {
+	if !q.inTime(now, at, q.latest(r)) {
 		return q.refuse(r.ID, fault.DeadlineTooShort), nil
 	}
 	var out []Decision
@@ -138,7 +138,7 @@
 	}
 	q.queue = slices.Insert(q.queue, at, w)
 	q.charge(r)
-	until := r.Deadline.Add(-time.Duration(q.typical() * float64(time.Second)))
+	until := q.latest(r).Add(-time.Duration(q.typical() * float64(time.Second)))
 	return Decision{ID: r.ID, Action: Wait, Until: until}, out
 }
 
@@ -181,6 +181,23 @@
 	return now.Add(time.Duration(need * float64(time.Second))).Before(deadline)
 }
 
+// lateGrace is how long after its aim an answer may come for its request to go on waiting, in usual service times. A
+// late answer has little worth, and gets a slot only when nothing else wants one; a caller who is told at once can come
+// back or go elsewhere.
+const lateGrace = 1
+
+// latest is when an answer must come for its request to wait.
+func (q *Queue) latest(r Request) time.Time {
+	if r.Aim.IsZero() {
+		return r.Deadline
+	}
+	late := r.Aim.Add(time.Duration(lateGrace * q.typical() * float64(time.Second)))
+	if late.Before(r.Deadline) {
+		return late
+	}
+	return r.Deadline
+}
+
 // typical is the usual service time with an allowance for its spread, in seconds.
 func (q *Queue) typical() float64 { return q.service + q.spread }
 
@@ -253,7 +270,7 @@
 func (q *Queue) prune(now time.Time) []Decision {
 	var out []Decision
 	for i := 0; i < len(q.queue); {
-		if q.inTime(now, i, q.queue[i].Deadline) {
+		if q.inTime(now, i, q.latest(q.queue[i].Request)) {
 			i++
 			continue
 		}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -195,6 +195,64 @@
 	return max(aim-time.Since(x.start), time.Microsecond)
 }
 
+// overdue tells whether the time in which an answer has its full worth is over.
+func (x *exchange) overdue() bool {
+	aim := time.Duration(x.call.route.Value.Aim)
+	return aim > 0 && time.Since(x.start) > aim
+}
+
+const (
+	// staleWait is how long a request waits for the configuration by which an endpoint's node has refused it: about what
+	// a change takes from node to node.
+	staleWait = 300 * time.Millisecond
+	staleLook = 5 * time.Millisecond
+)
+
+// current brings a request that was refused as going by an older configuration to the one in force here by now; false
+// when that no longer sends it to this service, or does not come.
+func (x *exchange) current(ctx context.Context, end *peerpb.End) bool {
+	if fault.Code(end.GetCode()) != fault.Stale {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, staleWait)
+	defer cancel()
+	for x.config() <= x.call.config {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(staleLook):
+		}
+	}
+	snap := x.g.snapshot()
+	row, ok := snap.State.Row(table.KindRoute, x.call.route.Key)
+	if !ok {
+		return false
+	}
+	next, err := table.Decode[table.Route](row)
+	if err != nil || !sends(next, x.call.service.Key) {
+		return false
+	}
+	x.call.config = x.config()
+	// The endpoint refused the configuration, not the request.
+	x.tried = x.tried[:len(x.tried)-1]
+	return true
+}
+
+func (x *exchange) config() uint64 { return x.g.snapshot().State.Revisions()[table.PlaneConfig] }
+
+// sends tells whether a route sends requests to a service.
+func sends(r table.Route, service string) bool {
+	if r.Service == service && len(r.Split.Parts()) == 0 {
+		return true
+	}
+	for _, p := range r.Split.Parts() {
+		if p.Service == service && p.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
 func (x *exchange) deliver(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch) *peerpb.End {
 	if e.Value.Host == x.g.cfg.Host {
@@ -288,7 +346,11 @@
 	}
 	x.tried = append(x.tried, key)
 	if misplaced(end) {
-		return true
+		return x.current(ctx, end)
+	}
+	if x.overdue() && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		// It has waited as long as an answer has its worth: the caller is told now.
+		return false
 	}
 	x.sends++
 	deadline, _ := ctx.Deadline()
