--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,170 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/standin/store"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+func startFollower(t *testing.T, s *store.Store) *Follower {
+	t.Helper()
+	log := zerolog.Nop()
+	links := peer.NewManager(peer.Config{Node: "h1", Hall: "hall-1", Heartbeat: time.Second, CutAfter: time.Second}, &log)
+	f := New(Config{
+		Host: "h1", Hall: "hall-1", Retry: 5 * time.Millisecond, Wait: 200 * time.Millisecond, Readers: 2,
+		Timeout: time.Second, WithConfig: true,
+	}, &log, store.NewLocal(s), links)
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	return f
+}
+
+func configure(s *store.Store, version string, routes ...string) {
+	var rules []string
+	for _, r := range routes {
+		rules = append(rules, `{"name":"`+r+`","kind":"safe","match":{"pathPrefix":"/`+r+`/"},"action":{"service":"desk"}}`)
+	}
+	s.SetOperatorRow(platform.TableOperators, platform.KeyConfig, []byte(
+		`{"version":`+version+`,"listeners":[{"host":"x","rules":[`+strings.Join(rules, ",")+`]}],"clusters":[{"name":"desk"}]}`))
+}
+
+func wait(t *testing.T, f *Follower, what string, good func(s *Snapshot) bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if good(f.Snapshot()) {
+			return
+		}
+	}
+	t.Fatalf("%s: got revisions %v, ready %v", what, f.State().Revisions(), f.Snapshot().Ready)
+}
+
+func routed(path string, want bool) func(s *Snapshot) bool {
+	return func(s *Snapshot) bool {
+		_, ok := s.State.Match("x", path)
+		return ok == want
+	}
+}
+
+func announceHost(t *testing.T, s *store.Store, id string, gone bool) {
+	t.Helper()
+	l := store.NewLocal(s)
+	value, err := json.Marshal(table.HostInfo{ID: id, Hall: "hall-1", Address: "127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := platform.Write{Key: HostPrefix + id, Value: value, Delete: gone}
+	if _, err := l.Commit(t.Context(), platform.Txn{Writes: []platform.Write{write}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestConfigurationFollows takes configurations in and out of the store under what it does to readers: no configuration
+// yet, outages, a history that is gone, one that cannot be used. What is in force never goes back.
+func TestConfigurationFollows(t *testing.T) {
+	s := store.New()
+	f := startFollower(t, s)
+	time.Sleep(20 * time.Millisecond)
+	if got, want := f.Snapshot().Ready, false; got != want {
+		t.Errorf("ready without a configuration: got %v, want %v", got, want)
+	}
+	configure(s, "7", "a")
+	wait(t, f, "first", func(s *Snapshot) bool { return s.Ready && routed("/a/", true)(s) })
+
+	s.SetFaults(store.Faults{Down: true})
+	configure(s, "9", "b")
+	time.Sleep(20 * time.Millisecond)
+	s.SetFaults(store.Faults{})
+	wait(t, f, "after an outage", func(s *Snapshot) bool { return routed("/b/", true)(s) && routed("/a/", false)(s) })
+
+	s.SetFaults(store.Faults{Down: true})
+	configure(s, "12", "c")
+	s.SetFaults(store.Faults{ForgetHistory: true})
+	wait(t, f, "after the history is gone", routed("/c/", true))
+
+	configure(s, "11", "d")
+	s.SetOperatorRow(platform.TableOperators, platform.KeyConfig, []byte(`{"version":13,"listeners":[{"host":"x"`))
+	configure(s, "14", "c", "e")
+	wait(t, f, "after one that cannot be used", routed("/e/", true))
+	if got, want := routed("/c/", true)(f.Snapshot()), true; got != want {
+		t.Errorf("kept route: got %v, want %v", got, want)
+	}
+}
+
+// TestHostsFollow checks that hosts come and go, also while nobody could be told.
+func TestHostsFollow(t *testing.T) {
+	s := store.New()
+	f := startFollower(t, s)
+	announceHost(t, s, "h2", false)
+	wait(t, f, "announced", func(s *Snapshot) bool { return len(s.Hosts) == 1 })
+	s.SetFaults(store.Faults{Down: true})
+	time.Sleep(20 * time.Millisecond)
+	s.SetFaults(store.Faults{})
+	announceHost(t, s, "h2", true)
+	announceHost(t, s, "h3", false)
+	s.SetFaults(store.Faults{ForgetHistory: true})
+	wait(t, f, "gone while the history was dropped", func(s *Snapshot) bool {
+		return len(s.Hosts) == 1 && s.Hosts[0].ID == "h3"
+	})
+}
+
+// TestConfirm checks that a route is looked for in what the store holds now, and that no answer is no confirmation.
+func TestConfirm(t *testing.T) {
+	s := store.New()
+	f := startFollower(t, s)
+	configure(s, "7", "a")
+	wait(t, f, "first", routed("/a/", true))
+	configure(s, "8", "b")
+	if got, want := f.Confirm(t.Context()), true; got != want {
+		t.Errorf("confirmed: got %v, want %v", got, want)
+	}
+	if got, want := routed("/b/", true)(f.Snapshot()), true; got != want {
+		t.Errorf("newer route in force: got %v, want %v", got, want)
+	}
+	s.SetFaults(store.Faults{Down: true})
+	if got, want := f.Confirm(t.Context()), false; got != want {
+		t.Errorf("confirmed without the store: got %v, want %v", got, want)
+	}
+}
+
+// TestPartsAgree checks that what a peer sends leads another to the same state, from nothing and from behind.
+func TestPartsAgree(t *testing.T) {
+	s := store.New()
+	f := startFollower(t, s)
+	configure(s, "7", "a", "b")
+	announceHost(t, s, "h2", false)
+	wait(t, f, "first", func(s *Snapshot) bool { return routed("/a/", true)(s) && len(s.Hosts) == 1 })
+	first := f.Snapshot()
+	configure(s, "8", "b")
+	wait(t, f, "second", routed("/a/", false))
+	for name, from := range map[string]*table.State{"nothing": table.NewState(), "behind": first.State} {
+		state := from
+		deltas, hosts, revision := fromParts(Deltas(f.Snapshot(), from.Revisions()))
+		for _, d := range deltas {
+			next, err := state.With(d)
+			if err != nil {
+				t.Fatalf("from %s: %v", name, err)
+			}
+			state = next
+		}
+		if _, ok := state.Match("x", "/a/"); ok {
+			t.Errorf("from %s: got the dropped route, want none", name)
+		}
+		if _, ok := state.Match("x", "/b/"); !ok {
+			t.Errorf("from %s: got no kept route, want one", name)
+		}
+		if name == "nothing" && (len(hosts) != 1 || revision == 0) {
+			t.Errorf("from nothing: got hosts %v at %d, want one", hosts, revision)
+		}
+	}
+}
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -62,10 +63,7 @@
 		from = max(prefix, after+"\x00")
 	}
 	page := l.store.read(query{table: platform.TableOwn, from: from, limit: limit})
-	out := platform.Records{Version: page.Version, More: page.More}
-	for _, row := range page.Rows {
-		out.Records = append(out.Records, record(row))
-	}
+	out := records(page)
 	i := slices.IndexFunc(out.Records, func(r platform.Record) bool { return !strings.HasPrefix(r.Key, prefix) })
 	if i >= 0 {
 		out.Records, out.More = out.Records[:i], false
@@ -90,3 +88,36 @@
 	done, ok := l.store.commit(wire)
 	return platform.TxnReply{Committed: ok, Version: done.Version}, nil
 }
+
+// All reads every record of a table.
+func (l Local) All(ctx context.Context, table string) (platform.Records, error) {
+	if err := l.enter(ctx, false); err != nil {
+		return platform.Records{}, err
+	}
+	return records(l.store.read(query{table: table, limit: math.MaxInt})), nil
+}
+
+// Feed returns what changed in a table after a version, waiting for the first change.
+func (l Local) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Records, error) {
+	if err := l.enter(ctx, false); err != nil {
+		return platform.Records{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply, gone, down := l.store.feed(ctx, table, after, "")
+	switch {
+	case gone:
+		return platform.Records{}, fault.New(fault.Gone, "platform", "history is gone")
+	case down:
+		return platform.Records{}, fault.New(fault.Unavailable, "platform", "down")
+	}
+	return records(reply), nil
+}
+
+func records(r platform.WireReply) platform.Records {
+	out := platform.Records{Version: r.Version, More: r.More}
+	for _, row := range r.Rows {
+		out.Records = append(out.Records, record(row))
+	}
+	return out
+}
