--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -139,7 +139,7 @@
 
 // TestCallersContract runs the requests of testdata/callers against a node. Commands:
 //
-//	endpoint [fail] [half] [shed] [slow]
+//	endpoint [fail] [half] [long] [chunked] [shed] [slow]
 //	request method=M path=P [host=H] [body=TEXT] [bytes=N] [repeat=N]     headers in the input, a line each
 //
 // It prints the status, the outcome, the system's own code and the fields of the contract that came back.
@@ -160,6 +160,10 @@
 			if d.HasArg("half") {
 				how.HalfPercent = 100
 			}
+			if d.HasArg("long") {
+				how.HalfLength = 4 << 20
+			}
+			how.HalfChunked = d.HasArg("chunked")
 			if d.HasArg("slow") {
 				how.WorkMillis = 60000
 			}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -20,6 +20,10 @@
 	FailPercent int `json:"fail_percent"`
 	// HalfPercent of the answers break off in the middle.
 	HalfPercent int `json:"half_percent"`
+	// HalfLength is the whole length of an answer that breaks off, in bytes; 0 stands for a short one.
+	HalfLength int `json:"half_length"`
+	// HalfChunked has such an answer state no length.
+	HalfChunked bool `json:"half_chunked"`
 	// FlapMillis switches the faults on and off with this period.
 	FlapMillis int `json:"flap_millis"`
 	// ShedAbove refuses, unrun, what would be more than this at once; 0 for never, below 0 for always.
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -96,8 +96,13 @@
 		_, _ = io.WriteString(w, text)
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(halfLength))
-	_, _ = io.WriteString(w, text+strings.Repeat(".", halfLength/2-len(text)))
+	b.mu.Lock()
+	length, chunked := max(b.how.HalfLength, halfLength), b.how.HalfChunked
+	b.mu.Unlock()
+	if !chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+	_, _ = io.WriteString(w, text+strings.Repeat(".", length/2-len(text)))
 	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
