Pipeline: reading of a request in a file of its own, one place for an answer's framing

conn.go mixed the life of a connection with the parsing of requests, and the framing of a chunk stood twice in exchange.go. Reading is now in request.go, writePart frames a part of a body for both users, the fields whose meaning had to be guessed have a comment, and the room made for a body before it comes is a named constant. The comment on "last" left out that the end of a connection sets it too. Behaviour stays.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,13 +10,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
 	"github.com/lynxplank/lynxplank/fault"
 )
 
 const (
-	readBuffer = 4 << 10
 	// mostAhead bounds the requests of one connection that were read and not answered yet.
 	mostAhead = 16
 	// lingerLimit is how long a connection that is closed with an answer on its way waits for its caller to close.
@@ -25,10 +21,11 @@
 )
 
 // conn is one caller's connection. The goroutine of serve reads; each request has a goroutine of its own; answers are
-// written in the order of the requests.
+// written in the order of the requests. This file holds its life and that order, request.go the reading.
 type conn struct {
-	s      *Server
-	raw    net.Conn
+	s   *Server
+	raw net.Conn
+	// limit bounds what r takes from raw for one request.
 	limit  *limitedReader
 	r      *bufio.Reader
 	ctx    context.Context //nolint:containedctx // the connection's life
@@ -37,8 +34,9 @@
 	mu sync.Mutex
 	// ahead are the requests not answered yet, in order.
 	ahead []*exchange
-	// last is set once an answer that closes the connection has been begun.
+	// last is set once an answer that closes the connection has been begun, or the connection has ended.
 	last bool
+	// room is signaled when an answered request has left ahead, or the connection has ended.
 	room *sync.Cond
 }
 
@@ -50,30 +48,10 @@
 	return c
 }
 
-// limitedReader fails once a request's header has taken too much.
-type limitedReader struct {
-	r    io.Reader
-	left int64
-}
-
-var errTooLarge = fault.New(fault.BadRequest, "header", "the header is too large")
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errTooLarge
-	}
-	if int64(len(b)) > l.left {
-		b = b[:l.left]
-	}
-	n, err := l.r.Read(b)
-	l.left -= int64(n)
-	return n, err
-}
-
 // errGone is why a request is canceled when its caller has left.
 var errGone = fault.New(fault.Canceled, "connection", "caller went away")
 
+// serve reads requests until the connection takes no more, then waits for the caller to leave.
 func (c *conn) serve() {
 	for c.serveNext() {
 		continue
@@ -125,111 +103,20 @@
 	}
 }
 
+// closed tells whether the connection takes no more requests.
 func (c *conn) closed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.last
 }
 
+// working tells whether some request waits for its answer.
 func (c *conn) working() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.ahead) > 0
 }
 
-// readRequest reads one request with its whole body.
-func (c *conn) readRequest(limits Limits) (*http.Request, int, *fault.Error) {
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	req, err := http.ReadRequest(c.r)
-	if err != nil {
-		return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
-	}
-	if bad := checkRequest(req); bad != nil {
-		return nil, http.StatusBadRequest, bad
-	}
-	if req.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge, tooLarge()
-	}
-	if httpguts.HeaderValuesContainsToken(req.Header["Expect"], "100-continue") && !c.working() {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0, errGone
-		}
-	}
-	body, status, bad := c.readBody(req, limits)
-	if bad != nil {
-		return nil, status, bad
-	}
-	_ = c.raw.SetReadDeadline(time.Time{})
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	req.ContentLength = int64(len(body))
-	req.TransferEncoding = nil
-	req.RemoteAddr = c.raw.RemoteAddr().String()
-	return req, 0, nil
-}
-
-func tooLarge() *fault.Error { return fault.New(fault.BodyTooLarge, "body", "the body is too large") }
-
-func statusOf(err error) int {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errTooLarge):
-		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
-		return 0
-	}
-	return http.StatusBadRequest
-}
-
-// checkRequest refuses what two programs might read in two ways.
-func checkRequest(r *http.Request) *fault.Error {
-	if r.ProtoMajor != 1 {
-		return fault.New(fault.BadRequest, "request", "want HTTP/1")
-	}
-	if !httpguts.ValidHostHeader(r.Host) || r.Host == "" && r.ProtoAtLeast(1, 1) {
-		return fault.New(fault.BadRequest, "Host", "want a host")
-	}
-	for name, values := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fault.New(fault.BadRequest, "header", "no such field name")
-		}
-		for _, v := range values {
-			if !httpguts.ValidHeaderFieldValue(v) {
-				return fault.New(fault.BadRequest, name, "no such field value")
-			}
-		}
-	}
-	return nil
-}
-
-// readBody reads the whole body; each part must come within the header's time.
-func (c *conn) readBody(req *http.Request, limits Limits) ([]byte, int, *fault.Error) {
-	if req.ContentLength == 0 {
-		return nil, 0, nil
-	}
-	var body []byte
-	if req.ContentLength > 0 {
-		body = make([]byte, 0, min(req.ContentLength, 1<<20))
-	}
-	buf := make([]byte, readBuffer)
-	for {
-		c.limit.left = limits.BodyBytes + readBuffer
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-		n, err := req.Body.Read(buf)
-		body = append(body, buf[:n]...)
-		if int64(len(body)) > limits.BodyBytes {
-			return nil, http.StatusRequestEntityTooLarge, tooLarge()
-		}
-		if err == io.EOF {
-			return body, 0, nil
-		}
-		if err != nil {
-			return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "body", "the body broke off")
-		}
-	}
-}
-
 // refuse answers what could not be read, after the answers before it, and closes the connection.
 func (c *conn) refuse(status int, bad *fault.Error) {
 	if status == 0 {
@@ -255,6 +142,7 @@
 	return !req.Close
 }
 
+// queue puts a request behind the others once there is room; false when the connection takes no more.
 func (c *conn) queue(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -13,21 +13,25 @@
 
 // exchange is one request with its answer; it is the handler's http.ResponseWriter.
 type exchange struct {
-	c       *conn
-	req     *http.Request
-	header  http.Header
+	c      *conn
+	req    *http.Request
+	header http.Header
+	// started is set once the request runs; the connection's lock guards it.
 	started bool
 	// turn is closed when the answer may be written.
 	turn chan struct{}
 
-	status  int
-	buf     bytes.Buffer
-	begun   bool
+	status int
+	// buf holds the start of the body until the answer has begun, that is, until its head is written.
+	buf   bytes.Buffer
+	begun bool
+	// chunked is set when chunks show the answer's end, closes when it is the connection's last.
 	chunked bool
 	closes  bool
 	// left is what is still due of an answer with a length, -1 without one.
 	left int64
-	err  error
+	// err is the first failure to write; nothing is written after it.
+	err error
 }
 
 func (c *conn) newExchange(req *http.Request) *exchange {
@@ -43,6 +47,7 @@
 	return false
 }
 
+// run has the handler answer the request.
 func (x *exchange) run() {
 	defer x.c.s.flight.Done()
 	defer func() {
@@ -124,19 +129,11 @@
 	if x.bodyless() {
 		held = nil
 	}
-	if x.chunked && len(held) > 0 {
-		b.WriteString(strconv.FormatInt(int64(len(held)), 16) + "\r\n")
-		b.Write(held)
-		b.WriteString("\r\n")
-	} else {
-		b.Write(held)
-	}
-	if x.left >= 0 {
-		x.left -= int64(len(held))
-	}
+	x.writePart(&b, held)
 	return x.write(b.Bytes())
 }
 
+// bodyless tells whether the answer has no body, whatever the handler writes.
 func (x *exchange) bodyless() bool {
 	return x.req.Method == http.MethodHead || x.status == http.StatusNoContent || x.status == http.StatusNotModified
 }
@@ -177,6 +174,29 @@
 	b.WriteString("\r\n")
 }
 
+// writePart adds a part of the body in the answer's framing; an empty part adds nothing, as an empty chunk would end it.
+func (x *exchange) writePart(b *bytes.Buffer, part []byte) {
+	if len(part) == 0 {
+		return
+	}
+	if !x.chunked {
+		x.countDown(len(part))
+		b.Write(part)
+		return
+	}
+	b.WriteString(strconv.FormatInt(int64(len(part)), 16) + "\r\n")
+	b.Write(part)
+	b.WriteString("\r\n")
+}
+
+// countDown notes that a part of an answer with a length has been written.
+func (x *exchange) countDown(n int) {
+	if x.left >= 0 {
+		x.left -= int64(n)
+	}
+}
+
+// write sends bytes to the caller; after a failure it sends nothing more.
 func (x *exchange) write(b []byte) error {
 	if x.err == nil {
 		_, err := x.c.raw.Write(b)
@@ -192,13 +212,13 @@
 	if x.bodyless() || len(b) == 0 {
 		return x.err
 	}
-	if x.chunked {
-		return x.write([]byte(strconv.FormatInt(int64(len(b)), 16) + "\r\n" + string(b) + "\r\n"))
-	}
-	if x.left >= 0 {
-		x.left -= int64(len(b))
+	if !x.chunked {
+		x.countDown(len(b))
+		return x.write(b)
 	}
-	return x.write(b)
+	var part bytes.Buffer
+	x.writePart(&part, b)
+	return x.write(part.Bytes())
 }
 
 // finish ends the answer and lets the next one go.
--- /dev/null
+++ b/pipeline/request.go
@@ -0,0 +1,137 @@
+package pipeline
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+const (
+	// readBuffer is what a connection reads ahead, in bytes: as much as net/http's server does.
+	readBuffer = 4 << 10
+	// mostPrepared bounds the room made for a body before any of it has come, in bytes: a caller may state any length.
+	mostPrepared = 1 << 20
+)
+
+// limitedReader fails once a request's header has taken too much.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+var errTooLarge = fault.New(fault.BadRequest, "header", "the header is too large")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLarge
+	}
+	if int64(len(b)) > l.left {
+		b = b[:l.left]
+	}
+	n, err := l.r.Read(b)
+	l.left -= int64(n)
+	return n, err
+}
+
+// readRequest reads one request with its whole body. Of a failure it returns the status that HTTP gives it, 0 when
+// nobody is there to read an answer.
+func (c *conn) readRequest(limits Limits) (*http.Request, int, *fault.Error) {
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	req, err := http.ReadRequest(c.r)
+	if err != nil {
+		return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
+	}
+	if bad := checkRequest(req); bad != nil {
+		return nil, http.StatusBadRequest, bad
+	}
+	if req.ContentLength > limits.BodyBytes {
+		return nil, http.StatusRequestEntityTooLarge, tooLarge()
+	}
+	if httpguts.HeaderValuesContainsToken(req.Header["Expect"], "100-continue") && !c.working() {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, 0, errGone
+		}
+	}
+	body, status, bad := c.readBody(req, limits)
+	if bad != nil {
+		return nil, status, bad
+	}
+	_ = c.raw.SetReadDeadline(time.Time{})
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
+	req.TransferEncoding = nil
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	return req, 0, nil
+}
+
+func tooLarge() *fault.Error { return fault.New(fault.BodyTooLarge, "body", "the body is too large") }
+
+// statusOf is the status for a request that could not be read, 0 when the caller has left.
+func statusOf(err error) int {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, errTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return 0
+	}
+	return http.StatusBadRequest
+}
+
+// checkRequest refuses what two programs might read in two ways.
+func checkRequest(r *http.Request) *fault.Error {
+	if r.ProtoMajor != 1 {
+		return fault.New(fault.BadRequest, "request", "want HTTP/1")
+	}
+	if !httpguts.ValidHostHeader(r.Host) || r.Host == "" && r.ProtoAtLeast(1, 1) {
+		return fault.New(fault.BadRequest, "Host", "want a host")
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fault.New(fault.BadRequest, "header", "no such field name")
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fault.New(fault.BadRequest, name, "no such field value")
+			}
+		}
+	}
+	return nil
+}
+
+// readBody reads the whole body; each part must come within the header's time.
+func (c *conn) readBody(req *http.Request, limits Limits) ([]byte, int, *fault.Error) {
+	if req.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	var body []byte
+	if req.ContentLength > 0 {
+		body = make([]byte, 0, min(req.ContentLength, mostPrepared))
+	}
+	buf := make([]byte, readBuffer)
+	for {
+		c.limit.left = limits.BodyBytes + readBuffer
+		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		n, err := req.Body.Read(buf)
+		body = append(body, buf[:n]...)
+		if int64(len(body)) > limits.BodyBytes {
+			return nil, http.StatusRequestEntityTooLarge, tooLarge()
+		}
+		if err == io.EOF {
+			return body, 0, nil
+		}
+		if err != nil {
+			return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "body", "the body broke off")
+		}
+	}
+}
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -40,8 +40,9 @@
 
 	listener net.Listener
 	closing  atomic.Bool
-	flight   flight.Counter
-	open     atomic.Int64
+	// flight counts the requests under way, open the connections.
+	flight flight.Counter
+	open   atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
