Table: a row's name is a type of its own, deltas are applied in one place

Kind and key stood together as an anonymous pair in four places, two of them local types of the same shape, one a change with an unset revision. RowID and Row.ID say it once; deletion and applyRows take what With, WithEndpoints and Since each wrote out. The unused list of planes is gone; fields whose key or order had to be found out elsewhere (byHost, tail.from, the builder's maps) say it. Behaviour stays.

--- a/follow/messages.go
+++ b/follow/messages.go
@@ -101,20 +101,16 @@
 		return nil
 	}
 	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version}
-	type id struct {
-		kind table.Kind
-		key  string
-	}
-	kept := make(map[id]bool, len(c.Rows))
+	kept := make(map[table.RowID]bool, len(c.Rows))
 	for _, row := range c.Rows {
-		kept[id{row.Kind, row.Key}] = true
+		kept[row.ID()] = true
 		old, ok := state.Row(row.Kind, row.Key)
 		if !ok || old.Plane != table.PlaneConfig || !slices.Equal(old.Cells, row.Cells) {
 			d.Rows = append(d.Rows, row)
 		}
 	}
 	state.PlaneRows(table.PlaneConfig, func(r table.Row) {
-		if !kept[id{r.Kind, r.Key}] {
+		if !kept[r.ID()] {
 			gone := table.Row{Kind: r.Kind, Key: r.Key, Deleted: true}
 			gone.Revision = c.Version
 			d.Rows = append(d.Rows, gone)
--- a/table/apply.go
+++ b/table/apply.go
@@ -43,13 +43,9 @@
 		d.Rows = s.fullChanges(d)
 	}
 	next := *s
-	b := newBuilder(&next, d.Plane)
-	for _, row := range d.Rows {
-		if err := b.apply(row); err != nil {
-			return s, err
-		}
+	if err := next.applyRows(d); err != nil {
+		return s, err
 	}
-	b.finish()
 	next.revisions[d.Plane] = d.To
 	next.extendTail(s, d)
 	return &next, nil
@@ -73,45 +69,50 @@
 		d.Rows = append(d.Rows, Encode(KindEndpoint, a.Key, meta, a.Value))
 	}
 	before := len(d.Rows)
+	// More rows than before are the deletions of endpoints that nobody announces any more.
 	d.Rows = s.fullChanges(d)
 	if !changed && len(d.Rows) == before {
 		return s, nil
 	}
-	b := newBuilder(&next, PlaneHosts)
+	if err := next.applyRows(d); err != nil {
+		return s, err
+	}
+	next.revisions[PlaneHosts] = max(revision, s.revisions[PlaneHosts])
+	return &next, nil
+}
+
+// applyRows applies a delta's rows to a state that nobody else sees yet; after an error the state is of no use.
+func (s *State) applyRows(d Delta) error {
+	b := newBuilder(s, d.Plane)
 	for _, row := range d.Rows {
 		if err := b.apply(row); err != nil {
-			return s, err
+			return err
 		}
 	}
 	b.finish()
-	next.revisions[PlaneHosts] = max(revision, s.revisions[PlaneHosts])
-	return &next, nil
+	return nil
 }
 
 // fullChanges turns a whole plane into what it changes: the rows that it holds, and deletions of those that it lacks.
 func (s *State) fullChanges(d Delta) []Row {
-	type id struct {
-		kind Kind
-		key  string
-	}
-	kept := make(map[id]bool, len(d.Rows))
+	kept := make(map[RowID]bool, len(d.Rows))
 	rows := make([]Row, 0, len(d.Rows))
 	for _, row := range d.Rows {
 		if row.Deleted {
 			continue
 		}
-		kept[id{row.Kind, row.Key}] = true
+		kept[row.ID()] = true
 		rows = append(rows, row)
 	}
 	s.PlaneRows(d.Plane, func(r Row) {
-		if !kept[id{r.Kind, r.Key}] {
-			gone := Row{Kind: r.Kind, Key: r.Key, Deleted: true, Meta: Meta{Revision: d.To, Plane: d.Plane}}
-			rows = append(rows, gone)
+		if !kept[r.ID()] {
+			rows = append(rows, deletion(r.ID(), Meta{Revision: d.To, Plane: d.Plane}))
 		}
 	})
 	return rows
 }
 
+// extendTail adds a delta's changes to those of the old state; a whole plane starts the tail anew.
 func (s *State) extendTail(old *State, d Delta) {
 	t := &s.tails[d.Plane]
 	if d.Full {
@@ -120,7 +121,7 @@
 	}
 	changes := slices.Clone(old.tails[d.Plane].changes)
 	for _, row := range d.Rows {
-		changes = append(changes, change{revision: row.Revision, kind: row.Kind, key: row.Key})
+		changes = append(changes, change{revision: row.Revision, row: row.ID()})
 	}
 	if extra := len(changes) - tailLength; extra > 0 {
 		t.from = changes[extra-1].revision
@@ -131,8 +132,10 @@
 
 // builder applies rows to a state that nobody else sees yet.
 type builder struct {
-	state  *State
-	plane  Plane
+	state *State
+	plane Plane
+	// views are the services whose endpoints may have changed, routes the hosts' routes by the host in lower case; both
+	// are sorted and put in place by finish.
 	views  map[string]*ServiceView
 	routes map[string][]Entry[Route]
 }
@@ -163,7 +166,8 @@
 	return fault.New(fault.BadRow, row.Key, "no such kind of row")
 }
 
-// stands tells whether a row that is there stays as it is under a change.
+// stands tells whether a row that is there stays as it is under a change: one of a later plane does, and within a plane
+// one that is as new.
 func stands(old Meta, row Row) bool {
 	if old.Plane != row.Plane {
 		return old.Plane > row.Plane || row.Deleted
@@ -233,9 +237,8 @@
 	return nil
 }
 
-// hostRoutes returns the builder's own copy of a host's routes, which may be changed until finish.
+// hostRoutes returns the builder's own copy of the routes of a host in lower case, which may be changed until finish.
 func (b *builder) hostRoutes(host string) []Entry[Route] {
-	host = strings.ToLower(host)
 	if routes, ok := b.routes[host]; ok {
 		return routes
 	}
@@ -251,11 +254,12 @@
 	}
 	b.state.routes = next
 	if had {
-		routes := b.hostRoutes(before.Value.Host)
-		b.routes[strings.ToLower(before.Value.Host)] = slices.DeleteFunc(routes, func(o Entry[Route]) bool { return o.Key == row.Key })
+		host := strings.ToLower(before.Value.Host)
+		b.routes[host] = slices.DeleteFunc(b.hostRoutes(host), func(o Entry[Route]) bool { return o.Key == row.Key })
 	}
 	if after, ok := next.Get(row.Key); ok {
-		b.routes[strings.ToLower(after.Value.Host)] = append(b.hostRoutes(after.Value.Host), after)
+		host := strings.ToLower(after.Value.Host)
+		b.routes[host] = append(b.hostRoutes(host), after)
 	}
 	return nil
 }
--- a/table/plane.go
+++ b/table/plane.go
@@ -12,12 +12,10 @@
 	PlaneConfig
 	// PlaneHosts is what nodes announce of the endpoints beside them.
 	PlaneHosts
+	// planeCount is the number of planes.
 	planeCount
 )
 
-// Planes lists every plane.
-var Planes = []Plane{PlaneRows, PlaneConfig, PlaneHosts}
-
 var planeNames = []string{"rows", "config", "hosts"}
 
 // String returns the plane's name.
--- a/table/rows.go
+++ b/table/rows.go
@@ -118,6 +118,14 @@
 	Plane Plane
 }
 
+// RowID names a row among those of every kind.
+type RowID struct {
+	// Kind is the sheet.
+	Kind Kind
+	// Key names the row within its sheet.
+	Key string
+}
+
 // Row is one row of any kind, its cells in the order of the kind's columns.
 type Row struct {
 	Meta
@@ -130,3 +138,6 @@
 	// Cells are the values as text, one for each column; empty for a deleted row.
 	Cells []string
 }
+
+// ID returns the row's name among those of every kind.
+func (r Row) ID() RowID { return RowID{Kind: r.Kind, Key: r.Key} }
--- a/table/state.go
+++ b/table/state.go
@@ -8,7 +8,7 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// tailLength is how many changes a state keeps for peers that are a little behind.
+// tailLength is how many changes of each plane a state keeps for peers that are a little behind.
 const tailLength = 4096
 
 // HostInfo is one host as its node announces it.
@@ -55,16 +55,17 @@
 	Endpoints []Entry[Endpoint]
 }
 
+// change says that a row has changed at a revision.
 type change struct {
 	revision uint64
-	kind     Kind
-	key      string
+	row      RowID
 }
 
 // tail is the latest changes of one plane, for peers that are a little behind.
 type tail struct {
 	changes []change
-	from    uint64
+	// from is the revision after which the tail holds every change.
+	from uint64
 }
 
 // State is one immutable revision of the whole table.
@@ -73,6 +74,7 @@
 	services  *immutable.Map[string, ServiceView]
 	endpoints *immutable.Map[string, Entry[Endpoint]]
 	routes    *immutable.Map[string, Entry[Route]]
+	// byHost are the routes by their host in lower case, longest prefix first.
 	byHost    *immutable.Map[string, []Entry[Route]]
 	customers *immutable.Map[string, Entry[Customer]]
 	hosts     *immutable.Map[string, Entry[Host]]
@@ -218,26 +220,30 @@
 	if from < s.tails[p].from {
 		return nil, false
 	}
-	seen := make(map[change]bool)
+	seen := make(map[RowID]bool)
 	// From the last change of each row backwards: a deleted row must carry the revision that deleted it.
 	for _, c := range slices.Backward(s.tails[p].changes) {
 		if c.revision <= from {
 			break
 		}
-		id := change{kind: c.kind, key: c.key}
-		if seen[id] {
+		if seen[c.row] {
 			continue
 		}
-		seen[id] = true
-		row, exists := s.Row(c.kind, c.key)
+		seen[c.row] = true
+		row, exists := s.Row(c.row.Kind, c.row.Key)
 		if !exists || row.Plane != p {
-			row = Row{Kind: c.kind, Key: c.key, Deleted: true, Meta: Meta{Revision: c.revision, Plane: p}}
+			row = deletion(c.row, Meta{Revision: c.revision, Plane: p})
 		}
 		rows = append(rows, row)
 	}
 	return rows, true
 }
 
+func deletion(id RowID, meta Meta) Row {
+	return Row{Kind: id.Kind, Key: id.Key, Deleted: true, Meta: meta}
+}
+
+// sortRoutes puts the longest prefix first, which is the order of matching.
 func sortRoutes(routes []Entry[Route]) {
 	slices.SortFunc(routes, func(a, b Entry[Route]) int {
 		byLength := cmp.Compare(len(b.Value.Prefix), len(a.Value.Prefix))
