--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -28,6 +28,7 @@
 	PathOperators = "/admin/operators"
 )
 
+// mostWait bounds the wait of a feed, whatever its caller asks for.
 const mostWait = 30 * time.Second
 
 // NewServer returns the stand-in's listener.
@@ -52,6 +53,7 @@
 	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 }
 
+// faulty counts a call and lets it meet the faults first.
 func (s *Store) faulty(write bool, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		down, delay := s.enter(write, tokenOf(r))
@@ -64,6 +66,7 @@
 	}
 }
 
+// number reads a query field that must be a number; without one it answers BadRequest.
 func number(w http.ResponseWriter, q url.Values, name string) (uint64, bool) {
 	n, err := strconv.ParseUint(q.Get(name), 10, 63)
 	if err != nil {
@@ -74,30 +77,31 @@
 
 func (s *Store) handleRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	limit, ok := number(w, q, "limit")
+	limit, ok := number(w, q, platform.QueryLimit)
 	if !ok {
 		return
 	}
 	reply(w, http.StatusOK, s.read(query{
-		table: q.Get("table"), part: q.Get("part"), from: q.Get("from"), to: q.Get("newVersion"),
+		table: q.Get(platform.QueryTable), part: q.Get(platform.QueryPart),
+		from: q.Get(platform.QueryFrom), to: q.Get(platform.QueryTo),
 		limit: int(min(limit, platform.MostRows)),
 	}))
 }
 
 func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	after, ok := number(w, q, "after")
+	after, ok := number(w, q, platform.QueryAfter)
 	if !ok {
 		return
 	}
-	millis, ok := number(w, q, "waitMs")
+	millis, ok := number(w, q, platform.QueryWait)
 	if !ok {
 		return
 	}
 	wait := min(time.Duration(millis)*time.Millisecond, mostWait) //nolint:gosec // bounded
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	changes, gone, down := s.feed(ctx, q.Get("table"), after, tokenOf(r))
+	changes, gone, down := s.feed(ctx, q.Get(platform.QueryTable), after, tokenOf(r))
 	switch {
 	case gone:
 		w.WriteHeader(http.StatusGone)
@@ -166,6 +170,7 @@
 	reply(w, http.StatusOK, s.Stats())
 }
 
+// read decodes a request's body; what cannot be read it answers with BadRequest.
 func read(w http.ResponseWriter, r *http.Request, out any) bool {
 	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -39,7 +39,7 @@
 	out := make([]platform.Record, 0, len(keys))
 	for _, key := range keys {
 		rec := platform.Record{Key: key}
-		page := l.store.read(query{table: platform.TableOwn, from: key, to: key + "\x00", limit: 1})
+		page := l.store.read(query{table: platform.TableOwn, from: key, to: platform.KeyAfter(key), limit: 1})
 		if len(page.Rows) == 1 {
 			rec = record(page.Rows[0])
 		}
@@ -59,7 +59,7 @@
 	}
 	from := prefix
 	if after != "" {
-		from = max(prefix, after+"\x00")
+		from = max(prefix, platform.KeyAfter(after))
 	}
 	page := l.store.read(query{table: platform.TableOwn, from: from, limit: limit})
 	out := platform.Records{Version: page.Version, More: page.More}
