Follow: one file each for what is in force, for pulling, for links; configurations decoded in one place

follower.go (400 lines) and messages.go mixed the control goroutine, what it puts in force, what it asks of peers and which links it keeps. These are inforce.go, pull.go and links.go now. The reader and Confirm each had the loop that decodes the operators' records: decodeConfigs. putHosts hid the merging of this host's own line: hostsWithSelf. readHosts reads nothing; it is adoptReadHosts. The comment on pause spoke of failed looks only. Constants without a reason have one. Behaviour stays; the package has no tests of its own, node's pass.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/changes"
-	"github.com/lynxplank/lynxplank/events"
-	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
@@ -49,14 +46,17 @@
 
 const (
 	// lonelyAfter is how many retries a node waits without word from a reader before it reads itself.
-	lonelyAfter    = 10
+	lonelyAfter = 10
+	// neighbourHalls is how many of the next halls a reader keeps a link to: one may be out of reach.
 	neighbourHalls = 2
 	// pullAfter is how long a node that reads the platform itself may be behind a peer before it asks it: mostly its own
 	// reading comes first, and a list of hosts between halls costs more.
 	pullAfter = 300 * time.Millisecond
 	// pullHostsAfter is the same for the list of hosts, whose changes readers gather.
 	pullHostsAfter = 3 * gather
+	// messageBacklog is how many events may wait for the control goroutine.
 	messageBacklog = 64
+	// keepLinksEvery is the time between two looks at the links, the role of this node and what peers have shown.
 	keepLinksEvery = 250 * time.Millisecond
 	// mostPinned bounds the fleet in which each node keeps a link to every other; links of larger fleets open by need.
 	mostPinned = 64
@@ -89,7 +89,8 @@
 	platform Platform
 	links    *peer.Manager
 	current  atomic.Pointer[Snapshot]
-	reading  atomic.Bool
+	// reading is set while this node reads the platform itself.
+	reading atomic.Bool
 	// configCursor is the store's version up to which its configuration was read.
 	configCursor atomic.Uint64
 	// self is this host's own line as this node knows it.
@@ -100,13 +101,17 @@
 	done     chan struct{}
 
 	// The control goroutine alone uses what follows.
-	pulling    bool
-	sources    map[table.Plane]*sourceState
-	heardAt    time.Time
+
+	// pulling is set while a peer is asked; at most one is at a time.
+	pulling bool
+	sources map[table.Plane]*sourceState
+	// heardAt is when a peer last gave word.
+	heardAt time.Time
+	// wanted is what peers have shown that this node lacks, by their address.
 	wanted     map[string]wantedPull
 	seedsAsked map[string]bool
 	startedAt  time.Time
-	// hosts is the newest list of hosts.
+	// hosts is the newest list of hosts as the store or a peer told it, hostsRevision the version that it shows.
 	hosts         []table.HostInfo
 	hostsRevision uint64
 }
@@ -203,6 +208,7 @@
 	}
 }
 
+// tick does what is due now and then: who reads, which links are kept, what is still missing.
 func (f *Follower) tick(ctx context.Context) {
 	now := time.Now()
 	snap := f.Snapshot()
@@ -216,50 +222,6 @@
 	f.pullNext(ctx)
 }
 
-func (f *Follower) isReader(hosts []table.HostInfo) bool {
-	if len(hosts) == 0 {
-		return true
-	}
-	for _, h := range Readers(hosts, f.cfg.Hall, f.cfg.Readers) {
-		if h.ID == f.cfg.Host {
-			return true
-		}
-	}
-	return false
-}
-
-// keepLinks holds a link to the hall's readers, from a reader also to those of the next halls, and in a small fleet to
-// every host.
-func (f *Follower) keepLinks(ctx context.Context, hosts []table.HostInfo, reader bool) {
-	wanted := Readers(hosts, f.cfg.Hall, f.cfg.Readers)
-	if reader {
-		wanted = append(wanted, Neighbours(hosts, f.cfg.Hall, neighbourHalls)...)
-	}
-	if len(hosts) <= mostPinned {
-		wanted = hosts
-	}
-	for _, h := range wanted {
-		if h.ID != f.cfg.Host {
-			f.pin(ctx, h)
-		}
-	}
-}
-
-func (f *Follower) pin(ctx context.Context, h table.HostInfo) {
-	if f.links.Linked(h.Address) {
-		if f.links.Usable(h.Address) {
-			f.heardAt = time.Now()
-		}
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-		defer cancel()
-		// A peer that cannot be reached is tried again at the next tick; the link's own events say why.
-		_, _ = f.links.Pin(ctx, h.Address)
-	}()
-}
-
 // deliver hands a result over; it waits, because a lost result would leave the node behind.
 func (f *Follower) deliver(m message) {
 	select {
@@ -267,132 +229,3 @@
 	case <-f.done:
 	}
 }
-
-// adopt puts a later state in force.
-//
-// Invariant: no revision in force ever goes down; it is what every other part of the node reads.
-func (f *Follower) adopt(s *table.State) {
-	old := f.Snapshot()
-	if !old.State.Revisions().Behind(s.Revisions()) || s.Revisions().Behind(old.State.Revisions()) {
-		return
-	}
-	next := *old
-	next.State = s
-	f.publish(&next)
-	r := s.Revisions()
-	events.RevisionInForce.Log(f.log).Uint64("revision", r[table.PlaneRows]).
-		Uint64("config", r[table.PlaneConfig]).Uint64("hosts", r[table.PlaneHosts]).Send()
-}
-
-// apply puts a delta in force on top of what is there by now.
-func (f *Follower) apply(d table.Delta) error {
-	next, err := f.State().With(d)
-	if err != nil {
-		return err
-	}
-	f.adopt(next)
-	return nil
-}
-
-// adoptHosts puts a later list of hosts in force, and the endpoints that they announce.
-func (f *Follower) adoptHosts(hosts []table.HostInfo, revision uint64) error {
-	if revision < f.hostsRevision || revision == f.hostsRevision && f.hosts != nil {
-		return nil
-	}
-	f.hosts, f.hostsRevision = hosts, revision
-	return f.putHosts()
-}
-
-// putHosts publishes the list of hosts with this host's own line as this node knows it.
-func (f *Follower) putHosts() error {
-	hosts := slices.Clone(f.hosts)
-	selfListed := false
-	if p := f.self.Load(); p != nil {
-		self := *p
-		i := slices.IndexFunc(hosts, func(h table.HostInfo) bool { return h.ID == self.ID })
-		if i < 0 {
-			hosts = append(hosts, self)
-		} else {
-			selfListed = hosts[i].Incarnation == self.Incarnation
-			self.Version = hosts[i].Version
-			hosts[i] = self
-		}
-	}
-	var announced []table.Announced
-	for _, h := range hosts {
-		announced = append(announced, h.Endpoints...)
-	}
-	old := f.Snapshot()
-	state, err := old.State.WithEndpoints(f.hostsRevision, announced)
-	if err != nil {
-		return err
-	}
-	next := *old
-	next.State = state
-	next.Hosts = hosts
-	next.SelfListed = selfListed
-	next.ByID = make(map[string]table.HostInfo, len(hosts))
-	for _, h := range hosts {
-		next.ByID[h.ID] = h
-	}
-	f.publish(&next)
-	return nil
-}
-
-func (f *Follower) publish(snap *Snapshot) {
-	f.current.Store(snap)
-	for _, hook := range f.onChange {
-		hook(snap)
-	}
-	f.links.Announce(snap.State.Revisions())
-}
-
-// checkReady lets the node serve once the platform has answered for every table that it reads, or, while it does not,
-// once every seed that can be reached has answered and one of them held a configuration.
-func (f *Follower) checkReady() {
-	snap := f.Snapshot()
-	if snap.Ready {
-		return
-	}
-	said, down := true, false
-	for _, s := range f.sources {
-		said = said && s.said
-		down = down || s.down
-	}
-	seedsDone := len(f.seedsAsked) >= len(f.cfg.Seeds) && down && f.holdsConfig(snap)
-	if f.cfg.WithConfig && !f.holdsConfig(snap) || !said && !seedsDone {
-		return
-	}
-	next := *snap
-	next.Ready = true
-	f.publish(&next)
-	events.ConfigReady.Log(f.log).Uint64("revision", snap.State.Revision()).
-		Uint64("config", snap.State.Revisions()[table.PlaneConfig]).
-		Dur("after", time.Since(f.startedAt)).Bool("from_platform", said).Send()
-}
-
-func (f *Follower) holdsConfig(snap *Snapshot) bool {
-	if f.cfg.WithConfig {
-		return snap.State.Revisions()[table.PlaneConfig] > 0
-	}
-	return snap.State.Revision() > 0
-}
-
-func (f *Follower) notePlatform(p table.Plane, err error) {
-	s := f.sources[p]
-	switch code := fault.CodeOf(err); {
-	case err == nil:
-		if s.down {
-			events.PlatformBack.Log(f.log).Str("plane", p.String()).Send()
-		}
-		s.down = false
-		s.said = true
-	case code == fault.BadRow || code == fault.Protocol:
-		events.BadTable.Log(f.log).Str("plane", p.String()).Err(err).Send()
-	default:
-		if !s.down {
-			events.PlatformLost.Log(f.log).Str("plane", p.String()).Err(err).Send()
-		}
-		s.down = true
-	}
-}
--- /dev/null
+++ b/follow/inforce.go
@@ -0,0 +1,203 @@
+package follow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// adopt puts a later state in force.
+//
+// Invariant: no revision in force ever goes down; it is what every other part of the node reads.
+func (f *Follower) adopt(s *table.State) {
+	old := f.Snapshot()
+	if !old.State.Revisions().Behind(s.Revisions()) || s.Revisions().Behind(old.State.Revisions()) {
+		return
+	}
+	next := *old
+	next.State = s
+	f.publish(&next)
+	r := s.Revisions()
+	events.RevisionInForce.Log(f.log).Uint64("revision", r[table.PlaneRows]).
+		Uint64("config", r[table.PlaneConfig]).Uint64("hosts", r[table.PlaneHosts]).Send()
+}
+
+// apply puts a delta in force on top of what is there by now.
+func (f *Follower) apply(d table.Delta) error {
+	next, err := f.State().With(d)
+	if err != nil {
+		return err
+	}
+	f.adopt(next)
+	return nil
+}
+
+// adoptConfig puts a later configuration in force; what it leaves as it was keeps its revision.
+func (f *Follower) adoptConfig(c platform.Config) error {
+	state := f.State()
+	from := state.Revisions()[table.PlaneConfig]
+	if c.Version <= from {
+		return nil
+	}
+	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version}
+	kept := make(map[table.RowID]bool, len(c.Rows))
+	for _, row := range c.Rows {
+		kept[row.ID()] = true
+		old, ok := state.Row(row.Kind, row.Key)
+		if !ok || old.Plane != table.PlaneConfig || !slices.Equal(old.Cells, row.Cells) {
+			d.Rows = append(d.Rows, row)
+		}
+	}
+	state.PlaneRows(table.PlaneConfig, func(r table.Row) {
+		if !kept[r.ID()] {
+			gone := table.Row{Kind: r.Kind, Key: r.Key, Deleted: true}
+			gone.Revision = c.Version
+			d.Rows = append(d.Rows, gone)
+		}
+	})
+	return f.apply(d)
+}
+
+// adoptRows brings the operators' rows to a state that only holds these.
+func (f *Follower) adoptRows(s *table.State) error {
+	from := f.State().Revision()
+	if s.Revision() <= from {
+		return nil
+	}
+	d := table.Delta{Plane: table.PlaneRows, From: from, To: s.Revision()}
+	rows, ok := s.Since(table.PlaneRows, from)
+	if !ok {
+		d.Full = true
+		s.PlaneRows(table.PlaneRows, func(r table.Row) { rows = append(rows, r) })
+	}
+	d.Rows = rows
+	return f.apply(d)
+}
+
+// adoptReadHosts takes the list of hosts as the store showed it. A read of the whole table tells of hosts that are gone only
+// by not showing them, and so counts whatever the newest line's version; one that is older than what a peer has told is
+// followed by another.
+func (f *Follower) adoptReadHosts(m ownRead) error {
+	if m.at < f.hostsRevision {
+		return nil
+	}
+	f.hosts, f.hostsRevision = m.hosts, max(f.hostsRevision, m.revision)
+	return f.putHosts()
+}
+
+// adoptHosts puts a later list of hosts in force, and the endpoints that they announce.
+func (f *Follower) adoptHosts(hosts []table.HostInfo, revision uint64) error {
+	if revision < f.hostsRevision || revision == f.hostsRevision && f.hosts != nil {
+		return nil
+	}
+	f.hosts, f.hostsRevision = hosts, revision
+	return f.putHosts()
+}
+
+// putHosts publishes the list of hosts with this host's own line as this node knows it.
+func (f *Follower) putHosts() error {
+	hosts, selfListed := f.hostsWithSelf()
+	var announced []table.Announced
+	for _, h := range hosts {
+		announced = append(announced, h.Endpoints...)
+	}
+	old := f.Snapshot()
+	state, err := old.State.WithEndpoints(f.hostsRevision, announced)
+	if err != nil {
+		return err
+	}
+	next := *old
+	next.State = state
+	next.Hosts = hosts
+	next.SelfListed = selfListed
+	next.ByID = make(map[string]table.HostInfo, len(hosts))
+	for _, h := range hosts {
+		next.ByID[h.ID] = h
+	}
+	f.publish(&next)
+	return nil
+}
+
+// hostsWithSelf returns the newest list with this host's own line in place of the one that it shows; listed tells whether
+// it shows one of this life of the node.
+func (f *Follower) hostsWithSelf() (hosts []table.HostInfo, listed bool) {
+	hosts = slices.Clone(f.hosts)
+	p := f.self.Load()
+	if p == nil {
+		return hosts, false
+	}
+	self := *p
+	i := slices.IndexFunc(hosts, func(h table.HostInfo) bool { return h.ID == self.ID })
+	if i < 0 {
+		return append(hosts, self), false
+	}
+	listed = hosts[i].Incarnation == self.Incarnation
+	self.Version = hosts[i].Version
+	hosts[i] = self
+	return hosts, listed
+}
+
+// publish puts a snapshot in force and tells the hooks and the peers.
+func (f *Follower) publish(snap *Snapshot) {
+	f.current.Store(snap)
+	for _, hook := range f.onChange {
+		hook(snap)
+	}
+	f.links.Announce(snap.State.Revisions())
+}
+
+// checkReady lets the node serve once the platform has answered for every table that it reads, or, while it does not,
+// once every seed that can be reached has answered and one of them held a configuration.
+func (f *Follower) checkReady() {
+	snap := f.Snapshot()
+	if snap.Ready {
+		return
+	}
+	said, down := true, false
+	for _, s := range f.sources {
+		said = said && s.said
+		down = down || s.down
+	}
+	seedsDone := len(f.seedsAsked) >= len(f.cfg.Seeds) && down && f.holdsConfig(snap)
+	if f.cfg.WithConfig && !f.holdsConfig(snap) || !said && !seedsDone {
+		return
+	}
+	next := *snap
+	next.Ready = true
+	f.publish(&next)
+	events.ConfigReady.Log(f.log).Uint64("revision", snap.State.Revision()).
+		Uint64("config", snap.State.Revisions()[table.PlaneConfig]).
+		Dur("after", time.Since(f.startedAt)).Bool("from_platform", said).Send()
+}
+
+// holdsConfig tells whether the node has a configuration to serve by.
+func (f *Follower) holdsConfig(snap *Snapshot) bool {
+	if f.cfg.WithConfig {
+		return snap.State.Revisions()[table.PlaneConfig] > 0
+	}
+	return snap.State.Revision() > 0
+}
+
+// notePlatform notes whether the platform has answered for one plane, and logs what is new of it.
+func (f *Follower) notePlatform(p table.Plane, err error) {
+	s := f.sources[p]
+	switch code := fault.CodeOf(err); {
+	case err == nil:
+		if s.down {
+			events.PlatformBack.Log(f.log).Str("plane", p.String()).Send()
+		}
+		s.down = false
+		s.said = true
+	case code == fault.BadRow || code == fault.Protocol:
+		events.BadTable.Log(f.log).Str("plane", p.String()).Err(err).Send()
+	default:
+		if !s.down {
+			events.PlatformLost.Log(f.log).Str("plane", p.String()).Err(err).Send()
+		}
+		s.down = true
+	}
+}
--- /dev/null
+++ b/follow/links.go
@@ -0,0 +1,54 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// isReader tells whether this node is one of those of its hall that read the platform.
+func (f *Follower) isReader(hosts []table.HostInfo) bool {
+	if len(hosts) == 0 {
+		return true
+	}
+	for _, h := range Readers(hosts, f.cfg.Hall, f.cfg.Readers) {
+		if h.ID == f.cfg.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// keepLinks holds a link to the hall's readers, from a reader also to those of the next halls, and in a small fleet to
+// every host.
+func (f *Follower) keepLinks(ctx context.Context, hosts []table.HostInfo, reader bool) {
+	wanted := Readers(hosts, f.cfg.Hall, f.cfg.Readers)
+	if reader {
+		wanted = append(wanted, Neighbours(hosts, f.cfg.Hall, neighbourHalls)...)
+	}
+	if len(hosts) <= mostPinned {
+		wanted = hosts
+	}
+	for _, h := range wanted {
+		if h.ID != f.cfg.Host {
+			f.pin(ctx, h)
+		}
+	}
+}
+
+// pin notes word from a host whose link stands, and opens a link to one without.
+func (f *Follower) pin(ctx context.Context, h table.HostInfo) {
+	if f.links.Linked(h.Address) {
+		if f.links.Usable(h.Address) {
+			f.heardAt = time.Now()
+		}
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+		defer cancel()
+		// A peer that cannot be reached is tried again at the next tick; the link's own events say why.
+		_, _ = f.links.Pin(ctx, h.Address)
+	}()
+}
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"slices"
-	"time"
 
-	"github.com/lynxplank/lynxplank/fault"
-	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -18,8 +14,9 @@
 
 // ownRead is the result of one look at the product's own table.
 type ownRead struct {
-	state    *table.State
-	hosts    []table.HostInfo
+	state *table.State
+	hosts []table.HostInfo
+	// revision is the newest version of a line of the list, or of one that was taken out.
 	revision uint64
 	// at is the store's version that the read shows.
 	at  uint64
@@ -29,7 +26,7 @@
 func (m ownRead) apply(_ context.Context, f *Follower) {
 	err := m.err
 	if err == nil {
-		err = f.readHosts(m)
+		err = f.adoptReadHosts(m)
 	}
 	if err == nil {
 		err = f.adoptRows(m.state)
@@ -47,38 +44,13 @@
 	}
 }
 
-// readHosts takes the list of hosts as the store showed it. A read of the whole table tells of hosts that are gone only
-// by not showing them, and so counts whatever the newest line's version; one that is older than what a peer has told is
-// followed by another.
-func (f *Follower) readHosts(m ownRead) error {
-	if m.at < f.hostsRevision {
-		return nil
-	}
-	f.hosts, f.hostsRevision = m.hosts, max(f.hostsRevision, m.revision)
-	return f.putHosts()
-}
-
-// adoptRows brings the operators' rows to a state that only holds these.
-func (f *Follower) adoptRows(s *table.State) error {
-	from := f.State().Revision()
-	if s.Revision() <= from {
-		return nil
-	}
-	d := table.Delta{Plane: table.PlaneRows, From: from, To: s.Revision()}
-	rows, ok := s.Since(table.PlaneRows, from)
-	if !ok {
-		d.Full = true
-		s.PlaneRows(table.PlaneRows, func(r table.Row) { rows = append(rows, r) })
-	}
-	d.Rows = rows
-	return f.apply(d)
-}
-
 // configRead is the result of one look at the platform's configuration.
 type configRead struct {
+	// config is the newest usable one, nil for none.
 	config *platform.Config
-	bad    error
-	err    error
+	// bad is what is wrong with one that cannot be used, err why the platform could not be read.
+	bad error
+	err error
 }
 
 func (m configRead) apply(_ context.Context, f *Follower) {
@@ -92,187 +64,3 @@
 	}
 	f.checkReady()
 }
-
-// adoptConfig puts a later configuration in force; what it leaves as it was keeps its revision.
-func (f *Follower) adoptConfig(c platform.Config) error {
-	state := f.State()
-	from := state.Revisions()[table.PlaneConfig]
-	if c.Version <= from {
-		return nil
-	}
-	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version}
-	kept := make(map[table.RowID]bool, len(c.Rows))
-	for _, row := range c.Rows {
-		kept[row.ID()] = true
-		old, ok := state.Row(row.Kind, row.Key)
-		if !ok || old.Plane != table.PlaneConfig || !slices.Equal(old.Cells, row.Cells) {
-			d.Rows = append(d.Rows, row)
-		}
-	}
-	state.PlaneRows(table.PlaneConfig, func(r table.Row) {
-		if !kept[r.ID()] {
-			gone := table.Row{Kind: r.Kind, Key: r.Key, Deleted: true}
-			gone.Revision = c.Version
-			d.Rows = append(d.Rows, gone)
-		}
-	})
-	return f.apply(d)
-}
-
-// hint tells that a peer shows a later revision of something.
-type hint struct {
-	peer      string
-	revisions table.Revisions
-}
-
-func (m hint) apply(ctx context.Context, f *Follower) {
-	f.heardAt = time.Now()
-	address := f.addressOf(m.peer)
-	if address == "" || !f.State().Revisions().Behind(m.revisions) {
-		return
-	}
-	if _, ok := f.wanted[address]; !ok {
-		f.wanted[address] = wantedPull{revisions: m.revisions, since: time.Now()}
-	}
-	if !f.reading.Load() {
-		f.pullNext(ctx)
-	}
-}
-
-// wantedPull is what a peer has shown that this node lacks.
-type wantedPull struct {
-	revisions table.Revisions
-	since     time.Time
-}
-
-// addressOf takes a peer's address or its host id.
-func (f *Follower) addressOf(name string) string {
-	for _, h := range f.Snapshot().Hosts {
-		if h.ID == name || h.Address == name {
-			return h.Address
-		}
-	}
-	if slices.Contains(f.cfg.Seeds, name) {
-		return name
-	}
-	return ""
-}
-
-// pullNext pulls from one peer that shows a later revision, of this hall if there is one; at most one pull is under way.
-func (f *Follower) pullNext(ctx context.Context) {
-	if f.pulling {
-		return
-	}
-	now := time.Now()
-	best := ""
-	for address, w := range f.wanted {
-		if !f.State().Revisions().Behind(w.revisions) {
-			delete(f.wanted, address)
-			continue
-		}
-		if f.reading.Load() && now.Sub(w.since) < f.patience(w.revisions) {
-			continue
-		}
-		if best == "" || f.near(address) {
-			best = address
-		}
-	}
-	if best != "" {
-		delete(f.wanted, best)
-		f.pull(ctx, best)
-	}
-}
-
-// patience is how long this node, which reads the platform itself, waits for what a peer has shown.
-func (f *Follower) patience(shown table.Revisions) time.Duration {
-	shown[table.PlaneHosts] = 0
-	if f.State().Revisions().Behind(shown) {
-		return pullAfter
-	}
-	return pullHostsAfter
-}
-
-// near tells whether a peer is of this hall.
-func (f *Follower) near(address string) bool {
-	for _, h := range f.Snapshot().Hosts {
-		if h.Address == address {
-			return h.Hall == f.cfg.Hall
-		}
-	}
-	return false
-}
-
-func (f *Follower) askSeeds(ctx context.Context) {
-	if f.pulling {
-		return
-	}
-	for _, seed := range f.cfg.Seeds {
-		if !f.seedsAsked[seed] {
-			f.pull(ctx, seed)
-			return
-		}
-	}
-	if !f.holdsConfig(f.Snapshot()) {
-		clear(f.seedsAsked)
-	}
-}
-
-// pull asks one peer for what is missing, in a goroutine of its own.
-func (f *Follower) pull(ctx context.Context, address string) {
-	f.pulling = true
-	from := f.State().Revisions()
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-		defer cancel()
-		m := pulled{address: address}
-		m.parts, m.err = f.pullFrom(ctx, address, from)
-		f.deliver(m)
-	}()
-}
-
-func (f *Follower) pullFrom(ctx context.Context, address string, from table.Revisions) ([]*peerpb.Delta, error) {
-	s, err := f.links.Session(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return s.Pull(ctx, from)
-}
-
-// pulled is the result of one pull.
-type pulled struct {
-	address string
-	parts   []*peerpb.Delta
-	err     error
-}
-
-func (m pulled) apply(ctx context.Context, f *Follower) {
-	f.pulling = false
-	f.seedsAsked[m.address] = true
-	err := m.err
-	if err == nil {
-		f.heardAt = time.Now()
-		err = f.applyParts(m.parts)
-	}
-	if code := fault.CodeOf(err); code == fault.BadRow || code == fault.Protocol {
-		f.notePlatform(table.PlaneRows, err)
-	}
-	f.checkReady()
-	if !f.Snapshot().Ready {
-		f.askSeeds(ctx)
-	}
-	f.pullNext(ctx)
-}
-
-// applyParts puts a peer's deltas in force; one that does not lead forward changes nothing.
-func (f *Follower) applyParts(parts []*peerpb.Delta) error {
-	deltas, hosts, revision := fromParts(parts)
-	for _, d := range deltas {
-		if err := f.apply(d); err != nil {
-			return err
-		}
-	}
-	if revision == 0 {
-		return nil
-	}
-	return f.adoptHosts(hosts, revision)
-}
--- /dev/null
+++ b/follow/pull.go
@@ -0,0 +1,170 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// hint tells that a peer shows a later revision of something.
+type hint struct {
+	peer      string
+	revisions table.Revisions
+}
+
+func (m hint) apply(ctx context.Context, f *Follower) {
+	f.heardAt = time.Now()
+	address := f.addressOf(m.peer)
+	if address == "" || !f.State().Revisions().Behind(m.revisions) {
+		return
+	}
+	if _, ok := f.wanted[address]; !ok {
+		f.wanted[address] = wantedPull{revisions: m.revisions, since: time.Now()}
+	}
+	if !f.reading.Load() {
+		f.pullNext(ctx)
+	}
+}
+
+// wantedPull is what a peer has shown that this node lacks.
+type wantedPull struct {
+	revisions table.Revisions
+	since     time.Time
+}
+
+// addressOf takes a peer's address or its host id.
+func (f *Follower) addressOf(name string) string {
+	for _, h := range f.Snapshot().Hosts {
+		if h.ID == name || h.Address == name {
+			return h.Address
+		}
+	}
+	if slices.Contains(f.cfg.Seeds, name) {
+		return name
+	}
+	return ""
+}
+
+// pullNext pulls from one peer that shows a later revision, of this hall if there is one; at most one pull is under way.
+func (f *Follower) pullNext(ctx context.Context) {
+	if f.pulling {
+		return
+	}
+	now := time.Now()
+	best := ""
+	for address, w := range f.wanted {
+		if !f.State().Revisions().Behind(w.revisions) {
+			delete(f.wanted, address)
+			continue
+		}
+		if f.reading.Load() && now.Sub(w.since) < f.patience(w.revisions) {
+			continue
+		}
+		if best == "" || f.near(address) {
+			best = address
+		}
+	}
+	if best != "" {
+		delete(f.wanted, best)
+		f.pull(ctx, best)
+	}
+}
+
+// patience is how long this node, which reads the platform itself, waits for what a peer has shown.
+func (f *Follower) patience(shown table.Revisions) time.Duration {
+	shown[table.PlaneHosts] = 0
+	if f.State().Revisions().Behind(shown) {
+		return pullAfter
+	}
+	return pullHostsAfter
+}
+
+// near tells whether a peer is of this hall.
+func (f *Follower) near(address string) bool {
+	for _, h := range f.Snapshot().Hosts {
+		if h.Address == address {
+			return h.Hall == f.cfg.Hall
+		}
+	}
+	return false
+}
+
+// askSeeds asks the next seed that was not asked; once all were and none held a configuration, it begins anew.
+func (f *Follower) askSeeds(ctx context.Context) {
+	if f.pulling {
+		return
+	}
+	for _, seed := range f.cfg.Seeds {
+		if !f.seedsAsked[seed] {
+			f.pull(ctx, seed)
+			return
+		}
+	}
+	if !f.holdsConfig(f.Snapshot()) {
+		clear(f.seedsAsked)
+	}
+}
+
+// pull asks one peer for what is missing, in a goroutine of its own.
+func (f *Follower) pull(ctx context.Context, address string) {
+	f.pulling = true
+	from := f.State().Revisions()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+		defer cancel()
+		m := pulled{address: address}
+		m.parts, m.err = f.pullFrom(ctx, address, from)
+		f.deliver(m)
+	}()
+}
+
+func (f *Follower) pullFrom(ctx context.Context, address string, from table.Revisions) ([]*peerpb.Delta, error) {
+	s, err := f.links.Session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return s.Pull(ctx, from)
+}
+
+// pulled is the result of one pull.
+type pulled struct {
+	address string
+	parts   []*peerpb.Delta
+	err     error
+}
+
+func (m pulled) apply(ctx context.Context, f *Follower) {
+	f.pulling = false
+	f.seedsAsked[m.address] = true
+	err := m.err
+	if err == nil {
+		f.heardAt = time.Now()
+		err = f.applyParts(m.parts)
+	}
+	if code := fault.CodeOf(err); code == fault.BadRow || code == fault.Protocol {
+		f.notePlatform(table.PlaneRows, err)
+	}
+	f.checkReady()
+	if !f.Snapshot().Ready {
+		f.askSeeds(ctx)
+	}
+	f.pullNext(ctx)
+}
+
+// applyParts puts a peer's deltas in force; one that does not lead forward changes nothing.
+func (f *Follower) applyParts(parts []*peerpb.Delta) error {
+	deltas, hosts, revision := fromParts(parts)
+	for _, d := range deltas {
+		if err := f.apply(d); err != nil {
+			return err
+		}
+	}
+	if revision == 0 {
+		return nil
+	}
+	return f.adoptHosts(hosts, revision)
+}
--- a/follow/read.go
+++ b/follow/read.go
@@ -20,13 +20,16 @@
 	HostPrefix = "host/"
 	// gather is how long a reader lets changes of the hosts come together before it looks again: a fleet that starts
 	// writes a row a node within a second or so.
-	gather      = 200 * time.Millisecond
-	retryJitter = 0.4
+	gather = 200 * time.Millisecond
+	// pauseJitter is by how much of itself a pause varies, half of it either way, so that readers do not look together.
+	pauseJitter = 0.4
+	// confirmLook is the time between two looks whether a newer configuration is in force.
+	confirmLook = time.Millisecond
 )
 
-// pause waits before the next look at a platform that failed; false when the node stops.
+// pause waits before the next look at the platform, a little more or less than d; false when the node stops.
 func (f *Follower) pause(ctx context.Context, d time.Duration) bool {
-	jitter := 1 + retryJitter*(rand.Float64()-0.5) //nolint:gosec // spreads the readers, no secret
+	jitter := 1 + pauseJitter*(rand.Float64()-0.5) //nolint:gosec // spreads the readers, no secret
 	select {
 	case <-ctx.Done():
 		return false
@@ -37,10 +40,12 @@
 
 // ownReader reads the product's own table: the operators' rows and what the nodes announce. One goroutine owns it.
 type ownReader struct {
-	f      *Follower
-	rows   *changes.Reader
-	state  *table.State
-	hosts  map[string]table.HostInfo
+	f    *Follower
+	rows *changes.Reader
+	// state holds the operators' rows only, hosts the announcements by the hosts' names.
+	state *table.State
+	hosts map[string]table.HostInfo
+	// cursor is the store's version up to which the table was read, loaded is false until it was read whole.
 	cursor uint64
 	loaded bool
 	// revision is the newest version of an announcement, or of one that was taken out.
@@ -80,6 +85,7 @@
 	return m, 0
 }
 
+// advance takes what has changed since the last look, after waiting for it, or the whole table.
 func (r *ownReader) advance(ctx context.Context) (changed bool, err error) {
 	var recs platform.Records
 	if r.loaded {
@@ -114,6 +120,7 @@
 	return len(recs.Records) > 0, nil
 }
 
+// noteHost takes one announcement, or that it was taken out.
 func (r *ownReader) noteHost(rec platform.Record) error {
 	r.revision = max(r.revision, rec.Version)
 	id := strings.TrimPrefix(rec.Key, HostPrefix)
@@ -155,6 +162,7 @@
 	}
 }
 
+// lookConfig reads the operators' table once; the number is the store's version that the read shows.
 func (f *Follower) lookConfig(ctx context.Context, loaded bool, cursor uint64) (uint64, configRead) {
 	var recs platform.Records
 	var err error
@@ -166,20 +174,31 @@
 	if err != nil {
 		return 0, configRead{err: err}
 	}
-	m := configRead{}
+	// The version is taken even of a configuration that cannot be used: the next one may be good, and this one will not
+	// get better.
+	configs, bad := f.decodeConfigs(recs)
+	m := configRead{bad: bad}
+	if len(configs) > 0 {
+		m.config = &configs[len(configs)-1]
+	}
+	return recs.Version, m
+}
+
+// decodeConfigs returns the usable configurations among some records, oldest first, and what is wrong with the last of
+// the others.
+func (f *Follower) decodeConfigs(recs platform.Records) (configs []platform.Config, bad error) {
 	for _, rec := range recs.Records {
 		if rec.Key != platform.KeyConfig || rec.Deleted {
 			continue
 		}
 		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
 		if err != nil {
-			// The version is taken all the same: the next one may be good, and this one will not get better.
-			m.bad = err
+			bad = err
 			continue
 		}
-		m.config = &cfg
+		configs = append(configs, cfg)
 	}
-	return recs.Version, m
+	return configs, bad
 }
 
 // Confirm tells whether the configuration in force is the platform's newest; a newer one is in force when it returns.
@@ -191,20 +210,15 @@
 	if err != nil {
 		return false
 	}
+	// One that cannot be used is told by the reader, which meets it too.
+	configs, _ := f.decodeConfigs(recs)
 	want := uint64(0)
-	for _, rec := range recs.Records {
-		if rec.Key != platform.KeyConfig || rec.Deleted {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
-		if err != nil {
-			continue
-		}
+	for _, cfg := range configs {
 		want = cfg.Version
 		f.deliver(configRead{config: &cfg})
 	}
 	for f.State().Revisions()[table.PlaneConfig] < want {
-		if !f.pause(ctx, time.Millisecond) {
+		if !f.pause(ctx, confirmLook) {
 			return false
 		}
 	}
