Peer: accepting, news, reach and the ingress's side of an exchange in files of their own

manager.go (400 lines) held the accepting of links, the news to peers and the judgement whether one can be reached; exchange.go (300 lines) mixed what a session offers with the state of one exchange. The comment that said what drain does stood in its loop. Behaviour stays.

--- a/peer/control.go
+++ b/peer/control.go
@@ -52,12 +52,14 @@
 	}
 }
 
+// acceptorPatience is after how many times the limit of an echo a link is closed on which nothing is heard: long enough for
+// a frozen peer to come back to its link.
 const acceptorPatience = 10
 
+// drain empties a channel, so that whoever fills it comes to its end.
 func drain(c <-chan uint64) {
 	go func() {
 		for range c {
-			// Empties the channel until the reader closes it.
 			continue
 		}
 	}()
@@ -102,6 +104,7 @@
 	return s.m.cfg.Heartbeat
 }
 
+// idleFactor is how many times the usual interval lies between the beats of an idle link.
 const idleFactor = 8
 
 func (s *Session) listen(r FrameReader) {
--- /dev/null
+++ b/peer/counted.go
@@ -0,0 +1,26 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n)) //nolint:gosec // counts are not negative
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n)) //nolint:gosec // counts are not negative
+	return n, err
+}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -54,6 +54,7 @@
 	return s, err
 }
 
+// dial opens a link, tells whoever waits for it, and runs its control stream until it ends.
 func (m *Manager) dial(address string, d *dial) {
 	s, err := m.connect(address)
 	m.mu.Lock()
@@ -87,7 +88,10 @@
 		_ = c.Close()
 		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
 	}
-	s := &Session{m: m, address: address, mux: mux, conn: c, done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{})}
+	s := &Session{
+		m: m, address: address, mux: mux, conn: c,
+		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{}),
+	}
 	s.used()
 	// A frozen peer takes connections too: a link that closed under suspicion comes back under it, until an echo.
 	m.mu.Lock()
@@ -114,6 +118,7 @@
 	return c, nil
 }
 
+// forget takes a link that has ended out; its suspicion stays with the peer.
 func (m *Manager) forget(s *Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
@@ -83,7 +82,7 @@
 	}
 }
 
-// goOf is the rest of it.
+// goOf is the rest of a dispatch, which goes with the hand-over.
 func goOf(d *peerpb.Dispatch) *peerpb.Go {
 	return &peerpb.Go{
 		Method: d.GetMethod(), Target: d.GetTarget(), Host: d.GetHost(), Headers: d.GetHeaders(), Body: d.GetBody(),
@@ -126,169 +125,3 @@
 	}
 	return x.receive(sink, nil)
 }
-
-const linkRetryAfter = 500 * time.Millisecond
-
-// sending is the ingress's side of one exchange.
-type sending struct {
-	ctx    context.Context //nolint:containedctx // one exchange's life
-	s      *Session
-	stream net.Conn
-	stop   func() bool
-	// offered is set for an exchange that waits for a grant, handed once the request may run.
-	offered bool
-	handed  bool
-}
-
-// open opens a stream; an offer must be answered soon, if only by a word that it waits.
-func (s *Session) open(ctx context.Context, offered bool) (*sending, *peerpb.End) {
-	stream, err := s.mux.OpenStream()
-	if err != nil {
-		return nil, NotRun(fault.LinkDown, linkRetryAfter)
-	}
-	s.begin(stream, offered)
-	x := &sending{ctx: ctx, s: s, stream: stream, offered: offered, handed: !offered}
-	if offered {
-		_ = stream.SetReadDeadline(time.Now().Add(s.offerLimit()))
-	}
-	x.stop = context.AfterFunc(ctx, func() { _ = stream.SetReadDeadline(time.Now()) })
-	return x, nil
-}
-
-func (x *sending) close() {
-	x.stop()
-	x.s.finish(x.stream)
-	if x.ctx.Err() != nil && x.offered {
-		// The caller went away, or its time ran out: the egress need not go on. That this may not arrive harms nothing.
-		_ = x.stream.SetWriteDeadline(time.Now().Add(x.s.offerLimit()))
-		_ = WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{}}})
-	}
-	abandon(x.stream)
-}
-
-// broken is how the exchange ends when the stream says no more.
-func (x *sending) broken() *peerpb.End {
-	switch {
-	case !x.handed && x.ctx.Err() != nil:
-		return NotRun(ctxCode(x.ctx), 0)
-	case !x.handed:
-		return NotRun(fault.LinkDown, linkRetryAfter)
-	}
-	return Unknown(lostCode(x.ctx))
-}
-
-// handOver gives the word that the request may run.
-func (x *sending) handOver(d *peerpb.Dispatch, body io.Reader) error {
-	if x.ctx.Err() != nil {
-		return fault.Wrap(x.ctx.Err(), ctxCode(x.ctx), "exchange", "caller went away")
-	}
-	x.handed = true
-	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Go{Go: goOf(d)}}); err != nil {
-		return err
-	}
-	x.sendBody(d, body)
-	return nil
-}
-
-func (x *sending) sendBody(d *peerpb.Dispatch, body io.Reader) {
-	if d.GetBodyLength() == 0 {
-		return
-	}
-	go func() {
-		if err := sendBody(x.stream, body); err != nil {
-			abandon(x.stream)
-		}
-	}()
-}
-
-// receive reads frames until the exchange ends.
-func (x *sending) receive(sink Sink, handOver func() error) *peerpb.End {
-	r := NewFrameReader(x.stream)
-	for {
-		f, err := r.Read()
-		if err != nil {
-			x.s.unanswered(x)
-			return x.broken()
-		}
-		if x.offered {
-			x.patient()
-		}
-		switch k := f.GetKind().(type) {
-		case *peerpb.Frame_Ack:
-		case *peerpb.Frame_Grant:
-			if handOver == nil || x.handed {
-				return Unknown(fault.Protocol)
-			}
-			err = handOver()
-		case *peerpb.Frame_Late:
-			sink.Late()
-		case *peerpb.Frame_Head:
-			err = sink.Head(k.Head, false)
-		case *peerpb.Frame_Data:
-			err = sink.Data(k.Data.GetBytes(), false)
-		case *peerpb.Frame_End:
-			return k.End
-		default:
-			return Unknown(fault.Protocol)
-		}
-		if err != nil {
-			return x.stopped()
-		}
-	}
-}
-
-// stopped is how the exchange ends when this side cannot go on with it.
-func (x *sending) stopped() *peerpb.End {
-	if !x.handed {
-		return NotRun(fault.Canceled, 0)
-	}
-	return Unknown(fault.Canceled)
-}
-
-// patient takes the limit of the first frame away; the link's heartbeat judges from here on.
-func (x *sending) patient() {
-	_ = x.stream.SetReadDeadline(time.Time{})
-	if x.ctx.Err() != nil {
-		_ = x.stream.SetReadDeadline(time.Now())
-	}
-}
-
-// abandon closes our side, which the egress takes as a cancellation, and wakes our reader.
-func abandon(stream net.Conn) {
-	_ = stream.SetReadDeadline(time.Now())
-	_ = stream.Close()
-}
-
-func sendBody(w io.Writer, body io.Reader) error {
-	buf := make([]byte, DataChunk)
-	for {
-		n, err := body.Read(buf)
-		last := err == io.EOF
-		if n > 0 || last {
-			f := &peerpb.Frame{Kind: &peerpb.Frame_Data{Data: &peerpb.Data{Bytes: buf[:n], Last: last}}}
-			if werr := WriteFrame(w, f); werr != nil {
-				return werr
-			}
-		}
-		if last {
-			return nil
-		}
-		if err != nil {
-			return fault.Wrap(err, fault.BadRequest, "body", "caller's body broke off")
-		}
-	}
-}
-
-func ctxCode(ctx context.Context) fault.Code {
-	if ctx.Err() == context.DeadlineExceeded {
-		return fault.DeadlineExceeded
-	}
-	return fault.Canceled
-}
-
-func lostCode(ctx context.Context) fault.Code {
-	if ctx.Err() != nil {
-		return ctxCode(ctx)
-	}
-	return fault.LinkLost
-}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -17,9 +17,12 @@
 	// MaxFrame is the largest frame taken from a peer, in bytes.
 	MaxFrame = 1 << 20
 	// DataChunk is the largest piece of a body in one frame, in bytes.
-	DataChunk   = 32 << 10
-	readBuffer  = 4 << 10
-	maxPrefix   = 10
+	DataChunk = 32 << 10
+	// readBuffer is what a reader of frames reads ahead, in bytes.
+	readBuffer = 4 << 10
+	// maxPrefix is the longest prefix of a frame, in bytes: a 64-bit varint.
+	maxPrefix = 10
+	// firstBuffer is the first size of a pooled buffer, in bytes.
 	firstBuffer = 2 << 10
 )
 
--- /dev/null
+++ b/peer/news.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Leave tells every peer that this node takes nothing new.
+func (m *Manager) Leave() {
+	m.leaving.Store(true)
+	m.tell(func(string) bool { return true })
+}
+
+// Announce tells the connected peers of this hall the revisions in force; those of other halls, the links to which are
+// dear, hear of them by the next heartbeat.
+func (m *Manager) Announce(revisions table.Revisions) {
+	if old := m.revisions.Swap(&revisions); *old != revisions {
+		m.tell(func(hall string) bool { return hall == m.cfg.Hall })
+	}
+}
+
+// tell has a beat sent to the connected peers of some halls.
+func (m *Manager) tell(which func(hall string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c, hall := range m.subscribers {
+		if !which(hall) {
+			continue
+		}
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// subscribe returns a channel that is told of news for peers of a hall.
+func (m *Manager) subscribe(hall string) chan struct{} {
+	c := make(chan struct{}, 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscribers[c] = hall
+	return c
+}
+
+func (m *Manager) unsubscribe(c chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.subscribers, c)
+}
+
+// heardBeat passes on that a peer shows a later revision of something.
+func (m *Manager) heardBeat(peer string, b *peerpb.Beat) {
+	if r := revisionsOf(b.GetRevisions()); m.revisions.Load().Behind(r) {
+		m.onBeat(peer, r)
+	}
+}
+
+// beat returns a beat that shows what this node holds.
+func (m *Manager) beat() *peerpb.Beat {
+	return &peerpb.Beat{Revisions: revisionsToWire(*m.revisions.Load()), Leaving: m.leaving.Load()}
+}
+
+func revisionsOf(r *peerpb.Revisions) table.Revisions {
+	var out table.Revisions
+	out[table.PlaneRows] = r.GetRows()
+	out[table.PlaneConfig] = r.GetConfig()
+	out[table.PlaneHosts] = r.GetHosts()
+	return out
+}
+
+func revisionsToWire(r table.Revisions) *peerpb.Revisions {
+	return &peerpb.Revisions{Rows: r[table.PlaneRows], Config: r[table.PlaneConfig], Hosts: r[table.PlaneHosts]}
+}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -26,6 +26,7 @@
 }
 
 const (
+	// firstFrameTimeout is how long a new stream may say nothing.
 	firstFrameTimeout = 5 * time.Second
 	// grantLife is how long a slot is held for an ingress that does not answer: several round trips between regions
 	// (20 ms one way), and little beside the work of a slot (50 to 300 ms).
@@ -72,6 +73,7 @@
 	}
 }
 
+// garbled logs bytes of a peer that make no sense; a broken link is told by the link itself.
 func (m *Manager) garbled(remote string, err error) {
 	if fault.CodeOf(err) == fault.Protocol {
 		events.PeerGarbled.Log(m.log).Str("peer", remote).Err(err).Send()
@@ -89,6 +91,7 @@
 // serving is the egress's side of one exchange.
 type serving struct {
 	*streamSink
+	// offer is the dispatch as it came, completed by the hand-over.
 	offer *peerpb.Dispatch
 	// goes takes the ingress's word that the request may run, gone is closed when the stream has ended.
 	goes     chan *peerpb.Go
@@ -169,6 +172,7 @@
 				return fault.New(fault.Protocol, "stream", "unexpected message in a body")
 			}
 			if _, err := w.Write(k.Data.GetBytes()); err != nil {
+				// Nobody reads the body any more; what still comes of it is dropped, for the words behind it.
 				open = !k.Data.GetLast()
 				continue
 			}
@@ -182,6 +186,7 @@
 	}
 }
 
+// serveFetch answers how an exchange ended; a peer that closes its side gives up.
 func (m *Manager) serveFetch(stream net.Conn, r FrameReader, f *peerpb.Fetch) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
 	defer cancel()
--- a/peer/session.go
+++ b/peer/session.go
@@ -17,21 +17,27 @@
 
 // Session is a dialed link to one peer.
 type Session struct {
-	m         *Manager
-	address   string
-	mux       *yamux.Session
-	conn      net.Conn
-	suspect   atomic.Bool
-	leaving   atomic.Bool
-	pinned    atomic.Bool
-	inFlight  atomic.Int64
+	m       *Manager
+	address string
+	mux     *yamux.Session
+	conn    net.Conn
+	// suspect is set from the first doubt about the link to the next echo, leaving by the peer's own word, pinned while
+	// the link stays open without a request.
+	suspect  atomic.Bool
+	leaving  atomic.Bool
+	pinned   atomic.Bool
+	inFlight atomic.Int64
+	// usedAt is when the link last carried a request, in nanoseconds since 1970; roundTrip is that of the last echo, in
+	// nanoseconds.
 	usedAt    atomic.Int64
 	roundTrip atomic.Int64
+	// done is closed with the link; wake has the next heartbeat sent now.
 	done      chan struct{}
 	wake      chan struct{}
 	closeOnce sync.Once
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// pending is the first beat without an echo, 0 for none; pendingAt is when it was sent.
 	pending   uint64
 	pendingAt time.Time
 	// streams are the exchanges under way, which a link that turns suspect wakes.
@@ -40,8 +46,9 @@
 
 // Limits of the first word on an offer: a few round trips, and time for a node that gets little of its processor.
 const (
-	leastOffer  = 60 * time.Millisecond
-	mostOffer   = 300 * time.Millisecond
+	leastOffer = 60 * time.Millisecond
+	mostOffer  = 300 * time.Millisecond
+	// offerRounds is how many round trips of the link the word may take.
 	offerRounds = 8
 )
 
@@ -61,6 +68,7 @@
 	s.used()
 }
 
+// finish notes that an exchange has ended.
 func (s *Session) finish(stream net.Conn) {
 	s.inFlight.Add(-1)
 	s.mu.Lock()
@@ -115,6 +123,7 @@
 
 func (s *Session) lastUse() time.Time { return time.Unix(0, s.usedAt.Load()) }
 
+// close ends the link; the streams on it end with it.
 func (s *Session) close() {
 	s.closeOnce.Do(func() {
 		close(s.done)
