--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -5,7 +5,7 @@
 // Config is the policy of one breaker.
 type Config struct {
 	// Broken is the evidence that one answer which broke off gives, Failed that of one whole answer that says the work
-	// failed. A breaker opens at evidence 1.
+	// failed. A breaker opens at openAt.
 	Broken, Failed float64
 	// Forget is the time in which evidence halves.
 	Forget time.Duration
@@ -23,6 +23,15 @@
 	Memory time.Duration
 }
 
+const (
+	// openAt is the evidence at which a breaker opens.
+	openAt = 1
+	// leastEvidence is what is too little to be halved again.
+	leastEvidence = 0.01
+	// mostOpenings bounds the openings that are remembered: more than any policy asks for.
+	mostOpenings = 8
+)
+
 // DefaultConfig returns the policy for endpoints that break off most of their work for some seconds at a time, and let
 // about one request in seven through meanwhile. The figures come from rounds on the users' bench (docs/MEASUREMENTS.md).
 func DefaultConfig() Config {
@@ -68,19 +77,22 @@
 
 // Breaker watches one endpoint; its owner locks it.
 type Breaker struct {
-	cfg      Config
-	state    State
+	cfg   Config
+	state State
+	// evidence is what speaks against the endpoint, as it was at seenAt.
 	evidence float64
 	seenAt   time.Time
 	// pause is the present length of a pause, pausedUntil when it ends.
 	pause       time.Duration
 	pausedUntil time.Time
-	openings    []time.Time
-	successes   int
+	// openings are the times of the last openings, successes the trials in a row that went well.
+	openings  []time.Time
+	successes int
 	// trialEvery is the present time between two trials, trialAt when the last one began.
 	trialEvery time.Duration
 	trialAt    time.Time
-	trialing   bool
+	// trialing is set while a trial runs.
+	trialing bool
 }
 
 // New returns a closed breaker.
@@ -147,15 +159,17 @@
 	}
 }
 
+// fade takes off the evidence what the time since the last result does; within a half-life the loss is taken as linear.
 func (b *Breaker) fade(now time.Time) {
 	elapsed := now.Sub(b.seenAt)
 	b.seenAt = now
-	for ; elapsed >= b.cfg.Forget && b.evidence > 0.01; elapsed -= b.cfg.Forget {
+	for ; elapsed >= b.cfg.Forget && b.evidence > leastEvidence; elapsed -= b.cfg.Forget {
 		b.evidence /= 2
 	}
 	b.evidence *= 1 - float64(min(elapsed, b.cfg.Forget))/float64(2*b.cfg.Forget)
 }
 
+// good takes an answer that says nothing of a failure.
 func (b *Breaker) good(now time.Time, trial bool) {
 	if b.state == Closed {
 		b.evidence /= 2
@@ -185,10 +199,11 @@
 	return min(b.cfg.Successes+max(recent-1, 0), b.cfg.MostSuccesses)
 }
 
+// bad takes an answer that is evidence of a failure.
 func (b *Breaker) bad(now time.Time, weight float64, trial bool) {
 	if b.state == Closed {
 		b.evidence += weight
-		if b.evidence < 1 {
+		if b.evidence < openAt {
 			return
 		}
 		b.open(now)
@@ -203,8 +218,7 @@
 	b.pausedUntil = now.Add(b.pause)
 }
 
-const mostOpenings = 8
-
+// open begins the trials; the first one waits for the time between two.
 func (b *Breaker) open(now time.Time) {
 	b.state = Trial
 	b.successes = 0
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -47,7 +48,8 @@
 	Leaving bool
 	// ColdUntil is when it stops being slow from its start.
 	ColdUntil time.Time
-	sequence  uint64
+	// sequence is the highest that was heard.
+	sequence uint64
 }
 
 // Registry is safe for concurrent use.
@@ -56,7 +58,9 @@
 	log        *zerolog.Logger
 	onChange   func([]table.Announced)
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// live are the instances at their addresses, leaving ones included; ended are the last ones that were replaced there or
+	// left before they had begun here, oldest first.
 	live  map[string]Endpoint
 	ended []string
 }
@@ -79,6 +83,7 @@
 		return nil
 	}
 	old, known := r.live[b.Key]
+	// An old heartbeat that says it drains is believed all the same: draining is for good.
 	if known && b.Sequence <= old.sequence && !b.Draining {
 		return nil
 	}
@@ -100,6 +105,7 @@
 	return nil
 }
 
+// check refuses a heartbeat that makes no sense.
 func check(b Beat) error {
 	switch {
 	case b.Key == "":
@@ -107,7 +113,7 @@
 	case b.Service == "":
 		return fault.New(fault.BadRequest, "heartbeat.service", "want a service")
 	case b.Slots <= 0 || b.Slots > mostSlots:
-		return fault.New(fault.BadRequest, "heartbeat.slots", "want 1 to 10000 slots")
+		return fault.New(fault.BadRequest, "heartbeat.slots", fmt.Sprintf("want 1 to %d slots", mostSlots))
 	}
 	if _, err := netip.ParseAddrPort(b.Address); err != nil {
 		return fault.New(fault.BadRequest, "heartbeat.address", "want an IP and port")
@@ -124,6 +130,7 @@
 	}
 }
 
+// end forgets an instance for good: no later heartbeat of it counts.
 func (r *Registry) end(key string) {
 	delete(r.live, key)
 	r.ended = append(r.ended, key)
@@ -132,6 +139,7 @@
 	}
 }
 
+// changed logs a change of one endpoint and tells of all.
 func (r *Registry) changed(e Endpoint) {
 	events.EndpointAnnounced.Log(r.log).Str("endpoint", e.Key).Str("service", e.Value.Service).
 		Bool("leaving", e.Leaving).Uint64("sequence", e.sequence).Send()
@@ -165,13 +173,6 @@
 	return e, ok
 }
 
-// Ended tells that an instance has ended here.
-func (r *Registry) Ended(key string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Contains(r.ended, key)
-}
-
 // Serving tells whether some endpoint takes new work.
 func (r *Registry) Serving() bool {
 	r.mu.Lock()
@@ -191,6 +192,7 @@
 	return len(r.live)
 }
 
+// list returns every endpoint, sorted by key; the lock is held.
 func (r *Registry) list() []table.Announced {
 	out := make([]table.Announced, 0, len(r.live))
 	for _, e := range r.live {
