--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -28,7 +28,7 @@
 	FirstDelay time.Duration
 }
 
-// gather lets a burst of changes become one write.
+// gather is the wait that lets a burst of changes become one write.
 const gather = 20 * time.Millisecond
 
 // Announcer writes this host's line; it is a kernel component.
@@ -40,11 +40,13 @@
 	stop  context.CancelFunc
 	done  chan struct{}
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// want is the line as it should be.
 	want table.HostInfo
 	// withdrawn is set once the line is to be taken out.
 	withdrawn bool
-	dirty     bool
+	// dirty is set while the line may not be as it should be.
+	dirty bool
 	// written is the version of the line as this process last wrote it.
 	written uint64
 	// sure is set while the line is known to be at that version.
@@ -96,17 +98,18 @@
 // Observe looks whether a snapshot in force shows the line as it was written; another node may have taken it out.
 func (a *Announcer) Observe(snap *follow.Snapshot) {
 	a.mu.Lock()
-	known := a.written != 0 && snap.State.Revisions()[table.PlaneHosts] > a.written
-	lost := known && !a.withdrawn && !snap.SelfListed
-	a.mu.Unlock()
+	shown := a.written != 0 && snap.State.Revisions()[table.PlaneHosts] > a.written
+	lost := shown && !a.withdrawn && !snap.SelfListed
 	if lost {
-		a.mu.Lock()
 		a.sure = false
-		a.mu.Unlock()
+	}
+	a.mu.Unlock()
+	if lost {
 		a.mark()
 	}
 }
 
+// mark has the line written.
 func (a *Announcer) mark() {
 	a.mu.Lock()
 	a.dirty = true
@@ -136,6 +139,7 @@
 	}
 }
 
+// sleep waits; false when the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -200,6 +204,7 @@
 	return recs[0].Version, nil
 }
 
+// commit does one write, provided that the line is still at the version that it replaces.
 func (a *Announcer) commit(ctx context.Context, w platform.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
 	defer cancel()
--- a/announce/reaper.go
+++ b/announce/reaper.go
@@ -23,7 +23,8 @@
 // that hashing names for the host, so that usually one node writes. A host that is only out of this node's reach sees
 // that its line is gone and writes it again.
 type Reaper struct {
-	host     string
+	host string
+	// after is how long a host must be out of reach, timeout bounds one write.
 	after    time.Duration
 	timeout  time.Duration
 	log      *zerolog.Logger
@@ -75,6 +76,7 @@
 	}
 }
 
+// lost tells whether a host has been out of this node's reach for long enough.
 func (r *Reaper) lost(now time.Time, h table.HostInfo) bool {
 	if h.ID == r.host {
 		return false
@@ -95,6 +97,8 @@
 			lost++
 			continue
 		}
+		// The hosts are ranked within a hall, by its name too: as if all stood in one of the lost host's name, a different
+		// one comes first for each lost host.
 		h.Hall = gone.ID
 		live = append(live, h)
 	}
@@ -106,6 +110,7 @@
 	return len(first) == 1 && first[0].ID == r.host
 }
 
+// take takes out the line of a host that is gone, provided that it still is the one that this node saw.
 func (r *Reaper) take(ctx context.Context, h table.HostInfo) {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
