Retry, balance: the steps of a choice as a list, comments that match the code

Choose was the same three lines for each step of its preference; the steps are a list now, in the same order and with the same draws. Constants without a word have one. Behaviour stays.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,8 @@
 	defaultLatency = 5 * time.Millisecond
 	// leastSuccess keeps a few failures from making the cost endless.
 	leastSuccess = 0.05
-	samples      = 2
+	// samples is how many candidates are drawn.
+	samples = 2
 )
 
 // Cost returns the expected time to a good answer in seconds: the way, the wait behind what is outstanding, the
@@ -75,21 +76,25 @@
 	}
 }
 
+// free tells whether a candidate has a slot for one request more.
+func free(c Candidate) bool { return c.Outstanding < c.Slots }
+
 // Choose returns the index of a candidate, -1 if there is none. Two are drawn by weight and the cheaper one is
 // taken: with views that lag, taking the cheapest of all sends every chooser to the same endpoint.
 func Choose(candidates []Candidate, r *rand.Rand) int {
 	neutral(candidates)
-	free := func(c Candidate) bool { return !c.LastChoice && c.Outstanding < c.Slots }
-	if i := choose(candidates, r, func(c Candidate) bool { return !c.Far && free(c) }); i >= 0 {
-		return i
-	}
-	if i := choose(candidates, r, free); i >= 0 {
-		return i
+	steps := [...]func(Candidate) bool{
+		func(c Candidate) bool { return !c.Far && !c.LastChoice && free(c) },
+		func(c Candidate) bool { return !c.LastChoice && free(c) },
+		func(c Candidate) bool { return c.LastChoice && free(c) },
+		func(Candidate) bool { return true },
 	}
-	if i := choose(candidates, r, func(c Candidate) bool { return c.LastChoice && c.Outstanding < c.Slots }); i >= 0 {
-		return i
+	for _, fits := range steps {
+		if i := choose(candidates, r, fits); i >= 0 {
+			return i
+		}
 	}
-	return choose(candidates, r, func(Candidate) bool { return true })
+	return -1
 }
 
 // Least returns the index of the candidate with the least work outstanding for its slots and speed, -1 if there is none;
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -9,8 +9,9 @@
 const (
 	// MostAttempts bounds the sends of one request.
 	MostAttempts = 3
-	// A service that refuses more than this share of its requests gets no retries.
+	// refusingShare is the share of refused requests above which a service gets no retries for lack of capacity.
 	refusingShare = 0.5
+	// refusalMemory is over how many of the last answers that share is taken.
 	refusalMemory = 50
 )
 
@@ -18,8 +19,10 @@
 //
 // Invariant: over any stretch of n requests at most share*n + burst retries are granted.
 type Budget struct {
-	tokens   float64
-	burst    float64
+	// tokens are the retries left, at most burst.
+	tokens float64
+	burst  float64
+	// refusing is the recent share of sends that were refused for lack of capacity.
 	refusing float64
 }
 
