Admit, contract, stand-in of the store: figures and fields with their meaning, stale comments mended

Admit turned seconds into spans by the same product in five places (spanOf), its constants and the fields of its queue had no word on unit or order, and the comment on inTime spoke of half a service time where the code counts whole ones. The stand-in's package comment still named a host list. Behaviour stays.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -54,28 +54,40 @@
 }
 
 const (
-	serviceMemory   = 0.05
-	firstService    = 5 * time.Millisecond
+	// serviceMemory is the weight of the newest service time in the usual one.
+	serviceMemory = 0.05
+	// firstService stands for the usual service time before any was seen.
+	firstService = 5 * time.Millisecond
+	// leastRetryAfter is the shortest time after which a refused caller is asked to come back.
 	leastRetryAfter = 20 * time.Millisecond
-	spreadLow       = 0.75
-	spreadWidth     = 1.0
+	// spreadLow and spreadWidth bound the random factor of that time: from spreadLow to their sum.
+	spreadLow   = 0.75
+	spreadWidth = 1.0
 )
 
+// waiting is a request in the queue, with the virtual time at which it may start.
 type waiting struct {
 	Request
 	tag float64
 }
 
+// spanOf turns seconds into a time span.
+func spanOf(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
 // Queue is the admission state of one endpoint; its owner locks it.
 //
 // Invariant: at most the set number of slots is taken at any time.
 type Queue struct {
-	slots   int
-	most    int
-	busy    int
-	queue   []waiting
-	clock   float64
-	finish  map[string]float64
+	// slots is how many requests run at once, most how many wait, busy the slots taken.
+	slots int
+	most  int
+	busy  int
+	// queue is sorted by rank and then by tag.
+	queue []waiting
+	// clock is the virtual time of the last start, finish that at which each customer's last request ends.
+	clock  float64
+	finish map[string]float64
+	// service is the usual service time and spread its usual deviation, in seconds.
 	service float64
 	spread  float64
 	random  *rand.Rand
@@ -138,15 +150,17 @@
 	}
 	q.queue = slices.Insert(q.queue, at, w)
 	q.charge(r)
-	until := r.Deadline.Add(-time.Duration(q.typical() * float64(time.Second)))
+	until := r.Deadline.Add(-spanOf(q.typical()))
 	return Decision{ID: r.ID, Action: Wait, Until: until}, out
 }
 
 // startTag is the virtual time at which the customer's next request may start (start-time fair queueing).
 func (q *Queue) startTag(r Request) float64 { return max(q.clock, q.finish[r.Customer]) }
 
+// charge counts a request against its customer's share.
 func (q *Queue) charge(r Request) { q.finish[r.Customer] = q.startTag(r) + 1/r.Weight }
 
+// remove takes out a waiting request that will not run, and gives its customer back what it was charged.
 func (q *Queue) remove(i int) {
 	w := q.queue[i]
 	q.queue = slices.Delete(q.queue, i, i+1)
@@ -176,9 +190,9 @@
 // inTime tells whether a request at a place in the queue can end before its deadline.
 func (q *Queue) inTime(now time.Time, place int, deadline time.Time) bool {
 	turns := float64(place+1) / float64(max(q.slots, 1))
-	// Half a service time passes on average until the first slot comes free.
+	// A turn takes a service time at most until a slot comes free, and the request itself takes one more.
 	need := (turns + 1) * q.typical()
-	return now.Add(time.Duration(need * float64(time.Second))).Before(deadline)
+	return now.Add(spanOf(need)).Before(deadline)
 }
 
 // typical is the usual service time with an allowance for its spread, in seconds.
@@ -191,7 +205,7 @@
 // RetryAfter is the time in which what is here now drains, spread so that callers don't come back together.
 func (q *Queue) RetryAfter() time.Duration {
 	drain := float64(len(q.queue)+q.busy+1) / float64(max(q.slots, 1)) * q.service
-	d := time.Duration(drain * (spreadLow + spreadWidth*q.random.Float64()) * float64(time.Second))
+	d := spanOf(drain * (spreadLow + spreadWidth*q.random.Float64()))
 	return max(d, leastRetryAfter)
 }
 
@@ -220,6 +234,7 @@
 	return true
 }
 
+// fill has waiting requests run while slots are free, and refuses those that cannot end in time any more.
 func (q *Queue) fill(now time.Time) []Decision {
 	var out []Decision
 	for q.busy < q.slots && len(q.queue) > 0 {
@@ -227,7 +242,7 @@
 		w := q.queue[i]
 		q.queue = slices.Delete(q.queue, i, i+1)
 		q.clock = max(q.clock, w.tag)
-		if !now.Add(time.Duration(q.service * float64(time.Second))).Before(w.Deadline) {
+		if !now.Add(spanOf(q.service)).Before(w.Deadline) {
 			out = append(out, q.refuse(w.ID, fault.DeadlineTooShort))
 			continue
 		}
@@ -240,7 +255,7 @@
 // first returns the place of the request that runs next: the first whose answer can still come by its aim. With more
 // work than slots, first come first served would answer everything late; late answers get the slots that are left.
 func (q *Queue) first(now time.Time) int {
-	done := now.Add(time.Duration(q.service * float64(time.Second)))
+	done := now.Add(spanOf(q.service))
 	for i, w := range q.queue {
 		if w.Aim.IsZero() || done.Before(w.Aim) {
 			return i
--- a/contract/own.go
+++ b/contract/own.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	anonymous     = "anonymous"
+	// anonymous stands for the customer of a caller that names none.
+	anonymous = "anonymous"
+	// maxKeyLength and maxNameLength bound an idempotency key and a customer's name, in bytes.
 	maxKeyLength  = 256
 	maxNameLength = 128
 )
--- a/standin/store/doc.go
+++ b/standin/store/doc.go
@@ -1,3 +1,3 @@
-// Package store is a small stand-in for the users' platform: table, objects and host list in memory, with outages,
+// Package store is a small stand-in for the users' platform: rows and objects in memory, with outages,
 // slowness and lost replies switched on by request. It serves tests and the demo only.
 package store
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -18,6 +18,7 @@
 // NewLocal returns a local client of a store.
 func NewLocal(s *Store) Local { return Local{store: s} }
 
+// enter counts a call and has it meet the faults first.
 func (l Local) enter(ctx context.Context, write bool) error {
 	down, delay := l.store.enter(write, "")
 	select {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -37,6 +37,7 @@
 	Writes int64 `json:"writes"`
 }
 
+// rowKey names a row as the store's protocol does.
 type rowKey struct{ table, part, key string }
 
 // change is one entry of the history.
@@ -53,11 +54,12 @@
 	history []change
 	// forgotten is the version up to which the history is gone.
 	forgotten uint64
-	changed   chan struct{}
-	objects   map[string][]byte
-	faults    Faults
-	stats     Stats
-	start     time.Time
+	// changed is closed when waiting feeds must look again.
+	changed chan struct{}
+	objects map[string][]byte
+	faults  Faults
+	stats   Stats
+	start   time.Time
 }
 
 // New returns an empty store.
@@ -99,6 +101,7 @@
 	return s.refuses(token), time.Duration(s.faults.DelayMillis) * time.Millisecond
 }
 
+// refuses tells whether a call with a token must fail; the lock is held.
 func (s *Store) refuses(token string) bool {
 	return s.faults.Down || slices.Contains(s.faults.TurnAway, token)
 }
@@ -120,6 +123,7 @@
 	limit                 int
 }
 
+// read answers one read of rows.
 func (s *Store) read(q query) platform.WireReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,6 +140,7 @@
 	return reply
 }
 
+// reply returns an answer without rows; the lock is held.
 func (s *Store) reply() platform.WireReply {
 	return platform.WireReply{Rows: []platform.WireRow{}, Version: s.version, Now: time.Since(s.start).Seconds()}
 }
@@ -192,11 +197,13 @@
 	return s.reply(), true
 }
 
+// put writes a row; the lock is held.
 func (s *Store) put(row platform.WireRow) {
 	s.rows[rowKey{row.Table, row.Part, row.Key}] = row
 	s.note(row)
 }
 
+// note adds a change to the history; the lock is held.
 func (s *Store) note(row platform.WireRow) {
 	s.history = append(s.history, change{row: row, version: s.version})
 	if extra := len(s.history) - historyLength; extra > 0 {
