--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -19,6 +19,7 @@
 // NewLocal returns a local client of a store.
 func NewLocal(s *Store) Local { return Local{store: s} }
 
+// enter counts a call and has it meet the faults first.
 func (l Local) enter(ctx context.Context, write bool) error {
 	down, delay := l.store.enter(write, "")
 	select {
@@ -40,7 +41,7 @@
 	out := make([]platform.Record, 0, len(keys))
 	for _, key := range keys {
 		rec := platform.Record{Key: key}
-		page := l.store.read(query{table: platform.TableOwn, from: key, to: key + "\x00", limit: 1})
+		page := l.store.read(query{table: platform.TableOwn, from: key, to: platform.KeyAfter(key), limit: 1})
 		if len(page.Rows) == 1 {
 			rec = record(page.Rows[0])
 		}
@@ -60,7 +61,7 @@
 	}
 	from := prefix
 	if after != "" {
-		from = max(prefix, after+"\x00")
+		from = max(prefix, platform.KeyAfter(after))
 	}
 	page := l.store.read(query{table: platform.TableOwn, from: from, limit: limit})
 	out := records(page)
