Faults that a reader found: answers longer than they say, a hand-over that could not be written, old heartbeats, a handler's panic

Tests: pipeline/testdata/faults, registry/testdata/beats, TestBudgetBoundsRetries over random bursts. The scenario of an answer shorter than it says wrote one byte more than it said; it is shorter now and ends as broken off.

--- a/events/events.go
+++ b/events/events.go
@@ -22,6 +22,7 @@
 	Reloaded        = Event{105, "settings reloaded", zerolog.InfoLevel}
 	ReloadFailed    = Event{106, "settings cannot be reloaded", zerolog.ErrorLevel}
 	LinesDropped    = Event{107, "log lines dropped", zerolog.WarnLevel}
+	HandlerPanicked = Event{108, "request handler panicked", zerolog.ErrorLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -52,7 +53,7 @@
 
 // All lists every event.
 var All = []Event{
-	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped,
+	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
--- a/node/node.go
+++ b/node/node.go
@@ -174,8 +174,12 @@
 		})
 	}
 	n.kernel.Register(Ingress, g)
-	n.kernel.Register(Callers, pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
-		ingress.RefuseUnread(n.contract())))
+	callers := pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
+		ingress.RefuseUnread(n.contract()))
+	callers.OnPanic(func(value any, stack []byte) {
+		events.HandlerPanicked.Log(n.log).Any("value", value).Bytes("stack", stack).Send()
+	})
+	n.kernel.Register(Callers, callers)
 	if n.cfg.Readiness.Listen.IsValid() {
 		n.kernel.Register(Readiness, serve.New(Readiness, n.cfg.Readiness.Listen.AddrPort,
 			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.stopping.Load() }))))
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -105,7 +105,9 @@
 			if handOver == nil || x.handed {
 				return Unknown(fault.Protocol)
 			}
-			err = handOver()
+			if handOver() != nil {
+				return x.broken()
+			}
 		case *peerpb.Frame_Late:
 			sink.Late()
 		case *peerpb.Frame_Head:
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -36,6 +36,8 @@
 	ahead []*exchange
 	// last is set once an answer that closes the connection has been begun, or the connection has ended.
 	last bool
+	// lingers is set once it only waits for its caller to close.
+	lingers bool
 	// room is signaled when an answered request has left ahead, or the connection has ended.
 	room *sync.Cond
 }
@@ -79,7 +81,7 @@
 func (c *conn) awaitRequest(limits Limits) bool {
 	for {
 		c.limit.left = int64(limits.HeaderBytes) + readBuffer
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.readUntil(time.Now().Add(limits.IdleTimeout))
 		_, err := c.r.Peek(1)
 		if err == nil {
 			return true
@@ -123,6 +125,8 @@
 		c.end(errGone)
 		return
 	}
+	c.s.flight.Add()
+	defer c.s.flight.Done()
 	x := c.newExchange(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true})
 	x.started = true
 	if !c.queue(x) || !x.await() {
@@ -208,10 +212,22 @@
 	if t, ok := c.raw.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	// The goroutine that reads closes the connection at this time at the latest.
+	c.lingers = true
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerLimit))
 }
 
+// readUntil bounds the reading of what comes next, unless the connection is being closed already.
+func (c *conn) readUntil(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingers {
+		_ = c.raw.SetReadDeadline(at)
+	}
+}
+
 // end closes the connection at once; a cause cancels what is under way.
 func (c *conn) end(cause error) {
 	if cause != nil {
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"net/http"
+	"runtime/debug"
 	"strconv"
+	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 )
@@ -51,13 +53,16 @@
 func (x *exchange) run() {
 	defer x.c.s.flight.Done()
 	defer func() {
-		// The handler's way to say that the answer must not look whole.
-		if r := recover(); r != nil {
-			if err, ok := r.(error); !ok || err != http.ErrAbortHandler { //nolint:errorlint // compared as the library does
-				panic(r)
-			}
-			x.abort()
+		r := recover()
+		if r == nil {
+			return
 		}
+		// An abort is the handler's way to say that the answer must not look whole; anything else is a fault of its own,
+		// which costs this caller its connection and nobody else anything.
+		if err, ok := r.(error); !ok || err != http.ErrAbortHandler { //nolint:errorlint // compared as the library does
+			x.c.s.onPanic(r, debug.Stack())
+		}
+		x.abort()
 	}()
 	x.c.s.handler.ServeHTTP(x, x.req.WithContext(x.c.ctx))
 	x.finish()
@@ -129,6 +134,9 @@
 	if x.bodyless() {
 		held = nil
 	}
+	if !x.fits(len(held)) {
+		return x.err
+	}
 	x.writePart(&b, held)
 	return x.write(b.Bytes())
 }
@@ -189,6 +197,15 @@
 	b.WriteString("\r\n")
 }
 
+// fits tells whether so much more of the body is within the length that the answer states; more would be taken for the
+// next answer.
+func (x *exchange) fits(n int) bool {
+	if x.left >= 0 && int64(n) > x.left {
+		x.err = fault.Wrap(http.ErrContentLength, fault.Internal, "answer", "is longer than it says")
+	}
+	return x.err == nil
+}
+
 // countDown notes that a part of an answer with a length has been written.
 func (x *exchange) countDown(n int) {
 	if x.left >= 0 {
@@ -199,6 +216,8 @@
 // write sends bytes to the caller; after a failure it sends nothing more.
 func (x *exchange) write(b []byte) error {
 	if x.err == nil {
+		// A caller that does not read must not hold its request, and a planned stop, for ever.
+		_ = x.c.raw.SetWriteDeadline(time.Now().Add(x.c.s.limits().IdleTimeout))
 		_, err := x.c.raw.Write(b)
 		if err != nil {
 			x.err = fault.Wrap(err, fault.Canceled, "connection", "answer cannot be written")
@@ -213,6 +232,9 @@
 		return x.err
 	}
 	if !x.chunked {
+		if !x.fits(len(b)) {
+			return x.err
+		}
 		x.countDown(len(b))
 		return x.write(b)
 	}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -44,7 +44,7 @@
 // readRequest reads one request with its whole body. Of a failure it returns the status that HTTP gives it, 0 when
 // nobody is there to read an answer.
 func (c *conn) readRequest(limits Limits) (*http.Request, int, *fault.Error) {
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.readUntil(time.Now().Add(limits.HeaderTimeout))
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
 		return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
@@ -64,7 +64,7 @@
 	if bad != nil {
 		return nil, status, bad
 	}
-	_ = c.raw.SetReadDeadline(time.Time{})
+	c.readUntil(time.Time{})
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
 	req.TransferEncoding = nil
@@ -121,7 +121,7 @@
 	buf := make([]byte, readBuffer)
 	for {
 		c.limit.left = limits.BodyBytes + readBuffer
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		c.readUntil(time.Now().Add(limits.HeaderTimeout))
 		n, err := req.Body.Read(buf)
 		body = append(body, buf[:n]...)
 		if int64(len(body)) > limits.BodyBytes {
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -55,8 +55,12 @@
 		_, _ = io.WriteString(w, "half")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case r.URL.Path == "/long":
+		w.Header().Set("Content-Length", "3")
+	case r.URL.Path == "/panic":
+		panic("a fault of the handler")
 	case r.URL.Path == "/short":
-		w.Header().Set("Content-Length", "10")
+		w.Header().Set("Content-Length", "100")
 	case r.URL.Path == "/stream":
 		_, _ = io.WriteString(w, "part,")
 		_ = http.NewResponseController(w).Flush()
@@ -100,6 +104,7 @@
 //	leave           closes the caller's connection
 //	gone            waits for a request whose caller has left
 //	dial            opens another connection
+//	conns n=N       waits until the server holds N connections
 //	drain           begins the planned stop
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -138,6 +143,8 @@
 		return receive(t, f.left, n)
 	case "dial":
 		f.dial(t)
+	case "conns":
+		return f.conns(t, n)
 	case "drain":
 		f.server.Drain()
 	default:
@@ -146,6 +153,16 @@
 	return ""
 }
 
+func (f *fixture) conns(t *testing.T, n int) string {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if f.server.open.Load() == int64(n) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("still %d\n", f.server.open.Load())
+}
+
 func receive(t *testing.T, c chan string, n int) string {
 	t.Helper()
 	var names []string
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -37,6 +37,7 @@
 	limits  func() Limits
 	handler http.Handler
 	onError ErrorHandler
+	onPanic func(value any, stack []byte)
 
 	listener net.Listener
 	closing  atomic.Bool
@@ -52,10 +53,13 @@
 func New(name, address string, limits func() Limits, handler http.Handler, onError ErrorHandler) *Server {
 	return &Server{
 		name: name, address: address, limits: limits, handler: handler, onError: onError,
-		conns: make(map[*conn]struct{}),
+		conns: make(map[*conn]struct{}), onPanic: func(any, []byte) {},
 	}
 }
 
+// OnPanic has f told of a handler that panicked; call it before Start.
+func (s *Server) OnPanic(f func(value any, stack []byte)) { s.onPanic = f }
+
 // Start listens, Unavailable when the address cannot be had.
 func (s *Server) Start(ctx context.Context) error {
 	var lc net.ListenConfig
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -83,8 +83,11 @@
 		return nil
 	}
 	old, known := r.live[b.Key]
-	// An old heartbeat that says it drains is believed all the same: draining is for good.
-	if known && b.Sequence <= old.sequence && !b.Draining {
+	if known && b.Sequence <= old.sequence {
+		// An old heartbeat that says it drains is believed in that alone: draining is for good.
+		if b.Draining {
+			r.drain(old)
+		}
 		return nil
 	}
 	next := Endpoint{
@@ -146,6 +149,9 @@
 // end forgets an instance for good: no later heartbeat of it counts.
 func (r *Registry) end(key string) {
 	delete(r.live, key)
+	if slices.Contains(r.ended, key) {
+		return
+	}
 	r.ended = append(r.ended, key)
 	if extra := len(r.ended) - mostEnded; extra > 0 {
 		r.ended = slices.Delete(r.ended, 0, extra)
@@ -169,12 +175,17 @@
 		r.end(key)
 		return
 	}
+	r.drain(e)
+}
+
+// drain keeps new work from an instance for good.
+func (r *Registry) drain(e Endpoint) {
 	if e.Leaving {
 		return
 	}
 	e.Leaving = true
 	e.Value.Phase = table.Draining
-	r.live[key] = e
+	r.live[e.Key] = e
 	r.changed(e)
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -26,10 +26,9 @@
 	refusing float64
 }
 
-// NewBudget returns a full budget that holds up to burst retries, at least one.
+// NewBudget returns a budget that begins with burst retries and holds as many, or the one that its share has earned.
 func NewBudget(burst float64) *Budget {
-	burst = max(burst, 1)
-	return &Budget{tokens: burst, burst: burst}
+	return &Budget{tokens: burst, burst: max(burst, 1)}
 }
 
 // Request counts one request's first send and earns its share of a retry.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -43,7 +43,7 @@
 // TestBudgetBoundsRetries checks the budget's invariant over random sequences.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const burst = 10
+		burst := rapid.Float64Range(0, 10).Draw(t, "burst")
 		b := NewBudget(burst)
 		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
 		requests, retries := 0, 0
