Settings take the platform's bounds: retries' share and slack, the grace of a stop

Cause: the template had figures of one site (12% and 28 retries, 5.4 s); on a deployment with a smaller slack or a shorter grace they would break its rules. Now they are the platform's own, and the settings say which part of them is used.

--- a/node/node.go
+++ b/node/node.go
@@ -279,7 +279,7 @@
 	c := n.cfg.Services
 	return table.Service{
 		Floor: table.Percent(c.Floor), FalseEjections: table.Rate(c.FalseEjections),
-		RetryBudget: table.Percent(c.RetryShare), Queue: table.Count(c.Queue), //nolint:gosec // checked
+		RetryBudget: table.Percent(c.RetryShare * n.cfg.Retries.Use), Queue: table.Count(c.Queue), //nolint:gosec // checked
 		Warmup: table.Duration(c.Warmup), Timeout: table.Duration(c.Timeout),
 	}
 }
@@ -315,7 +315,7 @@
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
-		Retries: retry.Share{Slack: n.cfg.Retries.Slack, MostBurst: n.cfg.Retries.MostBurst},
+		Retries: retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
 	}
 }
 
@@ -363,7 +363,7 @@
 	start := time.Now()
 	events.NodeStopping.Log(n.log).Send()
 	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std()-n.cfg.Stop.Margin.Std())
 	defer cancel()
 	if err := n.announceStop(); err != nil {
 		return err
