A stopping node refuses new requests once its notice is over; docs

Ruled out: a longer grace (it is the platform's), closing the listener (callers there wait a second for a connection). Test: pipeline/testdata/drain, 20 times with the race detector.

--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -51,7 +51,12 @@
 	return func(w http.ResponseWriter, status int, err *fault.Error) {
 		h := w.Header()
 		h.Set("Content-Type", "application/json")
-		say.Outcome(h, contract.Outcome{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN})
+		o := contract.Outcome{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN}
+		if status == http.StatusServiceUnavailable {
+			// Another node takes it at once.
+			o.RetryAfter = elsewhereRetryAfter
+		}
+		say.Outcome(h, o)
 		w.WriteHeader(status)
 		_ = json.NewEncoder(w).Encode(Problem{Code: err.Code, Outcome: "not-run", Detail: err.Detail})
 	}
@@ -76,7 +81,11 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-const defaultRetryAfter = time.Second
+const (
+	defaultRetryAfter = time.Second
+	// elsewhereRetryAfter is when to come back with a request that only this node does not take.
+	elsewhereRetryAfter = 50 * time.Millisecond
+)
 
 var details = map[fault.Code]string{
 	fault.Busy:                "no endpoint has a free slot",
--- a/node/node.go
+++ b/node/node.go
@@ -408,14 +408,19 @@
 // stopLook is the time between two looks at whether callers still have requests here.
 const stopLook = 20 * time.Millisecond
 
-// awaitCallers serves on until the notice is over and no caller waits: callers learn only after some seconds that the
-// node is going, and their connections may carry new requests until then.
+// awaitCallers serves on until the notice is over: callers learn only after some seconds that the node is going, and their
+// connections may carry new requests until then. From then on new requests are refused, so that what was taken has the
+// rest of the grace to end in; callers may have nowhere else to go and never stop sending.
 func (n *Node) awaitCallers(ctx context.Context, start time.Time) {
 	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
 	if err != nil {
 		return
 	}
-	for ctx.Err() == nil && (time.Since(start) < n.cfg.Stop.Notice.Std() || callers.Working() > 0) {
+	for ctx.Err() == nil && time.Since(start) < n.cfg.Stop.Notice.Std() {
+		time.Sleep(stopLook)
+	}
+	callers.Refuse()
+	for ctx.Err() == nil && callers.Working() > 0 {
 		time.Sleep(stopLook)
 	}
 }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -74,6 +74,10 @@
 		c.refuse(status, bad)
 		return false
 	}
+	if c.s.refusing.Load() {
+		c.refuse(http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping"))
+		return false
+	}
 	return c.take(req)
 }
 
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -104,8 +104,10 @@
 //	leave           closes the caller's connection
 //	gone            waits for a request whose caller has left
 //	dial            opens another connection
+//	ahead n=N       waits until N requests have been read and not answered
 //	conns n=N       waits until the server holds N connections
 //	drain           begins the planned stop
+//	refuse          has every request refused that is read from now on
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		f := start(t)
@@ -144,7 +146,11 @@
 	case "dial":
 		f.dial(t)
 	case "conns":
-		return f.conns(t, n)
+		return f.await(n, func() int { return int(f.server.open.Load()) })
+	case "ahead":
+		return f.await(n, f.ahead)
+	case "refuse":
+		f.server.Refuse()
 	case "drain":
 		f.server.Drain()
 	default:
@@ -153,14 +159,26 @@
 	return ""
 }
 
-func (f *fixture) conns(t *testing.T, n int) string {
-	t.Helper()
+// await waits until a count is as wanted.
+func (f *fixture) await(n int, count func() int) string {
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if f.server.open.Load() == int64(n) {
+		if count() == n {
 			return ""
 		}
 	}
-	return fmt.Sprintf("still %d\n", f.server.open.Load())
+	return fmt.Sprintf("still %d\n", count())
+}
+
+func (f *fixture) ahead() int {
+	f.server.mu.Lock()
+	defer f.server.mu.Unlock()
+	sum := 0
+	for c := range f.server.conns {
+		c.mu.Lock()
+		sum += len(c.ahead)
+		c.mu.Unlock()
+	}
+	return sum
 }
 
 func receive(t *testing.T, c chan string, n int) string {
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -41,6 +41,7 @@
 
 	listener net.Listener
 	closing  atomic.Bool
+	refusing atomic.Bool
 	// flight counts the requests under way, open the connections.
 	flight flight.Counter
 	open   atomic.Int64
@@ -109,6 +110,13 @@
 // Drain makes each connection's next answer its last; requests are still taken.
 func (s *Server) Drain() { s.closing.Store(true) }
 
+// Refuse answers every request that is read from now on with 503, as not run, and closes its connection; what is under
+// way goes on.
+func (s *Server) Refuse() {
+	s.Drain()
+	s.refusing.Store(true)
+}
+
 // Working returns the number of requests under way.
 func (s *Server) Working() int64 { return s.flight.Load() }
 
