A node's first configuration is told to peers as a whole

The peer's record of changes began at 0 and so seemed complete, but held nothing of what 7 had dropped; the puller came to 7 with a dropped route still in force. Ruled out: an older configuration served through a newer egress (it refuses; the puller said 7), stale reads of the store. Before: TestFreshNodeTellsOfDroppedRoutes fails (got the dropped route); after: passes, 5 times with the race detector.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -168,3 +168,31 @@
 		}
 	}
 }
+
+// TestFreshNodeTellsOfDroppedRoutes checks that a node which has only ever seen the newest configuration does not leave a
+// peer that is behind with a route that has been dropped since.
+func TestFreshNodeTellsOfDroppedRoutes(t *testing.T) {
+	s := store.New()
+	configure(s, "4", "a", "b")
+	old := startFollower(t, s)
+	wait(t, old, "older", routed("/a/", true))
+	behind := old.State()
+	configure(s, "7", "b")
+	fresh := startFollower(t, s)
+	wait(t, fresh, "newer", routed("/b/", true))
+	deltas, _, _ := fromParts(Deltas(fresh.Snapshot(), behind.Revisions()))
+	state := behind
+	for _, d := range deltas {
+		next, err := state.With(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = next
+	}
+	if got, want := state.Revisions()[table.PlaneConfig], uint64(7); got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+	if r, ok := state.Match("x", "/a/"); ok {
+		t.Errorf("dropped route: got %s, want none", r.Key)
+	}
+}
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -43,7 +43,9 @@
 	if c.Version <= from {
 		return nil
 	}
-	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version}
+	// The first configuration stands for all that came before it: what it has dropped this node does not know, and must
+	// not seem to know to a peer that is behind.
+	d := table.Delta{Plane: table.PlaneConfig, From: from, To: c.Version, Full: from == 0}
 	kept := make(map[table.RowID]bool, len(c.Rows))
 	for _, row := range c.Rows {
 		kept[row.ID()] = true
