Follower's tests take the platform's texts from the platform's test data

Cause: a test outside platform/ held a name of the platform's. Ruled out: moving the tests, which look inside the package.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -30,13 +32,24 @@
 	return f
 }
 
-func configure(s *store.Store, version string, routes ...string) {
+// configure writes a configuration as the platform's operators do; its text is among the platform's test data.
+func configure(t *testing.T, s *store.Store, version string, routes ...string) {
+	t.Helper()
 	var rules []string
 	for _, r := range routes {
-		rules = append(rules, `{"name":"`+r+`","kind":"safe","match":{"pathPrefix":"/`+r+`/"},"action":{"service":"desk"}}`)
+		rules = append(rules, strings.ReplaceAll(platformText(t, "rule.json"), "NAME", r))
+	}
+	text := strings.NewReplacer("VERSION", version, "RULES", strings.Join(rules, ",")).Replace(platformText(t, "config.json"))
+	s.SetOperatorRow(platform.TableOperators, platform.KeyConfig, []byte(text))
+}
+
+func platformText(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("../platform/testdata/follow", name))
+	if err != nil {
+		t.Fatal(err)
 	}
-	s.SetOperatorRow(platform.TableOperators, platform.KeyConfig, []byte(
-		`{"version":`+version+`,"listeners":[{"host":"x","rules":[`+strings.Join(rules, ",")+`]}],"clusters":[{"name":"desk"}]}`))
+	return string(text)
 }
 
 func wait(t *testing.T, f *Follower, what string, good func(s *Snapshot) bool) {
@@ -78,23 +91,23 @@
 	if got, want := f.Snapshot().Ready, false; got != want {
 		t.Errorf("ready without a configuration: got %v, want %v", got, want)
 	}
-	configure(s, "7", "a")
+	configure(t, s, "7", "a")
 	wait(t, f, "first", func(s *Snapshot) bool { return s.Ready && routed("/a/", true)(s) })
 
 	s.SetFaults(store.Faults{Down: true})
-	configure(s, "9", "b")
+	configure(t, s, "9", "b")
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(store.Faults{})
 	wait(t, f, "after an outage", func(s *Snapshot) bool { return routed("/b/", true)(s) && routed("/a/", false)(s) })
 
 	s.SetFaults(store.Faults{Down: true})
-	configure(s, "12", "c")
+	configure(t, s, "12", "c")
 	s.SetFaults(store.Faults{ForgetHistory: true})
 	wait(t, f, "after the history is gone", routed("/c/", true))
 
-	configure(s, "11", "d")
+	configure(t, s, "11", "d")
 	s.SetOperatorRow(platform.TableOperators, platform.KeyConfig, []byte(`{"version":13,"listeners":[{"host":"x"`))
-	configure(s, "14", "c", "e")
+	configure(t, s, "14", "c", "e")
 	wait(t, f, "after one that cannot be used", routed("/e/", true))
 	if got, want := routed("/c/", true)(f.Snapshot()), true; got != want {
 		t.Errorf("kept route: got %v, want %v", got, want)
@@ -122,9 +135,9 @@
 func TestConfirm(t *testing.T) {
 	s := store.New()
 	f := startFollower(t, s)
-	configure(s, "7", "a")
+	configure(t, s, "7", "a")
 	wait(t, f, "first", routed("/a/", true))
-	configure(s, "8", "b")
+	configure(t, s, "8", "b")
 	if got, want := f.Confirm(t.Context()), true; got != want {
 		t.Errorf("confirmed: got %v, want %v", got, want)
 	}
@@ -141,11 +154,11 @@
 func TestPartsAgree(t *testing.T) {
 	s := store.New()
 	f := startFollower(t, s)
-	configure(s, "7", "a", "b")
+	configure(t, s, "7", "a", "b")
 	announceHost(t, s, "h2", false)
 	wait(t, f, "first", func(s *Snapshot) bool { return routed("/a/", true)(s) && len(s.Hosts) == 1 })
 	first := f.Snapshot()
-	configure(s, "8", "b")
+	configure(t, s, "8", "b")
 	wait(t, f, "second", routed("/a/", false))
 	for name, from := range map[string]*table.State{"nothing": table.NewState(), "behind": first.State} {
 		state := from
@@ -173,11 +186,11 @@
 // peer that is behind with a route that has been dropped since.
 func TestFreshNodeTellsOfDroppedRoutes(t *testing.T) {
 	s := store.New()
-	configure(s, "4", "a", "b")
+	configure(t, s, "4", "a", "b")
 	old := startFollower(t, s)
 	wait(t, old, "older", routed("/a/", true))
 	behind := old.State()
-	configure(s, "7", "b")
+	configure(t, s, "7", "b")
 	fresh := startFollower(t, s)
 	wait(t, fresh, "newer", routed("/b/", true))
 	deltas, _, _ := fromParts(Deltas(fresh.Snapshot(), behind.Revisions()))
