--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -26,6 +26,13 @@
 const (
 	// openAt is the evidence at which a breaker opens.
 	openAt = 1
+	// trialMemory is how much of its weight the past loses to each new trial: about the last three count.
+	trialMemory = 0.3
+	// unknownShare is the share of trials taken as good while none has ended.
+	unknownShare = 0.5
+	// likelyShare is the share from which on an endpoint is worth a request that must not repeat: below it, most callers
+	// would learn no more than that their request may have run.
+	likelyShare = 0.45
 	// leastEvidence is what is too little to be halved again.
 	leastEvidence = 0.01
 	// mostOpenings bounds the openings that are remembered: more than any policy asks for.
@@ -93,6 +100,8 @@
 	trialAt    time.Time
 	// trialing is set while a trial runs.
 	trialing bool
+	// goodShare is the recent share of good trials since it opened.
+	goodShare float64
 }
 
 // New returns a closed breaker.
@@ -111,6 +120,10 @@
 	return max(0, b.pausedUntil.Sub(now))
 }
 
+// Likely tells whether the endpoint does more of its work than not, as far as its trials show; while none has ended it
+// is given the benefit of the doubt.
+func (b *Breaker) Likely() bool { return b.state == Closed || b.goodShare >= likelyShare }
+
 // Would tells whether Allow would let a request run.
 func (b *Breaker) Would(now time.Time, repeatable bool) bool {
 	if b.state == Closed {
@@ -179,6 +192,7 @@
 	if !trial {
 		return
 	}
+	b.goodShare += (1 - b.goodShare) * trialMemory
 	b.successes++
 	if b.successes >= b.needed(now) {
 		b.state = Closed
@@ -212,6 +226,7 @@
 	if !trial {
 		return
 	}
+	b.goodShare -= b.goodShare * trialMemory
 	b.successes = 0
 	b.pause = min(2*b.pause, b.cfg.LongestPause)
 	b.trialEvery = min(2*b.trialEvery, b.cfg.LongestTrial)
@@ -222,6 +237,7 @@
 func (b *Breaker) open(now time.Time) {
 	b.state = Trial
 	b.successes = 0
+	b.goodShare = unknownShare
 	b.pausedUntil = now.Add(b.pause)
 	b.trialAt = now
 	b.openings = append(b.openings, now)
--- /dev/null
+++ b/egress/lastresort_test.go
@@ -0,0 +1,58 @@
+package egress
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// breaksOff returns the address of an endpoint that takes requests and resets every connection.
+func breaksOff(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestLastResortIsRefusedWhereTrialsFail checks that a payment which no other endpoint takes is told as not run, with a
+// time to come back, by an endpoint that fails its trials, and that a repeatable request is tried there all the same.
+func TestLastResortIsRefusedWhereTrialsFail(t *testing.T) {
+	e := at(t, breaksOff(t), table.Active)
+	if got, want := serve(t, e, payment()).GetOutcome(), peerpb.Outcome_OUTCOME_UNKNOWN; got != want {
+		t.Fatalf("first: got %v, want %v", got, want)
+	}
+	trial := payment()
+	trial.Canary, trial.Repeatable = true, true
+	for range 2 {
+		time.Sleep(100 * time.Millisecond)
+		serve(t, e, trial)
+	}
+	last := payment()
+	last.LastResort, last.LikelyOnly = true, true
+	end := serve(t, e, last)
+	if end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN || end.GetCode() != string(fault.Suspect) || end.GetRetryAfterMillis() == 0 {
+		t.Errorf("payment: got %v, want not run, %s, with a time to come back", end, fault.Suspect)
+	}
+	last.LikelyOnly = false
+	if got, want := serve(t, e, last).GetOutcome(), peerpb.Outcome_OUTCOME_UNKNOWN; got != want {
+		t.Errorf("repeatable: got %v, want it to be tried: %v", got, want)
+	}
+}
--- a/egress/local.go
+++ b/egress/local.go
@@ -150,12 +150,15 @@
 
 // takes tells whether the endpoint may take a request of this kind at all just now.
 func (l *local) takes(now time.Time, d *peerpb.Dispatch) bool {
-	if d.GetLastResort() {
-		return true
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.breaker.Would(now, d.GetCanary())
+	return l.breaker.Would(now, d.GetCanary()) || l.lastResort(d)
+}
+
+// lastResort tells whether the endpoint takes a request that has no other one, although it is under suspicion; the lock
+// is held.
+func (l *local) lastResort(d *peerpb.Dispatch) bool {
+	return d.GetLastResort() && (!d.GetLikelyOnly() || l.breaker.Likely())
 }
 
 // allow is the same at the moment of the hand-over; a trial must end with untry or release.
@@ -163,7 +166,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ok, trial = l.breaker.Allow(now, d.GetCanary())
-	return ok || d.GetLastResort(), trial
+	return ok || l.lastResort(d), trial
 }
 
 func (l *local) untry(trial bool) {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -22,6 +22,11 @@
 	// request waits so at most: such endpoints have mostly recovered within a second.
 	suspectPause = 40 * time.Millisecond
 	mostSuspect  = time.Second
+	// suspectShare is the part of a request's aim that it waits so, as one in so many: what is left then still suffices
+	// for the work, and who is refused learns it while there is time to come back.
+	suspectShare = 4
+	// mostLast bounds the endpoints that are asked as a last resort.
+	mostLast = 3
 	// mostWaits bounds the endpoints at whose queues it waits, one after the other.
 	mostWaits = 3
 	// mostDeclined bounds how often a request may be turned away before it is given up.
@@ -45,6 +50,10 @@
 	// suspects are those of the declined that took only trials; lastResort is set once nothing else is left.
 	suspects   []string
 	lastResort bool
+	// spare is set when a request that has no room elsewhere asks those under suspicion that mostly do their work.
+	spare bool
+	// lasts counts the endpoints asked as a last resort.
+	lasts int
 	// suspectSince is when all endpoints were first found to take only trials.
 	suspectSince time.Time
 	offers       int
@@ -88,6 +97,9 @@
 // pick chooses the next endpoint: first those with a free slot, which are asked and not waited for, then the one where
 // the wait is shortest, and when every endpoint is under suspicion one of these all the same.
 func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
+	if x.lastResort {
+		return x.pickLast(ctx)
+	}
 	if x.offers < mostOffers {
 		x.offers++
 		wish := x.wish()
@@ -118,12 +130,9 @@
 	if x.suspectSince.IsZero() {
 		x.suspectSince = now
 	}
-	deadline, _ := ctx.Deadline()
-	patience := min(mostSuspect, deadline.Sub(x.suspectSince)/2)
-	if now.Sub(x.suspectSince) >= patience {
+	if now.Sub(x.suspectSince) >= x.patience(ctx) {
 		x.lastResort = true
-		pick, err := x.g.director.Pick(ctx, x.wish())
-		return pick, true, err
+		return x.pickLast(ctx)
 	}
 	select {
 	case <-ctx.Done():
@@ -134,6 +143,32 @@
 	return x.pick(ctx)
 }
 
+// patience is how long the request waits for one of the endpoints to recover.
+func (x *exchange) patience(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	patience := min(mostSuspect, deadline.Sub(x.suspectSince)/2)
+	if aim := time.Duration(x.call.route.Value.Aim); aim > 0 {
+		patience = min(patience, aim/suspectShare)
+	}
+	return patience
+}
+
+// pickLast chooses among the endpoints under suspicion for a request that nobody else takes. What must not repeat runs
+// only where most trials went well: elsewhere its caller would mostly learn that it may have run, and nothing more.
+func (x *exchange) pickLast(ctx context.Context) (director.Pick, bool, error) {
+	if x.lasts++; x.lasts > mostLast {
+		return director.Pick{}, true, fault.New(fault.Suspect, x.call.service.Key, "the endpoints fail most of their work")
+	}
+	wish := x.wish()
+	for _, key := range x.declined {
+		if !slices.Contains(x.suspects, key) {
+			wish.Tried = append(slices.Clone(wish.Tried), key)
+		}
+	}
+	pick, err := x.g.director.Pick(ctx, wish)
+	return pick, true, err
+}
+
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
 		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried,
@@ -148,7 +183,7 @@
 		x.g.director.Late(x.call.service.Key, pick)
 	}
 	d := x.dispatch(ctx, pick, claim)
-	d.Wait, d.LastResort = wait, x.lastResort
+	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0 && x.budget.left()
 	x.last = pick.Endpoint.Key
 	end := x.deliver(ctx, pick.Endpoint, d)
@@ -316,6 +351,15 @@
 	return false
 }
 
+// crowded tells that an egress had no room for a request, which its endpoint has not seen.
+func crowded(end *peerpb.End) bool {
+	switch fault.Code(end.GetCode()) {
+	case fault.Overloaded, fault.DeadlineTooShort:
+		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return false
+}
+
 // misplaced tells that the sender's view was old, or its link down.
 func misplaced(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
@@ -348,16 +392,19 @@
 	if misplaced(end) {
 		return x.current(ctx, end)
 	}
+	if crowded(end) && len(x.suspects) > 0 && !x.lastResort {
+		x.lastResort, x.spare = true, true
+		return true
+	}
 	if x.overdue() && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
 		// It has waited as long as an answer has its worth: the caller is told now.
 		return false
 	}
 	x.sends++
 	deadline, _ := ctx.Deadline()
-	code := fault.Code(end.GetCode())
 	a := retry.Attempt{
 		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
-		Overloaded: code == fault.Overloaded || code == fault.DeadlineTooShort || code == fault.EndpointShed,
+		Overloaded: crowded(end) || fault.Code(end.GetCode()) == fault.EndpointShed,
 		Failed:     x.failed(end), Started: x.answer.started, Replayable: true,
 		Left: time.Until(deadline), Typical: pick.Typical,
 	}
