--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -13,6 +13,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -20,8 +21,8 @@
 type Config struct {
 	// Host is what is announced besides the endpoints.
 	Host table.HostInfo
-	// Retry is the time between attempts while the platform fails.
-	Retry time.Duration
+	// Retry is the time between the first attempts while the platform fails, RetryMost what it doubles up to.
+	Retry, RetryMost time.Duration
 	// Timeout bounds one attempt.
 	Timeout time.Duration
 	// FirstDelay is how long the first write waits for an endpoint to announce itself.
@@ -131,8 +132,9 @@
 		if !sleep(ctx, gather) {
 			return
 		}
+		failing := retry.Backoff{First: a.cfg.Retry, Most: a.cfg.RetryMost}
 		for a.write(ctx) != nil {
-			if !sleep(ctx, a.cfg.Retry) {
+			if !sleep(ctx, failing.Next()) {
 				return
 			}
 		}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -30,12 +30,14 @@
 	Hall string
 	// Seeds are peers to start from, as IP and port.
 	Seeds []string
-	// Retry is the time between a reader's looks at a platform that fails.
-	Retry time.Duration
+	// Retry is the time between a reader's first looks at a platform that fails, RetryMost what it doubles up to.
+	Retry, RetryMost time.Duration
 	// Wait is how long one look waits for a change.
 	Wait time.Duration
-	// Readers is how many nodes of a hall read the platform.
+	// Readers is how many nodes of a hall read the product's own table, which changes with every host that comes or goes.
 	Readers int
+	// ConfigReaders is how many read the configuration of the platform's operators, which changes seldom.
+	ConfigReaders int
 	// Timeout bounds one look at the platform, its wait aside, or one pull.
 	Timeout time.Duration
 	// WithConfig makes the node read the configuration of the platform's operators besides the product's rows.
@@ -89,8 +91,9 @@
 	platform Platform
 	links    *peer.Manager
 	current  atomic.Pointer[Snapshot]
-	// reading is set while this node reads the platform itself.
-	reading atomic.Bool
+	// reading is set while this node reads the product's own table itself, readingConfig the same for the platform's
+	// configuration.
+	reading, readingConfig atomic.Bool
 	// configCursor is the store's version up to which its configuration was read.
 	configCursor atomic.Uint64
 	// self is this host's own line as this node knows it.
@@ -162,6 +165,7 @@
 	f.startedAt = time.Now()
 	f.heardAt = f.startedAt
 	f.reading.Store(true)
+	f.readingConfig.Store(true)
 	go f.control(ctx)
 	go f.readOwn(ctx)
 	if f.cfg.WithConfig {
@@ -212,9 +216,10 @@
 func (f *Follower) tick(ctx context.Context) {
 	now := time.Now()
 	snap := f.Snapshot()
-	reader := f.isReader(snap.Hosts)
-	lonely := now.Sub(f.heardAt) > lonelyAfter*f.cfg.Retry
-	f.reading.Store(!snap.Ready || reader || lonely)
+	reader := f.isReader(snap.Hosts, f.cfg.Readers)
+	alone := !snap.Ready || now.Sub(f.heardAt) > lonelyAfter*f.cfg.Retry
+	f.reading.Store(alone || reader)
+	f.readingConfig.Store(alone || f.isReader(snap.Hosts, f.cfg.ConfigReaders))
 	if !snap.Ready {
 		f.askSeeds(ctx)
 	}
--- a/follow/links.go
+++ b/follow/links.go
@@ -7,12 +7,12 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// isReader tells whether this node is one of those of its hall that read the platform.
-func (f *Follower) isReader(hosts []table.HostInfo) bool {
+// isReader tells whether this node is one of so many of its hall that read a table of the platform.
+func (f *Follower) isReader(hosts []table.HostInfo, count int) bool {
 	if len(hosts) == 0 {
 		return true
 	}
-	for _, h := range Readers(hosts, f.cfg.Hall, f.cfg.Readers) {
+	for _, h := range Readers(hosts, f.cfg.Hall, count) {
 		if h.ID == f.cfg.Host {
 			return true
 		}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -25,9 +25,7 @@
 	if _, ok := f.wanted[address]; !ok {
 		f.wanted[address] = wantedPull{revisions: m.revisions, since: time.Now()}
 	}
-	if !f.reading.Load() {
-		f.pullNext(ctx)
-	}
+	f.pullNext(ctx)
 }
 
 // wantedPull is what a peer has shown that this node lacks.
@@ -61,7 +59,7 @@
 			delete(f.wanted, address)
 			continue
 		}
-		if f.reading.Load() && now.Sub(w.since) < f.patience(w.revisions) {
+		if now.Sub(w.since) < f.patience(w.revisions) {
 			continue
 		}
 		if best == "" || f.near(address) {
@@ -74,13 +72,23 @@
 	}
 }
 
-// patience is how long this node, which reads the platform itself, waits for what a peer has shown.
+// patience is how long this node waits for what a peer has shown: not at all for what it does not read itself.
 func (f *Follower) patience(shown table.Revisions) time.Duration {
-	shown[table.PlaneHosts] = 0
-	if f.State().Revisions().Behind(shown) {
-		return pullAfter
+	held := f.State().Revisions()
+	reads := map[table.Plane]bool{
+		table.PlaneRows: f.reading.Load(), table.PlaneHosts: f.reading.Load(), table.PlaneConfig: f.readingConfig.Load(),
+	}
+	wait := pullHostsAfter
+	for plane, here := range reads {
+		switch {
+		case held[plane] >= shown[plane]:
+		case !here:
+			return 0
+		case plane != table.PlaneHosts:
+			wait = pullAfter
+		}
 	}
-	return pullHostsAfter
+	return wait
 }
 
 // near tells whether a peer is of this hall.
--- a/follow/read.go
+++ b/follow/read.go
@@ -12,6 +12,7 @@
 	"github.com/lynxplank/lynxplank/changes"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -50,11 +51,16 @@
 	loaded bool
 	// revision is the newest version of an announcement, or of one that was taken out.
 	revision uint64
+	// failing spaces the looks while the platform fails.
+	failing retry.Backoff
 }
 
 // readOwn keeps reading the product's own table until the node stops.
 func (f *Follower) readOwn(ctx context.Context) {
-	r := &ownReader{f: f, rows: changes.NewReader(f.platform), state: table.NewState()}
+	r := &ownReader{
+		f: f, rows: changes.NewReader(f.platform), state: table.NewState(),
+		failing: retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost},
+	}
 	for {
 		wait := f.cfg.Retry
 		if f.reading.Load() {
@@ -75,8 +81,9 @@
 		if fault.CodeOf(err) == fault.Gone {
 			r.loaded = false
 		}
-		return ownRead{err: err}, r.f.cfg.Retry
+		return ownRead{err: err}, r.failing.Next()
 	}
+	r.failing.Reset()
 	m := ownRead{state: r.state, hosts: slices.Collect(maps.Values(r.hosts)), revision: r.revision, at: r.cursor}
 	slices.SortFunc(m.hosts, func(a, b table.HostInfo) int { return strings.Compare(a.ID, b.ID) })
 	if changed {
@@ -141,19 +148,23 @@
 func (f *Follower) readConfig(ctx context.Context) {
 	var cursor uint64
 	loaded := false
+	failing := retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost}
 	for {
 		wait := f.cfg.Retry
-		if f.reading.Load() {
+		if f.readingConfig.Load() {
 			version, m := f.lookConfig(ctx, loaded, cursor)
 			f.deliver(m)
-			if m.err == nil {
+			switch {
+			case m.err == nil:
 				cursor, loaded = version, true
 				f.configCursor.Store(version)
+				failing.Reset()
 				wait = 0
-			}
-			if fault.CodeOf(m.err) == fault.Gone {
+			case fault.CodeOf(m.err) == fault.Gone:
 				loaded = false
 				wait = 0
+			default:
+				wait = failing.Next()
 			}
 		}
 		if !f.pause(ctx, wait) {
--- a/node/node.go
+++ b/node/node.go
@@ -250,8 +250,10 @@
 
 func (n *Node) followConfig() follow.Config {
 	c := follow.Config{
-		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Retry: n.cfg.Platform.Retry.Std(),
-		Wait: n.cfg.Platform.Wait.Std(), Readers: n.cfg.Platform.Readers, Timeout: n.cfg.Platform.Timeout.Std(),
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall,
+		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
+		Wait: n.cfg.Platform.Wait.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
+		Readers: n.cfg.Platform.Readers, ConfigReaders: n.cfg.Platform.ConfigReaders,
 		WithConfig: n.cfg.Platform.Config, Policy: n.policy(),
 	}
 	for _, seed := range n.cfg.Peers.Seeds {
@@ -299,7 +301,8 @@
 		Host: table.HostInfo{
 			ID: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Address: address.String(), Incarnation: incarnation,
 		},
-		Retry: n.cfg.Platform.Retry.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
+		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
+		Timeout: n.cfg.Platform.Timeout.Std(),
 	}
 }
 
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -161,12 +161,16 @@
 	Token Secret `yaml:"token"`
 	// Timeout bounds a call.
 	Timeout Duration `yaml:"timeout" validate:"min=1"`
-	// Retry is the time between a reader's looks at a platform that fails.
+	// Retry is the time between the first looks at a platform that fails.
 	Retry Duration `yaml:"retry" validate:"min=10000000"`
+	// RetryMost is what that time doubles up to while the platform goes on failing.
+	RetryMost Duration `yaml:"retry_most" validate:"min=10000000"`
 	// Wait is how long one look waits for a change.
 	Wait Duration `yaml:"wait" validate:"min=10000000"`
-	// Readers is how many nodes of a hall read the platform.
+	// Readers is how many nodes of a hall read the product's own table there.
 	Readers int `yaml:"readers" validate:"min=1"`
+	// ConfigReaders is how many read the configuration of the platform's operators.
+	ConfigReaders int `yaml:"config_readers" validate:"min=1"`
 	// Config makes the node read the configuration that the platform's operators keep.
 	Config bool `yaml:"config"`
 }
@@ -229,7 +233,7 @@
 		Operators: Operators{Listener: listener},
 		Platform: Platform{
 			Timeout: Duration(2 * time.Second), Retry: Duration(250 * time.Millisecond),
-			Wait: Duration(10 * time.Second), Readers: 2,
+			RetryMost: Duration(time.Second), Wait: Duration(10 * time.Second), Readers: 2, ConfigReaders: 2,
 		},
 		Endpoints: Endpoints{
 			ProbePath: "/healthz", ProbeEvery: Duration(5 * time.Second),
