--- a/director/pick.go
+++ b/director/pick.go
@@ -139,7 +139,7 @@
 func (v *view) pick(i int, trial bool) Pick {
 	e := &v.entries[i]
 	e.target.inFlight.Add(1)
-	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target}
+	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target, SeenMillis: e.target.idle(time.Now())}
 	p.Typical = time.Duration(math.Float64frombits(e.target.latency.Load()))
 	if v.marks.Known {
 		p.Late = v.marks.Late
--- a/director/target.go
+++ b/director/target.go
@@ -119,6 +119,8 @@
 	// Typical is the endpoint's usual service time, 0 while unknown.
 	Typical time.Duration
 	// Trial is set when the endpoint is on trial and this is its one request.
-	Trial  bool
-	target *target
+	Trial bool
+	// SeenMillis is how old this node's latest word of the endpoint was at the choice, in milliseconds, -1 for none.
+	SeenMillis int64
+	target     *target
 }
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -157,27 +157,45 @@
 func (e *Egress) admitAndRun(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
 	l, end := e.find(d)
 	if end != nil {
+		e.logRefusal(nil, d, end)
 		return end
 	}
-	if !l.takes(time.Now(), d) {
-		end = peer.NotRun(fault.Suspect, l.pauseLeft(time.Now()))
+	trial, end := e.take(ctx, l, d, sink)
+	if end != nil {
 		end.Load = l.load(0, e.cfg.Incarnation)
+		e.logRefusal(l, d, end)
 		return end
 	}
+	return e.runAt(ctx, l, d, body, sink, trial)
+}
+
+// take brings a request to a slot of the endpoint and to the word of whoever sent it, or returns the refusal.
+func (e *Egress) take(ctx context.Context, l *local, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+	if !l.takes(time.Now(), d) {
+		return false, peer.NotRun(fault.Suspect, l.pauseLeft(time.Now()))
+	}
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Waiting()
 	}
 	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
-		end.Load = l.load(0, e.cfg.Incarnation)
-		return end
+		return false, end
 	}
-	trial, end := e.permit(ctx, l, d, sink)
+	trial, end = e.permit(ctx, l, d, sink)
 	if end != nil {
 		l.free(0)
-		end.Load = l.load(0, e.cfg.Incarnation)
-		return end
 	}
-	return e.runAt(ctx, l, d, body, sink, trial)
+	return trial, end
+}
+
+// logRefusal tells why a request was turned away before the hand-over; l is nil where the endpoint is not here.
+func (e *Egress) logRefusal(l *local, d *peerpb.Dispatch, end *peerpb.End) {
+	line := events.OfferRefused.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", d.GetEndpoint()).
+		Str("service", d.GetService()).Str("code", end.GetCode()).Uint64("config", d.GetConfig())
+	if l != nil {
+		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
+			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
+	}
+	line.Send()
 }
 
 // permit looks once more, at the moment of the hand-over, whether the request may run, and asks whoever sent it.
--- a/egress/local.go
+++ b/egress/local.go
@@ -182,6 +182,13 @@
 	return max(l.breaker.Pause(now), shortRetryAfter)
 }
 
+// breakerState returns what the endpoint takes just now.
+func (l *local) breakerState() breaker.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.breaker.State()
+}
+
 func (l *local) stateChange() (from, to breaker.State, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/events/bound.go
@@ -0,0 +1,154 @@
+package events
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Limit is how much of the log one event may take.
+type Limit struct {
+	// Lines is how many lines a second it may write over time.
+	Lines int
+	// Bytes is how many bytes a second these may have.
+	Bytes int
+}
+
+// burstTime is how many seconds of its limit an event may write at once: a fault shows in many lines within a second.
+const burstTime = 4
+
+// tellEvery is the least time between two lines that tell what was left out.
+const tellEvery = time.Second
+
+var (
+	// usualLimit is for what changes what the node believes and for failed requests: at 30 requests a second and node
+	// each may fail, with a line at either node. A line has about 300 bytes, that of a failed request up to 2,000.
+	usualLimit = Limit{Lines: 50, Bytes: 25 << 10}
+	// sampleLimit is for what happens to nearly every request: a sample is enough to see how it goes, and takes about
+	// 0.1% of a core (docs/MEASUREMENTS.md).
+	sampleLimit = Limit{Lines: 10, Bytes: 5 << 10}
+)
+
+// limitOf returns an event's limit. Each event has its own, so that served requests never push failed ones out.
+func limitOf(event int) Limit {
+	switch event {
+	case RequestServed.Number, OfferRefused.Number, SentAgain.Number:
+		return sampleLimit
+	}
+	return usualLimit
+}
+
+// Bound passes each event's lines on as far as its limit allows, and counts those that it leaves out.
+type Bound struct {
+	out io.Writer
+	now func() time.Time
+
+	mu      sync.Mutex
+	byEvent map[int]*allowance
+	leftOut map[string]int
+	toldAt  time.Time
+}
+
+// allowance is what an event may still write.
+type allowance struct {
+	lines *rate.Limiter
+	bytes *rate.Limiter
+}
+
+// NewBound returns a bound in front of out; now gives the time.
+func NewBound(out io.Writer, now func() time.Time) *Bound {
+	return &Bound{out: out, now: now, byEvent: make(map[int]*allowance), leftOut: make(map[string]int), toldAt: now()}
+}
+
+// Write takes one line.
+func (b *Bound) Write(line []byte) (int, error) {
+	event := eventOf(line)
+	b.mu.Lock()
+	now := b.now()
+	fits := b.allow(now, event, len(line))
+	if !fits {
+		b.leftOut[strconv.Itoa(event)]++
+	}
+	told := b.tell(now, false)
+	b.mu.Unlock()
+	if told != nil {
+		if _, err := b.out.Write(told); err != nil {
+			return 0, err
+		}
+	}
+	if !fits {
+		return len(line), nil
+	}
+	return b.out.Write(line)
+}
+
+// Flush tells what was left out since it was told last.
+func (b *Bound) Flush() {
+	b.mu.Lock()
+	told := b.tell(b.now(), true)
+	b.mu.Unlock()
+	if told != nil {
+		_, _ = b.out.Write(told)
+	}
+}
+
+// allow takes a line from its event's allowance; the lock is held.
+func (b *Bound) allow(now time.Time, event, size int) bool {
+	a := b.byEvent[event]
+	if a == nil {
+		limit := limitOf(event)
+		a = &allowance{
+			lines: rate.NewLimiter(rate.Limit(limit.Lines), burstTime*limit.Lines),
+			bytes: rate.NewLimiter(rate.Limit(limit.Bytes), burstTime*limit.Bytes),
+		}
+		b.byEvent[event] = a
+	}
+	if a.lines.TokensAt(now) < 1 || a.bytes.TokensAt(now) < float64(size) {
+		return false
+	}
+	return a.lines.AllowN(now, 1) && a.bytes.AllowN(now, size)
+}
+
+// tell returns a line with what was left out, nil if there is nothing to tell yet; the lock is held.
+func (b *Bound) tell(now time.Time, atOnce bool) []byte {
+	if len(b.leftOut) == 0 || !atOnce && now.Sub(b.toldAt) < tellEvery {
+		return nil
+	}
+	line, err := json.Marshal(struct {
+		Level   string         `json:"level"`
+		Event   int            `json:"event"`
+		Name    string         `json:"name"`
+		LeftOut map[string]int `json:"left_out"`
+		Time    string         `json:"time"`
+	}{LinesLeftOut.Level.String(), LinesLeftOut.Number, LinesLeftOut.Name, b.leftOut, now.Format(time.RFC3339Nano)})
+	if err != nil {
+		return nil
+	}
+	clear(b.leftOut)
+	b.toldAt = now
+	return append(line, '\n')
+}
+
+// eventKey stands before an event's number in its line.
+var eventKey = []byte(`"event":`)
+
+// eventOf reads the number of a line's event, 0 for a line without one.
+func eventOf(line []byte) int {
+	at := bytes.Index(line, eventKey)
+	if at < 0 {
+		return 0
+	}
+	n := 0
+	for _, c := range line[at+len(eventKey):] {
+		if c < '0' || c > '9' {
+			break
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n
+}
--- a/events/events.go
+++ b/events/events.go
@@ -23,6 +23,7 @@
 	ReloadFailed    = Event{106, "settings cannot be reloaded", zerolog.ErrorLevel}
 	LinesDropped    = Event{107, "log lines dropped", zerolog.WarnLevel}
 	HandlerPanicked = Event{108, "request handler panicked", zerolog.ErrorLevel}
+	LinesLeftOut    = Event{109, "log lines left out", zerolog.InfoLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -45,21 +46,26 @@
 	BadHeartbeat      = Event{405, "heartbeat refused", zerolog.WarnLevel}
 	BreakerChanged    = Event{406, "endpoint's breaker changed", zerolog.InfoLevel}
 	WorkFailed        = Event{407, "work failed at the endpoint", zerolog.WarnLevel}
+	OfferRefused      = Event{408, "offer refused", zerolog.InfoLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
 	AnswerRecovered = Event{502, "answer asked for again", zerolog.InfoLevel}
+	RequestServed   = Event{503, "request served", zerolog.InfoLevel}
+	ServedLate      = Event{504, "request served late", zerolog.InfoLevel}
+	SentAgain       = Event{505, "request sent again", zerolog.InfoLevel}
 )
 
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
+	LinesLeftOut,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed,
-	RequestRefused, RequestFailed, AnswerRecovered,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused,
+	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain,
 }
 
 // Log begins a log line of the event; the caller adds fields and sends it.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/director"
-	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
@@ -18,15 +17,6 @@
 const (
 	// mostOffers bounds the endpoints that are asked for a free slot before the request waits for one.
 	mostOffers = 6
-	// suspectPause is the wait between two rounds over endpoints that all take only trials, and mostSuspect how long a
-	// request waits so at most: such endpoints have mostly recovered within a second.
-	suspectPause = 40 * time.Millisecond
-	mostSuspect  = time.Second
-	// suspectShare is the part of a request's aim that it waits so, as one in so many: what is left then still suffices
-	// for the work, and who is refused learns it while there is time to come back.
-	suspectShare = 4
-	// mostLast bounds the endpoints that are asked as a last resort.
-	mostLast = 3
 	// mostWaits bounds the endpoints at whose queues it waits, one after the other.
 	mostWaits = 3
 	// mostDeclined bounds how often a request may be turned away before it is given up.
@@ -59,8 +49,8 @@
 	offers       int
 	waits        int
 	sends        int
-	// last is the endpoint that was asked last, for the log.
-	last string
+	// trail is who was asked and what came of it, for the log.
+	trail trail
 	// ran and unknown are set once a send may have run or did.
 	ran     bool
 	unknown bool
@@ -123,52 +113,6 @@
 	return pick, true, err
 }
 
-// pickSuspect chooses among endpoints that all take only trials. The request waits for one of them to show that it works
-// again, round by round; when its time grows short it goes to one all the same.
-func (x *exchange) pickSuspect(ctx context.Context) (director.Pick, bool, error) {
-	now := time.Now()
-	if x.suspectSince.IsZero() {
-		x.suspectSince = now
-	}
-	if now.Sub(x.suspectSince) >= x.patience(ctx) {
-		x.lastResort = true
-		return x.pickLast(ctx)
-	}
-	select {
-	case <-ctx.Done():
-		return director.Pick{}, false, fault.New(fault.Suspect, x.call.service.Key, "every endpoint takes only trials")
-	case <-time.After(suspectPause):
-	}
-	x.offers, x.waits, x.declined, x.suspects = 0, 0, nil, nil
-	return x.pick(ctx)
-}
-
-// patience is how long the request waits for one of the endpoints to recover.
-func (x *exchange) patience(ctx context.Context) time.Duration {
-	deadline, _ := ctx.Deadline()
-	patience := min(mostSuspect, deadline.Sub(x.suspectSince)/2)
-	if aim := time.Duration(x.call.route.Value.Aim); aim > 0 {
-		patience = min(patience, aim/suspectShare)
-	}
-	return patience
-}
-
-// pickLast chooses among the endpoints under suspicion for a request that nobody else takes. What must not repeat runs
-// only where most trials went well: elsewhere its caller would mostly learn that it may have run, and nothing more.
-func (x *exchange) pickLast(ctx context.Context) (director.Pick, bool, error) {
-	if x.lasts++; x.lasts > mostLast {
-		return director.Pick{}, true, fault.New(fault.Suspect, x.call.service.Key, "the endpoints fail most of their work")
-	}
-	wish := x.wish()
-	for _, key := range x.declined {
-		if !slices.Contains(x.suspects, key) {
-			wish.Tried = append(slices.Clone(wish.Tried), key)
-		}
-	}
-	pick, err := x.g.director.Pick(ctx, wish)
-	return pick, true, err
-}
-
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
 		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried,
@@ -185,9 +129,10 @@
 	d := x.dispatch(ctx, pick, claim)
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0 && x.budget.left()
-	x.last = pick.Endpoint.Key
+	asked := time.Since(x.start)
 	end := x.deliver(ctx, pick.Endpoint, d)
 	x.note(end)
+	x.trail.add(step{endpoint: pick.Endpoint.Key, at: asked, seenMillis: pick.SeenMillis, end: end})
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: pick, WasLate: late, Load: end.GetLoad(),
 		Worked: worked(end) && !end.GetLoad().GetTrial(), Failed: x.failed(end), Declined: declined(end) || misplaced(end),
@@ -412,6 +357,7 @@
 		return false
 	}
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
+	x.logAgain(end)
 	return true
 }
 
@@ -425,15 +371,3 @@
 	}
 	return end
 }
-
-// log tells how a request ended that was not simply served.
-func (x *exchange) log(end *peerpb.End) {
-	status := x.answer.head.GetStatus()
-	if end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && end.GetComplete() && status < http.StatusInternalServerError {
-		return
-	}
-	events.RequestFailed.Log(x.g.log).Str("request", x.call.id).Str("service", x.call.service.Key).
-		Str("route", x.call.route.Key).Str("outcome", end.GetOutcome().String()).Str("code", end.GetCode()).
-		Uint32("status", status).Str("endpoint", x.last).Int("sends", x.sends).Strs("declined", x.declined).
-		Bool("repeatable", x.call.repeatable).Send()
-}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -203,6 +203,13 @@
 	return b.Left()
 }
 
+// tokens returns the retries that are left.
+func (b *budget) tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Tokens()
+}
+
 func (b *budget) decide(a retry.Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -37,6 +37,9 @@
 // Left tells whether Take would grant a retry.
 func (b *Budget) Left() bool { return b.tokens >= 1 }
 
+// Tokens returns the retries left.
+func (b *Budget) Tokens() float64 { return b.tokens }
+
 // Take grants one retry if the budget has one left.
 func (b *Budget) Take() bool {
 	if b.tokens < 1 {
