--- a/cli/app.go
+++ b/cli/app.go
@@ -57,10 +57,12 @@
 	help  string
 	run   func(a *app, f *flag.FlagSet) error
 	flags func(f *flag.FlagSet)
+	// offline commands need no settings and speak to nobody.
+	offline bool
 }
 
 func commands() []command {
-	return slices.Concat(rowCommands(), fileCommands(), intentCommands(), reportCommands())
+	return slices.Concat(rowCommands(), fileCommands(), intentCommands(), reportCommands(), traceCommands())
 }
 
 // Main runs the tool with its arguments and returns the exit code.
@@ -118,6 +120,9 @@
 	if !slices.Contains([]string{"table", "json", "csv", "yaml"}, format) {
 		return fault.New(fault.BadUsage, "-o", "want table, json, csv or yaml")
 	}
+	if c.offline {
+		return c.run(&app{ctx: context.Background(), out: out, format: format}, f)
+	}
 	a, err := newApp(path, format, out)
 	if err != nil {
 		return err
--- a/events/events.go
+++ b/events/events.go
@@ -32,6 +32,7 @@
 	Announced       = Event{205, "host announced", zerolog.InfoLevel}
 	AnnounceFailed  = Event{206, "host cannot be announced", zerolog.WarnLevel}
 	HostReaped      = Event{207, "host is gone", zerolog.WarnLevel}
+	HistoryGone     = Event{208, "platform dropped its history", zerolog.InfoLevel}
 	LinkUp          = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect     = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed      = Event{302, "link closed", zerolog.InfoLevel}
@@ -61,7 +62,7 @@
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	LinesLeftOut,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
-	Announced, AnnounceFailed, HostReaped,
+	Announced, AnnounceFailed, HostReaped, HistoryGone,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused,
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -193,6 +193,8 @@
 		}
 		s.down = false
 		s.said = true
+	case code == fault.Gone:
+		events.HistoryGone.Log(f.log).Str("plane", p.String()).Err(err).Send()
 	case code == fault.BadRow || code == fault.Protocol:
 		events.BadTable.Log(f.log).Str("plane", p.String()).Err(err).Send()
 	default:
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -72,7 +72,7 @@
 	served := end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && end.GetComplete() && status < http.StatusInternalServerError
 	event := events.RequestFailed
 	switch {
-	case served && (x.overdue() || x.sends > 0):
+	case served && (x.overdue() || x.sends > 1):
 		event = events.ServedLate
 	case served:
 		event = events.RequestServed
--- /dev/null
+++ b/trace/doc.go
@@ -0,0 +1,4 @@
+// Package trace finds out from the nodes' logs what became of one request: it joins the lines of all nodes, puts them in
+// the order of their times, adds what the nodes involved believed meanwhile, and says in a paragraph what decided the
+// request's end. It reads text and writes text and knows nothing else of the fleet.
+package trace
--- /dev/null
+++ b/trace/explain.go
@@ -0,0 +1,153 @@
+package trace
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// causes say for each code what decided the end, and where to look next.
+var causes = map[fault.Code]string{
+	fault.Suspect: "every endpoint that was asked had broken off its work just before and takes only trials; " +
+		"see when their breakers opened (406) and what failed there (407)",
+	fault.DeadlineTooShort: "the queues were so long that the work could not have ended in time; see how busy the endpoints " +
+		"were (408) and which were out of use (400, 406)",
+	fault.Overloaded: "the slots and queues of the endpoints that were asked were full; see which were out of use (400, 406)",
+	fault.Busy:       "no endpoint that was asked had a free slot",
+	fault.NoEndpoint: "the ingress knew no endpoint that takes new work: all draining, ejected, out of reach or tried before; " +
+		"see its links (301, 302) and phases (400)",
+	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
+	fault.WrongHost: "the endpoint no longer stands beside that node, and the ingress went by an older list of hosts; compare " +
+		"`hosts` with the revision in force there (200)",
+	fault.Stale: "the ingress went by an older configuration than the endpoint's node; compare `config` with event 200 of " +
+		"both nodes",
+	fault.LinkDown:            "the endpoint's node could not be reached, so the request was not handed over; see the link (301, 302)",
+	fault.LinkLost:            "the link broke after the hand-over and no other way brought the answer before the deadline; see 502",
+	fault.OfferLapsed:         "the slot that was offered was not taken in time, mostly because the link was slow",
+	fault.EndpointUnreachable: "the endpoint took no connection",
+	fault.EndpointShed:        "the endpoint itself refused the work and said that it did not run it",
+	fault.EndpointCut: "the endpoint broke off before its answer was whole, so whether the work ran cannot be known here; see " +
+		"407 for what came",
+	fault.DeadlineExceeded: "the endpoint had the request and had not answered when the time ran out",
+	fault.Canceled:         "the caller went away",
+	fault.RetryBudget:      "the service's retries were spent",
+	fault.NotReady:         "the node held no configuration, or could not make sure that it is the newest",
+	fault.UnknownRoute:     "the newest configuration has no route for this host and path",
+	fault.CustomerLimit:    "the customer sent more than its limit",
+	fault.BadRequest:       "the request made no sense; `where` names the place",
+	fault.BadDeadline:      "the deadline that came with the request cannot be read",
+	fault.BodyTooLarge:     "the body is larger than the listener takes",
+}
+
+// outcomes are the words for what is known of a request's run.
+var outcomes = map[string]string{
+	"OUTCOME_RAN": "ran", "OUTCOME_NOT_RUN": "was not run", "OUTCOME_UNKNOWN": "may have run",
+}
+
+// Explain says in a paragraph what happened and what decided it.
+func (s Story) Explain() string {
+	if len(s.Lines) == 0 {
+		return fmt.Sprintf("No line names request %s. It was served and is not in the sample of served requests (109 counts "+
+			"those left out), or it never reached a node whose log was read.", s.ID)
+	}
+	if s.End == nil {
+		return fmt.Sprintf("No line tells how request %s ended at its ingress: that node was killed with the request in flight, "+
+			"its log was not read, or the request was served and is not in the sample. What other nodes did for it stands above.", s.ID)
+	}
+	var b strings.Builder
+	e := s.End
+	fmt.Fprintf(&b, "Request %s came to node %s at %s", s.ID, e.Node, s.Arrival().Format(time.RFC3339Nano))
+	if e.Service != "" {
+		fmt.Fprintf(&b, " for service %s, by configuration %d and hosts %d", e.Service, e.Config, e.Hosts)
+	}
+	b.WriteString(". ")
+	s.explainTrail(&b)
+	s.explainEnd(&b)
+	s.explainCalls(&b)
+	return strings.TrimSpace(b.String())
+}
+
+func (s Story) explainTrail(b *strings.Builder) {
+	for i, step := range s.End.Trail {
+		if i == 0 {
+			fmt.Fprintf(b, "%d endpoints were asked: ", s.End.Asked)
+		} else {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(b, "%s after %d ms (%s): %s", step.Endpoint, step.At, ageOf(step.Seen), resultOf(step))
+	}
+	if len(s.End.Trail) > 0 {
+		b.WriteString(". ")
+	}
+}
+
+func ageOf(seen int64) string {
+	if seen < 0 {
+		return "no word of it yet"
+	}
+	return fmt.Sprintf("last word of it %d ms old", seen)
+}
+
+func resultOf(step Step) string {
+	word := outcomes[step.Outcome]
+	if word == "" {
+		word = "told nothing"
+	}
+	if step.Code != "" {
+		return word + ", " + step.Code
+	}
+	return word
+}
+
+func (s Story) explainEnd(b *strings.Builder) {
+	e := s.End
+	word := outcomes[e.Outcome]
+	if e.Event == events.RequestRefused.Number {
+		word = outcomes["OUTCOME_NOT_RUN"]
+	}
+	fmt.Fprintf(b, "It %s and ended after %.0f ms", word, e.After)
+	if e.Status != 0 {
+		fmt.Fprintf(b, " with the endpoint's own status %d", e.Status)
+	}
+	if cause, ok := causes[fault.Code(e.Code)]; ok {
+		fmt.Fprintf(b, " as %s: %s", e.Code, cause)
+	} else if e.Status >= http.StatusInternalServerError {
+		b.WriteString(": the endpoint itself failed the work")
+	}
+	b.WriteString(". ")
+	if e.Event == events.ServedLate.Number {
+		s.explainLate(b)
+	}
+}
+
+// explainLate says where the time of a request went.
+func (s Story) explainLate(b *strings.Builder) {
+	e := s.End
+	if e.Aim == 0 || e.After <= e.Aim {
+		fmt.Fprintf(b, "It was in time, and was handed over %d times. ", e.Sends)
+		return
+	}
+	fmt.Fprintf(b, "It was wanted within %.0f ms; the endpoint took %.0f ms for the work, %.0f ms went before and after it. ",
+		e.Aim, e.Work, e.After-e.Work)
+}
+
+// explainCalls names the calls that the endpoint made for the request and that failed.
+func (s Story) explainCalls(b *strings.Builder) {
+	for _, line := range s.Lines {
+		if line.Request != s.ID && line.Event == events.RequestFailed.Number {
+			fmt.Fprintf(b, "The endpoint's call %s to service %s failed as %s at node %s. ", line.Request, line.Service,
+				codeOf(line), line.Node)
+		}
+	}
+}
+
+func codeOf(line Line) string {
+	if line.Code != "" {
+		return line.Code
+	}
+	return fmt.Sprintf("status %d", line.Status)
+}
--- /dev/null
+++ b/trace/print.go
@@ -0,0 +1,68 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Print writes the lines in the order of their times, those on what nodes believed among them, and then the paragraph.
+// Times are each node's own clock, told from the request's arrival; clocks may differ between nodes.
+func (s Story) Print(out io.Writer) error {
+	all := slices.Concat(s.Lines, s.Beliefs)
+	slices.SortStableFunc(all, byTime)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(all) > 0 {
+		fmt.Fprintln(w, "MS\tNODE\tEVENT\tWHAT\tDETAILS")
+	}
+	start := s.Arrival()
+	for _, line := range all {
+		ms := float64(line.Time.Sub(start)) / float64(time.Millisecond)
+		fmt.Fprintf(w, "%.1f\t%s\t%d\t%s\t%s\n", ms, line.Node, line.Event, line.Name, details(line, s.ID))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if s.Cut {
+		fmt.Fprintln(out, "The logs held more lines on what nodes believed than are kept; the latest are missing here.")
+	}
+	_, err := fmt.Fprintf(out, "\n%s\n", s.Explain())
+	return err
+}
+
+// details are a line's fields that say something.
+func details(line Line, id string) string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" && value != "0" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	if line.Request != id {
+		add("request", line.Request)
+	}
+	add("endpoint", line.Endpoint)
+	add("peer", line.Peer)
+	add("outcome", outcomes[line.Outcome])
+	add("code", line.Code)
+	add("status", strconv.Itoa(line.Status))
+	add("to", line.To)
+	add("breaker", line.Breaker)
+	if line.Slots > 0 {
+		add("busy", fmt.Sprintf("%d/%d", line.Busy, line.Slots))
+	}
+	add("queued", strconv.Itoa(line.Queued))
+	add("config", strconv.FormatUint(line.Config, 10))
+	add("hosts", strconv.FormatUint(line.Hosts, 10))
+	if line.After > 0 {
+		add("after", fmt.Sprintf("%.1fms", line.After))
+	}
+	if line.Cause != "" {
+		add("error", strconv.Quote(line.Cause))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/trace/script_test.go
@@ -0,0 +1,38 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts reads the logs of testdata, which nodes wrote on the users' bench, and prints the story of a request:
+//
+//	trace id=ID    with the log in the input
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var id string
+			d.ScanArgs(t, "id", &id)
+			log := NewLog(id)
+			if err := log.Read(strings.NewReader(d.Input)); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			var out strings.Builder
+			if err := log.Story().Print(&out); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			// A blank line would end the expected text.
+			return strings.ReplaceAll(out.String(), "\n\n", "\n")
+		})
+	})
+}
+
+// TestOverlongLine checks that what is no log fails with a reason instead of being taken in part.
+func TestOverlongLine(t *testing.T) {
+	err := NewLog("x").Read(strings.NewReader(strings.Repeat("x", 2*longestLine)))
+	if err == nil {
+		t.Error("got no error, want one")
+	}
+}
