--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -33,8 +33,9 @@
 	Incarnation uint64
 	// Contract says how callers are spoken to; nil stands for the product's own.
 	Contract contract.Contract
-	// Retries is the fleet's budget of retries.
-	Retries retry.Share
+	// Retries is the fleet's budget of retries, RetryWindow the time over which it is kept.
+	Retries     retry.Share
+	RetryWindow time.Duration
 }
 
 // Local runs a request at an endpoint beside this node.
@@ -182,37 +183,46 @@
 func (g *Ingress) budget(service string) *budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	burst := g.cfg.Retries.Burst(len(g.snapshot().Hosts))
 	b := g.budgets[service]
 	if b == nil {
-		b = &budget{Budget: retry.NewBudget(g.cfg.Retries.Burst(len(g.snapshot().Hosts)))}
+		b = &budget{Budget: retry.NewBudget(burst, g.cfg.RetryWindow)}
 		g.budgets[service] = b
 	}
+	b.share(burst)
 	return b
 }
 
+// share follows the number of hosts, by which the fleet's slack is shared out.
+func (b *budget) share(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.SetBurst(burst)
+}
+
 func (b *budget) request(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Request(share)
+	b.Request(time.Now(), share)
 }
 
 // left tells whether a request that fails now could be sent again.
 func (b *budget) left() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Left()
+	return b.Left(time.Now())
 }
 
 // tokens returns the retries that are left.
 func (b *budget) tokens() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Tokens()
+	return b.Tokens(time.Now())
 }
 
 func (b *budget) decide(a retry.Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Answer(a.Overloaded)
-	return b.Decide(a)
+	return b.Decide(time.Now(), a)
 }
