--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -124,6 +124,23 @@
 // is given the benefit of the doubt.
 func (b *Breaker) Likely() bool { return b.state == Closed || b.goodShare >= likelyShare }
 
+// LastResort takes the result of a request that ran as a last resort: it says whether the endpoint is worth the next
+// one, but only trials, which can be sent again, close the breaker.
+func (b *Breaker) LastResort(r Result) {
+	if b.state == Trial {
+		b.learn(r == OK)
+	}
+}
+
+// learn moves the share of good trials by one.
+func (b *Breaker) learn(good bool) {
+	hit := 0.0
+	if good {
+		hit = 1
+	}
+	b.goodShare += (hit - b.goodShare) * trialMemory
+}
+
 // Would tells whether Allow would let a request run.
 func (b *Breaker) Would(now time.Time, repeatable bool) bool {
 	if b.state == Closed {
@@ -192,7 +209,7 @@
 	if !trial {
 		return
 	}
-	b.goodShare += (1 - b.goodShare) * trialMemory
+	b.learn(true)
 	b.successes++
 	if b.successes >= b.needed(now) {
 		b.state = Closed
@@ -226,7 +243,7 @@
 	if !trial {
 		return
 	}
-	b.goodShare -= b.goodShare * trialMemory
+	b.learn(false)
 	b.successes = 0
 	b.pause = min(2*b.pause, b.cfg.LongestPause)
 	b.trialEvery = min(2*b.trialEvery, b.cfg.LongestTrial)
--- a/breaker/script_test.go
+++ b/breaker/script_test.go
@@ -15,6 +15,7 @@
 //	new                        a breaker with the default policy
 //	ask repeatable|unrepeatable   whether such a request may run; asking twice changes nothing
 //	run repeatable|unrepeatable how=ok|failed|broken   asks, and if it may, runs it with that result
+//	last how=ok|failed|broken     the result of a request that ran as a last resort
 //	likely                     whether most trials went well
 //	wait for=40ms
 func TestScripts(t *testing.T) {
@@ -28,6 +29,11 @@
 				b = New(DefaultConfig())
 			case "ask":
 				return fmt.Sprintln(b.Would(now, repeatable), b.State())
+			case "last":
+				var how string
+				d.ScanArgs(t, "how", &how)
+				b.LastResort(results[how])
+				return fmt.Sprintln(b.Likely(), b.State())
 			case "likely":
 				return fmt.Sprintln(b.Likely(), b.State())
 			case "run":
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -241,7 +241,7 @@
 	start := time.Now()
 	result := l.run(ctx, d, body, sink)
 	service := time.Since(start)
-	l.release(service, result, trial)
+	l.release(service, result, trial, d.GetLastResort())
 	if result.cause != nil {
 		events.WorkFailed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).
 			Str("outcome", result.end.GetOutcome().String()).Str("code", result.end.GetCode()).
--- a/egress/local.go
+++ b/egress/local.go
@@ -198,8 +198,8 @@
 }
 
 // release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
-func (l *local) release(service time.Duration, r result, trial bool) {
-	l.judge(r, trial)
+func (l *local) release(service time.Duration, r result, trial, lastResort bool) {
+	l.judge(r, trial, lastResort)
 	if !r.worked {
 		service = 0
 	}
@@ -215,19 +215,23 @@
 }
 
 // judge tells the breaker how a run went. A refusal, and work that its caller broke off, say nothing.
-func (l *local) judge(r result, trial bool) {
+func (l *local) judge(r result, trial, lastResort bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	how := breaker.OK
 	switch {
 	case r.broken:
-		l.breaker.Done(time.Now(), breaker.Broken, trial)
+		how = breaker.Broken
 	case !r.worked:
 		l.breaker.Release(trial)
+		return
 	case r.failed:
-		l.breaker.Done(time.Now(), breaker.Failed, trial)
-	default:
-		l.breaker.Done(time.Now(), breaker.OK, trial)
+		how = breaker.Failed
+	}
+	if lastResort && !trial {
+		l.breaker.LastResort(how)
 	}
+	l.breaker.Done(time.Now(), how, trial)
 }
 
 func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
