--- a/egress/egress.go
+++ b/egress/egress.go
@@ -361,6 +361,8 @@
 	Failed uint64 `json:"failed"`
 	// Leaving is set after the endpoint said so itself.
 	Leaving bool `json:"leaving"`
+	// Trial is set while it takes only trials.
+	Trial bool `json:"trial"`
 }
 
 // Statuses returns the endpoints that have had work since the node started.
@@ -372,7 +374,7 @@
 		load := l.load(0, 0)
 		out = append(out, Status{
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
-			Finished: load.GetFinished(), Failed: load.GetFailed(), Leaving: load.GetLeaving(),
+			Finished: load.GetFinished(), Failed: load.GetFailed(), Leaving: load.GetLeaving(), Trial: load.GetTrial(),
 		})
 	}
 	return out
--- a/events/bound.go
+++ b/events/bound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -52,6 +53,9 @@
 	byEvent map[int]*allowance
 	leftOut map[string]int
 	toldAt  time.Time
+	// seen counts the lines of each event, written or not, left those that were left out.
+	seen map[int]uint64
+	left uint64
 }
 
 // allowance is what an event may still write.
@@ -62,7 +66,7 @@
 
 // NewBound returns a bound in front of out; now gives the time.
 func NewBound(out io.Writer, now func() time.Time) *Bound {
-	return &Bound{out: out, now: now, byEvent: make(map[int]*allowance), leftOut: make(map[string]int), toldAt: now()}
+	return &Bound{out: out, now: now, byEvent: make(map[int]*allowance), leftOut: make(map[string]int), toldAt: now(), seen: make(map[int]uint64)}
 }
 
 // Write takes one line.
@@ -71,7 +75,9 @@
 	b.mu.Lock()
 	now := b.now()
 	fits := b.allow(now, event, len(line))
+	b.seen[event]++
 	if !fits {
+		b.left++
 		b.leftOut[strconv.Itoa(event)]++
 	}
 	told := b.tell(now, false)
@@ -87,6 +93,13 @@
 	return b.out.Write(line)
 }
 
+// Counts returns how many lines there were of each event, written or not, and how many were left out.
+func (b *Bound) Counts() (seen map[int]uint64, left uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.seen), b.left
+}
+
 // Flush tells what was left out since it was told last.
 func (b *Bound) Flush() {
 	b.mu.Lock()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -132,6 +133,7 @@
 	asked := time.Since(x.start)
 	end := x.deliver(ctx, pick.Endpoint, d)
 	x.note(end)
+	x.count(end)
 	x.trail.add(step{endpoint: pick.Endpoint.Key, at: asked, seenMillis: pick.SeenMillis, end: end})
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: pick, WasLate: late, Load: end.GetLoad(),
@@ -140,6 +142,15 @@
 	return end
 }
 
+// count shows in the metrics what came of asking an endpoint.
+func (x *exchange) count(end *peerpb.End) {
+	class := x.g.metrics.Service(x.call.service.Key)
+	class.Asked(contract.OutcomeName(end.GetOutcome()), end.GetCode())
+	if service := end.GetLoad().GetServiceMicros(); service > 0 {
+		class.Work.RecordDuration(time.Duration(service) * time.Microsecond)
+	}
+}
+
 func (x *exchange) note(end *peerpb.End) {
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.unknown = x.unknown || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -129,6 +129,7 @@
 	class.Count(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	class.Latency.RecordDuration(elapsed)
+	class.BudgetLeft(g.budget(c.service.Key).tokens())
 	g.metrics.Customer(c.customer).RecordDuration(elapsed)
 	if end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && !end.GetComplete() {
 		// The answer was cut: break the connection, so that it cannot look whole.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -31,18 +31,35 @@
 	reporter tallyprom.Reporter
 	services bounded[*Class]
 	customer bounded[tally.Histogram]
+	calls    bounded[*Call]
 	buckets  tally.Buckets
 }
 
+// Call holds the instruments of one kind of call to the platform's store.
+type Call struct {
+	latency tally.Histogram
+	scope   tally.Scope
+}
+
+// Done counts one call by the code of its failure, "" for none.
+func (c *Call) Done(code string, took time.Duration) {
+	c.latency.RecordDuration(took)
+	c.scope.Tagged(map[string]string{"code": code}).Counter("store_calls").Inc(1)
+}
+
 // Class holds the instruments of one service.
 type Class struct {
 	// Latency is the time from the request's arrival to its answer's end, by the ingress.
 	Latency tally.Histogram
 	// Retries counts further sends.
 	Retries tally.Counter
-	scope   tally.Scope
-	mu      sync.RWMutex
-	ends    map[string]tally.Counter
+	// Work is the time that endpoints took, by the ingress that sent the work.
+	Work  tally.Histogram
+	scope tally.Scope
+	mu    sync.RWMutex
+	ends  map[string]tally.Counter
+	asked map[string]tally.Counter
+	left  tally.Gauge
 }
 
 // New returns a registry, Internal when the reporter cannot be built.
@@ -63,6 +80,7 @@
 	}
 	m := &Metrics{root: root, closer: closer, reporter: reporter, buckets: buckets}
 	m.services = bounded[*Class]{most: mostServices, make: m.newClass}
+	m.calls = bounded[*Call]{most: mostServices, make: m.newCall}
 	m.customer = bounded[tally.Histogram]{most: mostCustomers, make: m.newCustomer}
 	return m, nil
 }
@@ -72,10 +90,20 @@
 	return &Class{
 		Latency: scope.Histogram("request_seconds", m.buckets),
 		Retries: scope.Counter("retries"),
-		scope:   scope, ends: make(map[string]tally.Counter),
+		Work:    scope.Histogram("work_seconds", m.buckets),
+		left:    scope.Gauge("retry_budget_left"),
+		scope:   scope, ends: make(map[string]tally.Counter), asked: make(map[string]tally.Counter),
 	}
 }
 
+func (m *Metrics) newCall(kind string) *Call {
+	scope := m.root.Tagged(map[string]string{"call": kind})
+	return &Call{latency: scope.Histogram("store_seconds", m.buckets), scope: scope}
+}
+
+// Store returns the instruments of a kind of call to the platform's store.
+func (m *Metrics) Store(kind string) *Call { return m.calls.get(kind) }
+
 func (m *Metrics) newCustomer(name string) tally.Histogram {
 	return m.root.Tagged(map[string]string{"customer": name}).Histogram("customer_request_seconds", m.buckets)
 }
@@ -89,16 +117,34 @@
 // Gauge sets a node-wide gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.root.Gauge(name).Update(value) }
 
+// Events adds to the count of a numbered event of the log.
+func (m *Metrics) Events(event string, count int64) {
+	m.root.Tagged(map[string]string{"event": event}).Counter("events").Inc(count)
+}
+
 // Count counts one request by its outcome and code.
 func (c *Class) Count(outcome, code string) {
-	key := outcome + "/" + code
+	c.count(c.ends, "requests", map[string]string{"outcome": outcome, "code": code})
+}
+
+// Asked counts one endpoint that was asked for a request, by what came of it.
+func (c *Class) Asked(outcome, code string) {
+	c.count(c.asked, "asked", map[string]string{"outcome": outcome, "code": code})
+}
+
+// BudgetLeft shows what is left of the service's retries on this node.
+func (c *Class) BudgetLeft(retries float64) { c.left.Update(retries) }
+
+// count adds one to the counter of some tags among those already made.
+func (c *Class) count(made map[string]tally.Counter, name string, tags map[string]string) {
+	key := tags["outcome"] + "/" + tags["code"]
 	c.mu.RLock()
-	counter := c.ends[key]
+	counter := made[key]
 	c.mu.RUnlock()
 	if counter == nil {
-		counter = c.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("requests")
+		counter = c.scope.Tagged(tags).Counter(name)
 		c.mu.Lock()
-		c.ends[key] = counter
+		made[key] = counter
 		c.mu.Unlock()
 	}
 	counter.Inc(1)
--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lynxplank/lynxplank/changes"
 	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/kernel"
 	"github.com/lynxplank/lynxplank/node"
@@ -56,7 +57,7 @@
 	if err := settings.Parse("test.yaml", []byte(text), &cfg); err != nil {
 		t.Fatal(err)
 	}
-	if f.node, err = node.New(cfg, zerolog.SyncWriter(f.logs)); err != nil {
+	if f.node, err = node.New(cfg, events.NewBound(zerolog.SyncWriter(f.logs), time.Now)); err != nil {
 		t.Fatal(err)
 	}
 	if err := f.node.Start(t.Context()); err != nil {
--- /dev/null
+++ b/node/metrics_test.go
@@ -0,0 +1,79 @@
+package node_test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+var (
+	shownName      = regexp.MustCompile(`(?m)^# TYPE (lynxplank_\w+) `)
+	documentedName = regexp.MustCompile("`(lynxplank_\\w+)`")
+)
+
+// TestMetricsCatalogue holds docs/METRICS.md and what a node shows together: after a request and a look at every part, each
+// name that is shown is documented, and each documented one is shown.
+func TestMetricsCatalogue(t *testing.T) {
+	f := start(t, `
+service: {desk: {}}
+endpoint: {e1: {service: desk, host: h1, hall: hall-1, address: "ENDPOINT", slots: 1}}
+route: {all: {service: desk, repeatable: "yes"}}
+`)
+	defer f.stop(t)
+	text, err := os.ReadFile("../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := namesIn(documentedName, string(text))
+	// An endpoint that fails has the request sent again, so that retries show too.
+	f.backend.Set(backend.Behaviour{WorkMillis: 1, FailPercent: 100})
+	resp, err := http.Get("http://" + f.callers + "/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	var got []string
+	for range 600 {
+		got = namesIn(shownName, f.metrics(t))
+		if slices.Equal(got, want) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Errorf("names: got %q, want %q", got, want)
+}
+
+func namesIn(name *regexp.Regexp, text string) []string {
+	var names []string
+	for _, m := range name.FindAllStringSubmatch(text, -1) {
+		names = append(names, m[1])
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (f *fixture) metrics(t *testing.T) string {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.operator+operator.PathMetrics, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -6,12 +6,14 @@
 	"crypto/x509"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/lynxplank/lynxplank/announce"
 	"github.com/lynxplank/lynxplank/breaker"
@@ -61,6 +63,8 @@
 	Callers = "callers"
 	// Metrics is the metrics.Metrics.
 	Metrics = "metrics"
+	// Sampler brings into the metrics what the other services hold.
+	Sampler = "sampler"
 	// Heartbeats is the endpoints' serve.Server.
 	Heartbeats = "heartbeats"
 	// Readiness is the serve.Server that tells whether the node may get callers.
@@ -76,8 +80,10 @@
 
 // Node is one process of the fleet.
 type Node struct {
-	cfg    settings.Daemon
-	log    *zerolog.Logger
+	cfg settings.Daemon
+	log *zerolog.Logger
+	// out is where the log goes.
+	out    io.Writer
 	kernel *kernel.Kernel
 	// seen are the settings as they were last read, badReload what was wrong with a file that could not be.
 	seen      settings.Daemon
@@ -108,7 +114,7 @@
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	n := &Node{cfg: cfg, seen: cfg, kernel: kernel.New()}
+	n := &Node{cfg: cfg, seen: cfg, out: out, kernel: kernel.New()}
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
@@ -132,7 +138,10 @@
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
 		peer.WithBeatHook(func(name string, revisions table.Revisions) { follower.Hint(name, revisions) }))
 	client := platform.NewClient(n.cfg.Platform.Address.String(),
-		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
+		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()),
+		platform.WithObserver(func(call string, err error, took time.Duration) {
+			m.Store(call).Done(string(fault.CodeOf(err)), took)
+		}))
 	var e *egress.Egress
 	var egressOptions []egress.Option
 	a := announce.New(n.announceConfig(incarnation), n.log, client)
@@ -162,6 +171,8 @@
 ) {
 	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, e, d, links, m.Handler())
 	n.kernel.Register(Metrics, m)
+	counter, _ := n.out.(eventCounter)
+	n.kernel.Register(Sampler, &sampler{metrics: m, follower: f, egress: e, links: links, events: counter})
 	n.kernel.Register(Links, links)
 	n.kernel.Register(Follower, f)
 	n.kernel.Register(Director, d)
@@ -182,7 +193,8 @@
 	n.kernel.Register(Callers, callers)
 	if n.cfg.Readiness.Listen.IsValid() {
 		n.kernel.Register(Readiness, serve.New(Readiness, n.cfg.Readiness.Listen.AddrPort,
-			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.stopping.Load() }))))
+			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.stopping.Load() }),
+				rest.Route{Method: http.MethodGet, Path: operator.PathMetrics, Handler: m.Handler().ServeHTTP})))
 	}
 }
 
--- /dev/null
+++ b/node/sampler.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/metrics"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// sampleEvery is the time between two looks at what the gauges show: operators' tools look every 5 s at most.
+const sampleEvery = 2 * time.Second
+
+// eventCounter tells how many lines of the log there were of each event, and how many were left out.
+type eventCounter interface {
+	Counts() (seen map[int]uint64, left uint64)
+}
+
+// sampler brings into the metrics what the node's parts hold; it is a kernel component.
+type sampler struct {
+	metrics  *metrics.Metrics
+	follower *follow.Follower
+	egress   *egress.Egress
+	links    *peer.Manager
+	// events is nil where the log is not counted.
+	events eventCounter
+
+	counted map[int]uint64
+	// revision and since are the configuration in force and when it was first seen.
+	revision table.Revisions
+	since    time.Time
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// Start begins to sample.
+func (s *sampler) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop, s.done, s.counted = cancel, make(chan struct{}), make(map[int]uint64)
+	s.since = time.Now()
+	go s.run(ctx)
+	return nil
+}
+
+// Stop ends the sampling.
+func (s *sampler) Stop(context.Context) error {
+	s.stop()
+	<-s.done
+	return nil
+}
+
+func (s *sampler) run(ctx context.Context) {
+	defer close(s.done)
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.sample(now)
+		}
+	}
+}
+
+func (s *sampler) sample(now time.Time) {
+	s.sampleConfig(now)
+	s.sampleWork()
+	s.sampleEvents()
+}
+
+func (s *sampler) sampleConfig(now time.Time) {
+	snap := s.follower.Snapshot()
+	held := snap.State.Revisions()
+	if held != s.revision {
+		s.revision, s.since = held, now
+	}
+	ready := 0.0
+	if snap.Ready {
+		ready = 1
+	}
+	s.metrics.Gauge("ready", ready)
+	s.metrics.Gauge("config_version", float64(held[table.PlaneConfig]))
+	s.metrics.Gauge("rows_revision", float64(held[table.PlaneRows]))
+	s.metrics.Gauge("config_unchanged_seconds", now.Sub(s.since).Seconds())
+	s.metrics.Gauge("hosts", float64(len(snap.Hosts)))
+}
+
+func (s *sampler) sampleWork() {
+	var busy, waiting, trials, leaving float64
+	for _, e := range s.egress.Statuses() {
+		busy += float64(e.Busy)
+		waiting += float64(e.Waiting)
+		if e.Trial {
+			trials++
+		}
+		if e.Leaving {
+			leaving++
+		}
+	}
+	dialed, accepted := s.links.Links()
+	s.metrics.Gauge("slots_busy", busy)
+	s.metrics.Gauge("queued", waiting)
+	s.metrics.Gauge("endpoints_on_trial", trials)
+	s.metrics.Gauge("endpoints_leaving", leaving)
+	s.metrics.Gauge("links_dialed", float64(dialed))
+	s.metrics.Gauge("links_accepted", float64(accepted))
+	s.metrics.Gauge("peer_bytes", float64(s.links.Bytes()))
+}
+
+func (s *sampler) sampleEvents() {
+	if s.events == nil {
+		return
+	}
+	seen, left := s.events.Counts()
+	for event, count := range seen {
+		if more := count - s.counted[event]; more > 0 {
+			s.metrics.Events(strconv.Itoa(event), int64(more)) //nolint:gosec // a count of seconds
+		}
+	}
+	s.counted = seen
+	s.metrics.Gauge("log_lines_left_out", float64(left))
+}
