--- a/follow/follower.go
+++ b/follow/follower.go
@@ -216,14 +216,15 @@
 func (f *Follower) tick(ctx context.Context) {
 	now := time.Now()
 	snap := f.Snapshot()
-	reader := f.isReader(snap.Hosts, f.cfg.Readers)
+	hosts := f.reachable(snap.Hosts)
+	reader := f.isReader(hosts, f.cfg.Readers)
 	alone := !snap.Ready || now.Sub(f.heardAt) > lonelyAfter*f.cfg.Retry
 	f.reading.Store(alone || reader)
-	f.readingConfig.Store(alone || f.isReader(snap.Hosts, f.cfg.ConfigReaders))
+	f.readingConfig.Store(alone || f.isReader(hosts, f.cfg.ConfigReaders))
 	if !snap.Ready {
 		f.askSeeds(ctx)
 	}
-	f.keepLinks(ctx, snap.Hosts, reader)
+	f.keepLinks(ctx, snap.Hosts, hosts, reader)
 	f.pullNext(ctx)
 }
 
--- a/follow/links.go
+++ b/follow/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lynxplank/lynxplank/table"
@@ -20,15 +21,28 @@
 	return false
 }
 
-// keepLinks holds a link to the hall's readers, from a reader also to those of the next halls, and in a small fleet to
-// every host.
-func (f *Follower) keepLinks(ctx context.Context, hosts []table.HostInfo, reader bool) {
-	wanted := Readers(hosts, f.cfg.Hall, f.cfg.Readers)
-	if reader {
-		wanted = append(wanted, Neighbours(hosts, f.cfg.Hall, neighbourHalls)...)
+// reachable leaves out the hosts that this node has found out of reach: the next ones in rank stand in for readers among
+// them, and this node itself if it is next. Nodes that differ in this cost a few reads more and nothing else.
+func (f *Follower) reachable(hosts []table.HostInfo) []table.HostInfo {
+	out := make([]table.HostInfo, 0, len(hosts))
+	for _, h := range hosts {
+		if h.ID == f.cfg.Host || f.links.Usable(h.Address) {
+			out = append(out, h)
+		}
 	}
-	if len(hosts) <= mostPinned {
-		wanted = hosts
+	return out
+}
+
+// keepLinks holds a link to the hall's readers and to those that stand in for them, from a reader also to those of the
+// next halls, and in a small fleet to every host.
+func (f *Follower) keepLinks(ctx context.Context, hosts, reachable []table.HostInfo, reader bool) {
+	wanted := hosts
+	if len(hosts) > mostPinned {
+		wanted = slices.Concat(
+			Readers(hosts, f.cfg.Hall, f.cfg.Readers), Readers(reachable, f.cfg.Hall, f.cfg.Readers))
+		if reader {
+			wanted = append(wanted, Neighbours(reachable, f.cfg.Hall, neighbourHalls)...)
+		}
 	}
 	for _, h := range wanted {
 		if h.ID != f.cfg.Host {
--- a/follow/readers_test.go
+++ b/follow/readers_test.go
@@ -70,3 +70,33 @@
 		})
 	}
 }
+
+// TestStandInReads checks that a node which is no reader becomes one when the readers of its hall are out of reach.
+func TestStandInReads(t *testing.T) {
+	hosts := []table.HostInfo{{ID: "h1", Hall: "hall-1"}, {ID: "h2", Hall: "hall-1"}, {ID: "h3", Hall: "hall-1"}}
+	ranked := Readers(hosts, "hall-1", len(hosts))
+	other := ranked[len(ranked)-1].ID
+	s := store.New()
+	for _, h := range hosts {
+		// Nobody listens there.
+		announceHost(t, s, h.ID, false)
+	}
+	configure(t, s, "1", "a")
+	p := &countingPlatform{Platform: store.NewLocal(s)}
+	log := zerolog.Nop()
+	links := peer.NewManager(peer.Config{Node: other, Hall: "hall-1", Heartbeat: time.Second, CutAfter: time.Second}, &log)
+	// A node that hears from no peer reads by itself after ten retries, which is longer than this test waits.
+	const retry = 2 * time.Second
+	f := New(Config{
+		Host: other, Hall: "hall-1", Retry: retry, Wait: 50 * time.Millisecond, Readers: 1, ConfigReaders: 1,
+		Timeout: time.Second, WithConfig: true,
+	}, &log, p, links)
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	wait(t, f, "ready", func(s *Snapshot) bool { return s.Ready && len(s.Hosts) == len(hosts) })
+	time.Sleep(2 * keepLinksEvery)
+	configure(t, s, "2", "a", "b")
+	wait(t, f, "second configuration", routed("/b/", true))
+}
