--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -33,9 +33,8 @@
 	Incarnation uint64
 	// Contract says how callers are spoken to; nil stands for the product's own.
 	Contract contract.Contract
-	// Retries is the fleet's budget of retries, RetryWindow the time over which it is kept.
-	Retries     retry.Share
-	RetryWindow time.Duration
+	// Retries is the fleet's budget of retries.
+	Retries retry.Share
 }
 
 // Local runs a request at an endpoint beside this node.
@@ -184,46 +183,37 @@
 func (g *Ingress) budget(service string) *budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	burst := g.cfg.Retries.Burst(len(g.snapshot().Hosts))
 	b := g.budgets[service]
 	if b == nil {
-		b = &budget{Budget: retry.NewBudget(burst, g.cfg.RetryWindow)}
+		b = &budget{Budget: retry.NewBudget(g.cfg.Retries.Burst(len(g.snapshot().Hosts)))}
 		g.budgets[service] = b
 	}
-	b.share(burst)
 	return b
 }
 
-// share follows the number of hosts, by which the fleet's slack is shared out.
-func (b *budget) share(burst float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.SetBurst(burst)
-}
-
 func (b *budget) request(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Request(time.Now(), share)
+	b.Request(share)
 }
 
 // left tells whether a request that fails now could be sent again.
 func (b *budget) left() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Left(time.Now())
+	return b.Left()
 }
 
 // tokens returns the retries that are left.
 func (b *budget) tokens() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Tokens(time.Now())
+	return b.Tokens()
 }
 
 func (b *budget) decide(a retry.Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Answer(a.Overloaded)
-	return b.Decide(time.Now(), a)
+	return b.Decide(a)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -330,8 +330,7 @@
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
-		Retries:     retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
-		RetryWindow: n.cfg.Retries.Window.Std(),
+		Retries: retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
 	}
 }
 
--- a/virtual/stream.go
+++ b/virtual/stream.go
@@ -67,9 +67,7 @@
 	tickEvery   = 100 * time.Millisecond
 	cutFoundIn  = 1250 * time.Millisecond
 	// retryBurst is what one node may retry at once.
-	retryBurst = 10
-	// retryWindow is the default of the settings.
-	retryWindow = 10 * time.Second
+	retryBurst  = 10
 	defaultRate = 20
 	customers   = 10
 	retryShare  = 0.1
@@ -145,7 +143,7 @@
 	}
 	r := &run{
 		Stream: s, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), //nolint:gosec // seeded on purpose
-		budget: retry.NewBudget(retryBurst, retryWindow), out: make([]bool, s.Service.Endpoints),
+		budget: retry.NewBudget(retryBurst), out: make([]bool, s.Service.Endpoints),
 	}
 	r.policy = s.Policy(s.Service, rand.New(rand.NewPCG(s.Seed, 2))) //nolint:gosec // seeded on purpose
 	r.result.Detected = -1
@@ -210,7 +208,7 @@
 			r.result.ShareAll++
 		}
 	}
-	r.budget.Request(r.clock.now, retryShare)
+	r.budget.Request(retryShare)
 	r.send(q)
 }
 
@@ -402,7 +400,7 @@
 	a.Left = q.arrived.Add(deadline).Sub(r.clock.now)
 	r.budget.Answer(a.Overloaded)
 	q.tried = append(q.tried, s.endpoint)
-	if r.budget.Decide(r.clock.now, a) {
+	if r.budget.Decide(a) {
 		r.send(q)
 		return
 	}
