--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -183,14 +183,23 @@
 func (g *Ingress) budget(service string) *budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	burst := g.cfg.Retries.Burst(len(g.snapshot().Hosts))
 	b := g.budgets[service]
 	if b == nil {
-		b = &budget{Budget: retry.NewBudget(g.cfg.Retries.Burst(len(g.snapshot().Hosts)))}
+		b = &budget{Budget: retry.NewBudget(burst)}
 		g.budgets[service] = b
 	}
+	b.share(burst)
 	return b
 }
 
+// share follows the number of hosts, among which the fleet's slack is shared out.
+func (b *budget) share(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.SetBurst(burst)
+}
+
 func (b *budget) request(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -31,6 +31,12 @@
 	return &Budget{tokens: burst, burst: max(burst, 1)}
 }
 
+// SetBurst changes how many retries the budget holds, one at least; what it holds beyond that is lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = max(burst, 1)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 // Request counts one request's first send and earns its share of a retry.
 func (b *Budget) Request(share float64) { b.tokens = min(b.burst, b.tokens+share) }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -77,3 +77,17 @@
 		}
 	})
 }
+
+// TestBurstFollowsTheFleet checks that a node which has heard of the whole fleet gives back what it held as if alone.
+func TestBurstFollowsTheFleet(t *testing.T) {
+	share := Share{Slack: 30, MostBurst: 3}
+	b := NewBudget(share.Burst(1))
+	b.SetBurst(share.Burst(20))
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	if got, want := taken, 1; got != want {
+		t.Errorf("retries at once of one in 20 nodes: got %d, want %d", got, want)
+	}
+}
