--- a/admit/queue.go
+++ b/admit/queue.go
@@ -212,6 +212,9 @@
 	return r.Deadline
 }
 
+// Typical returns the usual service time with an allowance for its spread.
+func (q *Queue) Typical() time.Duration { return spanOf(q.typical()) }
+
 // typical is the usual service time with an allowance for its spread, in seconds.
 func (q *Queue) typical() float64 { return q.service + q.spread }
 
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -19,6 +19,9 @@
 	// Successes is how many trials in a row close the breaker after it has opened once, and one more for each time that
 	// it opened again within Memory, up to MostSuccesses.
 	Successes, MostSuccesses int
+	// Overdue is how many requests in a row, with no whole answer between them, must have had no answer in a time in which
+	// the endpoint usually ends several.
+	Overdue int
 	// Memory is how long an opening counts.
 	Memory time.Duration
 }
@@ -47,6 +50,8 @@
 		Pause: 250 * time.Millisecond, LongestPause: 5 * time.Second,
 		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond, Barren: time.Second,
 		Successes: 2, MostSuccesses: 3, Memory: 8 * time.Second,
+		// An endpoint of 3 or 4 slots ends about ten requests in the time of an overdue one: two without any is no chance.
+		Overdue: 2,
 	}
 }
 
@@ -78,8 +83,10 @@
 	OK Result = iota
 	// Failed is a whole answer that says the work failed.
 	Failed
-	// Broken is an answer that broke off, could not be read or never came.
+	// Broken is an answer that broke off or could not be read.
 	Broken
+	// Overdue is work that had no answer in a time in which the endpoint usually ends several.
+	Overdue
 )
 
 // Breaker watches one endpoint; its owner locks it.
@@ -100,6 +107,8 @@
 	trialAt    time.Time
 	// trialing is set while a trial runs.
 	trialing bool
+	// overdue counts the requests without an answer since the last whole one.
+	overdue int
 	// goodShare is the recent share of good trials since it opened.
 	goodShare float64
 }
@@ -179,6 +188,9 @@
 		b.trialing = false
 	}
 	b.fade(now)
+	if r == OK || r == Failed {
+		b.overdue = 0
+	}
 	switch r {
 	case OK:
 		b.good(now, trial)
@@ -186,6 +198,20 @@
 		b.bad(now, b.cfg.Failed, trial)
 	case Broken:
 		b.bad(now, b.cfg.Broken, trial)
+	case Overdue:
+		b.late(now, trial)
+	}
+}
+
+// late takes work that had no answer in time. What was long under way when the endpoint was suspected says nothing new.
+func (b *Breaker) late(now time.Time, trial bool) {
+	b.overdue++
+	if b.state == Closed && b.overdue >= b.cfg.Overdue {
+		b.open(now)
+		return
+	}
+	if trial {
+		b.bad(now, b.cfg.Failed, trial)
 	}
 }
 
--- a/breaker/script_test.go
+++ b/breaker/script_test.go
@@ -8,13 +8,13 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-var results = map[string]Result{"ok": OK, "failed": Failed, "broken": Broken}
+var results = map[string]Result{"ok": OK, "failed": Failed, "broken": Broken, "overdue": Overdue}
 
 // TestScripts runs the scenarios of testdata. Commands:
 //
 //	new                        a breaker with the default policy
 //	ask repeatable|unrepeatable   whether such a request may run; asking twice changes nothing
-//	run repeatable|unrepeatable how=ok|failed|broken   asks, and if it may, runs it with that result
+//	run repeatable|unrepeatable how=ok|failed|broken|overdue   asks, and if it may, runs it with that result
 //	last how=ok|failed|broken     the result of a request that ran as a last resort
 //	likely                     whether most trials went well
 //	wait for=40ms
--- a/egress/lastresort_test.go
+++ b/egress/lastresort_test.go
@@ -1,7 +1,9 @@
 package egress
 
 import (
+	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +58,24 @@
 		t.Errorf("repeatable: got %v, want it to be tried: %v", got, want)
 	}
 }
+
+// TestSilentEndpointIsSuspected has an endpoint take work and never answer: after the second one the time for which ran
+// out, a payment is refused as not run instead of being lost there too.
+func TestSilentEndpointIsSuspected(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := at(t, l.Addr().String(), table.Active)
+	for i, want := range []peerpb.Outcome{
+		peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_NOT_RUN,
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		end := e.Serve(ctx, payment(), strings.NewReader(""), discard{})
+		cancel()
+		if got := end.GetOutcome(); got != want {
+			t.Errorf("payment %d: got %v, want %v", i+1, end, want)
+		}
+	}
+}
--- a/egress/local.go
+++ b/egress/local.go
@@ -199,7 +199,7 @@
 
 // release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
 func (l *local) release(service time.Duration, r result, trial, lastResort bool) {
-	l.judge(r, trial, lastResort)
+	l.judge(r, service, trial, lastResort)
 	if !r.worked {
 		service = 0
 	}
@@ -214,14 +214,20 @@
 	}
 }
 
-// judge tells the breaker how a run went. A refusal, and work that its caller broke off, say nothing.
-func (l *local) judge(r result, trial, lastResort bool) {
+// overdueTimes is how many usual service times work must have had no answer for to speak against the endpoint: work of
+// three times the mean is one in a hundred.
+const overdueTimes = 3
+
+// judge tells the breaker how a run went. A refusal, and work that its caller broke off soon, say nothing.
+func (l *local) judge(r result, service time.Duration, trial, lastResort bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	how := breaker.OK
 	switch {
 	case r.broken:
 		how = breaker.Broken
+	case r.silent && service >= overdueTimes*l.queue.Typical():
+		how = breaker.Overdue
 	case !r.worked:
 		l.breaker.Release(trial)
 		return
--- a/egress/run.go
+++ b/egress/run.go
@@ -27,6 +27,8 @@
 	failed bool
 	// broken is set when its answer broke off, could not be read or never came.
 	broken bool
+	// silent is set when no answer had begun when the time ran out or the caller left.
+	silent bool
 	// leaving is set when the endpoint's answer said that it is leaving.
 	leaving bool
 	// cause is why there was no whole answer, nil if there was one.
@@ -125,7 +127,8 @@
 		return result{end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true, cause: err}
 	}
 	return result{
-		end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut, cause: err,
+		end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut,
+		silent: code == fault.DeadlineExceeded || code == fault.Canceled, cause: err,
 	}
 }
 
