--- /dev/null
+++ b/cmd/lynxplank-soak/main.go
@@ -0,0 +1,78 @@
+// Command lynxplank-soak runs the programs under overlapping faults drawn from seeds and checks what callers, endpoints and
+// operators see.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/soak"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder of the programs")
+	seed := flag.Uint64("seed", uint64(time.Now().Unix()), "first seed; the next runs take the ones after it") //nolint:gosec // a time
+	seeds := flag.Int("seeds", 1, "how many runs")
+	members := flag.Int("members", 5, "nodes, each with an endpoint")
+	halls := flag.Int("halls", 2, "halls")
+	length := flag.Duration("length", 15*time.Second, "how long faults begin in each run")
+	rate := flag.Int("rate", 150, "requests a second")
+	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
+	flag.Parse()
+	broken := 0
+	for i := range *seeds {
+		cfg := soak.Config{
+			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
+		}
+		if !one(cfg, *keep, os.Stdout) {
+			broken++
+		}
+	}
+	fmt.Printf("%d runs, %d with a broken promise\n", *seeds, broken)
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+// one does one run, tells what it showed, and returns whether every promise was kept.
+func one(cfg soak.Config, keep string, out io.Writer) bool {
+	dir, err := folder(keep, cfg.Seed)
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return false
+	}
+	if keep == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	cfg.Dir = dir
+	report, err := soak.Run(cfg)
+	if err != nil {
+		fmt.Fprintf(out, "seed %d: the run could not be done: %v\n", cfg.Seed, err)
+		return false
+	}
+	fmt.Fprintf(out, "seed %d: %d actions, %d drains and %d rows checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes)
+	demo.Print(out, demo.Check(report.Results, report.Records))
+	for _, line := range report.Broken {
+		fmt.Fprintln(out, "BROKEN", line)
+	}
+	if len(report.Broken) > 0 {
+		for _, a := range report.Plan {
+			fmt.Fprintln(out, a)
+		}
+	}
+	return len(report.Broken) == 0
+}
+
+func folder(keep string, seed uint64) (string, error) {
+	if keep == "" {
+		return os.MkdirTemp("", "lynxplank-soak-")
+	}
+	dir := filepath.Join(keep, strconv.FormatUint(seed, 10))
+	return dir, os.MkdirAll(dir, 0o750)
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -42,6 +42,9 @@
 	// PeerAddress, if set, gives the address that a member's node advertises to its peers.
 	PeerAddress func(m *Member) string
 
+	// StoreAddress, if set, gives the address at which a member's node finds the platform.
+	StoreAddress func(m *Member) string
+
 	// Bare fleets have no endpoint processes, only their rows.
 	Bare bool
 
@@ -173,12 +176,16 @@
 	if f.PeerAddress != nil {
 		advertise = f.PeerAddress(m)
 	}
+	platform := f.platform
+	if f.StoreAddress != nil {
+		platform = f.StoreAddress(m)
+	}
 	text := fmt.Sprintf(`node: {id: %s, hall: %s}
 callers: {listen: %q}
 peers: {listen: %q, advertise: %q, seeds: [%q, %q], idle_close: 3s, gone_after: 3s}
 operators: {listen: %q, token: %s}
 platform: {address: %q}
-%s`, m.Host, m.Hall, m.Callers, m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, f.platform, f.extra)
+%s`, m.Host, m.Hall, m.Callers, m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, platform, f.extra)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fault.Wrap(err, fault.Unavailable, path, "cannot be written")
 	}
@@ -280,6 +287,16 @@
 	return p.end(sig)
 }
 
+// Reload has a member's node look at its settings file.
+func (m *Member) Reload() error { return m.node.cmd.Process.Signal(syscall.SIGHUP) }
+
+// Row returns a row as it is in force at a member's node.
+func (m *Member) Row(kind, key string) (operator.Row, error) {
+	var row operator.Row
+	err := get(m.Operators+operator.PathRow+"?kind="+kind+"&key="+key, &row)
+	return row, err
+}
+
 // Pause freezes a member's node, or lets it go on.
 func (m *Member) Pause(on bool) error {
 	sig := syscall.SIGCONT
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -67,7 +67,7 @@
 	for _, path := range files {
 		t.Run(filepath.Base(path), func(t *testing.T) {
 			t.Parallel()
-			s := &scenario{proxies: make(map[string]*proxy), marks: make(map[string]int)}
+			s := &scenario{proxies: make(map[string]*Proxy), marks: make(map[string]int)}
 			datadriven.RunTest(t, path, s.run)
 		})
 	}
@@ -76,7 +76,7 @@
 type scenario struct {
 	fleet   *Fleet
 	how     backend.Behaviour
-	proxies map[string]*proxy
+	proxies map[string]*Proxy
 	loads   []*Load
 	sent    int
 	held    sync.WaitGroup
@@ -125,9 +125,12 @@
 	must(t, d, err)
 	t.Cleanup(f.Close)
 	for _, m := range f.Members {
-		s.proxies[m.Host] = newProxy(t, m.Peers)
+		p, err := NewProxy(m.Peers)
+		must(t, d, err)
+		t.Cleanup(p.Close)
+		s.proxies[m.Host] = p
 	}
-	f.PeerAddress = func(m *Member) string { return s.proxies[m.Host].listener.Addr().String() }
+	f.PeerAddress = func(m *Member) string { return s.proxies[m.Host].Address() }
 	s.fleet = f
 	s.how = backend.Behaviour{WorkMillis: float64(number(t, d, "work", 4))}
 	cells := "floor: 50%, false_ejections: 1"
@@ -303,13 +306,14 @@
 
 func (s *scenario) link(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	s.proxies[s.member(t, d).Host].hold(word(t, d, "way", "to"), d.Cmd == "cut")
+	way := map[string]Direction{"to": To, "from": From}[word(t, d, "way", "to")]
+	s.proxies[s.member(t, d).Host].Hold(way, d.Cmd == "cut")
 	return ""
 }
 
 func (s *scenario) slow(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	s.proxies[s.member(t, d).Host].slow(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
+	s.proxies[s.member(t, d).Host].Slow(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
 	return ""
 }
 
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+const (
+	// settleLimit is how long after all is healed everything must be as before; ejections last 5 minutes at most but these
+	// are first ones, of 5 to 20 s.
+	settleLimit = 60 * time.Second
+	settleLook  = 100 * time.Millisecond
+	// settleSends is how many lookups each node must have served in a row.
+	settleSends = 4
+)
+
+// settle waits until every node serves again by the same table.
+func (r *run) settle() {
+	r.must("nodes after the run", r.fleet.WaitReady())
+	if !waitFor(func() bool { return r.sameRevision() }) {
+		r.breaks("revision: the nodes do not come to the same one")
+	}
+	if !waitFor(r.servesAgain) {
+		r.breaks("recovery: lookups are not served %v after everything healed", settleLimit)
+	}
+}
+
+func waitFor(good func() bool) bool {
+	for end := time.Now().Add(settleLimit); time.Now().Before(end); time.Sleep(settleLook) {
+		if good() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) sameRevision() bool {
+	first := uint64(0)
+	for i, m := range r.fleet.Members {
+		s, err := m.Status()
+		if err != nil || s.Revision == 0 || i > 0 && s.Revision != first {
+			return false
+		}
+		first = s.Revision
+	}
+	return true
+}
+
+func (r *run) servesAgain() bool {
+	for _, m := range r.fleet.Members {
+		for _, result := range demo.NewLoad([]string{m.Callers}).Send(demo.Lookup, 0, settleSends) {
+			if result.Told != "ran" || result.Status != 200 || result.Sends > 1 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// judge holds what callers were told against what endpoints ran, and what operators were told against what is in force.
+func (r *run) judge() error {
+	for _, m := range r.fleet.Members {
+		runs, err := m.Runs()
+		if err != nil {
+			return err
+		}
+		r.report.Records = append(r.report.Records, runs)
+	}
+	r.judgeRequests()
+	return r.judgeRows()
+}
+
+func (r *run) judgeRequests() {
+	for kind, t := range demo.Check(r.report.Results, r.report.Records) {
+		if t.Doubled > 0 || t.Cut > 0 || t.FalseNotRun > 0 {
+			r.breaks("requests of kind %d: doubled %d, cut %d, falsely told not run %d", kind, t.Doubled, t.Cut, t.FalseNotRun)
+		}
+	}
+	for _, result := range r.report.Results {
+		if doubled(result, r.report.Records) {
+			r.breaks("request %s ran more than once", result.Call)
+		}
+	}
+}
+
+func doubled(result demo.Result, records []map[string]backend.Run) bool {
+	started := 0
+	for _, record := range records {
+		started += record[result.Call].Started
+	}
+	return started > 1 && result.Kind != demo.Lookup
+}
+
+func (r *run) judgeRows() error {
+	for key, want := range r.weights {
+		if r.unknown[key] {
+			continue
+		}
+		r.report.Changes++
+		for _, m := range r.fleet.Members {
+			row, err := m.Row("endpoint", key)
+			if err != nil {
+				return err
+			}
+			if got := row.Cells["weight"]; got != want {
+				r.breaks("change: node %s holds weight %s of %s, accepted was %s", m.Host, got, key, want)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/store"
+)
+
+// Config is one run.
+type Config struct {
+	// Bin holds the programs, Dir takes the logs and settings of the run.
+	Bin, Dir string
+	// Seed draws the plan.
+	Seed uint64
+	// Members and Halls are the size of the fleet.
+	Members, Halls int
+	// Length is how long actions begin.
+	Length time.Duration
+	// Rate is how many requests the callers send a second.
+	Rate int
+}
+
+// Report is what a run showed.
+type Report struct {
+	// Plan is what was done.
+	Plan []Action
+	// Results are what the callers were told.
+	Results []demo.Result
+	// Records are what the endpoints have run.
+	Records []map[string]backend.Run
+	// Drains counts the drains that could be checked, Changes the rows whose value in force was.
+	Drains, Changes int
+	// Broken says which promises were broken; empty when all were kept.
+	Broken []string
+}
+
+const (
+	serviceName  = "booking-desk"
+	serviceCells = "floor: 50%, false_ejections: 1"
+	// grace is longer than any request's deadline, with the queue before it.
+	nodeSettings = "stop: {grace: 20s}\n"
+)
+
+// run is a run under way.
+type run struct {
+	cfg    Config
+	plan   []Action
+	fleet  *demo.Fleet
+	links  []*demo.Proxy
+	stores []*demo.Proxy
+	start  time.Time
+	// procs, ends and rows keep the actions on one process, one endpoint and one row apart, platform those on the store.
+	procs, ends, rows []sync.Mutex
+	platform          sync.Mutex
+	watch             *watch
+
+	mu     sync.Mutex
+	report Report
+	// weights are the values that were accepted last, unknown those whose fate is not known.
+	weights map[string]string
+	unknown map[string]bool
+}
+
+// Run does one run; it fails only when the run itself could not be done.
+func Run(cfg Config) (Report, error) {
+	fleet, err := demo.NewFleet(cfg.Bin, cfg.Dir, cfg.Members, cfg.Halls, nodeSettings)
+	if err != nil {
+		return Report{}, err
+	}
+	defer fleet.Close()
+	r := &run{
+		cfg: cfg, plan: Plan(cfg.Seed, cfg.Members, cfg.Length), fleet: fleet,
+		procs: make([]sync.Mutex, cfg.Members), ends: make([]sync.Mutex, cfg.Members), rows: make([]sync.Mutex, cfg.Members),
+		weights: make(map[string]string), unknown: make(map[string]bool),
+	}
+	r.report.Plan = r.plan
+	if err := r.proxy(); err != nil {
+		return Report{}, err
+	}
+	defer r.closeProxies()
+	if err := fleet.Start(serviceName, backend.Behaviour{WorkMillis: normalWork}, serviceCells); err != nil {
+		return Report{}, err
+	}
+	r.watch = newWatch(fleet, r.breaks)
+	r.disturb()
+	r.settle()
+	err = r.judge()
+	return r.report, err
+}
+
+// proxy puts a proxy before each node's peers and before the store for each node.
+func (r *run) proxy() error {
+	for _, m := range r.fleet.Members {
+		link, err := demo.NewProxy(m.Peers)
+		if err != nil {
+			return err
+		}
+		r.links = append(r.links, link)
+		toStore, err := demo.NewProxy(r.fleet.PlatformAddress())
+		if err != nil {
+			return err
+		}
+		r.stores = append(r.stores, toStore)
+	}
+	r.fleet.PeerAddress = func(m *demo.Member) string { return r.links[r.index(m)].Address() }
+	r.fleet.StoreAddress = func(m *demo.Member) string { return r.stores[r.index(m)].Address() }
+	return nil
+}
+
+func (r *run) closeProxies() {
+	for i := range r.links {
+		r.links[i].Close()
+		r.stores[i].Close()
+	}
+}
+
+func (r *run) index(m *demo.Member) int {
+	for i, other := range r.fleet.Members {
+		if other == m {
+			return i
+		}
+	}
+	return 0
+}
+
+// disturb lets the plan run its course while callers send, and ends with everything healed.
+func (r *run) disturb() {
+	targets := make([]string, 0, len(r.fleet.Members))
+	for _, m := range r.fleet.Members {
+		targets = append(targets, m.Callers)
+	}
+	load := demo.NewLoad(targets)
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers, actions sync.WaitGroup
+	r.start = time.Now()
+	callers.Go(func() { load.Run(ctx, r.cfg.Rate) })
+	r.watch.begin()
+	for _, a := range r.plan {
+		actions.Go(func() {
+			time.Sleep(time.Until(r.start.Add(a.At)))
+			r.do(a)
+		})
+	}
+	actions.Wait()
+	r.heal()
+	cancel()
+	callers.Wait()
+	r.watch.end()
+	r.report.Results = load.Results()
+}
+
+func (r *run) heal() {
+	for i, m := range r.fleet.Members {
+		for _, p := range []*demo.Proxy{r.links[i], r.stores[i]} {
+			p.Hold(demo.To, false)
+			p.Hold(demo.From, false)
+			p.Slow(0)
+		}
+		r.must("endpoint", m.Behave(backend.Behaviour{WorkMillis: normalWork}))
+	}
+	r.must("store", r.fleet.SetFaults(store.Faults{}))
+}
+
+// breaks notes a broken promise.
+func (r *run) breaks(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Broken = append(r.report.Broken, fmt.Sprintf(format, args...))
+}
+
+// must notes that something failed which must not.
+func (r *run) must(what string, err error) {
+	if err != nil {
+		r.breaks("%s: %v", what, err)
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+var binaries string
+
+// TestMain builds the programs once, with the race detector, to run as processes.
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "lynxplank-bin-")
+		if err != nil {
+			fmt.Println(err)
+			return 1
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		build := exec.Command("go", "build", "-race", "-o", dir, "../cmd/lynxplankd", "../cmd/lynxplankctl", "../cmd/lynxplank-standin")
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Println(string(out))
+			return 1
+		}
+		binaries = dir
+		return m.Run()
+	}())
+}
+
+// TestSeeds does a short run for each line of testdata/seeds; whatever its speed, every promise must be kept.
+func TestSeeds(t *testing.T) {
+	file, err := os.Open("testdata/seeds")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		text, _, _ := strings.Cut(lines.Text(), "#")
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		var seed uint64
+		var members, seconds int
+		if _, err := fmt.Sscan(text, &seed, &members, &seconds); err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			report, err := Run(Config{
+				Bin: binaries, Dir: t.TempDir(), Seed: seed, Members: members, Halls: 2,
+				Length: time.Duration(seconds) * time.Second, Rate: 60,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(report.Broken) > 0 {
+				t.Errorf("broken promises: got %q, want none", report.Broken)
+			}
+			if got := len(report.Results); got == 0 {
+				t.Error("requests: got none, want some")
+			}
+		})
+	}
+}
+
+// TestPlanRepeats checks that a seed draws the same plan each time, another seed another one, and that every kind comes.
+func TestPlanRepeats(t *testing.T) {
+	line := func(seed uint64) string { return fmt.Sprint(Plan(seed, 5, time.Minute)) }
+	first := line(1)
+	if got, want := line(1), first; got != want {
+		t.Errorf("the same seed again: got %s, want %s", got, want)
+	}
+	if first == line(2) {
+		t.Error("two seeds: got the same plan, want two")
+	}
+	plan := Plan(1, 5, 10*time.Minute)
+	for _, k := range kinds {
+		if !slices.ContainsFunc(plan, func(a Action) bool { return a.Kind == k.kind }) {
+			t.Errorf("kind %s: got none in a long plan, want some", k.kind)
+		}
+	}
+}
+
+// TestJudgeFindsDoubled checks that the verdict can fail.
+func TestJudgeFindsDoubled(t *testing.T) {
+	r := &run{}
+	r.report.Results = []demo.Result{{Call: "payment-1", Kind: demo.Payment, Told: "ran", Status: 200, Whole: true, Own: true}}
+	r.report.Records = append(r.report.Records, record("payment-1"), record("payment-1"))
+	r.judgeRequests()
+	if len(r.report.Broken) == 0 {
+		t.Error("a payment that two endpoints ran: got no broken promise, want one")
+	}
+}
+
+func record(call string) map[string]backend.Run {
+	return map[string]backend.Run{call: {Started: 1, Finished: 1}}
+}
