--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -110,7 +110,7 @@
 	start := time.Now()
 	snap := g.snapshot()
 	if !snap.Ready {
-		g.refuse(w, "", peer.NotRun(fault.NotReady, time.Second), "the node holds no configuration yet")
+		g.refuseEarly(w, r, "", peer.NotRun(fault.NotReady, time.Second), "the node holds no configuration yet")
 		return
 	}
 	c, bad := g.parse(snap, r)
@@ -120,7 +120,7 @@
 	if bad != nil {
 		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", string(bad.Code)).
 			Str("where", bad.Where).Uint64("config", snap.State.Revisions()[table.PlaneConfig]).Send()
-		g.refuse(w, c.id, peer.NotRun(bad.Code, 0), bad.Detail)
+		g.refuseEarly(w, r, c.id, peer.NotRun(bad.Code, 0), bad.Detail)
 		return
 	}
 	class := g.metrics.Service(c.service.Key)
@@ -154,20 +154,22 @@
 	return again, nil
 }
 
-func (g *Ingress) refuse(w http.ResponseWriter, id string, end *peerpb.End, detail string) {
+// refuseEarly answers a request for which no endpoint and no key's home was asked.
+func (g *Ingress) refuseEarly(w http.ResponseWriter, r *http.Request, id string, end *peerpb.End, detail string) {
+	end.Outcome = refusedOutcome(g.cfg.Contract, r.Header)
 	refuse(w, g.cfg.Contract, id, end, detail)
 }
 
 func (g *Ingress) serve(w http.ResponseWriter, r *http.Request, c call) *peerpb.End {
 	if wait, ok := g.limits.take(g.snapshot().State, c.customer); !ok {
 		end := peer.NotRun(fault.CustomerLimit, wait)
-		g.refuse(w, c.id, end, "the customer sends more than its limit")
+		g.refuseEarly(w, r, c.id, end, "the customer sends more than its limit")
 		return end
 	}
 	body, err := takeBody(r)
 	if err != nil {
 		end := peer.NotRun(err.Code, 0)
-		g.refuse(w, c.id, end, err.Detail)
+		g.refuseEarly(w, r, c.id, end, err.Detail)
 		return end
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -46,22 +46,36 @@
 	return http.StatusBadGateway
 }
 
-// RefuseUnread answers a request that could not be read; the callers' listener calls it.
-func RefuseUnread(say contract.Contract) func(w http.ResponseWriter, status int, err *fault.Error) {
-	return func(w http.ResponseWriter, status int, err *fault.Error) {
+// RefuseUnread answers a request that the callers' listener does not take; its header is nil where it could not be read.
+func RefuseUnread(say contract.Contract) func(w http.ResponseWriter, h http.Header, status int, err *fault.Error) {
+	return func(w http.ResponseWriter, in http.Header, status int, err *fault.Error) {
 		h := w.Header()
 		h.Set("Content-Type", "application/json")
-		o := contract.Outcome{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN}
+		o := contract.Outcome{Outcome: refusedOutcome(say, in)}
 		if status == http.StatusServiceUnavailable {
 			// Another node takes it at once.
 			o.RetryAfter = elsewhereRetryAfter
 		}
 		say.Outcome(h, o)
 		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(Problem{Code: err.Code, Outcome: "not-run", Detail: err.Detail})
+		_ = json.NewEncoder(w).Encode(Problem{Code: err.Code, Outcome: contract.OutcomeName(o.Outcome), Detail: err.Detail})
 	}
 }
 
+// refusedOutcome is what is known of a request that was refused before its key's homes were asked.
+//
+// Invariant: a request that may be a re-send is not told as not run on the word of a node that knows nothing of its key.
+func refusedOutcome(say contract.Contract, h http.Header) peerpb.Outcome {
+	if h == nil {
+		return peerpb.Outcome_OUTCOME_NOT_RUN
+	}
+	call, _ := say.Call(h)
+	if call.Key != "" && call.Attempt != 1 {
+		return peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return peerpb.Outcome_OUTCOME_NOT_RUN
+}
+
 // refuse gives the system's own final answer, at once.
 func refuse(w http.ResponseWriter, say contract.Contract, id string, end *peerpb.End, detail string) {
 	p := Problem{
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -71,11 +71,11 @@
 	}
 	req, status, bad := c.readRequest(limits)
 	if bad != nil {
-		c.refuse(status, bad)
+		c.refuse(nil, status, bad)
 		return false
 	}
 	if c.s.refusing.Load() {
-		c.refuse(http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping"))
+		c.refuse(req.Header, http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping"))
 		return false
 	}
 	return c.take(req)
@@ -123,8 +123,9 @@
 	return len(c.ahead) > 0
 }
 
-// refuse answers what could not be read, after the answers before it, and closes the connection.
-func (c *conn) refuse(status int, bad *fault.Error) {
+// refuse answers what could not be read or is not taken, after the answers before it, and closes the connection; h is the
+// request's header, nil where it could not be read.
+func (c *conn) refuse(h http.Header, status int, bad *fault.Error) {
 	if status == 0 {
 		c.end(errGone)
 		return
@@ -136,7 +137,7 @@
 	if !c.queue(x) || !x.await() {
 		return
 	}
-	c.s.onError(x, status, bad)
+	c.s.onError(x, h, status, bad)
 	x.finish()
 }
 
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -74,7 +74,7 @@
 	limits := func() Limits {
 		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
 	}
-	f.server = New("test", "127.0.0.1:0", limits, f, func(w http.ResponseWriter, status int, err *fault.Error) {
+	f.server = New("test", "127.0.0.1:0", limits, f, func(w http.ResponseWriter, _ http.Header, status int, err *fault.Error) {
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, string(err.Code))
 	})
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -27,8 +27,9 @@
 	IdleTimeout time.Duration
 }
 
-// ErrorHandler answers a request that could not be read; status is what HTTP calls the failure.
-type ErrorHandler func(w http.ResponseWriter, status int, err *fault.Error)
+// ErrorHandler answers a request that could not be read or is not taken; h is its header, nil where it could not be read,
+// status is what HTTP calls the failure.
+type ErrorHandler func(w http.ResponseWriter, h http.Header, status int, err *fault.Error)
 
 // Server is the callers' listener; it is a kernel component.
 type Server struct {
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -57,8 +57,8 @@
 
 // restart ends a node and starts it again. A node that does not listen yet takes no signal, so that is waited for.
 func (r *run) restart(a Action, m *demo.Member, end func() error) {
-	r.watch.dies(a.On)
 	r.must(string(a.Kind), end())
+	r.watch.ended(a.On)
 	time.Sleep(a.For)
 	r.must("start", r.fleet.StartNode(m))
 	if !waitFor(func() bool { _, err := m.Status(); return err == nil }) {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -79,18 +79,21 @@
 		}
 	}
 	for _, result := range r.report.Results {
-		if doubled(result, r.report.Records) {
-			r.breaks("request %s ran more than once", result.Call)
+		started := begun(result.Call, r.report.Records)
+		if result.Kind == demo.Lookup || started == 0 || started == 1 && result.Told != "not-run" {
+			continue
 		}
+		r.breaks("request %s: begun %d times, told %s %s at send %d", result.Call, started, result.Told, result.Code, result.Sends)
 	}
 }
 
-func doubled(result demo.Result, records []map[string]backend.Run) bool {
+// begun counts how often endpoints began a request.
+func begun(call string, records []map[string]backend.Run) int {
 	started := 0
 	for _, record := range records {
-		started += record[result.Call].Started
+		started += record[call].Started
 	}
-	return started > 1 && result.Kind != demo.Lookup
+	return started
 }
 
 func (r *run) judgeRows() error {
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -26,8 +26,8 @@
 	return &watch{fleet: fleet, breaks: breaks, lives: make([]int, len(fleet.Members))}
 }
 
-// dies notes that a node's life ends.
-func (w *watch) dies(on int) {
+// ended notes that a node's process is gone.
+func (w *watch) ended(on int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives[on]++
