--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test lint generate bench bench-scale mutants
+.PHONY: build demo test lint generate bench bench-scale mutants soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -11,6 +11,11 @@
 test:
 	$(GO) test -race -count=1 ./...
 
+# make soak SEEDS=50 SEED=1: fresh seeds without SEED.
+SEEDS ?= 10
+soak: build
+	bin/lynxplank-soak -bin bin -seeds $(SEEDS) $(if $(SEED),-seed $(SEED))
+
 mutants:
 	proofs/run
 
