--- a/egress/egress.go
+++ b/egress/egress.go
@@ -253,6 +253,7 @@
 	e.noteLeaving(l, result.leaving)
 	result.end.Load = l.load(service, e.cfg.Incarnation)
 	if kept {
+		result.end.Revision = e.state().Revision()
 		e.records.finish(d.GetExchange(), recording, result.end)
 	}
 	return result.end
--- a/egress/kept.go
+++ b/egress/kept.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
@@ -102,7 +104,7 @@
 	}
 }
 
-// finish keeps the answer.
+// finish keeps the answer, with an end of its own: whoever returns the other one may still change it.
 func (k *records) finish(id uint64, s *recordingSink, end *peerpb.End) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -110,7 +112,8 @@
 	if r == nil || r.end != nil {
 		return
 	}
-	r.head, r.body, r.end, r.tooBig = s.head, s.body, end, s.tooBig
+	own, _ := proto.Clone(end).(*peerpb.End)
+	r.head, r.body, r.end, r.tooBig = s.head, s.body, own, s.tooBig
 	k.bytes += len(r.body)
 	close(r.done)
 }
--- a/egress/records_test.go
+++ b/egress/records_test.go
@@ -106,3 +106,20 @@
 		}
 	}
 }
+
+// TestKeptEndIsItsOwn checks that an end which is changed after it was kept does not change under whoever fetches it.
+func TestKeptEndIsItsOwn(t *testing.T) {
+	k := newRecords()
+	now := time.Now()
+	k.begin(now, 1, now.Add(time.Minute))
+	if got, want := k.hand(1), true; got != want {
+		t.Fatalf("hand-over: got %v, want %v", got, want)
+	}
+	end := &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN}
+	k.finish(1, &recordingSink{Sink: discard{}}, end)
+	end.Revision = 7
+	r, _ := k.fetch(1)
+	if got, want := r.end.GetRevision(), uint64(0); got != want {
+		t.Errorf("revision of the kept end: got %d, want %d", got, want)
+	}
+}
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
@@ -30,7 +31,40 @@
 	body    []byte
 	head    *peerpb.Head
 	kept    []byte
-	onLate  func()
+	late    lateWatch
+}
+
+// lateWatch notes whether the send under way is overdue. The word comes from a timer or from a link, at any moment, and
+// counts for the send that is under way then.
+type lateWatch struct {
+	mu   sync.Mutex
+	tell func()
+	late bool
+}
+
+// begin starts a send, of which tell is called when it is overdue.
+func (w *lateWatch) begin(tell func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tell, w.late = tell, false
+}
+
+// end ends a send and returns whether it was overdue; what is told later is dropped.
+func (w *lateWatch) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tell = nil
+	return w.late
+}
+
+func (w *lateWatch) note() {
+	w.mu.Lock()
+	tell := w.tell
+	w.late = w.late || tell != nil
+	w.mu.Unlock()
+	if tell != nil {
+		tell()
+	}
 }
 
 func newAnswer(w http.ResponseWriter, c call, say contract.Contract, replayable bool) *answer {
@@ -45,9 +79,7 @@
 
 // Late implements peer.Sink.
 func (a *answer) Late() {
-	if a.onLate != nil {
-		a.onLate()
-	}
+	a.late.note()
 }
 
 // Head implements peer.Sink.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -122,16 +122,13 @@
 
 // send makes one send and reports what it showed of the endpoint.
 func (x *exchange) send(ctx context.Context, pick director.Pick, claim *peerpb.Claim, wait bool) *peerpb.End {
-	late := false
-	x.answer.onLate = func() {
-		late = true
-		x.g.director.Late(x.call.service.Key, pick)
-	}
+	x.answer.late.begin(func() { x.g.director.Late(x.call.service.Key, pick) })
 	d := x.dispatch(ctx, pick, claim)
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0 && x.budget.left()
 	asked := time.Since(x.start)
 	end := x.deliver(ctx, pick.Endpoint, d)
+	late := x.answer.late.end()
 	x.note(end)
 	x.count(end)
 	x.trail.add(step{endpoint: pick.Endpoint.Key, at: asked, seenMillis: pick.SeenMillis, end: end})
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"os"
+	"strings"
 	"time"
 
 	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/standin/backend"
 )
 
@@ -69,9 +72,31 @@
 		r.report.Records = append(r.report.Records, runs)
 	}
 	r.judgeRequests()
+	if err := r.judgeLogs(); err != nil {
+		return err
+	}
 	return r.judgeRows()
 }
 
+// faultWords are what the runtime writes of a fault of the program; programs built with the race detector tell of races.
+var faultWords = []string{"DATA RACE", "panic:", "fatal error:"}
+
+// judgeLogs looks for faults of the program in what the nodes wrote.
+func (r *run) judgeLogs() error {
+	for _, m := range r.fleet.Members {
+		text, err := os.ReadFile(r.fleet.LogFile(m))
+		if err != nil {
+			return fault.Wrap(err, fault.Unavailable, m.Host, "log cannot be read")
+		}
+		for _, word := range faultWords {
+			if strings.Contains(string(text), word) {
+				r.breaks("program: node %s wrote %q", m.Host, word)
+			}
+		}
+	}
+	return nil
+}
+
 func (r *run) judgeRequests() {
 	for kind, t := range demo.Check(r.report.Results, r.report.Records) {
 		if t.Doubled > 0 || t.Cut > 0 || t.FalseNotRun > 0 {
