--- a/soak/plan.go
+++ b/soak/plan.go
@@ -81,7 +81,9 @@
 	// calmBefore is the time before the first action.
 	calmBefore = 500 * time.Millisecond
 	mostDelay  = 300 * time.Millisecond
-	normalWork = 4
+	// normalWork is an endpoint's service time in milliseconds: long enough that several requests are under way whenever
+	// something strikes, short enough that the slots carry the rate.
+	normalWork = 40
 )
 
 // Plan draws the actions of a run: the same seed draws the same.
