--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"sync"
 
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
@@ -20,51 +19,23 @@
 //
 // Invariant: bytes of at most one exchange reach the caller.
 type answer struct {
-	w       http.ResponseWriter
-	call    call
-	say     contract.Contract
+	w    http.ResponseWriter
+	call call
+	// say is how callers are spoken to.
+	say contract.Contract
+	// mayHold is set when a failed answer may give way to another endpoint's, keep when the key's home wants the answer.
 	mayHold bool
 	keep    bool
+	// started is set once the head has gone to the caller, chunked when that states no length.
 	started bool
 	chunked bool
-	held    *peerpb.Head
-	body    []byte
-	head    *peerpb.Head
-	kept    []byte
-	late    lateWatch
-}
-
-// lateWatch notes whether the send under way is overdue. The word comes from a timer or from a link, at any moment, and
-// counts for the send that is under way then.
-type lateWatch struct {
-	mu   sync.Mutex
-	tell func()
-	late bool
-}
-
-// begin starts a send, of which tell is called when it is overdue.
-func (w *lateWatch) begin(tell func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.tell, w.late = tell, false
-}
-
-// end ends a send and returns whether it was overdue; what is told later is dropped.
-func (w *lateWatch) end() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.tell = nil
-	return w.late
-}
-
-func (w *lateWatch) note() {
-	w.mu.Lock()
-	tell := w.tell
-	w.late = w.late || tell != nil
-	w.mu.Unlock()
-	if tell != nil {
-		tell()
-	}
+	// held is the head, and body the bytes, that have not gone to the caller yet; nil for none.
+	held *peerpb.Head
+	body []byte
+	// head is the latest endpoint's head, kept as much of its body as is recorded for the key's home.
+	head *peerpb.Head
+	kept []byte
+	late lateWatch
 }
 
 func newAnswer(w http.ResponseWriter, c call, say contract.Contract, replayable bool) *answer {
@@ -104,6 +75,7 @@
 	return false
 }
 
+// start passes the head on.
 func (a *answer) start(h *peerpb.Head) {
 	a.started = true
 	out := a.w.Header()
--- /dev/null
+++ b/ingress/deliver.go
@@ -0,0 +1,42 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
+func (x *exchange) deliver(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch) *peerpb.End {
+	if e.Value.Host == x.g.cfg.Host {
+		return x.g.local.Serve(ctx, d, x.body.reader(), x.answer)
+	}
+	host, ok := x.g.snapshot().ByID[e.Value.Host]
+	if !ok {
+		return peer.NotRun(fault.LinkDown, 0)
+	}
+	s, err := x.session(ctx, host.Address)
+	if err != nil {
+		return peer.NotRun(fault.LinkDown, 0)
+	}
+	end := s.Exchange(ctx, d, x.body.reader(), x.answer)
+	if lost(end) && d.GetExchange() != 0 && !x.call.repeatable {
+		return x.recover(ctx, host, d.GetExchange(), end)
+	}
+	return end
+}
+
+// linkLimit is how long a request waits for a link that is not up: a few round trips between regions. The link is opened
+// all the same; a host without power would hold the request for the whole time of a connection.
+const linkLimit = 100 * time.Millisecond
+
+// session returns a link to a node, an error when none stands within linkLimit.
+func (x *exchange) session(ctx context.Context, address string) (*peer.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, linkLimit)
+	defer cancel()
+	return x.g.links.Session(ctx, address)
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
-	"github.com/lynxplank/lynxplank/table"
 )
 
 const (
@@ -28,7 +26,8 @@
 
 // exchange is one caller's request on its way through one or more sends.
 type exchange struct {
-	g      *Ingress
+	g *Ingress
+	// start is when the request came.
 	start  time.Time
 	call   call
 	body   *requestBody
@@ -36,7 +35,7 @@
 	budget *budget
 	// tried are the endpoints that have had the request or have turned it away for a reason that lasts.
 	tried []string
-	// declined are those that had no free slot, or took only trials, when they were asked.
+	// declined are those of this round that had no free slot, or took only trials, when they were asked.
 	declined []string
 	// suspects are those of the declined that took only trials; lastResort is set once nothing else is left.
 	suspects   []string
@@ -47,16 +46,19 @@
 	lasts int
 	// suspectSince is when all endpoints were first found to take only trials.
 	suspectSince time.Time
-	offers       int
-	waits        int
-	sends        int
+	// offers counts the endpoints that were asked for a free slot, waits those at whose queues the request waited.
+	offers int
+	waits  int
+	// sends counts the answers, refusals by full queues among them, that the retry policy had to judge.
+	sends int
 	// trail is who was asked and what came of it, for the log.
 	trail trail
-	// ran and unknown are set once a send may have run or did.
+	// ran is set once a send ran, unknown once one may have run.
 	ran     bool
 	unknown bool
 }
 
+// run brings the request to an answer and returns how it ended; what the caller is told is up to answer.finish.
 func (x *exchange) run(ctx context.Context) *peerpb.End {
 	if x.call.keyed() {
 		return x.runKeyed(ctx)
@@ -114,6 +116,7 @@
 	return pick, true, err
 }
 
+// wish is what any endpoint for the request must meet.
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
 		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried,
@@ -148,11 +151,13 @@
 	}
 }
 
+// note keeps what an end says of whether the request ran, for truth.
 func (x *exchange) note(end *peerpb.End) {
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.unknown = x.unknown || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
 }
 
+// dispatch is the request as an endpoint's node is asked for it; a claim stands in it for keyed requests only.
 func (x *exchange) dispatch(ctx context.Context, pick director.Pick, claim *peerpb.Claim) *peerpb.Dispatch {
 	deadline, _ := ctx.Deadline()
 	d := &peerpb.Dispatch{
@@ -174,174 +179,33 @@
 	return d
 }
 
-// aimLeft is what is left of the time in which the answer is worth its full value, at least a moment if the route has one.
+// aim is the time from the request's arrival in which its answer is worth its full value, 0 if the route has none.
+func (x *exchange) aim() time.Duration { return time.Duration(x.call.route.Value.Aim) }
+
+// aimLeft is what is left of the aim, at least a moment if the route has one.
 func (x *exchange) aimLeft() time.Duration {
-	aim := time.Duration(x.call.route.Value.Aim)
+	aim := x.aim()
 	if aim == 0 {
 		return 0
 	}
 	return max(aim-time.Since(x.start), time.Microsecond)
 }
 
-// overdue tells whether the time in which an answer has its full worth is over.
+// overdue tells whether the aim is over.
 func (x *exchange) overdue() bool {
-	aim := time.Duration(x.call.route.Value.Aim)
+	aim := x.aim()
 	return aim > 0 && time.Since(x.start) > aim
 }
 
-const (
-	// staleWait is how long a request waits for the configuration by which an endpoint's node has refused it: about what
-	// a change takes from node to node.
-	staleWait = 300 * time.Millisecond
-	staleLook = 5 * time.Millisecond
-)
-
-// current brings a request that was refused as going by an older configuration to the one in force here by now; false
-// when that no longer sends it to this service, or does not come.
-func (x *exchange) current(ctx context.Context, end *peerpb.End) bool {
-	if fault.Code(end.GetCode()) != fault.Stale {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, staleWait)
-	defer cancel()
-	for x.config() <= x.call.config {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(staleLook):
-		}
-	}
-	snap := x.g.snapshot()
-	row, ok := snap.State.Row(table.KindRoute, x.call.route.Key)
-	if !ok {
-		return false
-	}
-	next, err := table.Decode[table.Route](row)
-	if err != nil || !sends(next, x.call.service.Key) {
-		return false
-	}
-	x.call.config = x.config()
-	// The endpoint refused the configuration, not the request.
-	x.tried = x.tried[:len(x.tried)-1]
-	return true
-}
-
-func (x *exchange) config() uint64 { return x.g.snapshot().State.Revisions()[table.PlaneConfig] }
-
-// sends tells whether a route sends requests to a service.
-func sends(r table.Route, service string) bool {
-	if r.Service == service && len(r.Split.Parts()) == 0 {
-		return true
-	}
-	for _, p := range r.Split.Parts() {
-		if p.Service == service && p.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
-func (x *exchange) deliver(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch) *peerpb.End {
-	if e.Value.Host == x.g.cfg.Host {
-		return x.g.local.Serve(ctx, d, x.body.reader(), x.answer)
-	}
-	host, ok := x.g.snapshot().ByID[e.Value.Host]
-	if !ok {
-		return peer.NotRun(fault.LinkDown, 0)
-	}
-	s, err := x.session(ctx, host.Address)
-	if err != nil {
-		return peer.NotRun(fault.LinkDown, 0)
-	}
-	end := s.Exchange(ctx, d, x.body.reader(), x.answer)
-	if lost(end) && d.GetExchange() != 0 && !x.call.repeatable {
-		return x.recover(ctx, host, d.GetExchange(), end)
-	}
-	return end
-}
-
-// linkLimit is how long a request waits for a link that is not up: a few round trips between regions. The link is opened
-// all the same; a host without power would hold the request for the whole time of a connection.
-const linkLimit = 100 * time.Millisecond
-
-func (x *exchange) session(ctx context.Context, address string) (*peer.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, linkLimit)
-	defer cancel()
-	return x.g.links.Session(ctx, address)
-}
-
-// lost tells that a request was handed over and that its link broke.
-func lost(end *peerpb.End) bool {
-	return end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN && fault.Code(end.GetCode()) == fault.LinkLost
-}
-
-// worked tells whether an end is evidence about the endpoint. A lost link is evidence about the link, and a refusal
-// about load; what timed out counts against the endpoint, which had the request.
-func worked(end *peerpb.End) bool {
-	switch fault.Code(end.GetCode()) {
-	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.Protocol, fault.OfferLapsed:
-		return false
-	case fault.EndpointUnreachable, fault.DeadlineExceeded, fault.EndpointCut:
-		return true
-	}
-	return end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
-}
-
-func (x *exchange) failed(end *peerpb.End) bool {
-	if end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN || !end.GetComplete() {
-		return true
-	}
-	return x.answer.head.GetStatus() >= http.StatusInternalServerError
-}
-
-// declined tells that an endpoint turned the request away for want of a slot or of trust, before anything was sent.
-func declined(end *peerpb.End) bool {
-	switch fault.Code(end.GetCode()) {
-	case fault.Busy, fault.Suspect, fault.OfferLapsed:
-		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
-	}
-	return false
-}
-
-// crowded tells that an egress had no room for a request, which its endpoint has not seen.
-func crowded(end *peerpb.End) bool {
-	switch fault.Code(end.GetCode()) {
-	case fault.Overloaded, fault.DeadlineTooShort:
-		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
-	}
-	return false
-}
-
-// misplaced tells that the sender's view was old, or its link down.
-func misplaced(end *peerpb.End) bool {
-	switch fault.Code(end.GetCode()) {
-	case fault.Draining, fault.WrongHost, fault.LinkDown, fault.Stale:
-		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
-	}
-	return false
-}
-
 // again decides on a further send.
 func (x *exchange) again(ctx context.Context, pick director.Pick, end *peerpb.End) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	key := pick.Endpoint.Key
 	if declined(end) {
-		x.declined = append(x.declined, key)
-		if fault.Code(end.GetCode()) == fault.Suspect {
-			x.suspects = append(x.suspects, key)
-		}
-		if x.lastResort {
-			x.tried = append(x.tried, key)
-		} else if x.waits > 0 {
-			// Nothing was waited for: the next one may have a queue.
-			x.waits--
-		}
-		return len(x.declined) < mostDeclined
+		return x.afterDeclined(pick.Endpoint.Key, end)
 	}
-	x.tried = append(x.tried, key)
+	x.tried = append(x.tried, pick.Endpoint.Key)
 	if misplaced(end) {
 		return x.current(ctx, end)
 	}
@@ -354,14 +218,7 @@
 		return false
 	}
 	x.sends++
-	deadline, _ := ctx.Deadline()
-	a := retry.Attempt{
-		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
-		Overloaded: crowded(end) || fault.Code(end.GetCode()) == fault.EndpointShed,
-		Failed:     x.failed(end), Started: x.answer.started, Replayable: true,
-		Left: time.Until(deadline), Typical: pick.Typical,
-	}
-	if !x.budget.decide(a) {
+	if !x.budget.decide(x.attempt(ctx, pick, end)) {
 		return false
 	}
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
@@ -369,13 +226,28 @@
 	return true
 }
 
-// truth makes the last end speak for the whole request: what an earlier send may have run is never told as not run.
-func (x *exchange) truth(end *peerpb.End) *peerpb.End {
-	if end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN {
-		return end
+// afterDeclined notes an endpoint that turned the request away before anything was sent, and tells whether to ask another.
+func (x *exchange) afterDeclined(key string, end *peerpb.End) bool {
+	x.declined = append(x.declined, key)
+	if fault.Code(end.GetCode()) == fault.Suspect {
+		x.suspects = append(x.suspects, key)
 	}
-	if x.ran || x.unknown {
-		end.Outcome = peerpb.Outcome_OUTCOME_UNKNOWN
+	if x.lastResort {
+		x.tried = append(x.tried, key)
+	} else if x.waits > 0 {
+		// Nothing was waited for: the next one may have a queue.
+		x.waits--
+	}
+	return len(x.declined) < mostDeclined
+}
+
+// attempt is the latest send as the retry policy judges it.
+func (x *exchange) attempt(ctx context.Context, pick director.Pick, end *peerpb.End) retry.Attempt {
+	deadline, _ := ctx.Deadline()
+	return retry.Attempt{
+		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
+		Overloaded: crowded(end) || fault.Code(end.GetCode()) == fault.EndpointShed,
+		Failed:     x.failed(end), Started: x.answer.started, Replayable: true,
+		Left: time.Until(deadline), Typical: pick.Typical,
 	}
-	return end
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -66,12 +66,6 @@
 	budgets map[string]*budget
 }
 
-// budget is a service's retry budget with its lock.
-type budget struct {
-	mu sync.Mutex
-	*retry.Budget
-}
-
 // Option changes an ingress under construction.
 type Option func(*Ingress)
 
@@ -181,50 +175,3 @@
 	x.log(end)
 	return x.answer.finish(end)
 }
-
-func (g *Ingress) budget(service string) *budget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	burst := g.cfg.Retries.Burst(len(g.snapshot().Hosts))
-	b := g.budgets[service]
-	if b == nil {
-		b = &budget{Budget: retry.NewBudget(burst)}
-		g.budgets[service] = b
-	}
-	b.share(burst)
-	return b
-}
-
-// share follows the number of hosts, among which the fleet's slack is shared out.
-func (b *budget) share(burst float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.SetBurst(burst)
-}
-
-func (b *budget) request(share float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.Request(share)
-}
-
-// left tells whether a request that fails now could be sent again.
-func (b *budget) left() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Left()
-}
-
-// tokens returns the retries that are left.
-func (b *budget) tokens() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Tokens()
-}
-
-func (b *budget) decide(a retry.Attempt) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.Answer(a.Overloaded)
-	return b.Decide(a)
-}
--- a/ingress/lastresort.go
+++ b/ingress/lastresort.go
@@ -14,7 +14,7 @@
 	// request waits so at most: such endpoints have mostly recovered within a second.
 	suspectPause = 40 * time.Millisecond
 	mostSuspect  = time.Second
-	// suspectShare is the part of a request's aim that it waits so, as one in so many: what is left then still suffices
+	// suspectShare is the part of a request's aim that it waits so at most, as one in so many: what is left then still suffices
 	// for the work, and who is refused learns it while there is time to come back.
 	suspectShare = 4
 	// mostLast bounds the endpoints that are asked as a last resort.
@@ -45,7 +45,7 @@
 func (x *exchange) patience(ctx context.Context) time.Duration {
 	deadline, _ := ctx.Deadline()
 	patience := min(mostSuspect, deadline.Sub(x.suspectSince)/2)
-	if aim := time.Duration(x.call.route.Value.Aim); aim > 0 {
+	if aim := x.aim(); aim > 0 {
 		patience = min(patience, aim/suspectShare)
 	}
 	return patience
--- /dev/null
+++ b/ingress/stale.go
@@ -0,0 +1,64 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+const (
+	// staleWait is how long a request waits for the configuration by which an endpoint's node has refused it: about what
+	// a change takes from node to node.
+	staleWait = 300 * time.Millisecond
+	// staleLook is the time between two looks at the configuration in force meanwhile.
+	staleLook = 5 * time.Millisecond
+)
+
+// current brings a request that was refused as going by an older configuration to the one in force here by now; false
+// when that no longer sends it to this service, or does not come.
+func (x *exchange) current(ctx context.Context, end *peerpb.End) bool {
+	if fault.Code(end.GetCode()) != fault.Stale {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, staleWait)
+	defer cancel()
+	for x.config() <= x.call.config {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(staleLook):
+		}
+	}
+	snap := x.g.snapshot()
+	row, ok := snap.State.Row(table.KindRoute, x.call.route.Key)
+	if !ok {
+		return false
+	}
+	next, err := table.Decode[table.Route](row)
+	if err != nil || !sends(next, x.call.service.Key) {
+		return false
+	}
+	x.call.config = x.config()
+	// The endpoint refused the configuration, not the request.
+	x.tried = x.tried[:len(x.tried)-1]
+	return true
+}
+
+// config is the number of the configuration in force here now.
+func (x *exchange) config() uint64 { return x.g.snapshot().State.Revisions()[table.PlaneConfig] }
+
+// sends tells whether a route sends requests to a service.
+func sends(r table.Route, service string) bool {
+	if r.Service == service && len(r.Split.Parts()) == 0 {
+		return true
+	}
+	for _, p := range r.Split.Parts() {
+		if p.Service == service && p.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -25,12 +25,13 @@
 	end *peerpb.End
 }
 
-// trail is the steps of one request, the first ones and their number.
+// trail is the first steps of one request and the last one; count is the number of all.
 type trail struct {
 	steps []step
 	count int
 }
 
+// add notes a step; past mostLogged it takes the place of the one before.
 func (t *trail) add(s step) {
 	t.count++
 	if len(t.steps) < mostLogged {
@@ -86,7 +87,7 @@
 		e.Str("code", code)
 	}
 	if event != events.RequestServed {
-		e.Dur("aim", time.Duration(x.call.route.Value.Aim)).Dur("limit", x.call.timeout).
+		e.Dur("aim", x.aim()).Dur("limit", x.call.timeout).
 			Bool("last_resort", x.lastResort).Array("trail", &x.trail)
 	}
 	e.Send()
