--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -24,6 +24,7 @@
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 }
 
+// statusOf is the status of the codes that have one of their own.
 var statusOf = map[fault.Code]int{
 	fault.BadRequest:       http.StatusBadRequest,
 	fault.BadDeadline:      http.StatusBadRequest,
@@ -36,6 +37,7 @@
 	fault.DeadlineExceeded: http.StatusGatewayTimeout,
 }
 
+// status is the HTTP status by which callers are told of an end.
 func status(end *peerpb.End) int {
 	if s := statusOf[fault.Code(end.GetCode())]; s != 0 {
 		return s
@@ -48,20 +50,27 @@
 
 // RefuseUnread answers a request that the callers' listener does not take; its header is nil where it could not be read.
 func RefuseUnread(say contract.Contract) func(w http.ResponseWriter, h http.Header, status int, err *fault.Error) {
-	return func(w http.ResponseWriter, in http.Header, status int, err *fault.Error) {
-		h := w.Header()
-		h.Set("Content-Type", "application/json")
-		o := contract.Outcome{Outcome: refusedOutcome(say, in)}
+	return func(w http.ResponseWriter, h http.Header, status int, err *fault.Error) {
+		o := contract.Outcome{Outcome: refusedOutcome(say, h)}
 		if status == http.StatusServiceUnavailable {
 			// Another node takes it at once.
 			o.RetryAfter = elsewhereRetryAfter
 		}
-		say.Outcome(h, o)
-		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(Problem{Code: err.Code, Outcome: contract.OutcomeName(o.Outcome), Detail: err.Detail})
+		writeProblem(w, say, status, o, Problem{
+			Code: err.Code, Outcome: contract.OutcomeName(o.Outcome), Detail: err.Detail,
+		})
 	}
 }
 
+// writeProblem writes an answer that the system itself gives.
+func writeProblem(w http.ResponseWriter, say contract.Contract, status int, o contract.Outcome, p Problem) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	say.Outcome(h, o)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
 // refusedOutcome is what is known of a request that was refused before its key's homes were asked.
 //
 // Invariant: a request that may be a re-send is not told as not run on the word of a node that knows nothing of its key.
@@ -82,25 +91,23 @@
 		Code: fault.Code(end.GetCode()), Outcome: contract.OutcomeName(end.GetOutcome()), Detail: detail,
 		RequestID: id, RetryAfterMillis: end.GetRetryAfterMillis(),
 	}
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
 	code := status(end)
 	if p.RetryAfterMillis == 0 && code == http.StatusServiceUnavailable {
 		p.RetryAfterMillis = defaultRetryAfter.Milliseconds()
 	}
-	say.Outcome(h, contract.Outcome{
+	writeProblem(w, say, code, contract.Outcome{
 		ID: id, Outcome: end.GetOutcome(), RetryAfter: time.Duration(p.RetryAfterMillis) * time.Millisecond,
-	})
-	w.WriteHeader(code)
-	_ = json.NewEncoder(w).Encode(p)
+	}, p)
 }
 
 const (
+	// defaultRetryAfter is when to come back where nothing says more.
 	defaultRetryAfter = time.Second
 	// elsewhereRetryAfter is when to come back with a request that only this node does not take.
 	elsewhereRetryAfter = 50 * time.Millisecond
 )
 
+// details are the sentences for people, by code.
 var details = map[fault.Code]string{
 	fault.Busy:                "no endpoint has a free slot",
 	fault.Suspect:             "the endpoints broke off their work just now",
