--- a/follow/hosts.go
+++ b/follow/hosts.go
@@ -25,17 +25,19 @@
 	hosts []table.HostInfo
 	// revision is the newest version of a line, or of a removal.
 	revision uint64
-	// base is the revision from which on gone holds every removal.
+	// base is the revision from which on gone holds every removal, oldest first.
 	base uint64
 	gone []goneHost
 }
 
 // hostChanges is what leads from one revision of the list to another.
 type hostChanges struct {
-	// from is the revision that they start from, 0 where hosts is the whole list.
-	from, revision, base uint64
-	hosts                []table.HostInfo
-	gone                 []goneHost
+	// from is the revision that they start from, 0 where hosts is the whole list; revision is the one that they lead to.
+	from, revision uint64
+	// base is that of the list that they come from.
+	base  uint64
+	hosts []table.HostInfo
+	gone  []goneHost
 }
 
 // since returns what has changed after a revision, the whole list if that cannot be told.
@@ -100,6 +102,7 @@
 	return l
 }
 
+// byName returns the lines in the order of the hosts' names.
 func byName(hosts []table.HostInfo) []table.HostInfo {
 	sorted := slices.Clone(hosts)
 	slices.SortFunc(sorted, func(a, b table.HostInfo) int { return strings.Compare(a.ID, b.ID) })
--- a/follow/read.go
+++ b/follow/read.go
@@ -24,8 +24,6 @@
 	gather = 200 * time.Millisecond
 	// pauseJitter is by how much of itself a pause varies, half of it either way, so that readers do not look together.
 	pauseJitter = 0.4
-	// confirmLook is the time between two looks whether a newer configuration is in force.
-	confirmLook = time.Millisecond
 )
 
 // pause waits before the next look at the platform, a little more or less than d; false when the node stops.
@@ -39,6 +37,14 @@
 	}
 }
 
+// records waits for what changed in a table after the cursor, or reads the whole table where none of it was loaded.
+func (f *Follower) records(ctx context.Context, name string, loaded bool, cursor uint64) (platform.Records, error) {
+	if loaded {
+		return f.platform.Feed(ctx, name, cursor, f.cfg.Wait)
+	}
+	return f.platform.All(ctx, name)
+}
+
 // ownReader reads the product's own table: the operators' rows and what the nodes announce. One goroutine owns it.
 type ownReader struct {
 	f    *Follower
@@ -98,12 +104,7 @@
 
 // advance takes what has changed since the last look, after waiting for it, or the whole table.
 func (r *ownReader) advance(ctx context.Context) (changed bool, err error) {
-	var recs platform.Records
-	if r.loaded {
-		recs, err = r.f.platform.Feed(ctx, platform.TableOwn, r.cursor, r.f.cfg.Wait)
-	} else {
-		recs, err = r.f.platform.All(ctx, platform.TableOwn)
-	}
+	recs, err := r.f.records(ctx, platform.TableOwn, r.loaded, r.cursor)
 	if err != nil {
 		return false, err
 	}
@@ -149,95 +150,3 @@
 	r.hosts[id] = h
 	return nil
 }
-
-// readConfig keeps reading the configuration of the platform's operators until the node stops.
-func (f *Follower) readConfig(ctx context.Context) {
-	var cursor uint64
-	loaded := false
-	failing := retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost}
-	for {
-		wait := f.cfg.Retry
-		if f.readingConfig.Load() {
-			version, m := f.lookConfig(ctx, loaded, cursor)
-			f.deliver(m)
-			switch {
-			case m.err == nil:
-				cursor, loaded = version, true
-				f.configCursor.Store(version)
-				failing.Reset()
-				wait = 0
-			case fault.CodeOf(m.err) == fault.Gone:
-				loaded = false
-				wait = 0
-			default:
-				wait = failing.Next()
-			}
-		}
-		if !f.pause(ctx, wait) {
-			return
-		}
-	}
-}
-
-// lookConfig reads the operators' table once; the number is the store's version that the read shows.
-func (f *Follower) lookConfig(ctx context.Context, loaded bool, cursor uint64) (uint64, configRead) {
-	var recs platform.Records
-	var err error
-	if loaded {
-		recs, err = f.platform.Feed(ctx, platform.TableOperators, cursor, f.cfg.Wait)
-	} else {
-		recs, err = f.platform.All(ctx, platform.TableOperators)
-	}
-	if err != nil {
-		return 0, configRead{err: err}
-	}
-	// The version is taken even of a configuration that cannot be used: the next one may be good, and this one will not
-	// get better.
-	configs, bad := f.decodeConfigs(recs)
-	m := configRead{bad: bad}
-	if len(configs) > 0 {
-		m.config = &configs[len(configs)-1]
-	}
-	return recs.Version, m
-}
-
-// decodeConfigs returns the usable configurations among some records, oldest first, and what is wrong with the last of
-// the others.
-func (f *Follower) decodeConfigs(recs platform.Records) (configs []platform.Config, bad error) {
-	for _, rec := range recs.Records {
-		if rec.Key != platform.KeyConfig || rec.Deleted {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
-		if err != nil {
-			bad = err
-			continue
-		}
-		configs = append(configs, cfg)
-	}
-	return configs, bad
-}
-
-// Confirm tells whether the configuration in force is the platform's newest; a newer one is in force when it returns.
-func (f *Follower) Confirm(ctx context.Context) bool {
-	if !f.cfg.WithConfig {
-		return true
-	}
-	recs, err := f.platform.Feed(ctx, platform.TableOperators, f.configCursor.Load(), 0)
-	if err != nil {
-		return false
-	}
-	// One that cannot be used is told by the reader, which meets it too.
-	configs, _ := f.decodeConfigs(recs)
-	want := uint64(0)
-	for _, cfg := range configs {
-		want = cfg.Version
-		f.deliver(configRead{config: &cfg})
-	}
-	for f.State().Revisions()[table.PlaneConfig] < want {
-		if !f.pause(ctx, confirmLook) {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/follow/readconfig.go
@@ -0,0 +1,100 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// readConfig keeps reading the configuration of the platform's operators until the node stops.
+func (f *Follower) readConfig(ctx context.Context) {
+	var cursor uint64
+	loaded := false
+	failing := retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost}
+	for {
+		wait := f.cfg.Retry
+		if f.readingConfig.Load() {
+			version, m := f.lookConfig(ctx, loaded, cursor)
+			f.deliver(m)
+			switch {
+			case m.err == nil:
+				cursor, loaded = version, true
+				f.configCursor.Store(version)
+				failing.Reset()
+				wait = 0
+			case fault.CodeOf(m.err) == fault.Gone:
+				loaded = false
+				wait = 0
+			default:
+				wait = failing.Next()
+			}
+		}
+		if !f.pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// lookConfig reads the operators' table once; the number is the store's version that the read shows.
+func (f *Follower) lookConfig(ctx context.Context, loaded bool, cursor uint64) (uint64, configRead) {
+	recs, err := f.records(ctx, platform.TableOperators, loaded, cursor)
+	if err != nil {
+		return 0, configRead{err: err}
+	}
+	// The version is taken even of a configuration that cannot be used: the next one may be good, and this one will not
+	// get better.
+	configs, bad := f.decodeConfigs(recs)
+	m := configRead{bad: bad}
+	if len(configs) > 0 {
+		m.config = &configs[len(configs)-1]
+	}
+	return recs.Version, m
+}
+
+// decodeConfigs returns the usable configurations among some records, oldest first, and what is wrong with the last of
+// the others.
+func (f *Follower) decodeConfigs(recs platform.Records) (configs []platform.Config, bad error) {
+	for _, rec := range recs.Records {
+		if rec.Key != platform.KeyConfig || rec.Deleted {
+			continue
+		}
+		cfg, err := platform.DecodeConfig(rec.Value, f.cfg.Policy)
+		if err != nil {
+			bad = err
+			continue
+		}
+		configs = append(configs, cfg)
+	}
+	return configs, bad
+}
+
+// confirmLook is the time between two looks whether a newer configuration is in force.
+const confirmLook = time.Millisecond
+
+// Confirm tells whether the configuration in force is the platform's newest; a newer one is in force when it returns.
+func (f *Follower) Confirm(ctx context.Context) bool {
+	if !f.cfg.WithConfig {
+		return true
+	}
+	recs, err := f.platform.Feed(ctx, platform.TableOperators, f.configCursor.Load(), 0)
+	if err != nil {
+		return false
+	}
+	// One that cannot be used is told by the reader, which meets it too.
+	configs, _ := f.decodeConfigs(recs)
+	want := uint64(0)
+	for _, cfg := range configs {
+		want = cfg.Version
+		f.deliver(configRead{config: &cfg})
+	}
+	for f.State().Revisions()[table.PlaneConfig] < want {
+		if !f.pause(ctx, confirmLook) {
+			return false
+		}
+	}
+	return true
+}
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -11,9 +11,9 @@
 // rowsPerPart keeps a part of the table well under the largest frame.
 const rowsPerPart = 2000
 
-// Deltas returns what leads a peer from its revisions to the snapshot's, in parts that fit a frame; hostChanges tells
+// Deltas returns what leads a peer from its revisions to the snapshot's, in parts that fit a frame; changesOnly tells
 // whether it takes the hosts' changes alone.
-func Deltas(snap *Snapshot, from table.Revisions, hostChanges bool) []*peerpb.Delta {
+func Deltas(snap *Snapshot, from table.Revisions, changesOnly bool) []*peerpb.Delta {
 	var parts []*peerpb.Delta
 	to := snap.State.Revisions()
 	for _, p := range []table.Plane{table.PlaneRows, table.PlaneConfig} {
@@ -22,7 +22,7 @@
 		}
 	}
 	if to[table.PlaneHosts] > from[table.PlaneHosts] {
-		parts = append(parts, hostsDelta(snap.hostsSince(from[table.PlaneHosts], hostChanges)))
+		parts = append(parts, hostsDelta(snap.hostsSince(from[table.PlaneHosts], changesOnly)))
 	}
 	if len(parts) == 0 {
 		parts = append(parts, &peerpb.Delta{})
@@ -50,19 +50,22 @@
 	return parts
 }
 
-// hostsSince returns what of the hosts a peer lacks. This host's own line goes as its node knows it, which may be newer
+// hostsSince returns what of the hosts a peer lacks, the whole list to one that does not take changes only. This host's own line goes as its node knows it, which may be newer
 // than the store's.
-func (s *Snapshot) hostsSince(from uint64, changes bool) hostChanges {
+func (s *Snapshot) hostsSince(from uint64, changesOnly bool) hostChanges {
 	c := s.list.since(from)
-	if c.from == 0 || !changes {
+	if c.from == 0 || !changesOnly {
 		return hostChanges{revision: s.list.revision, base: s.list.base, hosts: s.Hosts}
 	}
-	if own, ok := s.ByID[s.SelfLine.ID]; ok && !slices.ContainsFunc(c.hosts, func(h table.HostInfo) bool { return h.ID == own.ID }) {
-		c.hosts = append(c.hosts, own)
+	own, ok := s.ByID[s.SelfLine.ID]
+	if !ok || slices.ContainsFunc(c.hosts, func(h table.HostInfo) bool { return h.ID == own.ID }) {
+		return c
 	}
+	c.hosts = append(c.hosts, own)
 	return c
 }
 
+// hostsDelta is the wire's form of changes; changesOf reads it.
 func hostsDelta(c hostChanges) *peerpb.Delta {
 	d := &peerpb.Delta{
 		Plane: uint32(table.PlaneHosts), HostsRevision: c.revision, HostsFrom: c.from, HostsBase: c.base,
@@ -71,17 +74,35 @@
 		d.Gone = append(d.Gone, &peerpb.GoneHost{Id: g.id, Version: g.version})
 	}
 	for _, h := range c.hosts {
-		line := &peerpb.Host{
-			Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving, Version: h.Version, Incarnation: h.Incarnation,
-		}
-		for _, e := range h.Endpoints {
-			line.Endpoints = append(line.Endpoints, toWire(table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value)))
-		}
-		d.Hosts = append(d.Hosts, line)
+		d.Hosts = append(d.Hosts, hostToWire(h))
 	}
 	return d
 }
 
+func hostToWire(h table.HostInfo) *peerpb.Host {
+	line := &peerpb.Host{
+		Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving, Version: h.Version, Incarnation: h.Incarnation,
+	}
+	for _, e := range h.Endpoints {
+		line.Endpoints = append(line.Endpoints, toWire(table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value)))
+	}
+	return line
+}
+
+func hostFromWire(h *peerpb.Host) table.HostInfo {
+	info := table.HostInfo{
+		ID: h.GetId(), Hall: h.GetHall(), Address: h.GetAddress(), Leaving: h.GetLeaving(),
+		Version: h.GetVersion(), Incarnation: h.GetIncarnation(),
+	}
+	for _, r := range h.GetEndpoints() {
+		// A row of another program's version that cannot be read is no endpoint for this one.
+		if value, err := table.Decode[table.Endpoint](fromWire(r)); err == nil {
+			info.Endpoints = append(info.Endpoints, table.Announced{Key: r.GetKey(), Value: value})
+		}
+	}
+	return info
+}
+
 func toWire(r table.Row) *peerpb.Row {
 	return &peerpb.Row{
 		Kind: uint32(r.Kind), Key: r.Key, Version: r.Version, Revision: r.Revision,
@@ -115,30 +136,17 @@
 	return deltas, hosts
 }
 
+// changesOf reads the changes of the hosts that hostsDelta wrote.
 func changesOf(p *peerpb.Delta) *hostChanges {
 	c := &hostChanges{
-		from: p.GetHostsFrom(), revision: p.GetHostsRevision(), base: p.GetHostsBase(), hosts: hostsOf(p),
+		from: p.GetHostsFrom(), revision: p.GetHostsRevision(), base: p.GetHostsBase(),
+		hosts: make([]table.HostInfo, 0, len(p.GetHosts())),
+	}
+	for _, h := range p.GetHosts() {
+		c.hosts = append(c.hosts, hostFromWire(h))
 	}
 	for _, g := range p.GetGone() {
 		c.gone = append(c.gone, goneHost{id: g.GetId(), version: g.GetVersion()})
 	}
 	return c
 }
-
-func hostsOf(p *peerpb.Delta) []table.HostInfo {
-	out := make([]table.HostInfo, 0, len(p.GetHosts()))
-	for _, h := range p.GetHosts() {
-		info := table.HostInfo{
-			ID: h.GetId(), Hall: h.GetHall(), Address: h.GetAddress(), Leaving: h.GetLeaving(),
-			Version: h.GetVersion(), Incarnation: h.GetIncarnation(),
-		}
-		for _, r := range h.GetEndpoints() {
-			// A row of another program's version that cannot be read is no endpoint for this one.
-			if value, err := table.Decode[table.Endpoint](fromWire(r)); err == nil {
-				info.Endpoints = append(info.Endpoints, table.Announced{Key: r.GetKey(), Value: value})
-			}
-		}
-		out = append(out, info)
-	}
-	return out
-}
--- a/node/node.go
+++ b/node/node.go
@@ -447,8 +447,8 @@
 }
 
 // Deltas implements peer.Handler.
-func (h handler) Deltas(from table.Revisions, hostChanges bool) []*peerpb.Delta {
-	return follow.Deltas(h.snapshot(), from, hostChanges)
+func (h handler) Deltas(from table.Revisions, changesOnly bool) []*peerpb.Delta {
+	return follow.Deltas(h.snapshot(), from, changesOnly)
 }
 
 // hostView tells what the host list and the links say of a host.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -21,9 +21,9 @@
 	Fetch(ctx context.Context, exchange uint64, sink Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
-	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame; hostChanges tells
+	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame; changesOnly tells
 	// whether the asker takes the hosts' changes alone.
-	Deltas(from table.Revisions, hostChanges bool) []*peerpb.Delta
+	Deltas(from table.Revisions, changesOnly bool) []*peerpb.Delta
 }
 
 const (
--- a/peer/session.go
+++ b/peer/session.go
@@ -148,7 +148,8 @@
 	}
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
-	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: &peerpb.Pull{From: revisionsToWire(from), HostChanges: true}}}); err != nil {
+	ask := &peerpb.Pull{From: revisionsToWire(from), HostChanges: true}
+	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: ask}}); err != nil {
 		return nil, err
 	}
 	r := NewFrameReader(stream)
