--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/lynxplank/lynxplank/announce"
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
+	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/eject"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/ingress"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/pipeline"
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/serve"
+	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// hallDistance is the time to another hall and back, until links are measured between halls: 1.5 ms each way.
+const hallDistance = 3 * time.Millisecond
+
+// announceDelay is how long a node waits for its endpoint's first heartbeat before it announces itself without one: a
+// little more than the time between two heartbeats.
+const announceDelay = 2 * time.Second
+
+// callerLimits are the settings' limits of the callers' listener, where no row goes before them.
+func (n *Node) callerLimits(state func() *table.State) func() pipeline.Limits {
+	c := n.cfg.Callers
+	base := pipeline.Limits{
+		HeaderBytes: int(c.HeaderBytes), BodyBytes: int64(c.BodyBytes), Conns: c.Conns,
+		HeaderTimeout: c.HeaderTimeout.Std(), IdleTimeout: c.IdleTimeout.Std(),
+	}
+	return func() pipeline.Limits {
+		row, ok := state().Callers()
+		if !ok {
+			return base
+		}
+		return pipeline.Limits{
+			HeaderBytes: int(row.Value.HeaderBytes), BodyBytes: int64(row.Value.BodyBytes), Conns: base.Conns,
+			HeaderTimeout: time.Duration(row.Value.HeaderTimeout), IdleTimeout: time.Duration(row.Value.IdleTimeout),
+		}
+	}
+}
+
+// contract is how the listener's callers are spoken to.
+func (n *Node) contract() contract.Contract {
+	if n.cfg.Callers.Contract == "platform" {
+		return platform.Contract{}
+	}
+	return contract.Own{}
+}
+
+// limits are the settings' limits of a listener for nodes, endpoints or operators.
+func limits(l settings.Listener) serve.Limits {
+	return serve.Limits{
+		HeaderBytes: int(l.HeaderBytes), Conns: l.Conns,
+		HeaderTimeout: l.HeaderTimeout.Std(), IdleTimeout: l.IdleTimeout.Std(),
+	}
+}
+
+func (n *Node) peerConfig(incarnation uint64, config *tls.Config) peer.Config {
+	p := n.cfg.Peers
+	return peer.Config{
+		Node: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Incarnation: incarnation, Listen: p.Listen.String(),
+		Heartbeat: p.Heartbeat.Std(), CutAfter: p.CutAfter.Std(), IdleClose: p.IdleClose.Std(), Conns: p.Conns,
+		TLS: config,
+	}
+}
+
+func (n *Node) followConfig() follow.Config {
+	c := follow.Config{
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall,
+		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
+		Wait: n.cfg.Platform.Wait.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
+		Readers: n.cfg.Platform.Readers, ConfigReaders: n.cfg.Platform.ConfigReaders,
+		WithConfig: n.cfg.Platform.Config, Policy: n.policy(),
+	}
+	for _, seed := range n.cfg.Peers.Seeds {
+		address := seed.AddrPort
+		if n.cfg.Peers.SeedsPort != 0 {
+			address = netip.AddrPortFrom(address.Addr(), uint16(n.cfg.Peers.SeedsPort)) //nolint:gosec // checked
+		}
+		if address != n.cfg.Peers.Listen.AddrPort {
+			c.Seeds = append(c.Seeds, address.String())
+		}
+	}
+	return c
+}
+
+func (n *Node) ejection() eject.Config {
+	c := n.cfg.Ejection
+	cfg := eject.DefaultConfig()
+	cfg.FirstEjection, cfg.LongestEjection, cfg.Forgive = c.First.Std(), c.Longest.Std(), c.Forgive.Std()
+	cfg.ProbeSuccesses, cfg.RampStep = c.Successes, c.RampStep.Std()
+	return cfg
+}
+
+// policy is what the platform's configuration leaves open of a service.
+func (n *Node) policy() table.Service {
+	c := n.cfg.Services
+	return table.Service{
+		Floor: table.Percent(c.Floor), FalseEjections: table.Rate(c.FalseEjections),
+		RetryBudget: table.Percent(c.RetryShare * n.cfg.Retries.Use), Queue: table.Count(c.Queue), //nolint:gosec // checked
+		Warmup: table.Duration(c.Warmup), Timeout: table.Duration(c.Timeout),
+	}
+}
+
+// announceConfig is what the node tells of its host.
+func (n *Node) announceConfig(incarnation uint64) announce.Config {
+	address := n.cfg.Peers.Advertise
+	if !address.IsValid() {
+		address = n.cfg.Peers.Listen
+	}
+	delay := time.Duration(0)
+	if n.cfg.Announced.Listen.IsValid() {
+		delay = announceDelay
+	}
+	return announce.Config{
+		FirstDelay: delay,
+		Host: table.HostInfo{
+			ID: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Address: address.String(), Incarnation: incarnation,
+		},
+		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
+		Timeout: n.cfg.Platform.Timeout.Std(),
+	}
+}
+
+func (n *Node) egressConfig(incarnation uint64) egress.Config {
+	c := n.cfg.Endpoints
+	return egress.Config{
+		Host: n.cfg.Node.ID, Incarnation: incarnation, ProbePath: c.ProbePath, ProbeEvery: c.ProbeEvery.Std(),
+		KeyWindow: c.KeyWindow.Std(), KeySettle: c.KeySettle.Std(), KeyBytes: int(c.KeyBytes),
+		Contract: n.contract(), Breaker: breaker.DefaultConfig(),
+	}
+}
+
+func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
+	return ingress.Config{
+		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
+		Retries: retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
+	}
+}
+
+// tls is the peers' TLS, nil where the settings have none; BadSetting for files that cannot be used.
+func (n *Node) tls() (*tls.Config, error) {
+	t := n.cfg.Peers.TLS
+	if t.Cert == "" {
+		return nil, nil //nolint:nilnil // no TLS is a valid setting
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls", "certificate cannot be used")
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls.ca", "cannot be read")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fault.New(fault.BadSetting, "peers.tls.ca", "holds no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -16,11 +12,8 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/lynxplank/lynxplank/announce"
-	"github.com/lynxplank/lynxplank/breaker"
-	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
-	"github.com/lynxplank/lynxplank/eject"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
@@ -33,7 +26,6 @@
 	"github.com/lynxplank/lynxplank/pipeline"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/registry"
-	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/serve"
 	"github.com/lynxplank/lynxplank/settings"
 	"github.com/lynxplank/lynxplank/table"
@@ -71,13 +63,6 @@
 	Readiness = "readiness"
 )
 
-// hallDistance is the time to another hall and back, until links are measured between halls: 1.5 ms each way.
-const hallDistance = 3 * time.Millisecond
-
-// announceDelay is how long a node waits for its endpoint's first heartbeat before it announces itself without one: a
-// little more than the time between two heartbeats.
-const announceDelay = 2 * time.Second
-
 // Node is one process of the fleet.
 type Node struct {
 	cfg settings.Daemon
@@ -124,6 +109,7 @@
 	return n, nil
 }
 
+// build makes the node's parts and registers them with the kernel.
 func (n *Node) build() error {
 	incarnation := rand.Uint64() //nolint:gosec // tells two lives apart, no secret
 	config, err := n.tls()
@@ -166,6 +152,7 @@
 	return nil
 }
 
+// register registers the parts and the listeners, in the order in which they start.
 func (n *Node) register(
 	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress, m *metrics.Metrics,
 ) {
@@ -198,32 +185,6 @@
 	}
 }
 
-// callerLimits are the settings' limits of the callers' listener, where no row goes before them.
-func (n *Node) callerLimits(state func() *table.State) func() pipeline.Limits {
-	c := n.cfg.Callers
-	base := pipeline.Limits{
-		HeaderBytes: int(c.HeaderBytes), BodyBytes: int64(c.BodyBytes), Conns: c.Conns,
-		HeaderTimeout: c.HeaderTimeout.Std(), IdleTimeout: c.IdleTimeout.Std(),
-	}
-	return func() pipeline.Limits {
-		row, ok := state().Callers()
-		if !ok {
-			return base
-		}
-		return pipeline.Limits{
-			HeaderBytes: int(row.Value.HeaderBytes), BodyBytes: int64(row.Value.BodyBytes), Conns: base.Conns,
-			HeaderTimeout: time.Duration(row.Value.HeaderTimeout), IdleTimeout: time.Duration(row.Value.IdleTimeout),
-		}
-	}
-}
-
-func (n *Node) contract() contract.Contract {
-	if n.cfg.Callers.Contract == "platform" {
-		return platform.Contract{}
-	}
-	return contract.Own{}
-}
-
 // registry holds the endpoints that announce themselves, nil where they are rows of the table.
 func (n *Node) registry(a *announce.Announcer, f *follow.Follower, incarnation uint64) *registry.Registry {
 	if !n.cfg.Announced.Listen.IsValid() {
@@ -244,119 +205,6 @@
 	return r
 }
 
-func limits(l settings.Listener) serve.Limits {
-	return serve.Limits{
-		HeaderBytes: int(l.HeaderBytes), Conns: l.Conns,
-		HeaderTimeout: l.HeaderTimeout.Std(), IdleTimeout: l.IdleTimeout.Std(),
-	}
-}
-
-func (n *Node) peerConfig(incarnation uint64, config *tls.Config) peer.Config {
-	p := n.cfg.Peers
-	return peer.Config{
-		Node: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Incarnation: incarnation, Listen: p.Listen.String(),
-		Heartbeat: p.Heartbeat.Std(), CutAfter: p.CutAfter.Std(), IdleClose: p.IdleClose.Std(), Conns: p.Conns,
-		TLS: config,
-	}
-}
-
-func (n *Node) followConfig() follow.Config {
-	c := follow.Config{
-		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall,
-		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
-		Wait: n.cfg.Platform.Wait.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
-		Readers: n.cfg.Platform.Readers, ConfigReaders: n.cfg.Platform.ConfigReaders,
-		WithConfig: n.cfg.Platform.Config, Policy: n.policy(),
-	}
-	for _, seed := range n.cfg.Peers.Seeds {
-		address := seed.AddrPort
-		if n.cfg.Peers.SeedsPort != 0 {
-			address = netip.AddrPortFrom(address.Addr(), uint16(n.cfg.Peers.SeedsPort)) //nolint:gosec // checked
-		}
-		if address != n.cfg.Peers.Listen.AddrPort {
-			c.Seeds = append(c.Seeds, address.String())
-		}
-	}
-	return c
-}
-
-func (n *Node) ejection() eject.Config {
-	c := n.cfg.Ejection
-	cfg := eject.DefaultConfig()
-	cfg.FirstEjection, cfg.LongestEjection, cfg.Forgive = c.First.Std(), c.Longest.Std(), c.Forgive.Std()
-	cfg.ProbeSuccesses, cfg.RampStep = c.Successes, c.RampStep.Std()
-	return cfg
-}
-
-// policy is what the platform's configuration leaves open of a service.
-func (n *Node) policy() table.Service {
-	c := n.cfg.Services
-	return table.Service{
-		Floor: table.Percent(c.Floor), FalseEjections: table.Rate(c.FalseEjections),
-		RetryBudget: table.Percent(c.RetryShare * n.cfg.Retries.Use), Queue: table.Count(c.Queue), //nolint:gosec // checked
-		Warmup: table.Duration(c.Warmup), Timeout: table.Duration(c.Timeout),
-	}
-}
-
-// announceConfig is what the node tells of its host.
-func (n *Node) announceConfig(incarnation uint64) announce.Config {
-	address := n.cfg.Peers.Advertise
-	if !address.IsValid() {
-		address = n.cfg.Peers.Listen
-	}
-	delay := time.Duration(0)
-	if n.cfg.Announced.Listen.IsValid() {
-		delay = announceDelay
-	}
-	return announce.Config{
-		FirstDelay: delay,
-		Host: table.HostInfo{
-			ID: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Address: address.String(), Incarnation: incarnation,
-		},
-		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
-		Timeout: n.cfg.Platform.Timeout.Std(),
-	}
-}
-
-func (n *Node) egressConfig(incarnation uint64) egress.Config {
-	c := n.cfg.Endpoints
-	return egress.Config{
-		Host: n.cfg.Node.ID, Incarnation: incarnation, ProbePath: c.ProbePath, ProbeEvery: c.ProbeEvery.Std(),
-		KeyWindow: c.KeyWindow.Std(), KeySettle: c.KeySettle.Std(), KeyBytes: int(c.KeyBytes),
-		Contract: n.contract(), Breaker: breaker.DefaultConfig(),
-	}
-}
-
-func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
-	return ingress.Config{
-		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
-		Retries: retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
-	}
-}
-
-func (n *Node) tls() (*tls.Config, error) {
-	t := n.cfg.Peers.TLS
-	if t.Cert == "" {
-		return nil, nil //nolint:nilnil // no TLS is a valid setting
-	}
-	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls", "certificate cannot be used")
-	}
-	pem, err := os.ReadFile(t.CA)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.BadSetting, "peers.tls.ca", "cannot be read")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fault.New(fault.BadSetting, "peers.tls.ca", "holds no certificate")
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
-}
-
 // Kernel returns the node's services.
 func (n *Node) Kernel() *kernel.Kernel { return n.kernel }
 
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -29,6 +29,7 @@
 	// events is nil where the log is not counted.
 	events eventCounter
 
+	// counted is how many lines of each event the metrics show.
 	counted map[int]uint64
 	// revision and since are the configuration in force and when it was first seen.
 	revision table.Revisions
@@ -73,6 +74,7 @@
 	s.sampleEvents()
 }
 
+// sampleConfig shows what is in force here and since when.
 func (s *sampler) sampleConfig(now time.Time) {
 	snap := s.follower.Snapshot()
 	held := snap.State.Revisions()
@@ -90,6 +92,7 @@
 	s.metrics.Gauge("hosts", float64(len(snap.Hosts)))
 }
 
+// sampleWork shows what the endpoints beside this node have to do, and the links.
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, leaving float64
 	for _, e := range s.egress.Statuses() {
@@ -112,6 +115,7 @@
 	s.metrics.Gauge("peer_bytes", float64(s.links.Bytes()))
 }
 
+// sampleEvents adds the lines of each event since the last look.
 func (s *sampler) sampleEvents() {
 	if s.events == nil {
 		return
@@ -119,7 +123,7 @@
 	seen, left := s.events.Counts()
 	for event, count := range seen {
 		if more := count - s.counted[event]; more > 0 {
-			s.metrics.Events(strconv.Itoa(event), int64(more)) //nolint:gosec // a count of seconds
+			s.metrics.Events(strconv.Itoa(event), int64(more)) //nolint:gosec // lines of two seconds
 		}
 	}
 	s.counted = seen
