--- a/events/bound.go
+++ b/events/bound.go
@@ -49,11 +49,12 @@
 	out io.Writer
 	now func() time.Time
 
-	mu      sync.Mutex
-	byEvent map[int]*allowance
-	leftOut map[string]int
-	toldAt  time.Time
-	// seen counts the lines of each event, written or not, left those that were left out.
+	mu         sync.Mutex
+	allowances map[int]*allowance
+	// untold counts the lines of each event that were left out since that was told last, at toldAt.
+	untold map[string]int
+	toldAt time.Time
+	// seen counts the lines of each event, written or not, left all those that were left out.
 	seen map[int]uint64
 	left uint64
 }
@@ -64,9 +65,27 @@
 	bytes *rate.Limiter
 }
 
+func newAllowance(limit Limit) *allowance {
+	return &allowance{
+		lines: rate.NewLimiter(rate.Limit(limit.Lines), burstTime*limit.Lines),
+		bytes: rate.NewLimiter(rate.Limit(limit.Bytes), burstTime*limit.Bytes),
+	}
+}
+
+// take takes a line of some bytes if both limits have room for it; a line that does not fit takes nothing.
+func (a *allowance) take(now time.Time, size int) bool {
+	if a.lines.TokensAt(now) < 1 || a.bytes.TokensAt(now) < float64(size) {
+		return false
+	}
+	return a.lines.AllowN(now, 1) && a.bytes.AllowN(now, size)
+}
+
 // NewBound returns a bound in front of out; now gives the time.
 func NewBound(out io.Writer, now func() time.Time) *Bound {
-	return &Bound{out: out, now: now, byEvent: make(map[int]*allowance), leftOut: make(map[string]int), toldAt: now(), seen: make(map[int]uint64)}
+	return &Bound{
+		out: out, now: now, toldAt: now(),
+		allowances: make(map[int]*allowance), untold: make(map[string]int), seen: make(map[int]uint64),
+	}
 }
 
 // Write takes one line.
@@ -78,12 +97,12 @@
 	b.seen[event]++
 	if !fits {
 		b.left++
-		b.leftOut[strconv.Itoa(event)]++
+		b.untold[strconv.Itoa(event)]++
 	}
-	told := b.tell(now, false)
+	note := b.tell(now, false)
 	b.mu.Unlock()
-	if told != nil {
-		if _, err := b.out.Write(told); err != nil {
+	if note != nil {
+		if _, err := b.out.Write(note); err != nil {
 			return 0, err
 		}
 	}
@@ -103,33 +122,26 @@
 // Flush tells what was left out since it was told last.
 func (b *Bound) Flush() {
 	b.mu.Lock()
-	told := b.tell(b.now(), true)
+	note := b.tell(b.now(), true)
 	b.mu.Unlock()
-	if told != nil {
-		_, _ = b.out.Write(told)
+	if note != nil {
+		_, _ = b.out.Write(note)
 	}
 }
 
 // allow takes a line from its event's allowance; the lock is held.
 func (b *Bound) allow(now time.Time, event, size int) bool {
-	a := b.byEvent[event]
+	a := b.allowances[event]
 	if a == nil {
-		limit := limitOf(event)
-		a = &allowance{
-			lines: rate.NewLimiter(rate.Limit(limit.Lines), burstTime*limit.Lines),
-			bytes: rate.NewLimiter(rate.Limit(limit.Bytes), burstTime*limit.Bytes),
-		}
-		b.byEvent[event] = a
+		a = newAllowance(limitOf(event))
+		b.allowances[event] = a
 	}
-	if a.lines.TokensAt(now) < 1 || a.bytes.TokensAt(now) < float64(size) {
-		return false
-	}
-	return a.lines.AllowN(now, 1) && a.bytes.AllowN(now, size)
+	return a.take(now, size)
 }
 
 // tell returns a line with what was left out, nil if there is nothing to tell yet; the lock is held.
 func (b *Bound) tell(now time.Time, atOnce bool) []byte {
-	if len(b.leftOut) == 0 || !atOnce && now.Sub(b.toldAt) < tellEvery {
+	if len(b.untold) == 0 || !atOnce && now.Sub(b.toldAt) < tellEvery {
 		return nil
 	}
 	line, err := json.Marshal(struct {
@@ -138,11 +150,11 @@
 		Name    string         `json:"name"`
 		LeftOut map[string]int `json:"left_out"`
 		Time    string         `json:"time"`
-	}{LinesLeftOut.Level.String(), LinesLeftOut.Number, LinesLeftOut.Name, b.leftOut, now.Format(time.RFC3339Nano)})
+	}{LinesLeftOut.Level.String(), LinesLeftOut.Number, LinesLeftOut.Name, b.untold, now.Format(time.RFC3339Nano)})
 	if err != nil {
 		return nil
 	}
-	clear(b.leftOut)
+	clear(b.untold)
 	b.toldAt = now
 	return append(line, '\n')
 }
