--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -15,24 +15,28 @@
 )
 
 const (
-	reportEvery   = time.Second
+	// reportEvery is the time between two reports of the instruments to the registry.
+	reportEvery = time.Second
+	// mostCustomers, mostServices and mostCalls bound the instruments; what comes after shares those of others.
 	mostCustomers = 100
 	mostServices  = 200
+	mostCalls     = 200
 	others        = "other"
-	firstBucket   = time.Millisecond / 2
-	bucketFactor  = 2
-	bucketCount   = 16
+	// firstBucket, bucketFactor and bucketCount make the histograms' buckets: from 0.5 ms, doubling, to about 16 s.
+	firstBucket  = time.Millisecond / 2
+	bucketFactor = 2
+	bucketCount  = 16
 )
 
 // Metrics is the node's registry; it is safe for concurrent use.
 type Metrics struct {
-	root     tally.Scope
-	closer   io.Closer
-	reporter tallyprom.Reporter
-	services bounded[*Class]
-	customer bounded[tally.Histogram]
-	calls    bounded[*Call]
-	buckets  tally.Buckets
+	root      tally.Scope
+	closer    io.Closer
+	reporter  tallyprom.Reporter
+	services  bounded[*Class]
+	customers bounded[tally.Histogram]
+	calls     bounded[*Call]
+	buckets   tally.Buckets
 }
 
 // Call holds the instruments of one kind of call to the platform's store.
@@ -56,10 +60,13 @@
 	// Work is the time that endpoints took, by the ingress that sent the work.
 	Work  tally.Histogram
 	scope tally.Scope
-	mu    sync.RWMutex
+	// left shows what is left of the retries.
+	left tally.Gauge
+
+	mu sync.RWMutex
+	// ends are the counters of requests and asked those of endpoints asked, by outcome and code.
 	ends  map[string]tally.Counter
 	asked map[string]tally.Counter
-	left  tally.Gauge
 }
 
 // New returns a registry, Internal when the reporter cannot be built.
@@ -80,8 +87,8 @@
 	}
 	m := &Metrics{root: root, closer: closer, reporter: reporter, buckets: buckets}
 	m.services = bounded[*Class]{most: mostServices, make: m.newClass}
-	m.calls = bounded[*Call]{most: mostServices, make: m.newCall}
-	m.customer = bounded[tally.Histogram]{most: mostCustomers, make: m.newCustomer}
+	m.calls = bounded[*Call]{most: mostCalls, make: m.newCall}
+	m.customers = bounded[tally.Histogram]{most: mostCustomers, make: m.newCustomer}
 	return m, nil
 }
 
@@ -112,7 +119,7 @@
 func (m *Metrics) Service(name string) *Class { return m.services.get(name) }
 
 // Customer returns the latency histogram of a customer; past a bounded number all share one.
-func (m *Metrics) Customer(name string) tally.Histogram { return m.customer.get(name) }
+func (m *Metrics) Customer(name string) tally.Histogram { return m.customers.get(name) }
 
 // Gauge sets a node-wide gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.root.Gauge(name).Update(value) }
@@ -124,25 +131,25 @@
 
 // Count counts one request by its outcome and code.
 func (c *Class) Count(outcome, code string) {
-	c.count(c.ends, "requests", map[string]string{"outcome": outcome, "code": code})
+	c.count(c.ends, "requests", outcome, code)
 }
 
 // Asked counts one endpoint that was asked for a request, by what came of it.
 func (c *Class) Asked(outcome, code string) {
-	c.count(c.asked, "asked", map[string]string{"outcome": outcome, "code": code})
+	c.count(c.asked, "asked", outcome, code)
 }
 
 // BudgetLeft shows what is left of the service's retries on this node.
 func (c *Class) BudgetLeft(retries float64) { c.left.Update(retries) }
 
-// count adds one to the counter of some tags among those already made.
-func (c *Class) count(made map[string]tally.Counter, name string, tags map[string]string) {
-	key := tags["outcome"] + "/" + tags["code"]
+// count adds one to the counter of an outcome and code, which it makes unless it is among those already made.
+func (c *Class) count(made map[string]tally.Counter, name, outcome, code string) {
+	key := outcome + "/" + code
 	c.mu.RLock()
 	counter := made[key]
 	c.mu.RUnlock()
 	if counter == nil {
-		counter = c.scope.Tagged(tags).Counter(name)
+		counter = c.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter(name)
 		c.mu.Lock()
 		made[key] = counter
 		c.mu.Unlock()
