--- a/trace/explain.go
+++ b/trace/explain.go
@@ -71,6 +71,7 @@
 	return strings.TrimSpace(b.String())
 }
 
+// explainTrail tells who was asked, when, and what came of it.
 func (s Story) explainTrail(b *strings.Builder) {
 	for i, step := range s.End.Trail {
 		if i == 0 {
@@ -85,6 +86,7 @@
 	}
 }
 
+// ageOf tells how old a word of an endpoint was, in milliseconds, -1 for none.
 func ageOf(seen int64) string {
 	if seen < 0 {
 		return "no word of it yet"
@@ -92,6 +94,7 @@
 	return fmt.Sprintf("last word of it %d ms old", seen)
 }
 
+// resultOf tells what came of asking one endpoint.
 func resultOf(step Step) string {
 	word := outcomes[step.Outcome]
 	if word == "" {
@@ -103,6 +106,7 @@
 	return word
 }
 
+// explainEnd tells how the request ended and what decided that.
 func (s Story) explainEnd(b *strings.Builder) {
 	e := s.End
 	word := outcomes[e.Outcome]
@@ -145,6 +149,7 @@
 	}
 }
 
+// codeOf is a failed line's code, or the endpoint's own status.
 func codeOf(line Line) string {
 	if line.Code != "" {
 		return line.Code
--- a/trace/line.go
+++ b/trace/line.go
@@ -90,8 +90,6 @@
 	id       string
 	requests []Line
 	beliefs  []Line
-	// skipped counts lines that are no events.
-	skipped int
 	// dropped is set when there were more beliefs than are held.
 	dropped bool
 }
@@ -113,17 +111,18 @@
 	return nil
 }
 
+// take keeps a line that is an event and may matter to the story.
 func (l *Log) take(text []byte) {
 	at := bytes.IndexByte(text, '{')
 	var line Line
 	if at < 0 || json.Unmarshal(text[at:], &line) != nil || line.Event == 0 {
-		l.skipped++
 		return
 	}
 	switch {
 	case l.concerns(line.Request):
 		l.requests = append(l.requests, line)
 	case line.Request != "" || !believes(line.Event):
+		// It is about another request, or says nothing of what a node believes.
 	case len(l.beliefs) < mostBeliefs:
 		l.beliefs = append(l.beliefs, line)
 	default:
--- a/trace/story.go
+++ b/trace/story.go
@@ -8,8 +8,8 @@
 	"github.com/lynxplank/lynxplank/events"
 )
 
-// before is how long before a request what its nodes came to believe is shown: ejections last 8 s at most.
-const before = 10 * time.Second
+// beliefSpan is how long before a request what its nodes came to believe is shown: ejections last 8 s at most.
+const beliefSpan = 10 * time.Second
 
 // Story is what the logs tell of one request.
 type Story struct {
@@ -39,6 +39,7 @@
 	return s
 }
 
+// byTime orders lines by their times, at the same time by their nodes.
 func byTime(a, b Line) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Node, b.Node)) }
 
 // ends tells whether an event tells how a request ended at its ingress.
@@ -67,6 +68,7 @@
 	endpoints map[string]bool
 }
 
+// involved returns whom the request's lines name.
 func (s Story) involved() involved {
 	met := involved{nodes: make(map[string]bool), endpoints: make(map[string]bool)}
 	for _, line := range s.Lines {
@@ -81,7 +83,7 @@
 	return met
 }
 
-// subject is what a belief is about.
+// subject is what a belief is about: of one subject only the latest before the request counts.
 type subject struct {
 	node, about string
 	event       int
@@ -98,7 +100,7 @@
 	latest := make(map[subject]Line)
 	var out []Line
 	for _, line := range l.beliefs {
-		if line.Time.After(to) || line.Time.Before(from.Add(-before)) || !met.decides(line) {
+		if line.Time.After(to) || line.Time.Before(from.Add(-beliefSpan)) || !met.decides(line) {
 			continue
 		}
 		if line.Time.After(from) {
