--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -41,7 +41,6 @@
 	Members []*Member
 	// PeerAddress, if set, gives the address that a member's node advertises to its peers.
 	PeerAddress func(m *Member) string
-
 	// StoreAddress, if set, gives the address at which a member's node finds the platform.
 	StoreAddress func(m *Member) string
 
--- a/egress/run.go
+++ b/egress/run.go
@@ -25,7 +25,7 @@
 	worked bool
 	// failed is set when the endpoint did not do the work.
 	failed bool
-	// broken is set when its answer broke off, could not be read or never came.
+	// broken is set when its answer broke off or could not be read, or it took no connection.
 	broken bool
 	// silent is set when no answer had begun when the time ran out or the caller left.
 	silent bool
