--- a/egress/egress.go
+++ b/egress/egress.go
@@ -130,6 +130,7 @@
 	return end
 }
 
+// serve runs a request; a keyed one only after its claim was granted here.
 func (e *Egress) serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
 	if d.GetClaim() == nil {
 		return e.admitAndRun(ctx, d, body, sink)
@@ -154,6 +155,7 @@
 	return end
 }
 
+// admitAndRun runs a request at its endpoint once that has room for it, or returns and logs the refusal.
 func (e *Egress) admitAndRun(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End {
 	l, end := e.find(d)
 	if end != nil {
@@ -225,6 +227,7 @@
 	return false, peer.NotRun(fault.OfferLapsed, 0)
 }
 
+// runAt runs a request that holds a slot, tells the breaker and the records how it went, and frees the slot.
 func (e *Egress) runAt(
 	ctx context.Context, l *local, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
 ) *peerpb.End {
@@ -243,11 +246,7 @@
 	service := time.Since(start)
 	l.release(service, result, trial, d.GetLastResort())
 	if result.cause != nil {
-		events.WorkFailed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).
-			Str("outcome", result.end.GetOutcome().String()).Str("code", result.end.GetCode()).
-			Dur("after", service).Bool("trial", trial).
-			Bool("last_resort", d.GetLastResort()).Any("said", l.said.Load()).Uint32("busy", l.load(0, 0).GetBusy()).
-			Err(result.cause).Send()
+		e.logFailure(l, d, result, service, trial)
 	}
 	e.noteState(l)
 	e.noteLeaving(l, result.leaving)
@@ -259,6 +258,15 @@
 	return result.end
 }
 
+// logFailure tells why the endpoint's work has no whole answer.
+func (e *Egress) logFailure(l *local, d *peerpb.Dispatch, r result, service time.Duration, trial bool) {
+	events.WorkFailed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).
+		Str("outcome", r.end.GetOutcome().String()).Str("code", r.end.GetCode()).
+		Dur("after", service).Bool("trial", trial).
+		Bool("last_resort", d.GetLastResort()).Any("said", l.said.Load()).Uint32("busy", l.load(0, 0).GetBusy()).
+		Err(r.cause).Send()
+}
+
 // noteState logs when the breaker of an endpoint has opened or closed.
 func (e *Egress) noteState(l *local) {
 	if from, to, changed := l.stateChange(); changed {
@@ -329,6 +337,7 @@
 	return ok && row.Plane != table.PlaneHosts && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
 }
 
+// local returns the endpoint's runtime as the table wants it, a new one for an endpoint that had no work yet.
 func (e *Egress) local(row table.Entry[table.Endpoint], s *table.State) *local {
 	view, _ := s.Service(row.Value.Service)
 	e.mu.Lock()
@@ -347,39 +356,3 @@
 	a := dedupe.Answer{Head: msg.GetHead(), Body: msg.GetBody(), Kept: msg.GetHead() != nil}
 	e.keys.settle(time.Now(), msg.GetScope(), msg.GetKey(), msg.GetOutcome(), a)
 }
-
-// Status is what the egress knows of one endpoint.
-type Status struct {
-	// Endpoint is the endpoint's key.
-	Endpoint string `json:"endpoint"`
-	// Busy is the number of slots taken.
-	Busy int `json:"busy"`
-	// Waiting is the number of queued requests.
-	Waiting int `json:"waiting"`
-	// Finished counts the requests that ran, since the node started.
-	Finished uint64 `json:"finished"`
-	// Failed counts those of them that failed.
-	Failed uint64 `json:"failed"`
-	// Leaving is set after the endpoint said so itself.
-	Leaving bool `json:"leaving"`
-	// Trial is set while it takes only trials.
-	Trial bool `json:"trial"`
-}
-
-// Statuses returns the endpoints that have had work since the node started.
-func (e *Egress) Statuses() []Status {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := make([]Status, 0, len(e.locals))
-	for _, l := range e.locals {
-		load := l.load(0, 0)
-		out = append(out, Status{
-			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
-			Finished: load.GetFinished(), Failed: load.GetFailed(), Leaving: load.GetLeaving(), Trial: load.GetTrial(),
-		})
-	}
-	return out
-}
-
-// Keys returns the number of idempotency keys at home here.
-func (e *Egress) Keys() int { return e.keys.len() }
--- a/egress/local.go
+++ b/egress/local.go
@@ -19,9 +19,11 @@
 
 // local is the runtime of one endpoint beside this node.
 type local struct {
-	key      string
-	address  atomic.Pointer[string]
-	leaving  atomic.Bool
+	key     string
+	address atomic.Pointer[string]
+	// leaving is set once the endpoint has said so itself.
+	leaving atomic.Bool
+	// finished counts the runs that choosers judge by, failed those of them that failed.
 	finished atomic.Uint64
 	failed   atomic.Uint64
 	// said is the endpoint's last word about its load.
@@ -33,9 +35,10 @@
 	mu      sync.Mutex
 	breaker *breaker.Breaker
 	// shown is the breaker's state as it was last logged.
-	shown   breaker.State
-	queue   *admit.Queue
-	slots   int
+	shown breaker.State
+	queue *admit.Queue
+	slots int
+	// waiters are the channels on which queued requests wait for their decision, by the queue's ids.
 	waiters map[uint64]chan admit.Decision
 }
 
@@ -47,6 +50,7 @@
 	}
 }
 
+// configure takes the endpoint's address and limits as they are in force now.
 func (l *local) configure(row table.Entry[table.Endpoint], queue int) {
 	address := row.Value.Address
 	if old := l.address.Load(); old == nil || *old != address {
@@ -88,12 +92,14 @@
 	return time.Duration(d.GetBudgetMicros()) * time.Microsecond
 }
 
+// expire refuses the queued requests whose time is over.
 func (l *local) expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.deliver(l.queue.Expire(time.Now()))
 }
 
+// offer puts a request to the queue: it returns a channel and until when the decision comes on it, or the decision at once.
 func (l *local) offer(r admit.Request) (chan admit.Decision, time.Time, *peerpb.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,6 +123,7 @@
 	}
 }
 
+// giveUp takes a request whose context has ended out of the queue.
 func (l *local) giveUp(ctx context.Context, id uint64, wait chan admit.Decision) *peerpb.End {
 	l.mu.Lock()
 	canceled := l.queue.Cancel(id)
@@ -135,6 +142,7 @@
 	return peer.NotRun(code, shortRetryAfter)
 }
 
+// refusal is the end of a request that the queue refused, nil of one that runs.
 func refusal(d admit.Decision) *peerpb.End {
 	if d.Action == admit.Run {
 		return nil
@@ -142,61 +150,13 @@
 	return peer.NotRun(d.Code, d.RetryAfter)
 }
 
+// free gives a slot back after some time of work, 0 where that says nothing of the endpoint's speed.
 func (l *local) free(service time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.deliver(l.queue.Done(time.Now(), service))
 }
 
-// takes tells whether the endpoint may take a request of this kind at all just now.
-func (l *local) takes(now time.Time, d *peerpb.Dispatch) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.breaker.Would(now, d.GetCanary()) || l.lastResort(d)
-}
-
-// lastResort tells whether the endpoint takes a request that has no other one, although it is under suspicion; the lock
-// is held.
-func (l *local) lastResort(d *peerpb.Dispatch) bool {
-	return d.GetLastResort() && (!d.GetLikelyOnly() || l.breaker.Likely())
-}
-
-// allow is the same at the moment of the hand-over; a trial must end with untry or release.
-func (l *local) allow(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ok, trial = l.breaker.Allow(now, d.GetCanary())
-	return ok || l.lastResort(d), trial
-}
-
-func (l *local) untry(trial bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.breaker.Release(trial)
-}
-
-// pauseLeft is when a request that was not taken may come back.
-func (l *local) pauseLeft(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return max(l.breaker.Pause(now), shortRetryAfter)
-}
-
-// breakerState returns what the endpoint takes just now.
-func (l *local) breakerState() breaker.State {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.breaker.State()
-}
-
-func (l *local) stateChange() (from, to breaker.State, changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	from, to = l.shown, l.breaker.State()
-	l.shown = to
-	return from, to, from != to
-}
-
 // release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
 func (l *local) release(service time.Duration, r result, trial, lastResort bool) {
 	l.judge(r, service, trial, lastResort)
@@ -214,32 +174,7 @@
 	}
 }
 
-// overdueTimes is how many usual service times work must have had no answer for to speak against the endpoint: work of
-// three times the mean is one in a hundred.
-const overdueTimes = 3
-
-// judge tells the breaker how a run went. A refusal, and work that its caller broke off soon, say nothing.
-func (l *local) judge(r result, service time.Duration, trial, lastResort bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	how := breaker.OK
-	switch {
-	case r.broken:
-		how = breaker.Broken
-	case r.silent && service >= overdueTimes*l.queue.Typical():
-		how = breaker.Overdue
-	case !r.worked:
-		l.breaker.Release(trial)
-		return
-	case r.failed:
-		how = breaker.Failed
-	}
-	if lastResort && !trial {
-		l.breaker.LastResort(how)
-	}
-	l.breaker.Done(time.Now(), how, trial)
-}
-
+// load is what choosers are told of the endpoint, with the time that the latest work took.
 func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
