--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -69,6 +69,7 @@
 	return len(report.Broken) == 0
 }
 
+// folder returns a run's folder, one of its own for each seed.
 func folder(keep string, seed uint64) (string, error) {
 	if keep == "" {
 		return os.MkdirTemp("", "lynxplank-soak-")
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/demo"
-	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
 
@@ -41,18 +40,18 @@
 	r.procs[a.On].Lock()
 	defer r.procs[a.On].Unlock()
 	m := r.fleet.Members[a.On]
-	end := map[Kind]func() error{KillNode: m.KillNode, StopNode: m.StopNode}[a.Kind]
-	if end != nil {
-		r.restart(a, m, end)
-		return
-	}
-	if a.Kind == ReloadNode {
+	switch a.Kind {
+	case KillNode:
+		r.restart(a, m, m.KillNode)
+	case StopNode:
+		r.restart(a, m, m.StopNode)
+	case ReloadNode:
 		r.must("reload", m.Reload())
-		return
+	default:
+		r.must("pause", m.Pause(true))
+		time.Sleep(a.For)
+		r.must("go on", m.Pause(false))
 	}
-	r.must("pause", m.Pause(true))
-	time.Sleep(a.For)
-	r.must("go on", m.Pause(false))
 }
 
 // restart ends a node and starts it again. A node that does not listen yet takes no signal, so that is waited for.
@@ -66,30 +65,33 @@
 	}
 }
 
+// link disturbs the way to a node's peers listener, or that of the node to the store.
 func (r *run) link(a Action) {
 	p := r.links[a.On]
-	if a.Kind == ResetLink {
+	switch a.Kind {
+	case ResetLink:
 		p.Reset()
-		return
-	}
-	if a.Kind == SlowLink {
+	case SlowLink:
 		p.Slow(a.Delay)
 		time.Sleep(a.For)
 		p.Slow(0)
-		return
-	}
-	direction := demo.To
-	if a.Kind == CutLinkOf {
-		direction = demo.From
-	}
-	if a.Kind == CutStore {
-		p = r.stores[a.On]
+	case CutLinkOf:
+		cut(p, demo.From, a.For)
+	case CutStore:
+		cut(r.stores[a.On], demo.To, a.For)
+	default:
+		cut(p, demo.To, a.For)
 	}
+}
+
+// cut holds the bytes of one direction for some time.
+func cut(p *demo.Proxy, direction demo.Direction, length time.Duration) {
 	p.Hold(direction, true)
-	time.Sleep(a.For)
+	time.Sleep(length)
 	p.Hold(direction, false)
 }
 
+// store has the store fail; its faults follow each other.
 func (r *run) store(a Action) {
 	r.platform.Lock()
 	defer r.platform.Unlock()
@@ -98,13 +100,14 @@
 	r.must("store", r.fleet.SetFaults(store.Faults{}))
 }
 
+// endpoint has an endpoint misbehave; actions on one endpoint follow each other.
 func (r *run) endpoint(a Action) {
 	r.ends[a.On].Lock()
 	defer r.ends[a.On].Unlock()
 	m := r.fleet.Members[a.On]
 	r.must("endpoint", m.Behave(a.Behaviour))
 	time.Sleep(a.For)
-	r.must("endpoint", m.Behave(backend.Behaviour{WorkMillis: normalWork}))
+	r.must("endpoint", m.Behave(normal()))
 }
 
 // weight has an operator write a cell; what came of it is held against what is in force in the end.
@@ -142,6 +145,7 @@
 	r.breaks("drain: endpoint %s cannot be resumed", m.Key())
 }
 
+// checkDrained looks whether work reached a drained endpoint between the time allowed to it and until.
 func (r *run) checkDrained(on int, accepted, until time.Time) {
 	if r.disturbed(on, accepted, until) {
 		return
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -14,7 +14,8 @@
 	// settleLimit is how long after all is healed everything must be as before; ejections last 5 minutes at most but these
 	// are first ones, of 5 to 20 s.
 	settleLimit = 60 * time.Second
-	settleLook  = 100 * time.Millisecond
+	// settleLook is the time between two looks meanwhile.
+	settleLook = 100 * time.Millisecond
 	// settleSends is how many lookups each node must have served in a row.
 	settleSends = 4
 )
@@ -22,7 +23,7 @@
 // settle waits until every node serves again by the same table.
 func (r *run) settle() {
 	r.must("nodes after the run", r.fleet.WaitReady())
-	if !waitFor(func() bool { return r.sameRevision() }) {
+	if !waitFor(r.sameRevision) {
 		r.breaks("revision: the nodes do not come to the same one")
 	}
 	if !waitFor(r.servesAgain) {
@@ -30,6 +31,7 @@
 	}
 }
 
+// waitFor tells whether good comes true within settleLimit.
 func waitFor(good func() bool) bool {
 	for end := time.Now().Add(settleLimit); time.Now().Before(end); time.Sleep(settleLook) {
 		if good() {
@@ -39,6 +41,7 @@
 	return false
 }
 
+// sameRevision tells whether every node answers and has the same rows in force.
 func (r *run) sameRevision() bool {
 	first := uint64(0)
 	for i, m := range r.fleet.Members {
@@ -51,6 +54,7 @@
 	return true
 }
 
+// servesAgain tells whether each node serves a row of lookups at the first send.
 func (r *run) servesAgain() bool {
 	for _, m := range r.fleet.Members {
 		for _, result := range demo.NewLoad([]string{m.Callers}).Send(demo.Lookup, 0, settleSends) {
@@ -97,6 +101,7 @@
 	return nil
 }
 
+// judgeRequests looks for requests that ran twice, and for callers who were told what is not so.
 func (r *run) judgeRequests() {
 	for kind, t := range demo.Check(r.report.Results, r.report.Records) {
 		if t.Doubled > 0 || t.Cut > 0 || t.FalseNotRun > 0 {
@@ -121,6 +126,7 @@
 	return started
 }
 
+// judgeRows looks for accepted changes that are not in force at every node.
 func (r *run) judgeRows() error {
 	for key, want := range r.weights {
 		if r.unknown[key] {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -80,7 +80,9 @@
 	shortest, longest = 100 * time.Millisecond, 4 * time.Second
 	// calmBefore is the time before the first action.
 	calmBefore = 500 * time.Millisecond
-	mostDelay  = 300 * time.Millisecond
+	// mostDelay bounds the delay of a slow link, each way.
+	mostDelay = 300 * time.Millisecond
+	// normalWork is the service time of a sound endpoint, in milliseconds.
 	normalWork = 4
 )
 
@@ -96,6 +98,10 @@
 	return plan
 }
 
+// normal is how a sound endpoint behaves.
+func normal() backend.Behaviour { return backend.Behaviour{WorkMillis: normalWork} }
+
+// draw draws one action with all that any kind of action needs, so that a seed's draws do not depend on the kinds.
 func draw(r *rand.Rand, members int, length time.Duration) Action {
 	return Action{
 		At:   calmBefore + time.Duration(r.Int64N(int64(length))),
@@ -105,6 +111,7 @@
 	}
 }
 
+// drawKind draws a kind by its weight in kinds.
 func drawKind(r *rand.Rand) Kind {
 	sum := 0
 	for _, k := range kinds {
@@ -119,6 +126,7 @@
 	return KillNode
 }
 
+// drawStore draws a fault of the store, times in milliseconds.
 func drawStore(r *rand.Rand) store.Faults {
 	return []store.Faults{
 		{Down: true},
@@ -129,6 +137,7 @@
 	}[r.IntN(5)]
 }
 
+// drawBehaviour draws how an endpoint misbehaves, times in milliseconds.
 func drawBehaviour(r *rand.Rand) backend.Behaviour {
 	b := []backend.Behaviour{
 		{FailPercent: 20 + r.IntN(80)},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,7 +19,7 @@
 	Seed uint64
 	// Members and Halls are the size of the fleet.
 	Members, Halls int
-	// Length is how long actions begin.
+	// Length is the time in which actions begin.
 	Length time.Duration
 	// Rate is how many requests the callers send a second.
 	Rate int
@@ -40,20 +40,23 @@
 }
 
 const (
+	// serviceName is the service of every endpoint, serviceCells what operators set for it.
 	serviceName  = "booking-desk"
 	serviceCells = "floor: 50%, false_ejections: 1"
-	// grace is longer than any request's deadline, with the queue before it.
+	// nodeSettings give a stop longer than any request's deadline, with the queue before it.
 	nodeSettings = "stop: {grace: 20s}\n"
 )
 
 // run is a run under way.
 type run struct {
-	cfg    Config
-	plan   []Action
-	fleet  *demo.Fleet
+	cfg   Config
+	plan  []Action
+	fleet *demo.Fleet
+	// links stand before each node's peers listener, stores before the store for each node.
 	links  []*demo.Proxy
 	stores []*demo.Proxy
-	start  time.Time
+	// start is when the callers began.
+	start time.Time
 	// procs, ends and rows keep the actions on one process, one endpoint and one row apart, platform those on the store.
 	procs, ends, rows []sync.Mutex
 	platform          sync.Mutex
@@ -83,7 +86,7 @@
 		return Report{}, err
 	}
 	defer r.closeProxies()
-	if err := fleet.Start(serviceName, backend.Behaviour{WorkMillis: normalWork}, serviceCells); err != nil {
+	if err := fleet.Start(serviceName, normal(), serviceCells); err != nil {
 		return Report{}, err
 	}
 	r.watch = newWatch(fleet, r.breaks)
@@ -119,6 +122,7 @@
 	}
 }
 
+// index returns a member's number.
 func (r *run) index(m *demo.Member) int {
 	for i, other := range r.fleet.Members {
 		if other == m {
@@ -154,6 +158,7 @@
 	r.report.Results = load.Results()
 }
 
+// heal takes back whatever an action may have left.
 func (r *run) heal() {
 	for i, m := range r.fleet.Members {
 		for _, p := range []*demo.Proxy{r.links[i], r.stores[i]} {
@@ -161,7 +166,7 @@
 			p.Hold(demo.From, false)
 			p.Slow(0)
 		}
-		r.must("endpoint", m.Behave(backend.Behaviour{WorkMillis: normalWork}))
+		r.must("endpoint", m.Behave(normal()))
 	}
 	r.must("store", r.fleet.SetFaults(store.Faults{}))
 }
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -18,7 +18,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// lives counts the processes of each node that have ended.
 	lives []int
 }
 
@@ -33,12 +34,14 @@
 	w.lives[on]++
 }
 
+// life returns the number of a node's present process.
 func (w *watch) life(on int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.lives[on]
 }
 
+// begin looks at every node until end.
 func (w *watch) begin() {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
@@ -52,6 +55,7 @@
 	w.wg.Wait()
 }
 
+// follow looks at one node; what it said while it was ended or begun anew counts for neither life.
 func (w *watch) follow(ctx context.Context, on int, m *demo.Member) {
 	life, highest := 0, uint64(0)
 	for ctx.Err() == nil {
