--- a/demo/net.go
+++ b/demo/net.go
@@ -4,43 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 )
 
-const (
-	// Ports below the range that the kernel gives to outgoing connections, which could take a free one in between.
-	firstPort = 12000
-	portCount = 20000
-)
-
-var nextPort atomic.Uint32
-
-// FreePorts returns ports that nobody listens on; no two calls of a process return the same one.
-func FreePorts(n int) ([]string, error) {
-	out := make([]string, 0, n)
-	start := uint32(os.Getpid()) * 131 //nolint:gosec // spreads processes over the range
-	for range portCount {
-		port := firstPort + (start+nextPort.Add(1))%portCount
-		address := "127.0.0.1:" + strconv.Itoa(int(port))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if out = append(out, address); len(out) == n {
-			return out, nil
-		}
-	}
-	return nil, fault.New(fault.Unavailable, "loopback", "no free ports")
-}
-
 func waitFor(what string, done func() bool) error {
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(lookEvery) {
 		if done() {
--- a/follow/read.go
+++ b/follow/read.go
@@ -96,6 +96,8 @@
 	m := ownRead{state: r.state, at: r.cursor, hosts: hostList{
 		hosts: byName(slices.Collect(maps.Values(r.hosts))), revision: r.revision, base: r.base, gone: slices.Clone(r.gone),
 	}.trimmed()}
+	// The reader forgets what the list does, and has each removal once.
+	r.gone, r.base = slices.Clone(m.hosts.gone), m.hosts.base
 	if changed {
 		return m, gather
 	}
