--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,6 +1,9 @@
 package breaker
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Config is the policy of one breaker.
 type Config struct {
@@ -9,19 +12,14 @@
 	Broken, Failed float64
 	// Forget is the time in which evidence halves.
 	Forget time.Duration
-	// Pause is how long an open breaker takes no request that must not repeat, at least; it doubles with each trial
-	// that fails, up to LongestPause.
-	Pause, LongestPause time.Duration
+	// Spell is how long an endpoint is thought to fail at a time before any spell was seen; what is learned of each
+	// endpoint stays between ShortestSpell and LongestSpell.
+	Spell, ShortestSpell, LongestSpell time.Duration
 	// TrialEvery is the least time between two trials; it doubles with each one that fails, up to LongestTrial.
 	TrialEvery, LongestTrial time.Duration
-	// Barren is how long no repeatable request must have come for one that must not repeat to be the trial.
-	Barren time.Duration
 	// Successes is how many trials in a row close the breaker after it has opened once, and one more for each time that
 	// it opened again within Memory, up to MostSuccesses.
 	Successes, MostSuccesses int
-	// Overdue is how many requests in a row, with no whole answer between them, must have had no answer in a time in which
-	// the endpoint usually ends several.
-	Overdue int
 	// Memory is how long an opening counts.
 	Memory time.Duration
 }
@@ -36,6 +34,16 @@
 	// likelyShare is the share from which on an endpoint is worth a request that must not repeat: below it, most callers
 	// would learn no more than that their request may have run.
 	likelyShare = 0.45
+	// firstDoubt is the chance that an endpoint still fails, at the moment in which the breaker opens or a trial fails;
+	// closeDoubt is the one at which it gets ordinary work again.
+	firstDoubt = 0.95
+	closeDoubt = 0.15
+	// goodTrial is by how much one good trial lowers the odds: three answers in ten come from an endpoint that fails.
+	goodTrial = 0.3
+	// spellMemory is the weight of the latest spell in what is thought of the next.
+	spellMemory = 0.3
+	// again is how soon after it closed a breaker that opens again has closed too early.
+	again = time.Second
 	// leastEvidence is what is too little to be halved again.
 	leastEvidence = 0.01
 	// mostOpenings bounds the openings that are remembered: more than any policy asks for.
@@ -47,11 +55,9 @@
 func DefaultConfig() Config {
 	return Config{
 		Broken: 1, Failed: 0.4, Forget: time.Second,
-		Pause: 250 * time.Millisecond, LongestPause: 5 * time.Second,
-		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond, Barren: time.Second,
+		Spell: 700 * time.Millisecond, ShortestSpell: 200 * time.Millisecond, LongestSpell: 2 * time.Second,
+		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond,
 		Successes: 2, MostSuccesses: 3, Memory: 8 * time.Second,
-		// An endpoint of 3 or 4 slots ends about ten requests in the time of an overdue one: two without any is no chance.
-		Overdue: 2,
 	}
 }
 
@@ -85,7 +91,7 @@
 	Failed
 	// Broken is an answer that broke off or could not be read.
 	Broken
-	// Overdue is work that had no answer in a time in which the endpoint usually ends several.
+	// Overdue is a trial whose answer is due and missing.
 	Overdue
 )
 
@@ -96,9 +102,15 @@
 	// evidence is what speaks against the endpoint, as it was at seenAt.
 	evidence float64
 	seenAt   time.Time
-	// pause is the present length of a pause, pausedUntil when it ends.
-	pause       time.Duration
-	pausedUntil time.Time
+	// doubt is the chance that the endpoint still failed at doubtAt; it falls as spells of its usual length end.
+	doubt   float64
+	doubtAt time.Time
+	// spell is the usual length of a spell after the breaker has opened, openedAt when it did, goodAt when the latest row of
+	// good trials began, and closedAt when it closed.
+	spell    time.Duration
+	openedAt time.Time
+	goodAt   time.Time
+	closedAt time.Time
 	// openings are the times of the last openings, successes the trials in a row that went well.
 	openings  []time.Time
 	successes int
@@ -107,26 +119,56 @@
 	trialAt    time.Time
 	// trialing is set while a trial runs.
 	trialing bool
-	// overdue counts the requests without an answer since the last whole one.
-	overdue int
 	// goodShare is the recent share of good trials since it opened.
 	goodShare float64
 }
 
 // New returns a closed breaker.
 func New(cfg Config) *Breaker {
-	return &Breaker{cfg: cfg, pause: cfg.Pause, trialEvery: cfg.TrialEvery}
+	return &Breaker{cfg: cfg, spell: cfg.Spell, trialEvery: cfg.TrialEvery}
 }
 
 // State returns what the endpoint takes.
 func (b *Breaker) State() State { return b.state }
 
-// Pause returns how long the endpoint takes nothing that must not repeat, at least; 0 when it takes everything.
+// Pause returns how long the endpoint takes no ordinary work unless trials go well sooner; 0 when it takes everything.
 func (b *Breaker) Pause(now time.Time) time.Duration {
 	if b.state == Closed {
 		return 0
 	}
-	return max(0, b.pausedUntil.Sub(now))
+	return time.Duration(math.Log(b.doubtNow(now)/closeDoubt) * float64(b.spell))
+}
+
+// doubtNow is the chance that the endpoint still fails.
+func (b *Breaker) doubtNow(now time.Time) float64 {
+	return b.doubt * math.Exp(-now.Sub(b.doubtAt).Seconds()/b.spell.Seconds())
+}
+
+// Tick closes the breaker once a spell of the usual length is over.
+func (b *Breaker) Tick(now time.Time) {
+	if b.state == Trial && !b.trialing && b.doubtNow(now) < closeDoubt {
+		b.close(now)
+	}
+}
+
+// Clear closes a breaker that was opened by Suspect and for a reason that has proved wrong.
+func (b *Breaker) Clear(now time.Time) {
+	if b.state == Trial {
+		b.close(now)
+	}
+}
+
+func (b *Breaker) close(now time.Time) {
+	b.state = Closed
+	b.evidence = 0
+	b.trialEvery = b.cfg.TrialEvery
+	b.closedAt = now
+}
+
+// learnSpell takes the length of a spell, from its opening on.
+func (b *Breaker) learnSpell(d time.Duration) {
+	b.spell += time.Duration(spellMemory * float64(d-b.spell))
+	b.spell = min(max(b.spell, b.cfg.ShortestSpell), b.cfg.LongestSpell)
 }
 
 // Likely tells whether the endpoint does more of its work than not, as far as its trials show; while none has ended it
@@ -150,16 +192,14 @@
 	b.goodShare += (hit - b.goodShare) * trialMemory
 }
 
-// Would tells whether Allow would let a request run.
+// Would tells whether Allow would let a request run. What must not repeat is no trial: it waits for good trials, or for the
+// spell to be over.
 func (b *Breaker) Would(now time.Time, repeatable bool) bool {
+	b.Tick(now)
 	if b.state == Closed {
 		return true
 	}
-	if b.trialing || now.Sub(b.trialAt) < b.trialEvery {
-		return false
-	}
-	// Where nothing repeatable comes, what must not repeat finds out once the pause is over.
-	return repeatable || !now.Before(b.pausedUntil) && now.Sub(b.trialAt) >= b.cfg.Barren
+	return repeatable && !b.trialing && now.Sub(b.trialAt) >= b.trialEvery
 }
 
 // Allow tells whether a request may run now, and whether it is a trial, whose result must be reported with Done.
@@ -188,9 +228,6 @@
 		b.trialing = false
 	}
 	b.fade(now)
-	if r == OK || r == Failed {
-		b.overdue = 0
-	}
 	switch r {
 	case OK:
 		b.good(now, trial)
@@ -199,20 +236,19 @@
 	case Broken:
 		b.bad(now, b.cfg.Broken, trial)
 	case Overdue:
-		b.late(now, trial)
+		if trial {
+			b.bad(now, b.cfg.Failed, trial)
+		}
 	}
 }
 
-// late takes work that had no answer in time. What was long under way when the endpoint was suspected says nothing new.
-func (b *Breaker) late(now time.Time, trial bool) {
-	b.overdue++
-	if b.state == Closed && b.overdue >= b.cfg.Overdue {
-		b.open(now)
-		return
-	}
-	if trial {
-		b.bad(now, b.cfg.Failed, trial)
+// Suspect opens the breaker for evidence that is weighed elsewhere, and tells whether it was closed.
+func (b *Breaker) Suspect(now time.Time) bool {
+	if b.state != Closed {
+		return false
 	}
+	b.open(now)
+	return true
 }
 
 // fade takes off the evidence what the time since the last result does; within a half-life the loss is taken as linear.
@@ -236,12 +272,14 @@
 		return
 	}
 	b.learn(true)
-	b.successes++
+	if b.successes++; b.successes == 1 {
+		b.goodAt = now
+	}
+	odds := b.doubtNow(now) / (1 - b.doubtNow(now)) * goodTrial
+	b.doubt, b.doubtAt = odds/(1+odds), now
 	if b.successes >= b.needed(now) {
-		b.state = Closed
-		b.evidence = 0
-		b.pause = b.cfg.Pause
-		b.trialEvery = b.cfg.TrialEvery
+		b.learnSpell(b.goodAt.Sub(b.openedAt))
+		b.close(now)
 	}
 }
 
@@ -271,9 +309,8 @@
 	}
 	b.learn(false)
 	b.successes = 0
-	b.pause = min(2*b.pause, b.cfg.LongestPause)
 	b.trialEvery = min(2*b.trialEvery, b.cfg.LongestTrial)
-	b.pausedUntil = now.Add(b.pause)
+	b.doubt, b.doubtAt = firstDoubt, now
 }
 
 // open begins the trials; the first one waits for the time between two.
@@ -281,7 +318,13 @@
 	b.state = Trial
 	b.successes = 0
 	b.goodShare = unknownShare
-	b.pausedUntil = now.Add(b.pause)
+	if now.Sub(b.closedAt) < again {
+		// It closed too early: the spell goes on.
+		b.learnSpell(2 * now.Sub(b.openedAt))
+	} else {
+		b.openedAt = now
+	}
+	b.doubt, b.doubtAt = firstDoubt, now
 	b.trialAt = now
 	b.openings = append(b.openings, now)
 	if len(b.openings) > mostOpenings {
--- /dev/null
+++ b/breaker/watch.go
@@ -0,0 +1,108 @@
+package breaker
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// hangShare is the share of its work that an endpoint leaves without an answer while it hangs, as the test assumes it:
+	// some answers still come meanwhile.
+	hangShare = 0.7
+	// mostEvidence bounds what one piece of work can prove, in nats: now and then one takes very long.
+	mostEvidence = 2.5
+	// mostEnded bounds the ended work that is remembered: about as much as outweighs all slots of an endpoint.
+	mostEnded = 16
+)
+
+// Survival tells the share of a kind's ordinary work that takes longer than an age.
+type Survival func(kind string, age time.Duration) float64
+
+// Watch weighs the work under way at one endpoint: work that ought to have ended and has not speaks against the endpoint
+// long before its callers give up. Its owner locks it.
+//
+// The score is the log likelihood ratio of "since some moment the endpoint leaves hangShare of its new work without an
+// answer" against "the endpoint is well", at the moment for which it is highest. Work under way is a censored observation
+// of its time.
+type Watch struct {
+	// runs are by their start: what is under way, and some that has ended since.
+	runs  []run
+	ended int
+}
+
+// run is one piece of work; age is set once it has ended, answered if an answer came in time.
+type run struct {
+	id       uint64
+	kind     string
+	start    time.Time
+	ended    bool
+	answered bool
+	age      time.Duration
+}
+
+// Begin notes work that was handed over.
+func (w *Watch) Begin(now time.Time, id uint64, kind string) {
+	w.runs = append(w.runs, run{id: id, kind: kind, start: now})
+}
+
+// End notes that work has ended, and whether the endpoint answered.
+func (w *Watch) End(now time.Time, id uint64, answered bool) {
+	i := slices.IndexFunc(w.runs, func(r run) bool { return r.id == id })
+	if i < 0 {
+		return
+	}
+	r := &w.runs[i]
+	r.ended, r.answered, r.age = true, answered, now.Sub(r.start)
+	if w.ended++; w.ended > mostEnded {
+		w.ended--
+		oldest := slices.IndexFunc(w.runs, func(r run) bool { return r.ended })
+		w.runs = slices.Delete(w.runs, oldest, oldest+1)
+	}
+}
+
+// Score returns the evidence against the endpoint in nats, 0 for none.
+func (w *Watch) Score(now time.Time, survival Survival) float64 {
+	sum, most := 0.0, 0.0
+	for _, r := range slices.Backward(w.runs) {
+		sum += r.evidence(now, survival)
+		most = max(most, sum)
+	}
+	return most
+}
+
+// evidence is the log likelihood ratio of one piece of work.
+func (r run) evidence(now time.Time, survival Survival) float64 {
+	if r.answered {
+		return math.Log(1 - hangShare)
+	}
+	age := r.age
+	if !r.ended {
+		age = now.Sub(r.start)
+	}
+	s := survival(r.kind, age)
+	return min(math.Log((hangShare+(1-hangShare)*s)/s), mostEvidence)
+}
+
+// Reset forgets all work so far: the endpoint has shown that it is well, and what is still silent was begun before that.
+func (w *Watch) Reset() { w.runs, w.ended = nil, 0 }
+
+// Age returns how long a piece of work is under way, with its kind; false if it is not.
+func (w *Watch) Age(now time.Time, id uint64) (kind string, age time.Duration, ok bool) {
+	i := slices.IndexFunc(w.runs, func(r run) bool { return r.id == id && !r.ended })
+	if i < 0 {
+		return "", 0, false
+	}
+	return w.runs[i].kind, now.Sub(w.runs[i].start), true
+}
+
+// Running returns the ids of the work under way.
+func (w *Watch) Running() []uint64 {
+	var ids []uint64
+	for _, r := range w.runs {
+		if !r.ended {
+			ids = append(ids, r.id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/egress/due.go
@@ -0,0 +1,64 @@
+package egress
+
+import (
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+)
+
+const (
+	// dueShare is the share of ordinary work that ends before its answer counts as due: one request in twenty is sent a
+	// second time for nothing, a quarter of what a retry budget of 20% grants.
+	dueShare = 0.95
+	// leastDueShare is the same where a second answer could not come within the aim otherwise.
+	leastDueShare = 0.8
+	// unknownDue is the part of the aim after which an answer is due while the endpoint's times are not known, as one in so
+	// many; a second answer can then still come in time.
+	unknownDue = 2
+)
+
+// due returns the time within which the answer to a request is due, 0 if nobody asks or it is not known.
+//
+// A second send has to come early enough for its answer to be in time, and no earlier than that or than most answers come.
+func (l *local) due(d *peerpb.Dispatch) time.Duration {
+	if !d.GetTellDue() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	model, aim := l.times.Of(d.GetRoute()), aimLeft(d)
+	if !model.Known() {
+		return aim / unknownDue
+	}
+	usual, soon := model.Quantile(dueShare), model.Quantile(leastDueShare)
+	inTime := max(soon, min(usual, aim-soon))
+	return max(inTime, min(aim/unknownDue, aim-2*usual))
+}
+
+// spend takes a further send of a request from the endpoint's part of the fleet's retries, and has a first one earn its
+// share; it returns the refusal when no retry is left.
+func (l *local) spend(now time.Time, d *peerpb.Dispatch) *peerpb.End {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.GetRepeat() {
+		if !l.retries.Take(now) {
+			return peer.NotRun(fault.RetryBudget, shortRetryAfter)
+		}
+		return nil
+	}
+	if d.GetEarns() {
+		l.retries.Request(now, l.share)
+	}
+	return nil
+}
+
+// unspend gives back a retry that did not reach the endpoint.
+func (l *local) unspend(d *peerpb.Dispatch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.GetRepeat() {
+		l.retries.Return()
+	}
+}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -20,6 +20,7 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/registry"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -44,6 +45,8 @@
 	Contract contract.Contract
 	// Breaker is the policy for endpoints that break off their work.
 	Breaker breaker.Config
+	// Retries is the slack of retries that the fleet's endpoints share.
+	Retries retry.Share
 }
 
 // Egress serves the endpoints beside this node; it is a kernel component.
@@ -182,8 +185,13 @@
 	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
 		return false, end
 	}
+	if end := l.spend(time.Now(), d); end != nil {
+		l.free(0)
+		return false, end
+	}
 	trial, end = e.permit(ctx, l, d, sink)
 	if end != nil {
+		l.unspend(d)
 		l.free(0)
 	}
 	return trial, end
@@ -212,14 +220,18 @@
 	if !ok {
 		return false, peer.NotRun(fault.Suspect, l.pauseLeft(time.Now()))
 	}
+	due := l.due(d)
 	p, asks := sink.(peer.Permitter)
 	if !asks {
+		if due > 0 {
+			sink.Due(due)
+		}
 		return trial, nil
 	}
 	deadline, _ := ctx.Deadline()
 	id := d.GetExchange()
 	e.records.begin(time.Now(), id, deadline)
-	if p.Permit(ctx, l.load(0, e.cfg.Incarnation)) && e.records.hand(id) {
+	if p.Permit(ctx, l.load(0, e.cfg.Incarnation), due) && e.records.hand(id) {
 		return trial, nil
 	}
 	e.records.void(id)
@@ -241,10 +253,11 @@
 	if kept {
 		sink = recording
 	}
-	start := time.Now()
+	start, id := time.Now(), e.nextID.Add(1)
+	e.begin(l, start, id, d, sink, trial)
 	result := l.run(ctx, d, body, sink)
 	service := time.Since(start)
-	l.release(service, result, trial, d.GetLastResort())
+	l.release(id, service, result, d, trial)
 	if result.cause != nil {
 		e.logFailure(l, d, result, service, trial)
 	}
@@ -347,7 +360,7 @@
 		l = newLocal(row, e.cfg, e.pool, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
 		e.locals[row.Key] = l
 	}
-	l.configure(row, int(view.Value.Queue))
+	l.configure(row, view, e.cfg.Retries)
 	return l
 }
 
--- a/egress/kept.go
+++ b/egress/kept.go
@@ -169,6 +169,9 @@
 // Late implements peer.Sink.
 func (s *recordingSink) Late() { s.Sink.Late() }
 
+// Due implements peer.Sink.
+func (s *recordingSink) Due(in time.Duration) { s.Sink.Due(in) }
+
 // Head implements peer.Sink.
 func (s *recordingSink) Head(h *peerpb.Head, soon bool) error {
 	s.head = h
--- a/egress/local.go
+++ b/egress/local.go
@@ -12,7 +12,9 @@
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/latency"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -34,10 +36,24 @@
 
 	mu      sync.Mutex
 	breaker *breaker.Breaker
+	// watch weighs the work under way, trial is the piece of it that is the breaker's trial, 0 for none.
+	watch breaker.Watch
+	trial uint64
+	// asking are the sinks of work under way whose senders want to hear when its answer is due.
+	asking map[uint64]peer.Sink
+	// suspected is set while the breaker is open for the work under way alone.
+	suspected bool
+	// looking is set while the work under way is looked at in turn.
+	looking bool
 	// shown is the breaker's state as it was last logged.
 	shown breaker.State
 	queue *admit.Queue
 	slots int
+	// times are those of the endpoint's work that ended well.
+	times *latency.Kinds
+	// retries is the endpoint's part of the fleet's budget, share what a caller's request earns of it.
+	retries *retry.Budget
+	share   float64
 	// waiters are the channels on which queued requests wait for their decision, by the queue's ids.
 	waiters map[uint64]chan admit.Decision
 }
@@ -47,11 +63,13 @@
 		key: row.Key, contract: cfg.Contract, pool: pool, breaker: breaker.New(cfg.Breaker),
 		queue:   admit.NewQueue(int(row.Value.Slots), 0, random),
 		waiters: make(map[uint64]chan admit.Decision),
+		asking:  make(map[uint64]peer.Sink),
+		times:   latency.NewKinds(), retries: retry.NewBudget(time.Now(), cfg.Retries.Window),
 	}
 }
 
 // configure takes the endpoint's address and limits as they are in force now.
-func (l *local) configure(row table.Entry[table.Endpoint], queue int) {
+func (l *local) configure(row table.Entry[table.Endpoint], service table.ServiceView, slack retry.Share) {
 	address := row.Value.Address
 	if old := l.address.Load(); old == nil || *old != address {
 		l.address.Store(&address)
@@ -59,7 +77,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slots = int(row.Value.Slots)
-	l.queue.SetLimits(l.slots, queue)
+	l.queue.SetLimits(l.slots, int(service.Value.Queue))
+	l.share = float64(service.Value.RetryBudget)
+	l.retries.SetSlack(slack.Part(len(service.Endpoints)))
 }
 
 // admit returns nil once the request holds a slot, else the refusal.
@@ -158,8 +178,8 @@
 }
 
 // release frees the slot and counts the work. What the endpoint did not run says nothing about its speed.
-func (l *local) release(service time.Duration, r result, trial, lastResort bool) {
-	l.judge(r, service, trial, lastResort)
+func (l *local) release(id uint64, service time.Duration, r result, d *peerpb.Dispatch, trial bool) {
+	l.judge(id, r, service, d, trial)
 	if !r.worked {
 		service = 0
 	}
@@ -178,6 +198,7 @@
 func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tick(time.Now())
 	return &peerpb.Load{
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -5,12 +5,14 @@
 
 	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
 )
 
 // takes tells whether the endpoint may take a request of this kind at all just now.
 func (l *local) takes(now time.Time, d *peerpb.Dispatch) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tick(now)
 	return l.breaker.Would(now, d.GetCanary()) || l.lastResort(d)
 }
 
@@ -24,6 +26,7 @@
 func (l *local) allow(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tick(now)
 	ok, trial = l.breaker.Allow(now, d.GetCanary())
 	return ok || l.lastResort(d), trial
 }
@@ -58,28 +61,128 @@
 	return from, to, from != to
 }
 
-// overdueTimes is how many usual service times work must have had no answer for to speak against the endpoint: work of
-// three times the mean is one in a hundred.
-const overdueTimes = 3
+const (
+	// lookEvery is the time between two looks at the work under way: short beside the second for which endpoints are seen to
+	// hang, and 40 wake-ups a second of a node that works.
+	lookEvery = 25 * time.Millisecond
+	// suspectScore is the evidence of the work under way, in nats, that opens the breaker: odds of 150 to 1.
+	suspectScore = 5
+	// clearScore is the evidence below which a suspicion that rested on work under way alone is dropped: that work has
+	// been answered after all.
+	clearScore = 0.5
+	// trialOverdue is the share of ordinary work that takes longer than a trial may, which then has failed.
+	trialOverdue = 0.05
+)
+
+// begin notes work that is handed over, and has the work under way looked at while there is any.
+func (e *Egress) begin(l *local, now time.Time, id uint64, d *peerpb.Dispatch, sink peer.Sink, trial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch.Begin(now, id, d.GetRoute())
+	if trial {
+		l.trial = id
+	}
+	if d.GetTellDue() {
+		l.asking[id] = sink
+	}
+	if !l.looking {
+		l.looking = true
+		time.AfterFunc(lookEvery, func() { e.look(l) })
+	}
+}
+
+// look judges the work under way and comes back while there is any.
+func (e *Egress) look(l *local) {
+	for _, sink := range l.weigh(time.Now()) {
+		sink.Due(0)
+	}
+	e.noteState(l)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looking = len(l.watch.Running()) > 0
+	if l.looking {
+		time.AfterFunc(lookEvery, func() { e.look(l) })
+	}
+}
+
+// survival tells how much of a kind's ordinary work takes longer than an age; the lock is held.
+func (l *local) survival(kind string, age time.Duration) float64 {
+	return l.times.Of(kind).Survival(age)
+}
+
+// tick closes the breaker once the time for that has come; the lock is held.
+func (l *local) tick(now time.Time) {
+	was := l.breaker.State()
+	l.breaker.Tick(now)
+	l.noteClosed(was)
+}
+
+// noteClosed has the watch begin anew once the breaker has closed; the lock is held.
+func (l *local) noteClosed(was breaker.State) {
+	if was != breaker.Closed && l.breaker.State() == breaker.Closed {
+		l.suspected = false
+		l.watch.Reset()
+	}
+}
 
-// judge tells the breaker how a run went. A refusal, and work that its caller broke off soon, say nothing.
-func (l *local) judge(r result, service time.Duration, trial, lastResort bool) {
+// weigh opens the breaker when the work under way says that the endpoint hangs, and returns who waits for such work.
+func (l *local) weigh(now time.Time) []peer.Sink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if kind, age, ok := l.watch.Age(now, l.trial); ok && l.survival(kind, age) < trialOverdue {
+		l.trial = 0
+		l.breaker.Done(now, breaker.Overdue, true)
+	}
+	l.tick(now)
+	if l.watch.Score(now, l.survival) < suspectScore || !l.breaker.Suspect(now) {
+		return nil
+	}
+	l.suspected = true
+	var waiting []peer.Sink
+	for _, id := range l.watch.Running() {
+		if sink := l.asking[id]; sink != nil {
+			waiting = append(waiting, sink)
+		}
+	}
+	return waiting
+}
+
+// judge tells the watch, the breaker and the model of times how a run went. A refusal, and work that its caller broke off
+// soon, say nothing.
+func (l *local) judge(id uint64, r result, service time.Duration, d *peerpb.Dispatch, trial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	delete(l.asking, id)
+	trial = trial && l.trial == id
+	if trial {
+		l.trial = 0
+	}
+	// An answer that only says, after a long time, that the work failed is silence by another name, and old: the watch has
+	// weighed it while it was under way.
+	silent := (r.silent || r.failed && !r.broken) && l.survival(d.GetRoute(), service) < trialOverdue
+	l.watch.End(now, id, !silent && !r.broken)
 	how := breaker.OK
 	switch {
 	case r.broken:
 		how = breaker.Broken
-	case r.silent && service >= overdueTimes*l.queue.Typical():
+	case silent && trial:
 		how = breaker.Overdue
-	case !r.worked:
+	case silent || r.silent || !r.worked:
 		l.breaker.Release(trial)
 		return
 	case r.failed:
 		how = breaker.Failed
+	default:
+		l.times.Note(d.GetRoute(), service)
 	}
-	if lastResort && !trial {
+	if d.GetLastResort() && !trial {
 		l.breaker.LastResort(how)
 	}
-	l.breaker.Done(time.Now(), how, trial)
+	was := l.breaker.State()
+	l.breaker.Done(now, how, trial)
+	if l.suspected && l.watch.Score(now, l.survival) < clearScore {
+		l.breaker.Clear(now)
+	}
+	l.noteClosed(was)
 }
--- a/events/events.go
+++ b/events/events.go
@@ -55,6 +55,7 @@
 	RequestServed   = Event{503, "request served", zerolog.InfoLevel}
 	ServedLate      = Event{504, "request served late", zerolog.InfoLevel}
 	SentAgain       = Event{505, "request sent again", zerolog.InfoLevel}
+	SentTwice       = Event{506, "request sent to a second endpoint", zerolog.InfoLevel}
 )
 
 // All lists every event.
@@ -66,7 +67,7 @@
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused,
-	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain,
+	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain, SentTwice,
 }
 
 // Log begins a log line of the event; the caller adds fields and sends it.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
+	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
 )
@@ -36,10 +38,13 @@
 	head *peerpb.Head
 	kept []byte
 	late lateWatch
+	due  *dueWatch
+	// speaker decides which of several sends speaks to the caller.
+	speaker *speaker
 }
 
-func newAnswer(w http.ResponseWriter, c call, say contract.Contract, replayable bool) *answer {
-	return &answer{w: w, call: c, say: say, mayHold: c.repeatable && replayable, keep: c.keyed()}
+func newAnswer(w http.ResponseWriter, c call, say contract.Contract, s *speaker) *answer {
+	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.keyed(), due: newDueWatch(), speaker: s}
 }
 
 // reset forgets a held answer before the next exchange.
@@ -53,6 +58,9 @@
 	a.late.note()
 }
 
+// Due implements peer.Sink.
+func (a *answer) Due(in time.Duration) { a.due.in(in) }
+
 // Head implements peer.Sink.
 func (a *answer) Head(h *peerpb.Head, _ bool) error {
 	a.head = h
@@ -60,8 +68,7 @@
 		a.held = h
 		return nil
 	}
-	a.start(h)
-	return nil
+	return a.start(h)
 }
 
 // short tells whether an answer's whole body is small enough to be held.
@@ -75,8 +82,11 @@
 	return false
 }
 
-// start passes the head on.
-func (a *answer) start(h *peerpb.Head) {
+// start passes the head on, Canceled when another send's answer goes to the caller.
+func (a *answer) start(h *peerpb.Head) error {
+	if !a.speaker.take(a) {
+		return fault.New(fault.Canceled, "answer", "another send has answered")
+	}
 	a.started = true
 	out := a.w.Header()
 	header.ToHTTP(h.GetHeaders(), out)
@@ -85,6 +95,7 @@
 	})
 	a.chunked = out.Get("Content-Length") == ""
 	a.w.WriteHeader(int(h.GetStatus()))
+	return nil
 }
 
 // Data implements peer.Sink.
@@ -113,7 +124,9 @@
 	if a.held == nil {
 		return nil
 	}
-	a.start(a.held)
+	if err := a.start(a.held); err != nil {
+		return err
+	}
 	a.held = nil
 	_, err := a.w.Write(a.body)
 	a.body = nil
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -23,15 +24,17 @@
 	service    table.ServiceView
 	customer   string
 	repeatable bool
-	timeout    time.Duration
-	key        string
-	attempt    uint32
-	method     string
-	target     string
-	host       string
-	headers    []*peerpb.Header
-	revision   uint64
-	config     uint64
+	// inner is set for a call that the endpoint beside this node makes for its own work.
+	inner    bool
+	timeout  time.Duration
+	key      string
+	attempt  uint32
+	method   string
+	target   string
+	host     string
+	headers  []*peerpb.Header
+	revision uint64
+	config   uint64
 }
 
 // parse reads what the caller asks for; the failure says what is wrong.
@@ -53,10 +56,17 @@
 	}
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
+	c.inner = g.inner(r)
 	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
 	return c, nil
 }
 
+// inner tells whether a request comes from the endpoint beside this node.
+func (g *Ingress) inner(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	return err == nil && from.Addr().Unmap() == g.cfg.Endpoint
+}
+
 func clientIP(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -11,9 +11,11 @@
 )
 
 // deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
-func (x *exchange) deliver(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch) *peerpb.End {
+func (x *exchange) deliver(
+	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
+) *peerpb.End {
 	if e.Value.Host == x.g.cfg.Host {
-		return x.g.local.Serve(ctx, d, x.body.reader(), x.answer)
+		return x.g.local.Serve(ctx, d, x.body.reader(), sink)
 	}
 	host, ok := x.g.snapshot().ByID[e.Value.Host]
 	if !ok {
@@ -23,7 +25,7 @@
 	if err != nil {
 		return peer.NotRun(fault.LinkDown, 0)
 	}
-	end := s.Exchange(ctx, d, x.body.reader(), x.answer)
+	end := s.Exchange(ctx, d, x.body.reader(), sink)
 	if lost(end) && d.GetExchange() != 0 && !x.call.repeatable {
 		return x.recover(ctx, host, d.GetExchange(), end)
 	}
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -25,11 +25,11 @@
 }
 
 // failed tells whether a caller has not had a whole answer with the work done: one that broke off or says 5xx has not.
-func (x *exchange) failed(end *peerpb.End) bool {
+func (a *answer) failed(end *peerpb.End) bool {
 	if end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN || !end.GetComplete() {
 		return true
 	}
-	return x.answer.head.GetStatus() >= http.StatusInternalServerError
+	return a.head.GetStatus() >= http.StatusInternalServerError
 }
 
 // declined tells that an endpoint turned the request away for want of a slot or of trust, before anything was sent.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -32,7 +32,9 @@
 	call   call
 	body   *requestBody
 	answer *answer
-	budget *budget
+	// speaker is the send whose answer goes to the caller.
+	speaker  *speaker
+	refusals *refusals
 	// tried are the endpoints that have had the request or have turned it away for a reason that lasts.
 	tried []string
 	// declined are those of this round that had no free slot, or took only trials, when they were asked.
@@ -49,6 +51,8 @@
 	// offers counts the endpoints that were asked for a free slot, waits those at whose queues the request waited.
 	offers int
 	waits  int
+	// spent counts the endpoints whose part of the retries was spent.
+	spent int
 	// sends counts the answers, refusals by full queues among them, that the retry policy had to judge.
 	sends int
 	// trail is who was asked and what came of it, for the log.
@@ -77,16 +81,34 @@
 			}
 			return x.truth(peer.NotRun(fault.CodeOf(err), 0))
 		}
-		// Only now that another endpoint is there, what the last one answered is given up.
-		x.answer.reset()
-		end := x.send(ctx, pick, nil, wait)
-		if !x.again(ctx, pick, end) {
+		end := x.sendTo(ctx, &pick, wait)
+		again := x.again(ctx, pick, end)
+		if last != nil && x.ran && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+			// Nobody took the request again: what the last endpoint answered still stands.
+			end = last
+		}
+		if !again {
 			return x.truth(end)
 		}
 		last = end
 	}
 }
 
+// sendTo sends the request to the endpoint that was picked; pick names the one that decided, which may be another.
+func (x *exchange) sendTo(ctx context.Context, pick *director.Pick, wait bool) (end *peerpb.End) {
+	if !x.call.repeatable {
+		// Only now that another endpoint is there, what the last one answered is given up.
+		x.answer.reset()
+		return x.send(ctx, *pick, nil, wait)
+	}
+	answered := x.answer
+	*pick, end = x.sendRepeatable(ctx, *pick, wait)
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		x.answer = answered
+	}
+	return end
+}
+
 // pick chooses the next endpoint: first those with a free slot, which are asked and not waited for, then the one where
 // the wait is shortest, and when every endpoint is under suspicion one of these all the same.
 func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
@@ -127,19 +149,25 @@
 func (x *exchange) send(ctx context.Context, pick director.Pick, claim *peerpb.Claim, wait bool) *peerpb.End {
 	x.answer.late.begin(func() { x.g.director.Late(x.call.service.Key, pick) })
 	d := x.dispatch(ctx, pick, claim)
+	x.mark(d, wait)
+	ctx, cancel := context.WithCancel(ctx)
+	l := &leg{pick: pick, answer: x.answer, at: time.Since(x.start), cancel: cancel}
+	l.end = x.deliver(ctx, pick.Endpoint, d, x.answer)
+	x.settleLeg(l)
+	return l.end
+}
+
+// mark says in a dispatch which kind of send it is.
+func (x *exchange) mark(d *peerpb.Dispatch, wait bool) {
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
-	d.Canary = x.call.repeatable && x.sends == 0 && x.budget.left()
-	asked := time.Since(x.start)
-	end := x.deliver(ctx, pick.Endpoint, d)
-	late := x.answer.late.end()
-	x.note(end)
-	x.count(end)
-	x.trail.add(step{endpoint: pick.Endpoint.Key, at: asked, seenMillis: pick.SeenMillis, end: end})
-	x.g.director.Done(director.Report{
-		Service: x.call.service.Key, Pick: pick, WasLate: late, Load: end.GetLoad(),
-		Worked: worked(end) && !end.GetLoad().GetTrial(), Failed: x.failed(end), Declined: declined(end) || misplaced(end),
-	})
-	return end
+	d.Canary = x.call.repeatable && x.sends == 0
+	d.Repeat = x.sends > 0
+	d.Earns = x.sends == 0 && !x.call.inner
+}
+
+// newAnswer returns the sink of one more send.
+func (x *exchange) newAnswer() *answer {
+	return newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.speaker)
 }
 
 // count shows in the metrics what came of asking an endpoint.
@@ -205,6 +233,9 @@
 	if declined(end) {
 		return x.afterDeclined(pick.Endpoint.Key, end)
 	}
+	if fault.Code(end.GetCode()) == fault.RetryBudget {
+		return x.afterSpent(pick.Endpoint.Key)
+	}
 	x.tried = append(x.tried, pick.Endpoint.Key)
 	if misplaced(end) {
 		return x.current(ctx, end)
@@ -218,7 +249,7 @@
 		return false
 	}
 	x.sends++
-	if !x.budget.decide(x.attempt(ctx, pick, end)) {
+	if !x.refusals.decide(x.attempt(ctx, pick, end)) {
 		return false
 	}
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
@@ -241,13 +272,23 @@
 	return len(x.declined) < mostDeclined
 }
 
+// mostSpent bounds the endpoints that are asked to take a request again although others have no retries left.
+const mostSpent = 3
+
+// afterSpent notes an endpoint whose part of the retries is spent, and tells whether to ask another.
+func (x *exchange) afterSpent(key string) bool {
+	x.declined = append(x.declined, key)
+	x.spent++
+	return x.spent < mostSpent
+}
+
 // attempt is the latest send as the retry policy judges it.
 func (x *exchange) attempt(ctx context.Context, pick director.Pick, end *peerpb.End) retry.Attempt {
 	deadline, _ := ctx.Deadline()
 	return retry.Attempt{
 		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
 		Overloaded: crowded(end) || fault.Code(end.GetCode()) == fault.EndpointShed,
-		Failed:     x.failed(end), Started: x.answer.started, Replayable: true,
+		Failed:     x.answer.failed(end), Started: x.answer.started, Replayable: true,
 		Left: time.Until(deadline), Typical: pick.Typical,
 	}
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,6 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
-	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -33,8 +33,9 @@
 	Incarnation uint64
 	// Contract says how callers are spoken to; nil stands for the product's own.
 	Contract contract.Contract
-	// Retries is the fleet's budget of retries.
-	Retries retry.Share
+	// Endpoint is the address of the endpoint beside this node, whose work's own calls come from it; the zero value if it
+	// is not known.
+	Endpoint netip.Addr
 }
 
 // Local runs a request at an endpoint beside this node.
@@ -63,7 +64,7 @@
 	confirm func(ctx context.Context) bool
 
 	mu      sync.Mutex
-	budgets map[string]*budget
+	refused map[string]*refusals
 }
 
 // Option changes an ingress under construction.
@@ -82,7 +83,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: newLimiters(), splits: newSplits(), budgets: make(map[string]*budget),
+		limits: newLimiters(), splits: newSplits(), refused: make(map[string]*refusals),
 		confirm: func(context.Context) bool { return true },
 	}
 	for _, opt := range opts {
@@ -122,7 +123,6 @@
 	class.Count(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	class.Latency.RecordDuration(elapsed)
-	class.BudgetLeft(g.budget(c.service.Key).tokens())
 	g.metrics.Customer(c.customer).RecordDuration(elapsed)
 	if end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && !end.GetComplete() {
 		// The answer was cut: break the connection, so that it cannot look whole.
@@ -168,9 +168,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, start: time.Now(), call: c, body: body, answer: newAnswer(w, c, g.cfg.Contract, true)}
-	x.budget = g.budget(c.service.Key)
-	x.budget.request(float64(c.service.Value.RetryBudget))
+	x := &exchange{g: g, start: time.Now(), call: c, body: body, speaker: new(speaker)}
+	x.answer = newAnswer(w, c, g.cfg.Contract, x.speaker)
+	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
 	x.log(end)
 	return x.answer.finish(end)
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -121,7 +121,7 @@
 func (x *exchange) ask(ctx context.Context, home table.Entry[table.Endpoint], c *peerpb.Claim) *peerpb.End {
 	d := x.dispatch(ctx, director.Pick{Endpoint: home}, c)
 	d.BodyLength, d.Body = 0, nil
-	return x.deliver(ctx, home, d)
+	return x.deliver(ctx, home, d, x.answer)
 }
 
 // runAtHome runs the request at the home's own endpoint if that takes work, else elsewhere under the home's grant.
--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -32,6 +32,16 @@
 		case <-time.After(staleLook):
 		}
 	}
+	if !x.adopt() {
+		return false
+	}
+	// The endpoint refused the configuration, not the request.
+	x.tried = x.tried[:len(x.tried)-1]
+	return true
+}
+
+// adopt brings the request to the configuration in force here now; false when that no longer sends it to its service.
+func (x *exchange) adopt() bool {
 	snap := x.g.snapshot()
 	row, ok := snap.State.Row(table.KindRoute, x.call.route.Key)
 	if !ok {
@@ -41,9 +51,7 @@
 	if err != nil || !sends(next, x.call.service.Key) {
 		return false
 	}
-	x.call.config = x.config()
-	// The endpoint refused the configuration, not the request.
-	x.tried = x.tried[:len(x.tried)-1]
+	x.call.config = snap.State.Revisions()[table.PlaneConfig]
 	return true
 }
 
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -97,5 +97,5 @@
 func (x *exchange) logAgain(end *peerpb.End) {
 	events.SentAgain.Log(x.g.log).Str("request", x.call.id).Str("service", x.call.service.Key).
 		Str("endpoint", x.trail.last()).Str("outcome", end.GetOutcome().String()).Str("code", end.GetCode()).
-		Int("sends", x.sends).Float64("budget", x.budget.tokens()).Send()
+		Int("sends", x.sends).Send()
 }
--- /dev/null
+++ b/latency/kinds.go
@@ -0,0 +1,47 @@
+package latency
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// mostKinds bounds the kinds that are told apart at one endpoint, about 6 KB; the one that was seen longest ago is
+// forgotten first.
+const mostKinds = 64
+
+// Kinds holds a model for each kind of work of one endpoint; its owner locks it.
+type Kinds struct {
+	models *simplelru.LRU[string, *Model]
+	// all stands for kinds that are not known yet.
+	all Model
+}
+
+// NewKinds returns a value that knows nothing.
+func NewKinds() *Kinds {
+	models, err := simplelru.NewLRU[string, *Model](mostKinds, nil)
+	if err != nil {
+		// It fails for a size below one only.
+		panic(err)
+	}
+	return &Kinds{models: models}
+}
+
+// Note adds the time of one piece of work that ended well.
+func (k *Kinds) Note(kind string, d time.Duration) {
+	k.all.Note(d)
+	m, ok := k.models.Get(kind)
+	if !ok {
+		m = new(Model)
+		k.models.Add(kind, m)
+	}
+	m.Note(d)
+}
+
+// Of returns the model of a kind, or of all work while too little of the kind was seen. It holds until the next Note.
+func (k *Kinds) Of(kind string) *Model {
+	if m, ok := k.models.Peek(kind); ok && m.Known() {
+		return m
+	}
+	return &k.all
+}
--- a/node/config.go
+++ b/node/config.go
@@ -139,13 +139,17 @@
 		Host: n.cfg.Node.ID, Incarnation: incarnation, ProbePath: c.ProbePath, ProbeEvery: c.ProbeEvery.Std(),
 		KeyWindow: c.KeyWindow.Std(), KeySettle: c.KeySettle.Std(), KeyBytes: int(c.KeyBytes),
 		Contract: n.contract(), Breaker: breaker.DefaultConfig(),
+		Retries: retry.Share{
+			Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, Window: n.cfg.Retries.Window.Std(),
+			Most: n.cfg.Retries.MostBurst,
+		},
 	}
 }
 
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
-		Retries: retry.Share{Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, MostBurst: n.cfg.Retries.MostBurst},
+		Endpoint: n.cfg.Announced.Address.Addr(),
 	}
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -13,6 +13,8 @@
 type Sink interface {
 	// Late tells that the endpoint has taken long already.
 	Late()
+	// Due tells in how long from now an answer is due, 0 for at once; a later word takes the place of an earlier one.
+	Due(in time.Duration)
 	// Head takes the status and headers, once; soon tells that the body or the end follows without a wait.
 	Head(h *peerpb.Head, soon bool) error
 	// Data takes a piece of the body, valid during the call only; last tells that the end follows without a wait.
@@ -24,8 +26,9 @@
 	Sink
 	// Waiting tells that the request has arrived and waits for a slot.
 	Waiting()
-	// Permit offers the slot and returns whether the request may run now.
-	Permit(ctx context.Context, load *peerpb.Load) bool
+	// Permit offers the slot and returns whether the request may run now; due is the time from then on within which an
+	// answer is due, 0 if that is not known or was not asked for.
+	Permit(ctx context.Context, load *peerpb.Load, due time.Duration) bool
 }
 
 // NotRun returns the end of an exchange whose request was provably not handed to the endpoint.
@@ -79,6 +82,7 @@
 		BodyLength: d.GetBodyLength(), LateMicros: d.GetLateMicros(), Exchange: d.GetExchange(), Wait: d.GetWait(),
 		Priority: d.GetPriority(), Caller: d.GetCaller(), AimMicros: d.GetAimMicros(),
 		LastResort: d.GetLastResort(), Canary: d.GetCanary(), Route: d.GetRoute(), Config: d.GetConfig(),
+		LikelyOnly: d.GetLikelyOnly(), Repeat: d.GetRepeat(), Earns: d.GetEarns(), TellDue: d.GetTellDue(),
 	}
 }
 
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -45,6 +45,7 @@
 type kept struct{ body []byte }
 
 func (*kept) Late()                         {}
+func (*kept) Due(time.Duration)             {}
 func (*kept) Head(*peerpb.Head, bool) error { return nil }
 func (k *kept) Data(b []byte, _ bool) error { k.body = append(k.body, b...); return nil }
 
--- a/peer/offer_test.go
+++ b/peer/offer_test.go
@@ -32,7 +32,7 @@
 	if d.GetWait() {
 		p.Waiting()
 	}
-	ok = p.Permit(ctx, &peerpb.Load{})
+	ok = p.Permit(ctx, &peerpb.Load{}, 0)
 	o.permitted <- ok
 	if !ok {
 		return NotRun(fault.OfferLapsed, 0)
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -108,8 +108,13 @@
 			if handOver() != nil {
 				return x.broken()
 			}
+			if due := k.Grant.GetDueMicros(); due > 0 {
+				sink.Due(time.Duration(due) * time.Microsecond)
+			}
 		case *peerpb.Frame_Late:
 			sink.Late()
+		case *peerpb.Frame_Due:
+			sink.Due(0)
 		case *peerpb.Frame_Head:
 			err = sink.Head(k.Head, false)
 		case *peerpb.Frame_Data:
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -133,8 +133,9 @@
 // Permit implements Permitter.
 //
 // Invariant: it returns true only after the ingress's word, and once it has returned false that word changes nothing.
-func (v *serving) Permit(ctx context.Context, load *peerpb.Load) bool {
-	if v.put(&peerpb.Frame{Kind: &peerpb.Frame_Grant{Grant: &peerpb.Grant{Load: load}}}, false) != nil {
+func (v *serving) Permit(ctx context.Context, load *peerpb.Load, due time.Duration) bool {
+	grant := &peerpb.Grant{Load: load, DueMicros: due.Microseconds()}
+	if v.put(&peerpb.Frame{Kind: &peerpb.Frame_Grant{Grant: grant}}, false) != nil {
 		return false
 	}
 	timer := time.NewTimer(grantLife)
--- a/peer/sink.go
+++ b/peer/sink.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -46,6 +47,13 @@
 	_ = s.put(&peerpb.Frame{Kind: &peerpb.Frame_Late{Late: &peerpb.Late{}}}, false)
 }
 
+// Due implements Sink; what is due later went with the grant.
+func (s *streamSink) Due(in time.Duration) {
+	if in == 0 {
+		_ = s.put(&peerpb.Frame{Kind: &peerpb.Frame_Due{Due: &peerpb.Due{}}}, false)
+	}
+}
+
 // Head implements Sink.
 func (s *streamSink) Head(h *peerpb.Head, soon bool) error {
 	return s.put(&peerpb.Frame{Kind: &peerpb.Frame_Head{Head: h}}, soon)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -15,57 +15,23 @@
 	refusalMemory = 50
 )
 
-// Budget limits the retries of one service to a share of its requests; one goroutine owns it or its owner locks it.
-//
-// Invariant: over any stretch of n requests at most share*n + burst retries are granted.
-type Budget struct {
-	// tokens are the retries left, at most burst.
-	tokens float64
-	burst  float64
-	// refusing is the recent share of sends that were refused for lack of capacity.
-	refusing float64
-}
-
-// NewBudget returns a budget that begins with burst retries and holds as many, or the one that its share has earned.
-func NewBudget(burst float64) *Budget {
-	return &Budget{tokens: burst, burst: max(burst, 1)}
-}
-
-// SetBurst changes how many retries the budget holds, one at least; what it holds beyond that is lost.
-func (b *Budget) SetBurst(burst float64) {
-	b.burst = max(burst, 1)
-	b.tokens = min(b.tokens, b.burst)
-}
-
-// Request counts one request's first send and earns its share of a retry.
-func (b *Budget) Request(share float64) { b.tokens = min(b.burst, b.tokens+share) }
-
-// Left tells whether Take would grant a retry.
-func (b *Budget) Left() bool { return b.tokens >= 1 }
-
-// Tokens returns the retries left.
-func (b *Budget) Tokens() float64 { return b.tokens }
-
-// Take grants one retry if the budget has one left.
-func (b *Budget) Take() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+// Refusals remembers how much of its work a service refuses; one goroutine owns it or its owner locks it.
+type Refusals struct {
+	// share is the recent share of sends that were refused for lack of capacity.
+	share float64
 }
 
 // Answer notes whether a send was refused for lack of capacity.
-func (b *Budget) Answer(refused bool) {
+func (r *Refusals) Answer(refused bool) {
 	hit := 0.0
 	if refused {
 		hit = 1
 	}
-	b.refusing += (hit - b.refusing) / refusalMemory
+	r.share += (hit - r.share) / refusalMemory
 }
 
 // Refusing tells that the service as a whole turns work away.
-func (b *Budget) Refusing() bool { return b.refusing > refusingShare }
+func (r *Refusals) Refusing() bool { return r.share > refusingShare }
 
 // Attempt is what the decision rests on.
 type Attempt struct {
@@ -116,17 +82,11 @@
 	return false
 }
 
-// Decide grants a further send: what was misplaced goes again free of the budget, all else takes from it, and
-// nothing goes again for lack of capacity into a service that is refusing.
-func (b *Budget) Decide(a Attempt) bool {
+// Decide tells whether a further send may be asked for; the endpoint's budget has the last word. What was misplaced goes
+// again all the same, and nothing goes again for lack of capacity into a service that is refusing.
+func (r *Refusals) Decide(a Attempt) bool {
 	if !Worthwhile(a) {
 		return false
 	}
-	if a.Misplaced {
-		return true
-	}
-	if a.Overloaded && b.Refusing() {
-		return false
-	}
-	return b.Take()
+	return a.Misplaced || !a.Overloaded || !r.Refusing()
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -30,33 +30,92 @@
 		d.MaybeScanArgs(t, "left", &left)
 		a.Outcome = outcomes[word]
 		a.Left, _ = time.ParseDuration(left)
-		b := NewBudget(10)
-		b.tokens = 5
+		b := NewBudget(start.Add(-window), window)
+		b.SetSlack(5)
+		var r Refusals
 		if d.HasArg("refusing") {
-			b.refusing = 1
+			r.share = 1
 		}
-		ok := b.Decide(a)
-		return fmt.Sprintf("again=%v spent=%v\n", ok, 5-b.tokens)
+		ok := r.Decide(a)
+		if ok && !a.Misplaced {
+			ok = b.Take(start)
+		}
+		return fmt.Sprintf("again=%v spent=%v\n", ok, 5-b.Left(start))
 	})
 }
 
-// TestBudgetBoundsRetries checks the budget's invariant over random sequences.
+// start is when the tests' budgets begin, window what they count over.
+var start = time.Unix(1000, 0)
+
+const window = 10 * time.Second
+
+// TestBudgetBoundsRetries checks the budget's invariant over random sequences: no window holds more retries than the slack
+// and what its requests earn.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		burst := rapid.Float64Range(0, 10).Draw(t, "burst")
-		b := NewBudget(burst)
+		slack := rapid.Float64Range(0, 10).Draw(t, "slack")
 		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
-		requests, retries := 0, 0
-		for _, again := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "sequence") {
-			if !again {
-				requests++
-				b.Request(share)
-			} else if b.Decide(Attempt{Number: 1, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Replayable: true, Left: 1}) {
-				retries++
+		now := start
+		b := NewBudget(now, window)
+		b.SetSlack(slack)
+		var requests, retries []time.Time
+		since := func(list []time.Time) (n int) {
+			for _, at := range list {
+				if !at.Before(now.Add(-window)) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 500).Draw(t, "sequence") {
+			switch {
+			case step < 4:
+				requests = append(requests, now)
+				b.Request(now, share)
+			case step < 8:
+				if b.Take(now) {
+					retries = append(retries, now)
+				}
+			case step == 8 && len(retries) > 0:
+				b.Return()
+				retries = retries[:len(retries)-1]
+			default:
+				now = now.Add(300 * time.Millisecond)
+			}
+			if got, want := float64(since(retries)), slack+share*float64(since(requests)); got > want+1e-9 {
+				t.Fatalf("retries of a window: got %v, want at most %v", got, want)
 			}
 		}
-		if got, want := float64(retries), share*float64(requests)+burst; got > want+1e-9 {
-			t.Fatalf("retries: got %v, want at most %v", got, want)
+	})
+}
+
+// TestYoungBudgetGrows checks that a process which has just started does not grant at once what an earlier one beside the
+// same endpoint may have granted.
+func TestYoungBudgetGrows(t *testing.T) {
+	b := NewBudget(start, window)
+	b.SetSlack(10)
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{0, 0}, {window / 2, 5}, {2 * window, 10}} {
+		if got := b.Left(start.Add(c.after)); got != c.want {
+			t.Errorf("after %v: got %v, want %v", c.after, got, c.want)
+		}
+	}
+}
+
+// TestPartsAddUpToTheSlack checks that the parts of a service's endpoints, burst and gain, are at most its slack in any
+// window, however many there are.
+func TestPartsAddUpToTheSlack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Share{
+			Slack:  rapid.Float64Range(0, 1000).Draw(t, "slack"),
+			Window: window,
+			Most:   rapid.Float64Range(0, 100).Draw(t, "most"),
+		}
+		n := rapid.IntRange(1, 1000).Draw(t, "endpoints")
+		if got := float64(n) * s.Part(n); got > s.Slack+1e-6 {
+			t.Fatalf("retries of %d endpoints in a window: got %v, want at most %v", n, got, s.Slack)
 		}
 	})
 }
@@ -72,7 +131,7 @@
 			Failed: rapid.Bool().Draw(t, "failed"), Started: rapid.Bool().Draw(t, "started"),
 			Replayable: true, Left: time.Hour,
 		}
-		if got, want := NewBudget(10).Decide(a), false; got != want {
+		if got, want := new(Refusals).Decide(a), false; got != want {
 			t.Fatalf("%+v: got %v, want %v", a, got, want)
 		}
 	})
@@ -80,14 +139,16 @@
 
 // TestBurstFollowsTheFleet checks that a node which has heard of the whole fleet gives back what it held as if alone.
 func TestBurstFollowsTheFleet(t *testing.T) {
-	share := Share{Slack: 30, MostBurst: 3}
-	b := NewBudget(share.Burst(1))
-	b.SetBurst(share.Burst(20))
+	share := Share{Slack: 30, Window: window, Most: 3}
+	b := NewBudget(start, window)
+	b.SetSlack(share.Part(1))
+	now := start.Add(time.Minute)
+	b.SetSlack(share.Part(20))
 	taken := 0
-	for b.Take() {
+	for b.Take(now) {
 		taken++
 	}
 	if got, want := taken, 1; got != want {
-		t.Errorf("retries at once of one in 20 nodes: got %d, want %d", got, want)
+		t.Errorf("retries at once of one in 20 endpoints: got %d, want %d", got, want)
 	}
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -103,12 +103,14 @@
 
 // Retries is the fleet's budget of retries besides the services' shares.
 type Retries struct {
-	// Slack is how many retries of a service the whole fleet may make at once beyond the share.
+	// Slack is how many retries of a service the whole fleet may make in a window beyond the share.
 	Slack float64 `yaml:"slack" validate:"min=0"`
 	// Use is the part of the budget that the nodes use, share and slack alike, 0 to 1. The rest is for what they cannot
 	// count: the calls that a request makes when it runs again count against the services that it calls.
 	Use float64 `yaml:"use" validate:"min=0,max=1"`
-	// MostBurst bounds one node's part of the slack.
+	// Window is the time over which the fleet's retries are counted.
+	Window Duration `yaml:"window" validate:"min=1000000"`
+	// MostBurst bounds the part of the slack that one endpoint's node holds.
 	MostBurst float64 `yaml:"most_burst" validate:"min=0"`
 }
 
@@ -243,7 +245,7 @@
 			Floor: 0.6, FalseEjections: 0.05, RetryShare: 0.1, Queue: 16, Warmup: Duration(10 * time.Second),
 			Timeout: Duration(30 * time.Second),
 		},
-		Retries: Retries{Slack: 1000, Use: 1, MostBurst: 10},
+		Retries: Retries{Slack: 1000, Use: 1, Window: Duration(10 * time.Second), MostBurst: 10},
 		Ejection: Ejection{
 			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
 			Successes: 8, RampStep: Duration(2 * time.Second),
--- a/virtual/stream.go
+++ b/virtual/stream.go
@@ -66,8 +66,9 @@
 	fairQueue   = 16
 	tickEvery   = 100 * time.Millisecond
 	cutFoundIn  = 1250 * time.Millisecond
-	// retryBurst is what one node may retry at once.
+	// retryBurst is what may be retried in a window beyond the share.
 	retryBurst  = 10
+	retryWindow = 10 * time.Second
 	defaultRate = 20
 	customers   = 10
 	retryShare  = 0.1
@@ -128,6 +129,7 @@
 	policy    Policy
 	endpoints []*endpoint
 	budget    *retry.Budget
+	refusals  retry.Refusals
 	out       []bool
 	nextID    uint64
 	result    Result
@@ -143,8 +145,10 @@
 	}
 	r := &run{
 		Stream: s, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), //nolint:gosec // seeded on purpose
-		budget: retry.NewBudget(retryBurst), out: make([]bool, s.Service.Endpoints),
+		out: make([]bool, s.Service.Endpoints),
 	}
+	r.budget = retry.NewBudget(r.clock.now, retryWindow)
+	r.budget.SetSlack(retryBurst)
 	r.policy = s.Policy(s.Service, rand.New(rand.NewPCG(s.Seed, 2))) //nolint:gosec // seeded on purpose
 	r.result.Detected = -1
 	for i := range s.Service.Endpoints {
@@ -208,7 +212,7 @@
 			r.result.ShareAll++
 		}
 	}
-	r.budget.Request(retryShare)
+	r.budget.Request(r.clock.now, retryShare)
 	r.send(q)
 }
 
@@ -398,9 +402,9 @@
 	q := s.request
 	a.Number, a.Replayable, a.Typical = q.sends, true, meanWork
 	a.Left = q.arrived.Add(deadline).Sub(r.clock.now)
-	r.budget.Answer(a.Overloaded)
+	r.refusals.Answer(a.Overloaded)
 	q.tried = append(q.tried, s.endpoint)
-	if r.budget.Decide(a) {
+	if r.refusals.Decide(a) && r.budget.Take(r.clock.now) {
 		r.send(q)
 		return
 	}
