--- a/director/pick.go
+++ b/director/pick.go
@@ -25,13 +25,16 @@
 	Only string
 	// Free restricts the choice to endpoints that seem to have a free slot and to take such requests.
 	Free bool
+	// Near restricts the choice to the own hall.
+	Near bool
 	// Least asks for the endpoint with the shortest wait instead of a draw.
 	Least bool
 }
 
 const leastShare = 0.05
 
-// Pick chooses an endpoint, NoEndpoint when none can be tried. Release must follow.
+// Pick chooses an endpoint, NoEndpoint when none can be tried, Busy when all that the wish allows but for its Tried are
+// without a free slot. Done must follow.
 func (d *Director) Pick(ctx context.Context, w Wish) (Pick, error) {
 	v, err := d.view(ctx, w.Service)
 	if err != nil {
@@ -40,22 +43,34 @@
 	now := time.Now()
 	candidates := make([]balance.Candidate, 0, len(v.entries))
 	from := make([]int, 0, len(v.entries))
+	busy := false
 	for i := range v.entries {
 		e := &v.entries[i]
-		if !w.allows(e.endpoint.Key) || !d.open(e, now) {
+		if w.Near && e.endpoint.Value.Hall != d.cfg.Hall || !d.open(e, now) {
+			continue
+		}
+		if !w.allows(e.endpoint.Key) {
+			busy = busy || e.target.busy(now)
 			continue
 		}
 		if e.verdict.Phase == eject.Trickle && e.trickles(w) {
 			return v.pick(i, true), nil
 		}
 		c := d.candidate(v, e, now)
-		if e.out() || w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
+		if e.out() {
+			continue
+		}
+		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
+			busy = busy || c.Outstanding >= c.Slots || e.target.busy(now)
 			continue
 		}
 		candidates = append(candidates, c)
 		from = append(from, i)
 	}
 	i := w.choose(candidates)
+	if i < 0 && busy {
+		return Pick{}, fault.New(fault.Busy, w.Service, "no endpoint has a free slot")
+	}
 	if i < 0 {
 		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
 	}
--- a/director/target.go
+++ b/director/target.go
@@ -51,6 +51,11 @@
 	return !repeatable && now.UnixNano()-t.trialAt.Load() < int64(trialLife)
 }
 
+// busy tells whether an endpoint has just turned a request away for want of a slot, and not of trust.
+func (t *target) busy(now time.Time) bool {
+	return now.UnixNano()-t.declinedAt.Load() < int64(declinedLife) && t.trialAt.Load() == 0
+}
+
 func newTarget() *target {
 	t := new(target)
 	t.success.Store(math.Float64bits(1))
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -37,6 +37,8 @@
 	// head is the latest endpoint's head, kept as much of its body as is recorded for the key's home.
 	head *peerpb.Head
 	kept []byte
+	// size is how many bytes of the body have come.
+	size int
 	late lateWatch
 	due  *dueWatch
 	// speaker decides which of several sends speaks to the caller.
@@ -100,6 +102,7 @@
 
 // Data implements peer.Sink.
 func (a *answer) Data(b []byte, _ bool) error {
+	a.size += len(b)
 	if a.keep && len(a.kept) <= dedupe.KeptBody {
 		a.kept = append(a.kept, b...)
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -16,6 +16,8 @@
 const (
 	// mostOffers bounds the endpoints that are asked for a free slot before the request waits for one.
 	mostOffers = 6
+	// mostFar bounds those of other halls among them: each costs about 400 bytes between halls.
+	mostFar = 3
 	// mostWaits bounds the endpoints at whose queues it waits, one after the other.
 	mostWaits = 3
 	// mostDeclined bounds how often a request may be turned away before it is given up.
@@ -50,7 +52,10 @@
 	suspectSince time.Time
 	// offers counts the endpoints that were asked for a free slot, waits those at whose queues the request waited.
 	offers int
+	far    int
 	waits  int
+	// hallUntil is how long the request waits for a slot in its own hall, the zero time before it has looked for one.
+	hallUntil time.Time
 	// spent counts the endpoints whose part of the retries was spent.
 	spent int
 	// sends counts the answers, refusals by full queues among them, that the retry policy had to judge.
@@ -115,14 +120,8 @@
 	if x.lastResort {
 		return x.pickLast(ctx)
 	}
-	if x.offers < mostOffers {
-		x.offers++
-		wish := x.wish()
-		wish.Free = true
-		wish.Tried = slices.Concat(x.tried, x.declined)
-		if pick, err := x.g.director.Pick(ctx, wish); err == nil {
-			return pick, false, nil
-		}
+	if pick, ok := x.pickFree(ctx); ok {
+		return pick, false, nil
 	}
 	x.offers = mostOffers
 	if x.waits++; x.waits > mostWaits {
@@ -138,6 +137,33 @@
 	return pick, true, err
 }
 
+// pickFree chooses an endpoint that seems to have a free slot, in the own hall as long as the request can wait for one there.
+func (x *exchange) pickFree(ctx context.Context) (director.Pick, bool) {
+	for x.offers < mostOffers {
+		x.offers++
+		wish := x.wish()
+		wish.Free, wish.Near = true, true
+		wish.Tried = slices.Concat(x.tried, x.declined)
+		pick, err := x.g.director.Pick(ctx, wish)
+		if err == nil {
+			return pick, true
+		}
+		if fault.CodeOf(err) == fault.Busy && x.waitForHall(ctx) {
+			x.offers, x.declined = 0, slices.Clone(x.suspects)
+			continue
+		}
+		if x.far++; x.far > mostFar {
+			break
+		}
+		wish.Near = false
+		if pick, err := x.g.director.Pick(ctx, wish); err == nil {
+			return pick, true
+		}
+		break
+	}
+	return director.Pick{}, false
+}
+
 // wish is what any endpoint for the request must meet.
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -65,6 +65,7 @@
 
 	mu      sync.Mutex
 	refused map[string]*refusals
+	routes  *routes
 }
 
 // Option changes an ingress under construction.
@@ -83,7 +84,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: newLimiters(), splits: newSplits(), refused: make(map[string]*refusals),
+		limits: newLimiters(), splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
 		confirm: func(context.Context) bool { return true },
 	}
 	for _, opt := range opts {
--- a/ingress/lastresort.go
+++ b/ingress/lastresort.go
@@ -37,7 +37,7 @@
 		return director.Pick{}, false, fault.New(fault.Suspect, x.call.service.Key, "every endpoint takes only trials")
 	case <-time.After(suspectPause):
 	}
-	x.offers, x.waits, x.declined, x.suspects = 0, 0, nil, nil
+	x.offers, x.far, x.waits, x.declined, x.suspects = 0, 0, 0, nil, nil
 	return x.pick(ctx)
 }
 
--- a/ingress/legs.go
+++ b/ingress/legs.go
@@ -179,6 +179,10 @@
 	x.note(l.end)
 	x.count(l.end)
 	x.trail.add(step{endpoint: l.pick.Endpoint.Key, at: l.at, seenMillis: l.pick.SeenMillis, end: l.end})
+	if worked(l.end) && !l.answer.failed(l.end) {
+		work := time.Duration(l.end.GetLoad().GetServiceMicros()) * time.Microsecond
+		x.g.routes.note(x.call.route.Key, work, len(x.body.head)+l.answer.size)
+	}
 	x.report(l)
 }
 
--- /dev/null
+++ b/ingress/patience.go
@@ -0,0 +1,85 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/lynxplank/lynxplank/latency"
+)
+
+const (
+	// mostRoutes bounds the routes whose work is remembered, about 100 bytes each.
+	mostRoutes = 512
+	// sizeMemory is the weight of the newest request in a route's usual size.
+	sizeMemory = 0.1
+	// patientShare is the most of the time to spare before its aim that a request waits for a slot in its own hall.
+	patientShare = 0.5
+	// patientSize is the size, request and answer together, in bytes, at which a request waits half of that: below it, the
+	// way to another hall costs little more than the asking for a slot there, about 1 KB.
+	patientSize = 2000
+	// usualShare is the share of ordinary work that the time kept for the work itself suffices for.
+	usualShare = 0.8
+	// hallPause is the wait between two rounds over the hall's endpoints: a busy hall frees a slot about as often.
+	hallPause = 20 * time.Millisecond
+)
+
+// routes remembers the times and sizes of the work that this node has sent, by route.
+type routes struct {
+	mu    sync.Mutex
+	times *latency.Kinds
+	sizes *simplelru.LRU[string, float64]
+}
+
+func newRoutes() *routes {
+	sizes, err := simplelru.NewLRU[string, float64](mostRoutes, nil)
+	if err != nil {
+		// It fails for a size below one only.
+		panic(err)
+	}
+	return &routes{times: latency.NewKinds(), sizes: sizes}
+}
+
+// note takes the time and the size of one served request.
+func (r *routes) note(route string, work time.Duration, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.times.Note(route, work)
+	usual, ok := r.sizes.Get(route)
+	if !ok {
+		usual = float64(bytes)
+	}
+	r.sizes.Add(route, usual+(float64(bytes)-usual)*sizeMemory)
+}
+
+// patience returns how long a request with so much time left to its aim waits for a slot in its own hall, so that its
+// bytes need not go to another: longer the more bytes it moves, and never so long that its work could not be in time.
+func (r *routes) patience(route string, left time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	model := r.times.Of(route)
+	size, ok := r.sizes.Peek(route)
+	if !ok || !model.Known() {
+		return 0
+	}
+	spare := left - model.Quantile(usualShare)
+	return max(0, time.Duration(patientShare*size/(size+patientSize)*float64(spare)))
+}
+
+// waitForHall waits a moment for a slot in the own hall, and tells whether the hall is to be asked again.
+func (x *exchange) waitForHall(ctx context.Context) bool {
+	if x.hallUntil.IsZero() {
+		x.hallUntil = time.Now().Add(x.g.routes.patience(x.call.route.Key, x.aimLeft()))
+	}
+	if !time.Now().Add(hallPause).Before(x.hallUntil) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(hallPause):
+	}
+	return true
+}
