Own hall first by the bytes that a request moves; far endpoints are asked less

Only routes that callers use earn retries: callers and an endpoint's calls come from the same address.

--- a/director/pick.go
+++ b/director/pick.go
@@ -25,6 +25,8 @@
 	Only string
 	// Free restricts the choice to endpoints that seem to have a free slot and to take such requests.
 	Free bool
+	// Again is set for a further send of a request, which takes from the endpoint's retries.
+	Again bool
 	// Near restricts the choice to the own hall.
 	Near bool
 	// Least asks for the endpoint with the shortest wait instead of a draw.
@@ -60,7 +62,7 @@
 		if e.out() {
 			continue
 		}
-		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w.Repeatable)) {
+		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w, c.Far)) {
 			busy = busy || c.Outstanding >= c.Slots || e.target.busy(now)
 			continue
 		}
--- a/director/report.go
+++ b/director/report.go
@@ -19,6 +19,8 @@
 	Failed bool
 	// Declined is set when it turned the request away before anything was sent.
 	Declined bool
+	// Spent is set when it had no retry left.
+	Spent bool
 	// WasLate is set when the exchange was reported overdue before.
 	WasLate bool
 	// Load is what the egress attached, nil when nothing came back.
@@ -37,6 +39,9 @@
 	if r.Declined {
 		t.declinedAt.Store(now.UnixNano())
 	}
+	if r.Spent {
+		t.spentAt.Store(now.UnixNano())
+	}
 	if r.Worked {
 		success := 1.0
 		if r.Failed {
--- a/director/target.go
+++ b/director/target.go
@@ -21,6 +21,8 @@
 	// declinedAt is when it last turned a request away, trialAt when it last said that it takes only trials.
 	declinedAt atomic.Int64
 	trialAt    atomic.Int64
+	// spentAt is when it last had no retry left.
+	spentAt atomic.Int64
 
 	// The control goroutine alone uses these: the egress's totals at the last report, and our own share since.
 	incarnation   uint64
@@ -39,16 +41,28 @@
 	leavingLife = 5 * time.Second
 	// declinedLife is how long an endpoint that turned a request away is left alone while others may be free.
 	declinedLife = 20 * time.Millisecond
+	// farDeclinedLife is the same for an endpoint of another hall: about the time in which it frees a slot.
+	farDeclinedLife = 100 * time.Millisecond
+	// spentLife is how long an endpoint that has no retries left is not asked for one: it gains some in a second.
+	spentLife = 250 * time.Millisecond
 	// trialLife is how long an endpoint's word that it takes only trials is believed for what must not repeat.
 	trialLife = 250 * time.Millisecond
 )
 
-// declining tells whether an endpoint has just said that it would turn such a request away.
-func (t *target) declining(now time.Time, repeatable bool) bool {
-	if now.UnixNano()-t.declinedAt.Load() < int64(declinedLife) {
+// declining tells whether an endpoint has just said that it would turn such a request away. Of another hall that is
+// believed longer, and also of what could be a trial there: each question costs bytes between halls.
+func (t *target) declining(now time.Time, w Wish, far bool) bool {
+	life := declinedLife
+	if far {
+		life = farDeclinedLife
+	}
+	if now.UnixNano()-t.declinedAt.Load() < int64(life) {
+		return true
+	}
+	if w.Again && now.UnixNano()-t.spentAt.Load() < int64(spentLife) {
 		return true
 	}
-	return !repeatable && now.UnixNano()-t.trialAt.Load() < int64(trialLife)
+	return (!w.Repeatable || far) && now.UnixNano()-t.trialAt.Load() < int64(trialLife)
 }
 
 // busy tells whether an endpoint has just turned a request away for want of a slot, and not of trust.
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -62,8 +62,10 @@
 	announced *registry.Registry
 	nextID    atomic.Uint64
 	closing   atomic.Bool
-	flight    flight.Counter
-	cancel    context.CancelFunc
+	// running counts the work under way.
+	running atomic.Int64
+	flight  flight.Counter
+	cancel  context.CancelFunc
 
 	mu     sync.Mutex
 	locals map[string]*local
@@ -255,7 +257,9 @@
 	}
 	start, id := time.Now(), e.nextID.Add(1)
 	e.begin(l, start, id, d, sink, trial)
+	e.running.Add(1)
 	result := l.run(ctx, d, body, sink)
+	e.running.Add(-1)
 	service := time.Since(start)
 	l.release(id, service, result, d, trial)
 	if result.cause != nil {
@@ -364,6 +368,9 @@
 	return l
 }
 
+// Idle tells whether the endpoints beside this node have no work that came through it.
+func (e *Egress) Idle() bool { return e.running.Load() == 0 }
+
 // Settle notes how a claimed request ended elsewhere.
 func (e *Egress) Settle(msg *peerpb.Settle) {
 	a := dedupe.Answer{Head: msg.GetHead(), Body: msg.GetBody(), Kept: msg.GetHead() != nil}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -24,8 +23,8 @@
 	service    table.ServiceView
 	customer   string
 	repeatable bool
-	// inner is set for a call that the endpoint beside this node makes for its own work.
-	inner    bool
+	// earns is set for a caller's request, a share of which may be sent again.
+	earns    bool
 	timeout  time.Duration
 	key      string
 	attempt  uint32
@@ -56,17 +55,11 @@
 	}
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
-	c.inner = g.inner(r)
+	c.earns = g.routes.callers(c.route.Key, g.local.Idle())
 	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
 	return c, nil
 }
 
-// inner tells whether a request comes from the endpoint beside this node.
-func (g *Ingress) inner(r *http.Request) bool {
-	from, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && from.Addr().Unmap() == g.cfg.Endpoint
-}
-
 func clientIP(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -129,8 +129,14 @@
 	}
 	wish := x.wish()
 	wish.Least = true
+	// Whoever waits anyway waits in its own hall first.
+	wish.Near = x.waits == 1
 	wish.Tried = slices.Concat(x.tried, x.suspects)
 	pick, err := x.g.director.Pick(ctx, wish)
+	if err != nil && wish.Near {
+		wish.Near = false
+		pick, err = x.g.director.Pick(ctx, wish)
+	}
 	if err != nil && len(x.suspects) > 0 {
 		return x.pickSuspect(ctx)
 	}
@@ -167,7 +173,7 @@
 // wish is what any endpoint for the request must meet.
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
-		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried,
+		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried, Again: x.sends > 0,
 	}
 }
 
@@ -188,7 +194,7 @@
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0
 	d.Repeat = x.sends > 0
-	d.Earns = x.sends == 0 && !x.call.inner
+	d.Earns = x.sends == 0 && x.call.earns
 }
 
 // newAnswer returns the sink of one more send.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +32,6 @@
 	Incarnation uint64
 	// Contract says how callers are spoken to; nil stands for the product's own.
 	Contract contract.Contract
-	// Endpoint is the address of the endpoint beside this node, whose work's own calls come from it; the zero value if it
-	// is not known.
-	Endpoint netip.Addr
 }
 
 // Local runs a request at an endpoint beside this node.
@@ -44,6 +40,8 @@
 	Serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
+	// Idle tells whether the endpoints beside this node have no work.
+	Idle() bool
 }
 
 // Ingress is the handler of the callers' listener.
--- a/ingress/legs.go
+++ b/ingress/legs.go
@@ -108,7 +108,7 @@
 		return
 	}
 	wish := x.wish()
-	wish.Free = true
+	wish.Free, wish.Again = true, true
 	wish.Tried = slices.Concat(x.tried, x.declined, r.declined)
 	for _, l := range r.running {
 		wish.Tried = append(wish.Tried, l.pick.Endpoint.Key)
@@ -194,6 +194,6 @@
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: l.pick, WasLate: late, Load: l.end.GetLoad(),
 		Worked: worked(l.end) && !l.end.GetLoad().GetTrial(), Failed: l.answer.failed(l.end),
-		Declined: declined(l.end) || misplaced(l.end),
+		Declined: declined(l.end) || misplaced(l.end), Spent: fault.Code(l.end.GetCode()) == fault.RetryBudget,
 	})
 }
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -31,6 +31,13 @@
 	mu    sync.Mutex
 	times *latency.Kinds
 	sizes *simplelru.LRU[string, float64]
+	seen  *simplelru.LRU[string, arrivals]
+}
+
+// arrivals counts a route's requests at this node, and those that came while the endpoint beside it had no work. Its own
+// work's calls come only while it has some.
+type arrivals struct {
+	all, idle int
 }
 
 func newRoutes() *routes {
@@ -39,7 +46,32 @@
 		// It fails for a size below one only.
 		panic(err)
 	}
-	return &routes{times: latency.NewKinds(), sizes: sizes}
+	seen, err := simplelru.NewLRU[string, arrivals](mostRoutes, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &routes{times: latency.NewKinds(), sizes: sizes, seen: seen}
+}
+
+const (
+	// leastIdle is how many of a route's requests must have come while the endpoint had no work for the route to be callers'
+	// and not its calls', and leastIdleShare the share of them, as one in so many: a call may outlive the work that made it.
+	leastIdle      = 2
+	leastIdleShare = 50
+)
+
+// callers counts a request and tells whether callers use its route. Nothing else tells a caller's request from a call of the
+// endpoint beside this node, and the fleet's retries are a share of callers' requests only.
+func (r *routes) callers(route string, idle bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, _ := r.seen.Get(route)
+	n.all++
+	if idle {
+		n.idle++
+	}
+	r.seen.Add(route, n)
+	return n.idle >= leastIdle && n.idle*leastIdleShare >= n.all
 }
 
 // note takes the time and the size of one served request.
--- a/node/config.go
+++ b/node/config.go
@@ -149,7 +149,6 @@
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
-		Endpoint: n.cfg.Announced.Address.Addr(),
 	}
 }
 
