Breaker: what must not repeat is a trial once a spell of the learned length should be over

Cause: spells last one to ten seconds; closing by time alone sent two or three bookings into each spell again and again (map of one service's work by endpoint and half second).

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -35,15 +35,17 @@
 	// would learn no more than that their request may have run.
 	likelyShare = 0.45
 	// firstDoubt is the chance that an endpoint still fails, at the moment in which the breaker opens or a trial fails;
-	// closeDoubt is the one at which it gets ordinary work again.
+	// trialDoubt is the one at which what must not repeat may be a trial, closeDoubt that at which a good trial ends them.
 	firstDoubt = 0.95
-	closeDoubt = 0.15
+	trialDoubt = 0.2
+	closeDoubt = 0.1
 	// goodTrial is by how much one good trial lowers the odds: three answers in ten come from an endpoint that fails.
 	goodTrial = 0.3
 	// spellMemory is the weight of the latest spell in what is thought of the next.
 	spellMemory = 0.3
-	// again is how soon after it closed a breaker that opens again has closed too early.
-	again = time.Second
+	// again is how soon after it closed a breaker that opens again has closed too early: work of half a second that is
+	// silent from then on shows within so long.
+	again = 3 * time.Second
 	// leastEvidence is what is too little to be halved again.
 	leastEvidence = 0.01
 	// mostOpenings bounds the openings that are remembered: more than any policy asks for.
@@ -55,7 +57,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Broken: 1, Failed: 0.4, Forget: time.Second,
-		Spell: 700 * time.Millisecond, ShortestSpell: 200 * time.Millisecond, LongestSpell: 2 * time.Second,
+		Spell: time.Second, ShortestSpell: 200 * time.Millisecond, LongestSpell: 5 * time.Second,
 		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond,
 		Successes: 2, MostSuccesses: 3, Memory: 8 * time.Second,
 	}
@@ -136,7 +138,7 @@
 	if b.state == Closed {
 		return 0
 	}
-	return time.Duration(math.Log(b.doubtNow(now)/closeDoubt) * float64(b.spell))
+	return max(0, time.Duration(math.Log(b.doubtNow(now)/trialDoubt)*float64(b.spell)))
 }
 
 // doubtNow is the chance that the endpoint still fails.
@@ -144,13 +146,6 @@
 	return b.doubt * math.Exp(-now.Sub(b.doubtAt).Seconds()/b.spell.Seconds())
 }
 
-// Tick closes the breaker once a spell of the usual length is over.
-func (b *Breaker) Tick(now time.Time) {
-	if b.state == Trial && !b.trialing && b.doubtNow(now) < closeDoubt {
-		b.close(now)
-	}
-}
-
 // Clear closes a breaker that was opened by Suspect and for a reason that has proved wrong.
 func (b *Breaker) Clear(now time.Time) {
 	if b.state == Trial {
@@ -192,14 +187,16 @@
 	b.goodShare += (hit - b.goodShare) * trialMemory
 }
 
-// Would tells whether Allow would let a request run. What must not repeat is no trial: it waits for good trials, or for the
-// spell to be over.
+// Would tells whether Allow would let a request run. What must not repeat is a trial only once a spell of the usual length
+// should be over.
 func (b *Breaker) Would(now time.Time, repeatable bool) bool {
-	b.Tick(now)
 	if b.state == Closed {
 		return true
 	}
-	return repeatable && !b.trialing && now.Sub(b.trialAt) >= b.trialEvery
+	if b.trialing || now.Sub(b.trialAt) < b.trialEvery {
+		return false
+	}
+	return repeatable || b.doubtNow(now) < trialDoubt
 }
 
 // Allow tells whether a request may run now, and whether it is a trial, whose result must be reported with Done.
@@ -277,7 +274,7 @@
 	}
 	odds := b.doubtNow(now) / (1 - b.doubtNow(now)) * goodTrial
 	b.doubt, b.doubtAt = odds/(1+odds), now
-	if b.successes >= b.needed(now) {
+	if b.successes >= b.needed(now) || b.doubt < closeDoubt {
 		b.learnSpell(b.goodAt.Sub(b.openedAt))
 		b.close(now)
 	}
@@ -310,6 +307,10 @@
 	b.learn(false)
 	b.successes = 0
 	b.trialEvery = min(2*b.trialEvery, b.cfg.LongestTrial)
+	if b.doubtNow(now) < trialDoubt {
+		// The spell lasts longer than usual.
+		b.learnSpell(2 * now.Sub(b.openedAt))
+	}
 	b.doubt, b.doubtAt = firstDoubt, now
 }
 
--- a/egress/local.go
+++ b/egress/local.go
@@ -198,7 +198,6 @@
 func (l *local) load(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tick(time.Now())
 	return &peerpb.Load{
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -12,7 +12,6 @@
 func (l *local) takes(now time.Time, d *peerpb.Dispatch) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tick(now)
 	return l.breaker.Would(now, d.GetCanary()) || l.lastResort(d)
 }
 
@@ -26,7 +25,6 @@
 func (l *local) allow(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tick(now)
 	ok, trial = l.breaker.Allow(now, d.GetCanary())
 	return ok || l.lastResort(d), trial
 }
@@ -110,13 +108,6 @@
 	return l.times.Of(kind).Survival(age)
 }
 
-// tick closes the breaker once the time for that has come; the lock is held.
-func (l *local) tick(now time.Time) {
-	was := l.breaker.State()
-	l.breaker.Tick(now)
-	l.noteClosed(was)
-}
-
 // noteClosed has the watch begin anew once the breaker has closed; the lock is held.
 func (l *local) noteClosed(was breaker.State) {
 	if was != breaker.Closed && l.breaker.State() == breaker.Closed {
@@ -133,7 +124,6 @@
 		l.trial = 0
 		l.breaker.Done(now, breaker.Overdue, true)
 	}
-	l.tick(now)
 	if l.watch.Score(now, l.survival) < suspectScore || !l.breaker.Suspect(now) {
 		return nil
 	}
