Work that an endpoint has never answered is judged by the usual time of such work elsewhere

Cause: an endpoint that hung from the start had no times of its own, so that silence there said nothing.

--- a/breaker/watch.go
+++ b/breaker/watch.go
@@ -16,8 +16,16 @@
 	mostEnded = 16
 )
 
-// Survival tells the share of a kind's ordinary work that takes longer than an age.
-type Survival func(kind string, age time.Duration) float64
+// Work says what kind of work is under way, and its usual time elsewhere, 0 if that is not known.
+type Work struct {
+	// Kind names the kind.
+	Kind string
+	// Usual is the time that such work usually takes elsewhere.
+	Usual time.Duration
+}
+
+// Survival tells the share of ordinary work that takes longer than an age.
+type Survival func(w Work, age time.Duration) float64
 
 // Watch weighs the work under way at one endpoint: work that ought to have ended and has not speaks against the endpoint
 // long before its callers give up. Its owner locks it.
@@ -34,7 +42,7 @@
 // run is one piece of work; age is set once it has ended, answered if an answer came in time.
 type run struct {
 	id       uint64
-	kind     string
+	work     Work
 	start    time.Time
 	ended    bool
 	answered bool
@@ -42,8 +50,8 @@
 }
 
 // Begin notes work that was handed over.
-func (w *Watch) Begin(now time.Time, id uint64, kind string) {
-	w.runs = append(w.runs, run{id: id, kind: kind, start: now})
+func (w *Watch) Begin(now time.Time, id uint64, work Work) {
+	w.runs = append(w.runs, run{id: id, work: work, start: now})
 }
 
 // End notes that work has ended, and whether the endpoint answered.
@@ -80,20 +88,20 @@
 	if !r.ended {
 		age = now.Sub(r.start)
 	}
-	s := survival(r.kind, age)
+	s := survival(r.work, age)
 	return min(math.Log((hangShare+(1-hangShare)*s)/s), mostEvidence)
 }
 
 // Reset forgets all work so far: the endpoint has shown that it is well, and what is still silent was begun before that.
 func (w *Watch) Reset() { w.runs, w.ended = nil, 0 }
 
-// Age returns how long a piece of work is under way, with its kind; false if it is not.
-func (w *Watch) Age(now time.Time, id uint64) (kind string, age time.Duration, ok bool) {
+// Age returns how long a piece of work is under way; false if it is not.
+func (w *Watch) Age(now time.Time, id uint64) (work Work, age time.Duration, ok bool) {
 	i := slices.IndexFunc(w.runs, func(r run) bool { return r.id == id && !r.ended })
 	if i < 0 {
-		return "", 0, false
+		return Work{}, 0, false
 	}
-	return w.runs[i].kind, now.Sub(w.runs[i].start), true
+	return w.runs[i].work, now.Sub(w.runs[i].start), true
 }
 
 // Running returns the ids of the work under way.
--- a/egress/due.go
+++ b/egress/due.go
@@ -28,7 +28,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	model, aim := l.times.Of(d.GetRoute()), aimLeft(d)
+	work, aim := workOf(d), aimLeft(d)
+	model := l.times.Of(work.Kind, work.Usual)
 	if !model.Known() {
 		return aim / unknownDue
 	}
--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -76,7 +76,7 @@
 func (e *Egress) begin(l *local, now time.Time, id uint64, d *peerpb.Dispatch, sink peer.Sink, trial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.watch.Begin(now, id, d.GetRoute())
+	l.watch.Begin(now, id, workOf(d))
 	if trial {
 		l.trial = id
 	}
@@ -104,8 +104,13 @@
 }
 
 // survival tells how much of a kind's ordinary work takes longer than an age; the lock is held.
-func (l *local) survival(kind string, age time.Duration) float64 {
-	return l.times.Of(kind).Survival(age)
+func (l *local) survival(w breaker.Work, age time.Duration) float64 {
+	return l.times.Of(w.Kind, w.Usual).Survival(age)
+}
+
+// workOf is what a request asks of the endpoint.
+func workOf(d *peerpb.Dispatch) breaker.Work {
+	return breaker.Work{Kind: d.GetRoute(), Usual: time.Duration(d.GetUsualMicros()) * time.Microsecond}
 }
 
 // noteClosed has the watch begin anew once the breaker has closed; the lock is held.
@@ -120,7 +125,7 @@
 func (l *local) weigh(now time.Time) []peer.Sink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if kind, age, ok := l.watch.Age(now, l.trial); ok && l.survival(kind, age) < trialOverdue {
+	if work, age, ok := l.watch.Age(now, l.trial); ok && l.survival(work, age) < trialOverdue {
 		l.trial = 0
 		l.breaker.Done(now, breaker.Overdue, true)
 	}
@@ -150,7 +155,7 @@
 	}
 	// An answer that only says, after a long time, that the work failed is silence by another name, and old: the watch has
 	// weighed it while it was under way.
-	silent := (r.silent || r.failed && !r.broken) && l.survival(d.GetRoute(), service) < trialOverdue
+	silent := (r.silent || r.failed && !r.broken) && l.survival(workOf(d), service) < trialOverdue
 	l.watch.End(now, id, !silent && !r.broken)
 	how := breaker.OK
 	switch {
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -22,6 +22,8 @@
 	patientSize = 2000
 	// usualShare is the share of ordinary work that the time kept for the work itself suffices for.
 	usualShare = 0.8
+	// half is the share of work that takes less than its usual time.
+	half = 0.5
 	// hallPause is the wait between two rounds over the hall's endpoints: a busy hall frees a slot about as often.
 	hallPause = 20 * time.Millisecond
 )
@@ -86,12 +88,25 @@
 	r.sizes.Add(route, usual+(float64(bytes)-usual)*sizeMemory)
 }
 
+// aimPart is the part of its aim that work takes as long as nothing better is known, as one in so many.
+const aimPart = 3
+
+// usual returns the usual time of a route's work, a part of its aim while that is not known.
+func (r *routes) usual(route string, aim time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if aim == 0 {
+		return r.times.Of(route, 0).Quantile(half)
+	}
+	return r.times.Of(route, aim/aimPart).Quantile(half)
+}
+
 // patience returns how long a request with so much time left to its aim waits for a slot in its own hall, so that its
 // bytes need not go to another: longer the more bytes it moves, and never so long that its work could not be in time.
 func (r *routes) patience(route string, left time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	model := r.times.Of(route)
+	model := r.times.Of(route, 0)
 	size, ok := r.sizes.Peek(route)
 	if !ok || !model.Known() {
 		return 0
--- a/latency/kinds.go
+++ b/latency/kinds.go
@@ -38,10 +38,14 @@
 	m.Note(d)
 }
 
-// Of returns the model of a kind, or of all work while too little of the kind was seen. It holds until the next Note.
-func (k *Kinds) Of(kind string) *Model {
+// Of returns the model of a kind; while too little of the kind was seen, one of work that usually takes so long, or of all
+// work where usual is 0. It holds until the next Note.
+func (k *Kinds) Of(kind string, usual time.Duration) *Model {
 	if m, ok := k.models.Peek(kind); ok && m.Known() {
 		return m
 	}
+	if usual > 0 {
+		return Prior(usual)
+	}
 	return &k.all
 }
--- a/latency/model.go
+++ b/latency/model.go
@@ -34,6 +34,11 @@
 	square float64
 }
 
+// Prior returns a model of work of which only a usual time is known.
+func Prior(usual time.Duration) *Model {
+	return &Model{n: least, mean: math.Log(usual.Seconds()), square: priorSpread * priorSpread}
+}
+
 // Note adds the time of one piece of work that ended well.
 func (m *Model) Note(d time.Duration) {
 	x := math.Log(max(d.Seconds(), time.Microsecond.Seconds()))
@@ -66,6 +71,6 @@
 	if !m.Known() || age <= jitter {
 		return 1
 	}
-	z := (math.Log((age-jitter).Seconds()) - m.mean) / m.spread()
+	z := (math.Log((age - jitter).Seconds()) - m.mean) / m.spread()
 	return tailShare + (1-tailShare)*math.Erfc(z/math.Sqrt2)/2
 }
--- a/latency/model_test.go
+++ b/latency/model_test.go
@@ -54,23 +54,32 @@
 // until then.
 func TestKindsAreToldApart(t *testing.T) {
 	k := NewKinds()
-	if got, want := k.Of("lookup").Known(), false; got != want {
+	if got, want := k.Of("lookup", 0).Known(), false; got != want {
 		t.Errorf("at first: got known %v, want %v", got, want)
 	}
 	for range 50 {
 		k.Note("booking", 500*time.Millisecond)
 	}
-	if got, least := k.Of("lookup").Quantile(0.5), 400*time.Millisecond; got < least {
+	if got, least := k.Of("lookup", 0).Quantile(0.5), 400*time.Millisecond; got < least {
 		t.Errorf("half of unseen work: got %v, want the time of all work, at least %v", got, least)
 	}
 	for range 50 {
 		k.Note("lookup", 100*time.Millisecond)
 	}
-	if got, most := k.Of("lookup").Quantile(0.5), 100*time.Millisecond+2*jitter; got > most {
+	if got, most := k.Of("lookup", 0).Quantile(0.5), 100*time.Millisecond+2*jitter; got > most {
 		t.Errorf("half of the lookups: got %v, want at most %v", got, most)
 	}
 }
 
+// TestUnseenKindGoesByWhatOthersKnow checks that an endpoint which has answered nothing yet is judged by the usual time of
+// such work elsewhere.
+func TestUnseenKindGoesByWhatOthersKnow(t *testing.T) {
+	m := NewKinds().Of("booking", 500*time.Millisecond)
+	if got, most := m.Survival(5*time.Second), 0.05; got > most {
+		t.Errorf("share of work that takes ten times the usual: got %v, want at most %v", got, most)
+	}
+}
+
 // TestKindsAreBounded checks that a service of many routes does not fill a node's memory.
 func TestKindsAreBounded(t *testing.T) {
 	k := NewKinds()
