--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -63,8 +63,8 @@
 	// lookEvery is the time between two looks at the work under way: short beside the second for which endpoints are seen to
 	// hang, and 40 wake-ups a second of a node that works.
 	lookEvery = 25 * time.Millisecond
-	// suspectScore is the evidence of the work under way, in nats, that opens the breaker: odds of 150 to 1.
-	suspectScore = 5
+	// suspectScore is the evidence of the work under way, in nats, that opens the breaker: odds of 55 to 1.
+	suspectScore = 4
 	// clearScore is the evidence below which a suspicion that rested on work under way alone is dropped: that work has
 	// been answered after all.
 	clearScore = 0.5
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -16,10 +16,10 @@
 	// sizeMemory is the weight of the newest request in a route's usual size.
 	sizeMemory = 0.1
 	// patientShare is the most of the time to spare before its aim that a request waits for a slot in its own hall.
-	patientShare = 0.5
+	patientShare = 0.8
 	// patientSize is the size, request and answer together, in bytes, at which a request waits half of that: below it, the
 	// way to another hall costs little more than the asking for a slot there, about 1 KB.
-	patientSize = 2000
+	patientSize = 1000
 	// usualShare is the share of ordinary work that the time kept for the work itself suffices for.
 	usualShare = 0.8
 	// half is the share of work that takes less than its usual time.
