Work that its caller broke off has had no answer: the watch counts it as such; calls are told from callers' requests by five arrivals

The test of an endpoint that never answers had failed since an unknown endpoint was judged by a prior.

--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -164,7 +164,7 @@
 	// An answer that only says, after a long time, that the work failed is silence by another name, and old: the watch has
 	// weighed it while it was under way.
 	silent := (r.silent || r.failed && !r.broken) && l.survival(workOf(d), service) < trialOverdue
-	l.watch.End(now, id, !silent && !r.broken)
+	l.watch.End(now, id, !silent && !r.silent && !r.broken)
 	how := breaker.OK
 	switch {
 	case r.broken:
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -60,11 +60,25 @@
 	// and not its calls', and leastIdleShare the share of them, as one in so many: a call may outlive the work that made it.
 	leastIdle      = 2
 	leastIdleShare = 50
+	// leastCalls is how many requests must have come, none of them without such work, for a route to be its calls'.
+	leastCalls = 5
 )
 
-// callers counts a request and tells whether callers use its route. Nothing else tells a caller's request from a call of the
+// source says who uses a route.
+type source uint8
+
+const (
+	// unknownSource is a route of which too little was seen.
+	unknownSource source = iota
+	// fromCallers is a route that callers use.
+	fromCallers
+	// fromWork is a route on which only the work of the endpoint beside this node seems to make calls.
+	fromWork
+)
+
+// source counts a request and tells who uses its route. Nothing else tells a caller's request from a call of the
 // endpoint beside this node, and the fleet's retries are a share of callers' requests only.
-func (r *routes) callers(route string, idle bool) bool {
+func (r *routes) source(route string, idle bool) source {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n, _ := r.seen.Get(route)
@@ -73,7 +87,13 @@
 		n.idle++
 	}
 	r.seen.Add(route, n)
-	return n.idle >= leastIdle && n.idle*leastIdleShare >= n.all
+	switch {
+	case n.idle >= leastIdle && n.idle*leastIdleShare >= n.all:
+		return fromCallers
+	case n.idle == 0 && n.all >= leastCalls:
+		return fromWork
+	}
+	return unknownSource
 }
 
 // note takes the time and the size of one served request.
