--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -57,7 +57,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Broken: 1, Failed: 0.4, Forget: time.Second,
-		Spell: time.Second, ShortestSpell: 200 * time.Millisecond, LongestSpell: 5 * time.Second,
+		Spell: time.Second, ShortestSpell: 200 * time.Millisecond, LongestSpell: 1500 * time.Millisecond,
 		TrialEvery: 40 * time.Millisecond, LongestTrial: 400 * time.Millisecond,
 		Successes: 2, MostSuccesses: 3, Memory: 8 * time.Second,
 	}
--- a/director/pick.go
+++ b/director/pick.go
@@ -43,40 +43,53 @@
 		return Pick{}, err
 	}
 	now := time.Now()
-	candidates := make([]balance.Candidate, 0, len(v.entries))
-	from := make([]int, 0, len(v.entries))
-	busy := false
+	f := field{candidates: make([]balance.Candidate, 0, len(v.entries)), from: make([]int, 0, len(v.entries))}
 	for i := range v.entries {
 		e := &v.entries[i]
 		if w.Near && e.endpoint.Value.Hall != d.cfg.Hall || !d.open(e, now) {
 			continue
 		}
-		if !w.allows(e.endpoint.Key) {
-			busy = busy || e.target.busy(now)
-			continue
-		}
-		if e.verdict.Phase == eject.Trickle && e.trickles(w) {
+		if w.allows(e.endpoint.Key) && e.verdict.Phase == eject.Trickle && e.trickles(w) {
 			return v.pick(i, true), nil
 		}
-		c := d.candidate(v, e, now)
-		if e.out() {
-			continue
-		}
-		if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w, c.Far)) {
-			busy = busy || c.Outstanding >= c.Slots || e.target.busy(now)
-			continue
-		}
-		candidates = append(candidates, c)
-		from = append(from, i)
+		d.consider(&f, v, i, w, now)
 	}
-	i := w.choose(candidates)
-	if i < 0 && busy {
+	i := w.choose(f.candidates)
+	if i < 0 && f.busy {
 		return Pick{}, fault.New(fault.Busy, w.Service, "no endpoint has a free slot")
 	}
 	if i < 0 {
 		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
 	}
-	return v.pick(from[i], false), nil
+	return v.pick(f.from[i], false), nil
+}
+
+// field is what a choice is made from.
+type field struct {
+	candidates []balance.Candidate
+	// from are the candidates' places among the view's entries.
+	from []int
+	// busy is set when some endpoint is left out for want of a free slot alone.
+	busy bool
+}
+
+// consider adds an open endpoint to the field, or notes that it has no free slot.
+func (d *Director) consider(f *field, v *view, i int, w Wish, now time.Time) {
+	e := &v.entries[i]
+	if !w.allows(e.endpoint.Key) {
+		f.busy = f.busy || e.target.busy(now)
+		return
+	}
+	if e.out() {
+		return
+	}
+	c := d.candidate(v, e, now)
+	if w.Free && (c.Outstanding >= c.Slots || e.target.declining(now, w, c.Far)) {
+		f.busy = f.busy || c.Outstanding >= c.Slots || e.target.busy(now)
+		return
+	}
+	f.candidates = append(f.candidates, c)
+	f.from = append(f.from, i)
 }
 
 // allows tells whether the wish leaves an endpoint to choose.
--- a/director/target.go
+++ b/director/target.go
@@ -41,12 +41,12 @@
 	leavingLife = 5 * time.Second
 	// declinedLife is how long an endpoint that turned a request away is left alone while others may be free.
 	declinedLife = 20 * time.Millisecond
-	// farDeclinedLife is the same for an endpoint of another hall: about the time in which it frees a slot.
-	farDeclinedLife = 100 * time.Millisecond
+	// farDeclinedLife is the same for an endpoint of another hall: most of the time of a short piece of work.
+	farDeclinedLife = 300 * time.Millisecond
 	// spentLife is how long an endpoint that has no retries left is not asked for one: it gains some in a second.
 	spentLife = 250 * time.Millisecond
 	// trialLife is how long an endpoint's word that it takes only trials is believed for what must not repeat.
-	trialLife = 250 * time.Millisecond
+	trialLife = 400 * time.Millisecond
 )
 
 // declining tells whether an endpoint has just said that it would turn such a request away. Of another hall that is
--- a/egress/suspicion.go
+++ b/egress/suspicion.go
@@ -150,33 +150,25 @@
 	return waiting
 }
 
-// judge tells the watch, the breaker and the model of times how a run went. A refusal, and work that its caller broke off
-// soon, say nothing.
+// judge tells the watch, the breaker and the model of times how a run went.
 func (l *local) judge(id uint64, r result, service time.Duration, d *peerpb.Dispatch, trial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	delete(l.asking, id)
+	// A trial that was overdue has failed already.
 	trial = trial && l.trial == id
 	if trial {
 		l.trial = 0
 	}
-	// An answer that only says, after a long time, that the work failed is silence by another name, and old: the watch has
-	// weighed it while it was under way.
-	silent := (r.silent || r.failed && !r.broken) && l.survival(workOf(d), service) < trialOverdue
+	silent := l.silent(r, service, d)
 	l.watch.End(now, id, !silent && !r.silent && !r.broken)
-	how := breaker.OK
-	switch {
-	case r.broken:
-		how = breaker.Broken
-	case silent && trial:
-		how = breaker.Overdue
-	case silent || r.silent || !r.worked:
+	how, known := resultOf(r, silent, trial)
+	if !known {
 		l.breaker.Release(trial)
 		return
-	case r.failed:
-		how = breaker.Failed
-	default:
+	}
+	if how == breaker.OK {
 		l.times.Note(d.GetRoute(), service)
 	}
 	if d.GetLastResort() && !trial {
@@ -189,3 +181,25 @@
 	}
 	l.noteClosed(was)
 }
+
+// silent tells whether work has had no answer in a time in which ordinary work has one; the lock is held. An answer that
+// only says, after so long, that the work failed is silence by another name.
+func (l *local) silent(r result, service time.Duration, d *peerpb.Dispatch) bool {
+	return (r.silent || r.failed && !r.broken) && l.survival(workOf(d), service) < trialOverdue
+}
+
+// resultOf is what the breaker is told of a run; known is false where it says nothing: of a refusal, of work that its caller
+// broke off soon, and of silence, which the watch has weighed while the work was under way.
+func resultOf(r result, silent, trial bool) (how breaker.Result, known bool) {
+	switch {
+	case r.broken:
+		return breaker.Broken, true
+	case silent && trial:
+		return breaker.Overdue, true
+	case silent || r.silent || !r.worked:
+		return breaker.OK, false
+	case r.failed:
+		return breaker.Failed, true
+	}
+	return breaker.OK, true
+}
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -41,12 +41,12 @@
 	size int
 	late lateWatch
 	due  *dueWatch
-	// speaker decides which of several sends speaks to the caller.
-	speaker *speaker
+	// winner decides which of several sends speaks to the caller.
+	winner *winner
 }
 
-func newAnswer(w http.ResponseWriter, c call, say contract.Contract, s *speaker) *answer {
-	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.keyed(), due: newDueWatch(), speaker: s}
+func newAnswer(w http.ResponseWriter, c call, say contract.Contract, s *winner) *answer {
+	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.keyed(), due: newDueWatch(), winner: s}
 }
 
 // reset forgets a held answer before the next exchange.
@@ -86,7 +86,7 @@
 
 // start passes the head on, Canceled when another send's answer goes to the caller.
 func (a *answer) start(h *peerpb.Head) error {
-	if !a.speaker.take(a) {
+	if !a.winner.take(a) {
 		return fault.New(fault.Canceled, "answer", "another send has answered")
 	}
 	a.started = true
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -34,8 +34,8 @@
 	call   call
 	body   *requestBody
 	answer *answer
-	// speaker is the send whose answer goes to the caller.
-	speaker  *speaker
+	// winner is the send whose answer goes to the caller.
+	winner   *winner
 	refusals *refusals
 	// tried are the endpoints that have had the request or have turned it away for a reason that lasts.
 	tried []string
@@ -183,10 +183,10 @@
 	d := x.dispatch(ctx, pick, claim)
 	x.mark(d, wait)
 	ctx, cancel := context.WithCancel(ctx)
-	l := &leg{pick: pick, answer: x.answer, at: time.Since(x.start), cancel: cancel}
-	l.end = x.deliver(ctx, pick.Endpoint, d, x.answer)
-	x.settleLeg(l)
-	return l.end
+	a := &attempt{pick: pick, answer: x.answer, at: time.Since(x.start), cancel: cancel}
+	a.end = x.deliver(ctx, pick.Endpoint, d, x.answer)
+	x.settleAttempt(a)
+	return a.end
 }
 
 // mark says in a dispatch which kind of send it is.
@@ -202,7 +202,7 @@
 
 // newAnswer returns the sink of one more send.
 func (x *exchange) newAnswer() *answer {
-	return newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.speaker)
+	return newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
 }
 
 // count shows in the metrics what came of asking an endpoint.
@@ -285,7 +285,7 @@
 		return false
 	}
 	x.sends++
-	if !x.refusals.decide(x.attempt(ctx, pick, end)) {
+	if !x.refusals.decide(x.judgement(ctx, pick, end)) {
 		return false
 	}
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
@@ -318,8 +318,8 @@
 	return x.spent < mostSpent
 }
 
-// attempt is the latest send as the retry policy judges it.
-func (x *exchange) attempt(ctx context.Context, pick director.Pick, end *peerpb.End) retry.Attempt {
+// judgement is the latest send as the retry policy judges it.
+func (x *exchange) judgement(ctx context.Context, pick director.Pick, end *peerpb.End) retry.Attempt {
 	deadline, _ := ctx.Deadline()
 	return retry.Attempt{
 		Number: x.sends, Most: int(x.call.route.Value.Attempts), Outcome: end.GetOutcome(), Repeatable: x.call.repeatable,
--- a/ingress/legs_test.go
+++ b/ingress/hedge_test.go
@@ -108,13 +108,13 @@
 	return s
 }
 
-// TestSecondSends runs the scenarios of testdata/legs. Each request line gives the words of the sends in their order; it
+// TestSecondSends runs the scenarios of testdata/hedge. Each request line gives the words of the sends in their order; it
 // prints the caller's status, and each send with what became of it.
 //
 //	get|post [endpoints=N] [attempts=N]
 //	word word ...
 func TestSecondSends(t *testing.T) {
-	datadriven.RunTest(t, "testdata/legs", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/hedge", func(t *testing.T, d *datadriven.TestData) string {
 		endpoints, attempts := 3, 2
 		d.MaybeScanArgs(t, "endpoints", &endpoints)
 		d.MaybeScanArgs(t, "attempts", &attempts)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -167,8 +167,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, start: time.Now(), call: c, body: body, speaker: new(speaker)}
-	x.answer = newAnswer(w, c, g.cfg.Contract, x.speaker)
+	x := &exchange{g: g, start: time.Now(), call: c, body: body, winner: new(winner)}
+	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
 	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
 	x.log(end)
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -108,9 +108,7 @@
 			if handOver() != nil {
 				return x.broken()
 			}
-			if due := k.Grant.GetDueMicros(); due > 0 {
-				sink.Due(time.Duration(due) * time.Microsecond)
-			}
+			tellDue(sink, k.Grant)
 		case *peerpb.Frame_Late:
 			sink.Late()
 		case *peerpb.Frame_Due:
@@ -130,6 +128,13 @@
 	}
 }
 
+// tellDue passes on when an answer is due, if the grant says so.
+func tellDue(sink Sink, g *peerpb.Grant) {
+	if due := g.GetDueMicros(); due > 0 {
+		sink.Due(time.Duration(due) * time.Microsecond)
+	}
+}
+
 // stopped is how the exchange ends when this side cannot go on with it.
 func (x *sending) stopped() *peerpb.End {
 	if !x.handed {
