lynxplankctl losses: requests that were not served by cause, service, hall and second, joined with the calls beneath them

What binds could be said with a script of one's own only: which failed requests were lost to a failed call of their work. The report reads the logs of all nodes, as trace does.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -17,27 +17,51 @@
 		name: "trace", args: "ID [LOG...]", offline: true,
 		help: "what became of a request, from the nodes' logs (files, or standard input)",
 		run:  traceRequest,
+	}, {
+		name: "losses", args: "[LOG...]", offline: true,
+		help: "which requests were not served, by cause, service and hall, from the logs of all nodes",
+		run:  reportLosses,
 	}}
 }
 
+func reportLosses(a *app, f *flag.FlagSet) error {
+	losses := trace.NewLosses()
+	if err := readLogs(losses, f.Args()); err != nil {
+		return err
+	}
+	return losses.Print(a.out)
+}
+
 func traceRequest(a *app, f *flag.FlagSet) error {
 	if f.NArg() == 0 {
 		return wrongArgs(f)
 	}
-	files := f.Args()[1:]
+	log := trace.NewLog(f.Arg(0))
+	if err := readLogs(log, f.Args()[1:]); err != nil {
+		return err
+	}
+	return log.Story().Print(a.out)
+}
+
+// logReader takes nodes' logs.
+type logReader interface {
+	Read(r io.Reader) error
+}
+
+// readLogs has a log or a report take some files, standard input for none.
+func readLogs(log logReader, files []string) error {
 	if len(files) == 0 {
 		files = []string{stdin}
 	}
-	log := trace.NewLog(f.Arg(0))
 	for _, name := range files {
 		if err := readLog(log, name); err != nil {
 			return err
 		}
 	}
-	return log.Story().Print(a.out)
+	return nil
 }
 
-func readLog(log *trace.Log, name string) error {
+func readLog(log logReader, name string) error {
 	var in io.Reader = os.Stdin
 	if name != stdin {
 		file, err := os.Open(name)
--- /dev/null
+++ b/trace/losses_test.go
@@ -0,0 +1,35 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestLossScripts reads the logs of testdata/losses and prints the losses by cause:
+//
+//	losses    with the logs in the input
+func TestLossScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/losses", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			l := NewLosses()
+			if err := l.Read(strings.NewReader(d.Input)); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			var out strings.Builder
+			if err := l.Print(&out); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			return out.String()
+		})
+	})
+}
+
+// TestOverlongLineOfLosses checks that what is no log fails with a reason instead of being taken in part.
+func TestOverlongLineOfLosses(t *testing.T) {
+	err := NewLosses().Read(strings.NewReader(strings.Repeat("x", 2*longestLine)))
+	if err == nil {
+		t.Error("got no error, want one")
+	}
+}
--- a/trace/script_test.go
+++ b/trace/script_test.go
@@ -11,7 +11,7 @@
 //
 //	trace id=ID    with the log in the input
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var id string
 			d.ScanArgs(t, "id", &id)
