--- a/ingress/call.go
+++ b/ingress/call.go
@@ -58,12 +58,9 @@
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
 	all, repeats := g.local.Work()
-	switch g.routes.source(c.route.Key, all == 0) {
-	case fromCallers:
-		c.earns = true
-	case fromWork:
+	c.earns = g.routes.source(c.route.Key, all == 0) != fromWork
+	if !c.earns {
 		c.ofRepeat = float64(repeats) / float64(max(all, 1))
-	case unknownSource:
 	}
 	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
 	return c, nil
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -61,14 +61,14 @@
 	leastIdle      = 2
 	leastIdleShare = 50
 	// leastCalls is how many requests must have come, none of them without such work, for a route to be its calls'.
-	leastCalls = 5
+	leastCalls = 4
 )
 
 // source says who uses a route.
 type source uint8
 
 const (
-	// unknownSource is a route of which too little was seen.
+	// unknownSource is a route of which too little was seen; its first few requests are taken as callers'.
 	unknownSource source = iota
 	// fromCallers is a route that callers use.
 	fromCallers
