--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -53,7 +53,7 @@
 )
 
 // DefaultConfig returns the policy for endpoints that break off most of their work for some seconds at a time, and let
-// about one request in seven through meanwhile. The figures come from rounds on the users' bench (docs/MEASUREMENTS.md).
+// about one request in seven through meanwhile. docs/DECISIONS.md has the measurements behind the figures.
 func DefaultConfig() Config {
 	return Config{
 		Broken: 1, Failed: 0.4, Forget: time.Second,
--- a/trace/script_test.go
+++ b/trace/script_test.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestScripts reads the logs of testdata, which nodes wrote on the users' bench, and prints the story of a request:
+// TestScripts reads the logs of testdata, which nodes wrote, and prints the story of a request:
 //
 //	trace id=ID    with the log in the input
 func TestScripts(t *testing.T) {
