--- a/admit/queue.go
+++ b/admit/queue.go
@@ -24,6 +24,9 @@
 	Aim time.Time
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
+	// Work is how long such work takes; 0 stands for the usual time of all work. An endpoint's work is of very different
+	// lengths: without it, a lookup of a millisecond was refused for the half second that a booking beside it takes.
+	Work time.Duration
 }
 
 // Action says what becomes of a request.
@@ -133,7 +136,7 @@
 		}
 		return 1
 	})
-	if !q.inTime(now, at, q.latest(r)) {
+	if !q.inTime(now, at, r) {
 		return q.refuse(r.ID, fault.DeadlineTooShort), nil
 	}
 	var out []Decision
@@ -150,7 +153,7 @@
 	}
 	q.queue = slices.Insert(q.queue, at, w)
 	q.charge(r)
-	until := q.latest(r).Add(-spanOf(q.typical()))
+	until := q.latest(r).Add(-q.work(r))
 	return Decision{ID: r.ID, Action: Wait, Until: until}, out
 }
 
@@ -187,12 +190,20 @@
 	return worst, worst >= 0
 }
 
-// inTime tells whether a request at a place in the queue can end before its deadline.
-func (q *Queue) inTime(now time.Time, place int, deadline time.Time) bool {
+// inTime tells whether a request at a place in the queue can end before its answer is of little use.
+func (q *Queue) inTime(now time.Time, place int, r Request) bool {
 	turns := float64(place+1) / float64(max(q.slots, 1))
-	// A turn takes a service time at most until a slot comes free, and the request itself takes one more.
-	need := (turns + 1) * q.typical()
-	return now.Add(spanOf(need)).Before(deadline)
+	// A turn takes a service time at most until a slot comes free, and the request its own time more.
+	need := spanOf(turns*q.typical()) + q.work(r)
+	return now.Add(need).Before(q.latest(r))
+}
+
+// work is how long a request's own work takes.
+func (q *Queue) work(r Request) time.Duration {
+	if r.Work > 0 {
+		return r.Work
+	}
+	return spanOf(q.typical())
 }
 
 // lateGrace is how long after its aim an answer may come for its request to go on waiting, in usual service times. A
@@ -205,7 +216,7 @@
 	if r.Aim.IsZero() {
 		return r.Deadline
 	}
-	late := r.Aim.Add(spanOf(lateGrace * q.typical()))
+	late := r.Aim.Add(lateGrace * q.work(r))
 	if late.Before(r.Deadline) {
 		return late
 	}
@@ -262,7 +273,7 @@
 		w := q.queue[i]
 		q.queue = slices.Delete(q.queue, i, i+1)
 		q.clock = max(q.clock, w.tag)
-		if !now.Add(spanOf(q.service)).Before(w.Deadline) {
+		if !now.Add(q.least(w.Request)).Before(w.Deadline) {
 			out = append(out, q.refuse(w.ID, fault.DeadlineTooShort))
 			continue
 		}
@@ -275,20 +286,27 @@
 // first returns the place of the request that runs next: the first whose answer can still come by its aim. With more
 // work than slots, first come first served would answer everything late; late answers get the slots that are left.
 func (q *Queue) first(now time.Time) int {
-	done := now.Add(spanOf(q.service))
 	for i, w := range q.queue {
-		if w.Aim.IsZero() || done.Before(w.Aim) {
+		if w.Aim.IsZero() || now.Add(q.least(w.Request)).Before(w.Aim) {
 			return i
 		}
 	}
 	return 0
 }
 
+// least is how long a request's work takes without an allowance for its spread.
+func (q *Queue) least(r Request) time.Duration {
+	if r.Work > 0 {
+		return min(r.Work, spanOf(q.service))
+	}
+	return spanOf(q.service)
+}
+
 // prune refuses the waiting requests that cannot end in time any more, and forgets idle customers.
 func (q *Queue) prune(now time.Time) []Decision {
 	var out []Decision
 	for i := 0; i < len(q.queue); {
-		if q.inTime(now, i, q.latest(q.queue[i].Request)) {
+		if q.inTime(now, i, q.queue[i].Request) {
 			i++
 			continue
 		}
--- a/egress/due.go
+++ b/egress/due.go
@@ -38,6 +38,17 @@
 	return max(inTime, min(aim/unknownDue, aim-2*usual))
 }
 
+// expectedShare is the share of ordinary work that takes no longer than a request is expected to.
+const expectedShare = 0.7
+
+// expected is how long a request's work is expected to take, 0 if that is not known.
+func (l *local) expected(d *peerpb.Dispatch) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	work := workOf(d)
+	return l.times.Of(work.Kind, work.Usual).Quantile(expectedShare)
+}
+
 // spend takes a further send of a request from the endpoint's part of the fleet's retries, and has a first one earn its
 // share; it returns the refusal when no retry is left.
 func (l *local) spend(now time.Time, d *peerpb.Dispatch) *peerpb.End {
--- a/egress/local.go
+++ b/egress/local.go
@@ -88,7 +88,7 @@
 	deadline, _ := ctx.Deadline()
 	r := admit.Request{
 		ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline,
-		Aim: time.Now().Add(aimLeft(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(),
+		Aim: time.Now().Add(aimLeft(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(), Work: l.expected(d),
 	}
 	wait, until, end := l.offer(r)
 	if wait == nil {
