A send whose answer has begun to go to the caller decides its request

Cause: an answer without a length is passed on as it comes; when it broke off and a second send of the request was refused later, the caller got the system's own refusal behind half an answer.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -26,6 +26,12 @@
 	answer atomic.Pointer[answer]
 }
 
+// other tells whether the answer of a send besides a goes to the caller.
+func (w *winner) other(a *answer) bool {
+	first := w.answer.Load()
+	return first != nil && first != a
+}
+
 // take makes a the one whose answer goes to the caller; false when another send is.
 func (w *winner) take(a *answer) bool {
 	return w.answer.CompareAndSwap(nil, a) || w.answer.Load() == a
@@ -49,6 +55,8 @@
 	running []*attempt
 	// done are the sends that have ended, but for second ones that were refused; the last one decides.
 	done []*attempt
+	// beaten are those that have ended while the answer of another was on its way to the caller.
+	beaten []*attempt
 	// declined are the endpoints that turned the second send away.
 	declined []string
 }
@@ -132,6 +140,8 @@
 }
 
 // decides takes a send that has ended and tells whether the hedge is over.
+//
+// Invariant: once an answer has begun to go to the caller, its send decides how the request ends, whole or broken off.
 func (h *hedge) decides(ctx context.Context, a *attempt) bool {
 	h.running = slices.DeleteFunc(h.running, func(o *attempt) bool { return o == a })
 	h.x.settleAttempt(a)
@@ -142,15 +152,20 @@
 		}
 		return len(h.running) == 0
 	}
+	if h.x.winner.other(a.answer) {
+		// The send whose answer goes to the caller decides, and it is still under way.
+		h.beaten = append(h.beaten, a)
+		return false
+	}
 	h.done = append(h.done, a)
-	return len(h.running) == 0 || !a.answer.failed(a.end) && h.x.winner.take(a.answer)
+	return len(h.running) == 0 || a.answer.started || !a.answer.failed(a.end) && h.x.winner.take(a.answer)
 }
 
 // close ends the hedge with the send that ended last; those still under way are cancelled, and what becomes of them is
 // reported when they end.
 func (h *hedge) close() (director.Pick, *peerpb.End) {
 	x, last := h.x, h.done[len(h.done)-1]
-	for _, a := range slices.Concat(h.done[:len(h.done)-1], h.running) {
+	for _, a := range slices.Concat(h.done[:len(h.done)-1], h.beaten, h.running) {
 		a.cancel()
 		x.sends++
 		x.tried = append(x.tried, a.pick.Endpoint.Key)
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
@@ -64,8 +66,17 @@
 		return peer.NotRun(fault.RetryBudget, 0)
 	case "refuses":
 		return peer.NotRun(fault.Busy, 0)
+	case "sheds":
+		time.Sleep(100 * time.Millisecond)
+		return peer.NotRun(fault.EndpointShed, 0)
 	case "slow":
 		time.Sleep(50 * time.Millisecond)
+	case "breaks":
+		// An answer without a length is passed on as it comes.
+		if sink.Head(&peerpb.Head{Status: 200}, false) == nil && sink.Data([]byte("ha"), false) == nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return peer.Unknown(fault.EndpointCut)
 	}
 	status := uint32(200)
 	if word == "fails" {
@@ -126,7 +137,7 @@
 		r.RequestURI = "/x"
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
-		g.ServeHTTP(w, r.WithContext(ctx))
+		aborted := serveCaller(g, w, r.WithContext(ctx))
 		cancel()
 		for range words {
 			select {
@@ -139,10 +150,30 @@
 		defer local.mu.Unlock()
 		out := slices.Clone(local.asked[:min(len(words), len(local.asked))])
 		slices.Sort(out)
-		return fmt.Sprintf("%d\n%s\n", w.Code, strings.Join(out, "\n"))
+		return fmt.Sprintf("%d %q%s\n%s\n", w.Code, bodyOf(w), aborted, strings.Join(out, "\n"))
 	})
 }
 
+// serveCaller serves a request and tells whether its connection was broken off.
+func serveCaller(g *Ingress, w http.ResponseWriter, r *http.Request) (aborted string) {
+	defer func() {
+		if p := recover(); p != nil {
+			aborted = " and the connection broken off"
+		}
+	}()
+	g.ServeHTTP(w, r)
+	return ""
+}
+
+// bodyOf is an endpoint's answer as the caller got it, or the code of the system's own.
+func bodyOf(w *httptest.ResponseRecorder) string {
+	var p Problem
+	if json.Unmarshal(w.Body.Bytes(), &p) == nil {
+		return string(p.Code)
+	}
+	return w.Body.String()
+}
+
 func ingressWith(t *testing.T, s *table.State, local Local) *Ingress {
 	t.Helper()
 	log := zerolog.Nop()
