--- a/admit/script_test.go
+++ b/admit/script_test.go
@@ -14,7 +14,7 @@
 // TestScripts runs the scenarios of testdata. Commands:
 //
 //	queue slots=N most=N service=5ms     a new queue that has seen that service time
-//	offer id=N by=NAME [weight=W] within=50ms
+//	offer id=N by=NAME [weight=W] [work=5ms] within=50ms
 //	done [took=5ms]
 //	cancel id=N
 //	wait for=10ms
@@ -33,6 +33,11 @@
 				r := Request{ID: uint64(number(t, d, "id")), Weight: 1, Deadline: now.Add(span(t, d, "within"))}
 				d.ScanArgs(t, "by", &r.Customer)
 				d.MaybeScanArgs(t, "weight", &r.Weight)
+				if d.HasArg("work") {
+					text := ""
+					d.ScanArgs(t, "work", &text)
+					r.Work, _ = time.ParseDuration(text)
+				}
 				decision, evicted := q.Offer(now, r)
 				out = append([]Decision{decision}, evicted...)
 			case "done":
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -60,8 +60,6 @@
 	// Work is the time that endpoints took, by the ingress that sent the work.
 	Work  tally.Histogram
 	scope tally.Scope
-	// left shows what is left of the retries.
-	left tally.Gauge
 
 	mu sync.RWMutex
 	// ends are the counters of requests and asked those of endpoints asked, by outcome and code.
@@ -98,7 +96,6 @@
 		Latency: scope.Histogram("request_seconds", m.buckets),
 		Retries: scope.Counter("retries"),
 		Work:    scope.Histogram("work_seconds", m.buckets),
-		left:    scope.Gauge("retry_budget_left"),
 		scope:   scope, ends: make(map[string]tally.Counter), asked: make(map[string]tally.Counter),
 	}
 }
@@ -139,9 +136,6 @@
 	c.count(c.asked, "asked", outcome, code)
 }
 
-// BudgetLeft shows what is left of the service's retries on this node.
-func (c *Class) BudgetLeft(retries float64) { c.left.Update(retries) }
-
 // count adds one to the counter of an outcome and code, which it makes unless it is among those already made.
 func (c *Class) count(made map[string]tally.Counter, name, outcome, code string) {
 	key := outcome + "/" + code
