--- a/trace/losses.go
+++ b/trace/losses.go
@@ -140,11 +140,21 @@
 func (l *Losses) keyOf(line Line) lossKey {
 	g := lossKey{service: line.Service, hall: l.halls[line.Node], repeatable: line.Repeatable, cause: causeOf(line)}
 	if calls := l.calls[line.Request]; len(calls) > 0 {
-		g.cause, g.beneath = causeOf(calls[len(calls)-1]), true
+		g.cause, g.beneath = causeOf(decisive(calls)), true
 	}
 	return g
 }
 
+// decisive is the call that its work failed for: an endpoint breaks off the others once one has failed.
+func decisive(calls []Line) Line {
+	for _, c := range calls {
+		if fault.Code(c.Code) != fault.Canceled {
+			return c
+		}
+	}
+	return calls[0]
+}
+
 // causeOf is the code of a failure, or the status of the endpoint's own failed answer.
 func causeOf(line Line) string {
 	if line.Code != "" {
