--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -105,8 +105,8 @@
 type Retries struct {
 	// Slack is how many retries of a service the whole fleet may make in a window beyond the share.
 	Slack float64 `yaml:"slack" validate:"min=0"`
-	// Use is the part of the budget that the nodes use, share and slack alike, 0 to 1. The rest is for what they cannot
-	// count: the calls that a request makes when it runs again count against the services that it calls.
+	// Use is the part of the budget that the nodes use, share and slack alike, 0 to 1. The rest is for what they count by
+	// its chance only: the calls that a request makes when it runs again.
 	Use float64 `yaml:"use" validate:"min=0,max=1"`
 	// Window is the time over which the fleet's retries are counted.
 	Window Duration `yaml:"window" validate:"min=1000000"`
