--- a/ingress/late_test.go
+++ b/ingress/late_test.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// TestLateWordAtAnyMoment lets timers tell of sends that begin and end meanwhile; the hedge detector judges.
+// TestLateWordAtAnyMoment lets timers tell of sends that begin and end meanwhile; the race detector judges.
 func TestLateWordAtAnyMoment(*testing.T) {
 	a := &answer{}
 	var wg sync.WaitGroup
