Sight: what was handed to an endpoint, further sends and calls beneath them apart, with what is left of its retries

Logs told how often a request was sent, but neither how many further sends a service's endpoints had in a window nor what their budgets knew, and calls of further work were in no line. Event 409 tells it once a second and endpoint where there is any, four gauges the sums; the lines of all nodes add up to a service's arrivals in any window. No decision is changed.

--- /dev/null
+++ b/egress/door.go
@@ -0,0 +1,104 @@
+package egress
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+)
+
+// tellArrivalsEvery is the least time between two lines that tell what was handed to an endpoint: short beside the window
+// of a retry budget, so that the lines of all nodes add up to the fleet's arrivals in any window.
+const tellArrivalsEvery = time.Second
+
+// Arrivals counts what was handed to an endpoint.
+type Arrivals struct {
+	// First counts the first sends of callers' requests and of calls, Further the further ones.
+	First   uint64 `json:"first"`
+	Further uint64 `json:"further"`
+	// OfFurther is about how many of the first ones are calls of work that was itself a further send.
+	OfFurther float64 `json:"of_further"`
+	// Spent counts the further sends that were refused because no retry was left.
+	Spent uint64 `json:"spent"`
+}
+
+// since returns what came after an earlier count.
+func (a Arrivals) since(b Arrivals) Arrivals {
+	return Arrivals{
+		First: a.First - b.First, Further: a.Further - b.Further, OfFurther: a.OfFurther - b.OfFurther, Spent: a.Spent - b.Spent,
+	}
+}
+
+// arrivals counts what was handed to one endpoint, and what of it is not told yet.
+type arrivals struct {
+	Arrivals
+	told   Arrivals
+	toldAt time.Time
+}
+
+// spend takes a further send of a request from the endpoint's part of the fleet's retries, and has a first one earn its
+// share; it returns the refusal when no retry is left.
+func (l *local) spend(now time.Time, d *peerpb.Dispatch) *peerpb.End {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.GetRepeat() {
+		if !l.retries.Take(now) {
+			l.arrivals.Spent++
+			return peer.NotRun(fault.RetryBudget, shortRetryAfter)
+		}
+		return nil
+	}
+	if d.GetEarns() {
+		l.retries.Request(now, l.share)
+	}
+	// Calls that a further send makes again count as retries here.
+	l.retries.Request(now, -d.GetOfRepeat())
+	return nil
+}
+
+// unspend gives back a retry that did not reach the endpoint.
+func (l *local) unspend(d *peerpb.Dispatch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.GetRepeat() {
+		l.retries.Return()
+	}
+}
+
+// arrived counts a request that is handed to the endpoint.
+func (l *local) arrived(d *peerpb.Dispatch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.GetRepeat() {
+		l.arrivals.Further++
+		return
+	}
+	l.arrivals.First++
+	l.arrivals.OfFurther += d.GetOfRepeat()
+}
+
+// handed returns what was handed to the endpoint since the node started.
+func (l *local) handed() Arrivals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrivals.Arrivals
+}
+
+// tellArrivals logs what was handed to the endpoint since the last such line, if further sends are among it, and what is
+// left of its retries.
+func (l *local) tellArrivals(now time.Time, log *zerolog.Logger) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.arrivals.since(l.arrivals.told)
+	if now.Sub(l.arrivals.toldAt) < tellArrivalsEvery || a.Further+a.Spent == 0 && a.OfFurther == 0 {
+		return
+	}
+	events.FurtherSends.Log(log).Str("endpoint", l.key).Str("service", l.service).
+		Uint64("first", a.First).Uint64("further", a.Further).Float64("of_further", a.OfFurther).Uint64("spent", a.Spent).
+		Float64("left", l.retries.Left(now)).Float64("part", l.part).Dur("for", now.Sub(l.arrivals.toldAt)).Send()
+	l.arrivals.told, l.arrivals.toldAt = l.arrivals.Arrivals, now
+}
--- a/egress/due.go
+++ b/egress/due.go
@@ -3,9 +3,7 @@
 import (
 	"time"
 
-	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
-	"github.com/lynxplank/lynxplank/peer"
 )
 
 const (
@@ -48,31 +46,3 @@
 	work := workOf(d)
 	return l.times.Of(work.Kind, work.Usual).Quantile(expectedShare)
 }
-
-// spend takes a further send of a request from the endpoint's part of the fleet's retries, and has a first one earn its
-// share; it returns the refusal when no retry is left.
-func (l *local) spend(now time.Time, d *peerpb.Dispatch) *peerpb.End {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if d.GetRepeat() {
-		if !l.retries.Take(now) {
-			return peer.NotRun(fault.RetryBudget, shortRetryAfter)
-		}
-		return nil
-	}
-	if d.GetEarns() {
-		l.retries.Request(now, l.share)
-	}
-	// Calls that a further send makes again count as retries here.
-	l.retries.Request(now, -d.GetOfRepeat())
-	return nil
-}
-
-// unspend gives back a retry that did not reach the endpoint.
-func (l *local) unspend(d *peerpb.Dispatch) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if d.GetRepeat() {
-		l.retries.Return()
-	}
-}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -188,6 +188,7 @@
 	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
 		return false, end
 	}
+	defer func() { l.tellArrivals(time.Now(), e.log) }()
 	if end := l.spend(time.Now(), d); end != nil {
 		l.free(0)
 		return false, end
@@ -196,8 +197,10 @@
 	if end != nil {
 		l.unspend(d)
 		l.free(0)
+		return trial, end
 	}
-	return trial, end
+	l.arrived(d)
+	return trial, nil
 }
 
 // logRefusal tells why a request was turned away before the hand-over; l is nil where the endpoint is not here.
--- a/egress/local.go
+++ b/egress/local.go
@@ -54,6 +54,10 @@
 	// retries is the endpoint's part of the fleet's budget, share what a caller's request earns of it.
 	retries *retry.Budget
 	share   float64
+	// service is the endpoint's service, part its part of that service's slack.
+	service  string
+	part     float64
+	arrivals arrivals
 	// waiters are the channels on which queued requests wait for their decision, by the queue's ids.
 	waiters map[uint64]chan admit.Decision
 }
@@ -65,6 +69,7 @@
 		waiters: make(map[uint64]chan admit.Decision),
 		asking:  make(map[uint64]peer.Sink),
 		times:   latency.NewKinds(), retries: retry.NewBudget(time.Now(), cfg.Retries.Window),
+		arrivals: arrivals{toldAt: time.Now()},
 	}
 }
 
@@ -79,7 +84,8 @@
 	l.slots = int(row.Value.Slots)
 	l.queue.SetLimits(l.slots, int(service.Value.Queue))
 	l.share = float64(service.Value.RetryBudget)
-	l.retries.SetSlack(slack.Part(len(service.Endpoints)))
+	l.service, l.part = row.Value.Service, slack.Part(len(service.Endpoints))
+	l.retries.SetSlack(l.part)
 }
 
 // admit returns nil once the request holds a slot, else the refusal.
--- a/egress/status.go
+++ b/egress/status.go
@@ -16,6 +16,8 @@
 	Leaving bool `json:"leaving"`
 	// Trial is set while it takes only trials.
 	Trial bool `json:"trial"`
+	// Arrivals is what was handed to it since the node started.
+	Arrivals Arrivals `json:"arrivals"`
 }
 
 // Statuses returns the endpoints that have had work since the node started.
@@ -28,6 +30,7 @@
 		out = append(out, Status{
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Leaving: load.GetLeaving(), Trial: load.GetTrial(),
+			Arrivals: l.handed(),
 		})
 	}
 	return out
--- a/events/events.go
+++ b/events/events.go
@@ -48,6 +48,7 @@
 	BreakerChanged    = Event{406, "endpoint's breaker changed", zerolog.InfoLevel}
 	WorkFailed        = Event{407, "work failed at the endpoint", zerolog.WarnLevel}
 	OfferRefused      = Event{408, "offer refused", zerolog.InfoLevel}
+	FurtherSends      = Event{409, "further sends at the endpoint", zerolog.InfoLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -66,7 +67,7 @@
 	Announced, AnnounceFailed, HostReaped, HistoryGone,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain, SentTwice,
 }
 
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -94,7 +94,7 @@
 
 // sampleWork shows what the endpoints beside this node have to do, and the links.
 func (s *sampler) sampleWork() {
-	var busy, waiting, trials, leaving float64
+	var busy, waiting, trials, leaving, first, further, ofFurther, spent float64
 	for _, e := range s.egress.Statuses() {
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
@@ -104,12 +104,20 @@
 		if e.Leaving {
 			leaving++
 		}
+		first += float64(e.Arrivals.First)
+		further += float64(e.Arrivals.Further)
+		ofFurther += e.Arrivals.OfFurther
+		spent += float64(e.Arrivals.Spent)
 	}
 	dialed, accepted := s.links.Links()
 	s.metrics.Gauge("slots_busy", busy)
 	s.metrics.Gauge("queued", waiting)
 	s.metrics.Gauge("endpoints_on_trial", trials)
 	s.metrics.Gauge("endpoints_leaving", leaving)
+	s.metrics.Gauge("sends_first", first)
+	s.metrics.Gauge("sends_further", further)
+	s.metrics.Gauge("sends_of_further", ofFurther)
+	s.metrics.Gauge("sends_spent", spent)
 	s.metrics.Gauge("links_dialed", float64(dialed))
 	s.metrics.Gauge("links_accepted", float64(accepted))
 	s.metrics.Gauge("peer_bytes", float64(s.links.Bytes()))
