Retries: a budget that holds over restarts, leaves and late views; nothing is granted at once that another process may have granted

Cause: an endpoint's budget counted what it granted within its own life, and its part of the slack followed the number of endpoints at once. Ruled out: a margin (a restart doubles what is granted at worst); a process that grants nothing for a window after its start (nothing is sent again for 10 s after each restart); parts that grow only after a window (says nothing of restarts).

Now retries come in as time and requests go by and a quarter of a window's can be saved up. A process has nothing saved when it starts, and its part of the slack begins once its endpoint has been in the table for as long as a change takes to be known everywhere. Where the parts would be too small to save up one retry, the first endpoints share the slack.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -121,8 +121,18 @@
 	return e.flight.Wait(ctx, "egress")
 }
 
-// Observe takes a new snapshot in force: it tells the keys' homes which endpoints share them.
-func (e *Egress) Observe(now time.Time, snap *follow.Snapshot) { e.keys.observe(now, snap, e.cfg.Host) }
+// Observe takes a new snapshot in force: it tells the keys' homes which endpoints share them, and the endpoints beside this
+// node what their part of the retries is. These count from when the endpoint is in the table, not from its first request.
+func (e *Egress) Observe(now time.Time, snap *follow.Snapshot) {
+	e.keys.observe(now, snap, e.cfg.Host)
+	snap.State.Services(func(v table.ServiceView) {
+		for _, row := range v.Endpoints {
+			if row.Value.Host == e.cfg.Host {
+				e.local(row, snap.State)
+			}
+		}
+	})
+}
 
 // Serve runs one request at the endpoint and returns how it ended.
 //
--- a/egress/local.go
+++ b/egress/local.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,7 +70,7 @@
 		queue:   admit.NewQueue(int(row.Value.Slots), 0, random),
 		waiters: make(map[uint64]chan admit.Decision),
 		asking:  make(map[uint64]peer.Sink),
-		times:   latency.NewKinds(), retries: retry.NewBudget(time.Now(), cfg.Retries.Window),
+		times:   latency.NewKinds(), retries: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.KeySettle),
 		arrivals: arrivals{toldAt: time.Now()},
 	}
 }
@@ -84,8 +86,19 @@
 	l.slots = int(row.Value.Slots)
 	l.queue.SetLimits(l.slots, int(service.Value.Queue))
 	l.share = float64(service.Value.RetryBudget)
-	l.service, l.part = row.Value.Service, slack.Part(len(service.Endpoints))
-	l.retries.SetSlack(l.part)
+	l.service, l.part = row.Value.Service, partOf(row.Key, service, slack)
+	l.retries.SetSlack(time.Now(), l.part)
+}
+
+// partOf returns an endpoint's part of its service's slack of retries.
+func partOf(key string, service table.ServiceView, slack retry.Share) float64 {
+	n, rank := len(service.Endpoints), 0
+	if n > slack.Holders() {
+		rank, _ = slices.BinarySearchFunc(service.Endpoints, key, func(e table.Entry[table.Endpoint], key string) int {
+			return strings.Compare(e.Key, key)
+		})
+	}
+	return slack.Part(n, rank)
 }
 
 // admit returns nil once the request holds a slot, else the refusal.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,24 +1,30 @@
 package retry
 
 import (
-	"slices"
 	"time"
 )
 
 // Budget limits the retries that reach one endpoint; one goroutine owns it or its owner locks it. The endpoint's node sees
 // every arrival there, so that the sum over a service's endpoints is the fleet's, without an agreement between senders.
 //
-// Invariant: in any window at most slack + share*n retries are granted, n the callers' requests that arrived in it.
+// Retries come in as time and requests go by, and a share of what a window brings can be saved up. A process that starts
+// has saved nothing, and a part that grows brings more from then on but nothing at once: so what another process granted
+// before it, or an endpoint that has left, need not be known.
+//
+// Invariant: in any window the endpoints of a service grant at most its slack and its share of their requests, counted in
+// that window or in the one before, whatever joins, leaves or starts again, as long as each knows of every other that is
+// older than the time to settle.
 type Budget struct {
-	window time.Duration
-	// slack is the endpoint's part of the service's slack in a window.
-	slack float64
+	window, settle time.Duration
 	// began is when the budget was made.
 	began time.Time
-	// grants are the retries of the last window, earned what requests of that time earn, both by time.
-	grants []time.Time
+	// slack is the endpoint's part of the service's slack in a window.
+	slack float64
+	// saved are the retries that can be granted now, filled the time up to which the slack has brought its own.
+	saved  float64
+	filled time.Time
+	// earned is what requests of the last window earn, by time, credit the sum of it.
 	earned []earning
-	// credit is the sum of what is in earned.
 	credit float64
 }
 
@@ -28,30 +34,47 @@
 	share float64
 }
 
-// windowSlices is how many parts of a window requests are counted in.
-const windowSlices = 20
+const (
+	// windowSlices is how many parts of a window requests are counted in.
+	windowSlices = 20
+	// savedShare is the share of a window's retries that can be saved up; the rest is for the window in which it is spent.
+	savedShare = 0.25
+)
 
-// NewBudget returns a budget that grows to its slack within a window: an earlier process beside the same endpoint may have
-// spent it.
-func NewBudget(now time.Time, window time.Duration) *Budget {
-	return &Budget{window: window, began: now}
+// NewBudget returns a budget that has nothing saved; its slack begins to count after the time in which a change of the
+// service's endpoints is known everywhere.
+func NewBudget(now time.Time, window, settle time.Duration) *Budget {
+	return &Budget{window: window, settle: settle, began: now, filled: now.Add(settle)}
 }
 
-// SetSlack changes the endpoint's part of the service's slack in a window.
-func (b *Budget) SetSlack(slack float64) { b.slack = slack }
+// SetSlack changes the endpoint's part of the service's slack in a window, from now on.
+func (b *Budget) SetSlack(now time.Time, slack float64) {
+	b.fill(now)
+	b.slack = slack
+	b.bound(now)
+}
 
-// Request counts the first arrival of a caller's request, which earns its share of a retry; a share below zero takes from
-// what others earn, for an arrival that is a retry in part and not refused as one.
+// Request counts the first arrival of a caller's request, which earns its share of a retry.
 func (b *Budget) Request(now time.Time, share float64) {
 	if share == 0 {
 		return
 	}
+	b.fill(now)
+	b.saved += (1 - savedShare) * share
 	b.credit += share
 	if n := len(b.earned); n > 0 && now.Sub(b.earned[n-1].at) < b.window/windowSlices {
 		b.earned[n-1].share += share
-		return
+	} else {
+		b.earned = append(b.earned, earning{at: now, share: share})
 	}
-	b.earned = append(b.earned, earning{at: now, share: share})
+	b.bound(now)
+}
+
+// Charge takes a part of a retry for an arrival that is one in part and is not refused; it may leave the budget in debt.
+func (b *Budget) Charge(now time.Time, part float64) {
+	b.fill(now)
+	b.saved -= part
+	b.bound(now)
 }
 
 // Take grants one retry if the budget has one left.
@@ -59,31 +82,42 @@
 	if b.Left(now) < 1 {
 		return false
 	}
-	b.grants = append(b.grants, now)
+	b.saved--
 	return true
 }
 
 // Return gives back the retry that was granted last and did not reach the endpoint.
-func (b *Budget) Return() {
-	if n := len(b.grants); n > 0 {
-		b.grants = b.grants[:n-1]
-	}
-}
+func (b *Budget) Return() { b.saved++ }
 
 // Left returns the retries left.
 func (b *Budget) Left(now time.Time) float64 {
+	b.fill(now)
+	return b.saved
+}
+
+// fill brings in what the slack has brought since the last look and drops what is older than a window.
+func (b *Budget) fill(now time.Time) {
 	b.forget(now)
-	slack := b.slack
-	if age := now.Sub(b.began); age < b.window {
-		slack *= age.Seconds() / b.window.Seconds()
+	if now.After(b.filled) {
+		b.saved += (1 - savedShare) * b.slack * now.Sub(b.filled).Seconds() / b.window.Seconds()
+		b.filled = now
+	}
+	b.bound(now)
+}
+
+// bound holds what is saved to its share of a window's retries, and a debt to what a window brings.
+func (b *Budget) bound(now time.Time) {
+	whole := b.credit
+	if now.Sub(b.began) >= b.settle {
+		whole += b.slack
 	}
-	return slack + b.credit - float64(len(b.grants))
+	b.saved = max(min(b.saved, savedShare*whole), -(1-savedShare)*whole)
 }
 
-// forget drops what is older than a window. A slice of requests goes with its first one, so that none counts too long.
+// forget drops what requests earned before the window. A slice of requests goes with its first one, so that none counts
+// too long.
 func (b *Budget) forget(now time.Time) {
 	from := now.Add(-b.window)
-	b.grants = slices.DeleteFunc(b.grants, func(at time.Time) bool { return at.Before(from) })
 	for len(b.earned) > 0 && b.earned[0].at.Before(from) {
 		b.credit -= b.earned[0].share
 		b.earned = b.earned[1:]
--- a/retry/share.go
+++ b/retry/share.go
@@ -12,9 +12,17 @@
 	Most float64
 }
 
-// Part returns what one endpoint may use in a window when its service has so many.
+// Part returns what an endpoint may use in a window when its service has so many, of which rank come before it. Where the
+// parts of all would be too small to ever save up one retry, only the first ones have a part.
 //
-// Invariant: the parts of all endpoints are at most the slack.
-func (s Share) Part(endpoints int) float64 {
-	return min(s.Slack/float64(max(endpoints, 1)), s.Most)
+// Invariant: the parts of all endpoints are at most the slack, also while some of them count others that have left.
+func (s Share) Part(endpoints, rank int) float64 {
+	holders := s.Holders()
+	if rank >= holders {
+		return 0
+	}
+	return min(s.Slack/float64(max(1, min(endpoints, holders))), s.Most)
 }
+
+// Holders returns how many endpoints of a service can have a part of the slack.
+func (s Share) Holders() int { return max(1, int(savedShare*s.Slack)) }
--- a/virtual/stream.go
+++ b/virtual/stream.go
@@ -147,8 +147,8 @@
 		Stream: s, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), //nolint:gosec // seeded on purpose
 		out: make([]bool, s.Service.Endpoints),
 	}
-	r.budget = retry.NewBudget(r.clock.now, retryWindow)
-	r.budget.SetSlack(retryBurst)
+	r.budget = retry.NewBudget(r.clock.now, retryWindow, 0)
+	r.budget.SetSlack(r.clock.now, retryBurst)
 	r.policy = s.Policy(s.Service, rand.New(rand.NewPCG(s.Seed, 2))) //nolint:gosec // seeded on purpose
 	r.result.Detected = -1
 	for i := range s.Service.Endpoints {
