Retries: whatever may reach an endpoint once more asks for one, calls of further work too

Cause: what the endpoints count and what asked the budget were two lists. (1) An endpoint that says that a request is another instance's has had it; the next send went free. (2) A caller's request that was refused at the hand-over had earned its share and earned it again at the next door. Ruled out: to refuse by chance (three of four calls refused would be of first sends); a reserve for calls (no bound).

Now one place tells whether an endpoint may have had the request (reached); refusals by a node do not count, so that a full queue costs no retry. A first send earns at the hand-over. The node knows by the id of a call which request's work makes it, as trace and losses do, and whether that work is a further send; only where the id names no work under way is the chance taken as before. A retry is asked for at six endpoints and not three, since each has less at once.

--- a/egress/door.go
+++ b/egress/door.go
@@ -40,23 +40,15 @@
 	toldAt time.Time
 }
 
-// spend takes a further send of a request from the endpoint's part of the fleet's retries, and has a first one earn its
-// share; it returns the refusal when no retry is left.
+// spend takes a further send of a request from the endpoint's part of the fleet's retries; it returns the refusal when none
+// is left.
 func (l *local) spend(now time.Time, d *peerpb.Dispatch) *peerpb.End {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if d.GetRepeat() {
-		if !l.retries.Take(now) {
-			l.arrivals.Spent++
-			return peer.NotRun(fault.RetryBudget, shortRetryAfter)
-		}
-		return nil
-	}
-	if d.GetEarns() {
-		l.retries.Request(now, l.share)
+	if d.GetRepeat() && !l.retries.Take(now) {
+		l.arrivals.Spent++
+		return peer.NotRun(fault.RetryBudget, shortRetryAfter)
 	}
-	// Calls that a further send makes again count as retries here.
-	l.retries.Request(now, -d.GetOfRepeat())
 	return nil
 }
 
@@ -69,14 +61,20 @@
 	}
 }
 
-// arrived counts a request that is handed to the endpoint.
-func (l *local) arrived(d *peerpb.Dispatch) {
+// arrived counts a request that is handed to the endpoint. Only now has a caller's first send earned its share: one that is
+// refused at the hand-over goes on to another endpoint and would earn it there once more.
+func (l *local) arrived(now time.Time, d *peerpb.Dispatch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d.GetRepeat() {
 		l.arrivals.Further++
 		return
 	}
+	if d.GetEarns() {
+		l.retries.Request(now, l.share)
+	}
+	// A call that may be of further work is never refused for it.
+	l.retries.Charge(now, d.GetOfRepeat())
 	l.arrivals.First++
 	l.arrivals.OfFurther += d.GetOfRepeat()
 }
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -62,9 +62,8 @@
 	announced *registry.Registry
 	nextID    atomic.Uint64
 	closing   atomic.Bool
-	// running counts the work under way, repeats what of it are further sends.
-	running atomic.Int64
-	repeats atomic.Int64
+	// working is the work under way.
+	working flight.Requests
 	flight  flight.Counter
 	cancel  context.CancelFunc
 
@@ -209,7 +208,7 @@
 		l.free(0)
 		return trial, end
 	}
-	l.arrived(d)
+	l.arrived(time.Now(), d)
 	return trial, nil
 }
 
@@ -289,12 +288,8 @@
 
 // counted counts a run while it lasts.
 func (e *Egress) counted(d *peerpb.Dispatch, run func() result) result {
-	e.running.Add(1)
-	defer e.running.Add(-1)
-	if d.GetRepeat() {
-		e.repeats.Add(1)
-		defer e.repeats.Add(-1)
-	}
+	e.working.Begin(d.GetRequestId(), d.GetRepeat())
+	defer e.working.End(d.GetRequestId(), d.GetRepeat())
 	return run()
 }
 
@@ -391,8 +386,8 @@
 	return l
 }
 
-// Work returns how much work the endpoints beside this node have that came through it, and how much of it are further sends.
-func (e *Egress) Work() (all, repeats int) { return int(e.running.Load()), int(e.repeats.Load()) }
+// Work tells of the work that the endpoints beside this node have through it, and of that for a request, "" for none.
+func (e *Egress) Work(request string) flight.Work { return e.working.Of(request) }
 
 // Settle notes how a claimed request ended elsewhere.
 func (e *Egress) Settle(msg *peerpb.Settle) {
--- a/egress/run.go
+++ b/egress/run.go
@@ -78,7 +78,7 @@
 	_, _ = io.Copy(io.Discard, resp)
 	end := peer.NotRun(fault.EndpointShed, retryAfterOf(resp.Header))
 	if answer.Misplaced {
-		end = peer.NotRun(fault.WrongHost, shortRetryAfter)
+		end = peer.NotRun(fault.EndpointMoved, shortRetryAfter)
 	}
 	return result{end: end, leaving: answer.Leaving}
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -65,6 +65,8 @@
 	NoEndpoint Code = "no_endpoint"
 	// WrongHost is a refusal by a node that does not stand beside the endpoint.
 	WrongHost Code = "wrong_host"
+	// EndpointMoved is an endpoint that refused a request meant for another one at its address, and did not run it.
+	EndpointMoved Code = "endpoint_moved"
 	// LinkDown is a peer that cannot be reached.
 	LinkDown Code = "link_down"
 	// LinkLost is a link that broke after the hand-over.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -23,9 +24,10 @@
 	service    table.ServiceView
 	customer   string
 	repeatable bool
-	// earns is set for a caller's request, a share of which may be sent again; ofRepeat is the chance that what may be a call
-	// of the endpoint beside this node is made by work that was itself sent again.
+	// earns is set for a caller's request, a share of which may be sent again. further is set for a call of work that was
+	// itself sent again, ofRepeat is the chance of that where the work that made the call is not known.
 	earns    bool
+	further  bool
 	ofRepeat float64
 	timeout  time.Duration
 	key      string
@@ -57,15 +59,26 @@
 	}
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
-	all, repeats := g.local.Work()
-	c.earns = g.routes.source(c.route.Key, all == 0) != fromWork
-	if !c.earns {
-		c.ofRepeat = float64(repeats) / float64(max(all, 1))
-	}
+	g.findOrigin(&c)
 	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
 	return c, nil
 }
 
+// findOrigin tells a caller's request from a call of the work beside this node: by the work that the request's id names, else
+// by what was seen of its route.
+func (g *Ingress) findOrigin(c *call) {
+	work := g.local.Work(contract.ParentOf(c.id))
+	source := g.routes.source(c.route.Key, work.All == 0)
+	if work.Known {
+		c.further = work.OfRepeat > 0
+		return
+	}
+	c.earns = source != fromWork
+	if !c.earns {
+		c.ofRepeat = work.OfRepeat
+	}
+}
+
 func clientIP(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -53,12 +53,22 @@
 // misplaced tells that the sender's view was old, or its link down.
 func misplaced(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Draining, fault.WrongHost, fault.LinkDown, fault.Stale:
+	case fault.Draining, fault.WrongHost, fault.EndpointMoved, fault.LinkDown, fault.Stale:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
 }
 
+// reached tells that an endpoint may have had the request, whether it ran it or not: whatever it is sent to next is a further
+// send, for which the service's retries are asked.
+func reached(end *peerpb.End) bool {
+	switch fault.Code(end.GetCode()) {
+	case fault.EndpointShed, fault.EndpointMoved:
+		return true
+	}
+	return end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN
+}
+
 // truth makes the last end speak for the whole request: what an earlier send may have run is never told as not run.
 func (x *exchange) truth(end *peerpb.End) *peerpb.End {
 	if end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -62,6 +62,8 @@
 	sends int
 	// trail is who was asked and what came of it, for the log.
 	trail trail
+	// arrived is set once an endpoint may have had the request.
+	arrived bool
 	// ran is set once a send ran, unknown once one may have run.
 	ran     bool
 	unknown bool
@@ -173,7 +175,7 @@
 // wish is what any endpoint for the request must meet.
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
-		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried, Again: x.sends > 0,
+		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried, Again: x.further(),
 	}
 }
 
@@ -193,13 +195,16 @@
 func (x *exchange) mark(d *peerpb.Dispatch, wait bool) {
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0
-	d.Repeat = x.sends > 0
-	d.Earns = x.sends == 0 && x.call.earns
-	if x.sends == 0 {
+	d.Repeat = x.further()
+	d.Earns = !d.Repeat && x.call.earns
+	if !d.Repeat {
 		d.OfRepeat = x.call.ofRepeat
 	}
 }
 
+// further tells that the next send is one that the service's retries are asked for.
+func (x *exchange) further() bool { return x.arrived || x.call.further }
+
 // newAnswer returns the sink of one more send.
 func (x *exchange) newAnswer() *answer {
 	return newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
@@ -216,6 +221,7 @@
 
 // note keeps what an end says of whether the request ran, for truth.
 func (x *exchange) note(end *peerpb.End) {
+	x.arrived = x.arrived || reached(end)
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.unknown = x.unknown || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
 }
@@ -309,7 +315,7 @@
 }
 
 // mostSpent bounds the endpoints that are asked to take a request again although others have no retries left.
-const mostSpent = 3
+const mostSpent = 6
 
 // afterSpent notes an endpoint whose part of the retries is spent, and tells whether to ask another.
 func (x *exchange) afterSpent(key string) bool {
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -168,6 +168,7 @@
 	for _, a := range slices.Concat(h.done[:len(h.done)-1], h.beaten, h.running) {
 		a.cancel()
 		x.sends++
+		x.arrived = true
 		x.tried = append(x.tried, a.pick.Endpoint.Key)
 	}
 	if rest := len(h.running); rest > 0 {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -40,8 +40,8 @@
 	Serve(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
-	// Work returns how much work the endpoints beside this node have, and how much of it are further sends.
-	Work() (all, repeats int)
+	// Work tells of the work that the endpoints beside this node have, and of that for a request.
+	Work(request string) flight.Work
 }
 
 // Ingress is the handler of the callers' listener.
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -76,7 +76,8 @@
 // outOfReach tells that a home gave no verdict, and that nothing ran.
 func outOfReach(end *peerpb.End) bool {
 	code := fault.Code(end.GetCode())
-	unreachable := code == fault.LinkDown || code == fault.KeyRefused || code == fault.WrongHost
+	unreachable := code == fault.LinkDown || code == fault.KeyRefused || code == fault.WrongHost ||
+		code == fault.EndpointMoved
 	return unreachable && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 }
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -123,6 +123,7 @@
 	fault.EndpointUnreachable: "the endpoint takes no connection",
 	fault.EndpointShed:        "the endpoint sheds load",
 	fault.EndpointCut:         "the endpoint broke off",
+	fault.EndpointMoved:       "another endpoint stands at the address",
 	fault.DeadlineExceeded:    "the time ran out after the hand-over",
 	fault.KeyInProgress:       "an earlier request with this key is still running",
 	fault.KeyMismatch:         "this key came with another request before",
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -23,6 +23,7 @@
 	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
 	fault.WrongHost: "the endpoint no longer stands beside that node, and the ingress went by an older list of hosts; compare " +
 		"`hosts` with the revision in force there (200)",
+	fault.EndpointMoved: "another endpoint stands at the address by now and refused the request; compare `hosts` with 404 at its node",
 	fault.Stale: "the ingress went by an older configuration than the endpoint's node; compare `config` with event 200 of " +
 		"both nodes",
 	fault.LinkDown:            "the endpoint's node could not be reached, so the request was not handed over; see the link (301, 302)",
--- a/trace/line.go
+++ b/trace/line.go
@@ -5,9 +5,9 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"strings"
 	"time"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 )
@@ -132,7 +132,7 @@
 
 // concerns tells whether an id is the request's, or that of a call which its endpoint made for it.
 func (l *Log) concerns(id string) bool {
-	return id == l.id || strings.HasPrefix(id, l.id+".")
+	return id == l.id || contract.IsCallOf(id, l.id)
 }
 
 // believes tells whether an event changes what a node believes or does.
--- a/trace/losses.go
+++ b/trace/losses.go
@@ -8,10 +8,10 @@
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 )
@@ -98,8 +98,8 @@
 		l.dropped++
 		return
 	}
-	if parent, _, call := strings.Cut(line.Request, "."); call {
-		l.calls[parent] = append(l.calls[parent], line)
+	if root, call := contract.RootOf(line.Request); call {
+		l.calls[root] = append(l.calls[root], line)
 		return
 	}
 	l.failed = append(l.failed, line)
