Retries: calls earn their share as callers' requests do

A service that is mostly called had half of its retries.

The word of whoever sends a request that it earns is gone from the peers' protocol.

--- a/egress/door.go
+++ b/egress/door.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// arrived counts a request that is handed to the endpoint. Only now has a caller's first send earned its share: one that is
+// arrived counts a request that is handed to the endpoint. Only now has a first send earned its share: one that is
 // refused at the hand-over goes on to another endpoint and would earn it there once more.
 func (l *local) arrived(now time.Time, d *peerpb.Dispatch) {
 	l.mu.Lock()
@@ -70,9 +70,7 @@
 		l.arrivals.Further++
 		return
 	}
-	if d.GetEarns() {
-		l.retries.Request(now, l.share)
-	}
+	l.retries.Request(now, l.share)
 	// A call that may be of further work is never refused for it.
 	l.retries.Charge(now, d.GetOfRepeat())
 	l.arrivals.First++
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -24,9 +24,8 @@
 	service    table.ServiceView
 	customer   string
 	repeatable bool
-	// earns is set for a caller's request, a share of which may be sent again. further is set for a call of work that was
-	// itself sent again, ofRepeat is the chance of that where the work that made the call is not known.
-	earns    bool
+	// further is set for a call of work that was itself sent again, ofRepeat is the chance of that where the work that made
+	// the call is not known.
 	further  bool
 	ofRepeat float64
 	timeout  time.Duration
@@ -73,8 +72,7 @@
 		c.further = work.OfRepeat > 0
 		return
 	}
-	c.earns = source != fromWork
-	if !c.earns {
+	if source == fromWork {
 		c.ofRepeat = work.OfRepeat
 	}
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -196,7 +196,6 @@
 	d.Wait, d.LastResort, d.LikelyOnly = wait, x.lastResort, x.spare || !x.call.repeatable
 	d.Canary = x.call.repeatable && x.sends == 0
 	d.Repeat = x.further()
-	d.Earns = !d.Repeat && x.call.earns
 	if !d.Repeat {
 		d.OfRepeat = x.call.ofRepeat
 	}
--- a/ingress/source.go
+++ b/ingress/source.go
@@ -36,8 +36,8 @@
 	return a
 }
 
-// source tells who uses the route. Nothing else tells a caller's request from a call of the endpoint beside this node, and
-// the fleet's retries are a share of callers' requests only.
+// source tells who uses the route: where the work that makes a call is not known by the call's id, nothing else tells it from
+// a caller's request.
 func (a arrivals) source() source {
 	switch {
 	case a.idle >= leastIdle && a.idle*leastIdleShare >= a.all:
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -82,7 +82,7 @@
 		BodyLength: d.GetBodyLength(), LateMicros: d.GetLateMicros(), Exchange: d.GetExchange(), Wait: d.GetWait(),
 		Priority: d.GetPriority(), Caller: d.GetCaller(), AimMicros: d.GetAimMicros(),
 		LastResort: d.GetLastResort(), Canary: d.GetCanary(), Route: d.GetRoute(), Config: d.GetConfig(),
-		LikelyOnly: d.GetLikelyOnly(), Repeat: d.GetRepeat(), Earns: d.GetEarns(), TellDue: d.GetTellDue(),
+		LikelyOnly: d.GetLikelyOnly(), Repeat: d.GetRepeat(), TellDue: d.GetTellDue(),
 		UsualMicros: d.GetUsualMicros(), OfRepeat: d.GetOfRepeat(),
 	}
 }
