Table: what a node does not know to have changed it does not tell as unchanged, nor take as such

Cause: a reader sees whole configurations and may go past one. Its rows then carry the revision at which it saw them change, which says nothing of the configuration that it did not see. (1) It told a peer which held just that one what it had seen change itself: a route changed and changed back, or added and dropped, stayed at the peer, under the newer number. A whole table did not help, since a row of an older revision gives way to a later one. (2) A request sent by that configuration was not stale to it, as the route's row had an older revision. (3) A longer path that takes over a part of a route leaves that route's row as it was; neither the endpoint's node nor a sender that brings a waiting request up to date asked for that.

Ruled out: services' and customers' rows (they do not decide where a request goes), requests without a version (only without the platform's configuration), a restart alone (its first configuration is told as a whole).

Now a state knows of which configurations its rows tell what has changed since, and tells that with its changes; to whoever holds another it tells the whole, of which what differs counts as changed. A request by a configuration that the node never held is refused as stale, as not run; the sender is brought up to date and matches its path anew. Event 410 names requests that go by an older configuration than the node has seen, 408 what it holds.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -209,13 +209,15 @@
 		return trial, end
 	}
 	l.arrived(time.Now(), d)
+	e.logOlder(d)
 	return trial, nil
 }
 
 // logRefusal tells why a request was turned away before the hand-over; l is nil where the endpoint is not here.
 func (e *Egress) logRefusal(l *local, d *peerpb.Dispatch, end *peerpb.End) {
 	line := events.OfferRefused.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", d.GetEndpoint()).
-		Str("service", d.GetService()).Str("code", end.GetCode()).Uint64("config", d.GetConfig())
+		Str("service", d.GetService()).Str("code", end.GetCode()).Uint64("config", d.GetConfig()).
+		Uint64("holds", e.state().Revisions()[table.PlaneConfig]).Uint64("seen", e.configs.newest.Load())
 	if l != nil {
 		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
 			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
--- a/events/bound.go
+++ b/events/bound.go
@@ -38,7 +38,7 @@
 // limitOf returns an event's limit. Each event has its own, so that served requests never push failed ones out.
 func limitOf(event int) Limit {
 	switch event {
-	case RequestServed.Number, OfferRefused.Number, SentAgain.Number, SentTwice.Number:
+	case RequestServed.Number, OfferRefused.Number, OlderTaken.Number, SentAgain.Number, SentTwice.Number:
 		return sampleLimit
 	}
 	return usualLimit
--- a/events/events.go
+++ b/events/events.go
@@ -49,6 +49,7 @@
 	WorkFailed        = Event{407, "work failed at the endpoint", zerolog.WarnLevel}
 	OfferRefused      = Event{408, "offer refused", zerolog.InfoLevel}
 	FurtherSends      = Event{409, "further sends at the endpoint", zerolog.InfoLevel}
+	OlderTaken        = Event{410, "older configuration taken", zerolog.InfoLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -67,7 +68,7 @@
 	Announced, AnnounceFailed, HostReaped, HistoryGone,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends, OlderTaken,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain, SentTwice,
 }
 
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -38,7 +38,7 @@
 	var parts []*peerpb.Delta
 	for start := 0; start < len(whole.Rows) || start == 0; start += rowsPerPart {
 		end := min(start+rowsPerPart, len(whole.Rows))
-		d := &peerpb.Delta{From: whole.From, To: whole.To, Full: whole.Full, Plane: uint32(whole.Plane)}
+		d := &peerpb.Delta{From: whole.From, To: whole.To, Full: whole.Full, Plane: uint32(whole.Plane), Steps: whole.Steps}
 		for _, r := range whole.Rows[start:end] {
 			d.Rows = append(d.Rows, toWire(r))
 		}
@@ -123,7 +123,9 @@
 		}
 		plane := table.Plane(min(p.GetPlane(), math.MaxUint8))
 		if len(deltas) == 0 || deltas[len(deltas)-1].Plane != plane {
-			deltas = append(deltas, table.Delta{Plane: plane, From: p.GetFrom(), To: p.GetTo(), Full: p.GetFull()})
+			deltas = append(deltas, table.Delta{
+				Plane: plane, From: p.GetFrom(), To: p.GetTo(), Full: p.GetFull(), Steps: p.GetSteps(),
+			})
 		}
 		last := &deltas[len(deltas)-1]
 		for _, r := range p.GetRows() {
--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -43,12 +43,8 @@
 // adopt brings the request to the configuration in force here now; false when that no longer sends it to its service.
 func (x *exchange) adopt() bool {
 	snap := x.g.snapshot()
-	row, ok := snap.State.Row(table.KindRoute, x.call.route.Key)
-	if !ok {
-		return false
-	}
-	next, err := table.Decode[table.Route](row)
-	if err != nil || !sends(next, x.call.service.Key) {
+	next, ok := matchCall(snap.State, &x.call)
+	if !ok || next.Key != x.call.route.Key || !sends(next.Value, x.call.service.Key) {
 		return false
 	}
 	x.call.config = snap.State.Revisions()[table.PlaneConfig]
--- a/table/apply.go
+++ b/table/apply.go
@@ -20,6 +20,8 @@
 	To uint64
 	// Full marks a delta that holds the whole plane.
 	Full bool
+	// Steps are the revisions of a sparse plane between From and To for which the rows tell, too, what has changed since.
+	Steps []uint64
 	// Rows are the changed rows, or every row when Full.
 	Rows []Row
 }
@@ -39,6 +41,9 @@
 	if !d.Full && d.From > revision {
 		return s, fault.New(fault.Protocol, "delta", "starts past the revision in force")
 	}
+	if !d.leadsFrom(revision) {
+		return s, nil
+	}
 	if d.Full {
 		d.Rows = s.fullChanges(d)
 	}
@@ -51,6 +56,12 @@
 	return &next, nil
 }
 
+// leadsFrom tells whether the delta holds all that has changed since a revision, none of which is before its start: whoever
+// went past a configuration without seeing it does not know what that had changed.
+func (d Delta) leadsFrom(revision uint64) bool {
+	return d.Full || !d.Plane.sparse() || d.From == revision || slices.Contains(d.Steps, revision)
+}
+
 // WithEndpoints returns the state with the endpoints that the hosts announce, at the hosts' revision. Unlike other
 // planes this one is put together by each node, whose own endpoint is known here before the store has heard of it.
 func (s *State) WithEndpoints(revision uint64, announced []Announced) (*State, error) {
@@ -93,7 +104,9 @@
 	return nil
 }
 
-// fullChanges turns a whole plane into what it changes: the rows that it holds, and deletions of those that it lacks.
+// fullChanges turns a whole plane into what it changes: the rows that it holds, and deletions of those that it lacks. Of a
+// sparse plane the sender's revisions say nothing to a state that has come another way: what differs has changed by the
+// delta's end.
 func (s *State) fullChanges(d Delta) []Row {
 	kept := make(map[RowID]bool, len(d.Rows))
 	rows := make([]Row, 0, len(d.Rows))
@@ -102,6 +115,12 @@
 			continue
 		}
 		kept[row.ID()] = true
+		if d.Plane.sparse() {
+			if s.holds(d.Plane, row) {
+				continue
+			}
+			row.Revision = d.To
+		}
 		rows = append(rows, row)
 	}
 	s.PlaneRows(d.Plane, func(r Row) {
@@ -112,13 +131,21 @@
 	return rows
 }
 
-// extendTail adds a delta's changes to those of the old state; a whole plane starts the tail anew.
+// holds tells whether the state has a plane's row with the same cells.
+func (s *State) holds(p Plane, row Row) bool {
+	old, ok := s.Row(row.Kind, row.Key)
+	return ok && old.Plane == p && slices.Equal(old.Cells, row.Cells)
+}
+
+// extendTail adds a delta's changes to those of the old state; a whole plane starts the tail anew, but that of a sparse one
+// that the old state held.
 func (s *State) extendTail(old *State, d Delta) {
 	t := &s.tails[d.Plane]
-	if d.Full {
-		*t = tail{from: d.To}
+	if d.Full && (!d.Plane.sparse() || old.revisions[d.Plane] == 0) {
+		*t = tail{from: d.To, steps: []uint64{d.To}}
 		return
 	}
+	t.steps = old.tails[d.Plane].stepsThrough(d)
 	changes := slices.Clone(old.tails[d.Plane].changes)
 	for _, row := range d.Rows {
 		changes = append(changes, change{revision: row.Revision, row: row.ID()})
--- a/table/plane.go
+++ b/table/plane.go
@@ -26,6 +26,10 @@
 	return planeNames[p]
 }
 
+// sparse tells whether a reader of the plane may miss revisions: it sees whole configurations, of which the store keeps the
+// newest alone, while the rows of the other planes carry the revisions of their own changes.
+func (p Plane) sparse() bool { return p == PlaneConfig }
+
 // Revisions is how far each plane has come.
 type Revisions [planeCount]uint64
 
--- a/table/read.go
+++ b/table/read.go
@@ -1,7 +1,5 @@
 package table
 
-import "slices"
-
 // Read returns the delta that a whole plane makes which was read at a revision; what it leaves as it was keeps its revision.
 func (s *State) Read(p Plane, to uint64, rows []Row) Delta {
 	// The first read stands for all that came before it: what that has dropped this state does not know, and must not seem
@@ -11,8 +9,7 @@
 	kept := make(map[RowID]bool, len(rows))
 	for _, row := range rows {
 		kept[row.ID()] = true
-		old, ok := s.Row(row.Kind, row.Key)
-		if !ok || old.Plane != p || !slices.Equal(old.Cells, row.Cells) {
+		if !s.holds(p, row) {
 			d.Rows = append(d.Rows, row)
 		}
 	}
@@ -32,6 +29,12 @@
 	if !ok {
 		d.Full = true
 		s.PlaneRows(p, func(r Row) { rows = append(rows, r) })
+	} else if p.sparse() {
+		for _, step := range s.tails[p].steps {
+			if step > from && step < d.To {
+				d.Steps = append(d.Steps, step)
+			}
+		}
 	}
 	d.Rows = rows
 	return d
--- a/table/state.go
+++ b/table/state.go
@@ -66,6 +66,28 @@
 	changes []change
 	// from is the revision after which the tail holds every change.
 	from uint64
+	// steps are the latest revisions of a sparse plane of which the rows' revisions tell what has changed since, in order.
+	steps []uint64
+}
+
+// mostSteps bounds the steps that are remembered: a change is known everywhere in seconds, in which only few more come.
+const mostSteps = 64
+
+// stepsThrough returns the steps after a delta.
+func (t tail) stepsThrough(d Delta) []uint64 {
+	if !d.Plane.sparse() {
+		return nil
+	}
+	steps := slices.Clone(t.steps)
+	if !d.Full {
+		for _, step := range d.Steps {
+			if len(steps) == 0 || step > steps[len(steps)-1] {
+				steps = append(steps, step)
+			}
+		}
+	}
+	steps = append(steps, d.To)
+	return steps[max(0, len(steps)-mostSteps):]
 }
 
 // State is one immutable revision of the whole table.
@@ -124,6 +146,9 @@
 // Endpoint returns one endpoint's row.
 func (s *State) Endpoint(key string) (Entry[Endpoint], bool) { return s.endpoints.Get(key) }
 
+// Route returns one route's row.
+func (s *State) Route(key string) (Entry[Route], bool) { return s.routes.Get(key) }
+
 // Customer returns one customer's row.
 func (s *State) Customer(key string) (Entry[Customer], bool) { return s.customers.Get(key) }
 
@@ -138,12 +163,15 @@
 	return max(e.Value.Phase, s.HostPhase(e.Value.Host))
 }
 
+// anyHost is the host of routes that take requests for any.
+const anyHost = "*"
+
 // Match returns the route with the longest prefix for the host, else for "*".
 func (s *State) Match(host, path string) (Entry[Route], bool) {
 	if r, ok := s.matchIn(strings.ToLower(host), path); ok {
 		return r, true
 	}
-	return s.matchIn("*", path)
+	return s.matchIn(anyHost, path)
 }
 
 func (s *State) matchIn(host, path string) (Entry[Route], bool) {
@@ -164,6 +192,29 @@
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
 }
 
+// Overtaken tells whether, since a revision of the platform's configuration, another route has come before one for some of
+// its requests: one with a longer prefix, or for its host where it is for any host.
+func (s *State) Overtaken(r Entry[Route], since uint64) bool {
+	later := func(o Entry[Route]) bool { return o.Plane == PlaneConfig && o.Revision > since && o.Key != r.Key }
+	longer := func(o Entry[Route]) bool { return later(o) && strings.HasPrefix(o.Value.Prefix, r.Value.Prefix) }
+	host := strings.ToLower(r.Value.Host)
+	own, _ := s.byHost.Get(host)
+	if slices.ContainsFunc(own, longer) {
+		return true
+	}
+	if host != anyHost {
+		return false
+	}
+	shorter := func(o Entry[Route]) bool { return later(o) && strings.HasPrefix(r.Value.Prefix, o.Value.Prefix) }
+	for it := s.byHost.Iterator(); !it.Done(); {
+		name, routes, _ := it.Next()
+		if name != anyHost && (slices.ContainsFunc(routes, longer) || slices.ContainsFunc(routes, shorter)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Row returns a row of any kind in its text form.
 func (s *State) Row(kind Kind, key string) (Row, bool) {
 	switch kind {
@@ -215,9 +266,16 @@
 	})
 }
 
-// Since returns every row of a plane changed after a revision; ok is false when the state no longer knows them all.
+// Knows tells whether the rows' revisions tell what has changed since an earlier revision of a plane.
+//
+// Invariant: of a revision that is known, whatever has no later revision is as it was then.
+func (s *State) Knows(p Plane, revision uint64) bool {
+	return !p.sparse() || slices.Contains(s.tails[p].steps, revision)
+}
+
+// Since returns every row of a plane changed after a revision; ok is false when the state does not know them all.
 func (s *State) Since(p Plane, from uint64) (rows []Row, ok bool) {
-	if from < s.tails[p].from {
+	if from < s.tails[p].from || !s.Knows(p, from) {
 		return nil, false
 	}
 	seen := make(map[RowID]bool)
--- a/virtual/policy.go
+++ b/virtual/policy.go
@@ -37,8 +37,8 @@
 	FalseEjections float64
 }
 
-// Services are the brief's, with the numbers that its users would set: Siam Docket bears few false ejections,
-// Spokeline wants fast detection.
+// Services are the brief's, with the numbers that their operators would set: the first two bear few false ejections, the
+// others want fast detection.
 var Services = []Service{
 	{"docket-desk", 15, 4, 0.001},
 	{"filing-hub", 6, 4, 0.001},
