Egress: at the hand-over the endpoint and the configuration are looked at once more

A request could be handed to an endpoint that had said meanwhile that it leaves, or by a configuration that a newer one had overtaken. TestHandOverLooksAgain failed on the code before (both cases had the request).

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -248,12 +248,20 @@
 	deadline, _ := ctx.Deadline()
 	id := d.GetExchange()
 	e.records.begin(time.Now(), id, deadline)
-	if p.Permit(ctx, l.load(0, e.cfg.Incarnation), due) && e.records.hand(id) {
-		return trial, nil
+	end = peer.NotRun(fault.OfferLapsed, 0)
+	if p.Permit(ctx, l.load(0, e.cfg.Incarnation), due) {
+		// The word may have taken a while, in which the configuration, or the endpoint, can have moved on.
+		_, moved := e.find(d)
+		if moved == nil && e.records.hand(id) {
+			return trial, nil
+		}
+		if moved != nil {
+			end = moved
+		}
 	}
 	e.records.void(id)
 	l.untry(trial)
-	return false, peer.NotRun(fault.OfferLapsed, 0)
+	return false, end
 }
 
 // runAt runs a request that holds a slot, tells the breaker and the records how it went, and frees the slot.
--- /dev/null
+++ b/egress/handover_test.go
@@ -0,0 +1,57 @@
+package egress
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// slowWord gives its word that a request may run after something has happened.
+type slowWord struct {
+	discard
+	meanwhile func()
+}
+
+func (slowWord) Waiting() {}
+
+func (s slowWord) Permit(context.Context, *peerpb.Load, time.Duration) bool {
+	s.meanwhile()
+	return true
+}
+
+// TestHandOverLooksAgain checks that what changes while the sender's word is under way counts: an endpoint that is drained
+// meanwhile, or a route that a newer configuration has moved, takes nothing, and the request is told as not run.
+func TestHandOverLooksAgain(t *testing.T) {
+	var began atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { began.Add(1) }))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	for name, c := range map[string]struct {
+		meanwhile func(e *Egress)
+		want      fault.Code
+	}{
+		"nothing":       {func(*Egress) {}, ""},
+		"drained":       {func(e *Egress) { e.state = at(t, address, table.Draining).state }, fault.Draining},
+		"configuration": {func(e *Egress) { e.configs.note(2) }, fault.Stale},
+	} {
+		began.Store(0)
+		e := at(t, address, table.Active)
+		d := payment()
+		d.Exchange, d.Config = 1, 1
+		end := e.Serve(t.Context(), d, strings.NewReader(""), slowWord{meanwhile: func() { c.meanwhile(e) }})
+		if got, want := end.GetCode(), string(c.want); got != want {
+			t.Errorf("%s meanwhile: got %q, want %q", name, got, want)
+		}
+		if got, want := began.Load() > 0, c.want == ""; got != want {
+			t.Errorf("%s meanwhile: endpoint had the request: got %v, want %v", name, got, want)
+		}
+	}
+}
