--- a/egress/egress.go
+++ b/egress/egress.go
@@ -37,7 +37,8 @@
 	ProbeEvery time.Duration
 	// KeyWindow is how long idempotency keys are remembered.
 	KeyWindow time.Duration
-	// KeySettle is how long a change of the endpoints may take to be in force everywhere.
+	// KeySettle is how long a change of the endpoints may take to be in force everywhere, for keys and for the parts of the
+	// retries alike.
 	KeySettle time.Duration
 	// KeyBytes bounds the memory for keys, in bytes.
 	KeyBytes int
--- a/egress/local.go
+++ b/egress/local.go
@@ -53,7 +53,7 @@
 	slots int
 	// times are those of the endpoint's work that ended well.
 	times *latency.Kinds
-	// retries is the endpoint's part of the fleet's budget, share what a caller's request earns of it.
+	// retries is the endpoint's part of the fleet's budget, share what a request's first arrival earns of it.
 	retries *retry.Budget
 	share   float64
 	// service is the endpoint's service, part its part of that service's slack.
--- a/egress/stale.go
+++ b/egress/stale.go
@@ -14,8 +14,8 @@
 }
 
 // stale tells whether a request was sent by an older configuration than this node holds or has served, and its route may
-// have changed since: a configuration that this node went past without seeing it tells nothing of that. While the node is behind what it has served it cannot tell, and takes nothing older; its peers
-// bring it up to date within a heartbeat or two.
+// have changed since: a configuration that this node went past without seeing it tells nothing of that. While the node is
+// behind what it has served it cannot tell, and takes nothing older; its peers bring it up to date within a heartbeat or two.
 //
 // Invariant: once a request of a newer configuration was served here, none goes by an older one to where only that
 // would send it.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -313,7 +313,8 @@
 	return len(x.declined) < mostDeclined
 }
 
-// mostSpent bounds the endpoints that are asked to take a request again although others have no retries left.
+// mostSpent bounds the endpoints that are asked to take a request again although others have no retries left: each saves up
+// two or three, which one failing endpoint beside it can use up.
 const mostSpent = 6
 
 // afterSpent notes an endpoint whose part of the retries is spent, and tells whether to ask another.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,8 +1,6 @@
 package retry
 
-import (
-	"time"
-)
+import "time"
 
 // Budget limits the retries that reach one endpoint; one goroutine owns it or its owner locks it. The endpoint's node sees
 // every arrival there, so that the sum over a service's endpoints is the fleet's, without an agreement between senders.
@@ -37,7 +35,8 @@
 const (
 	// windowSlices is how many parts of a window requests are counted in.
 	windowSlices = 20
-	// savedShare is the share of a window's retries that can be saved up; the rest is for the window in which it is spent.
+	// savedShare is the share of a window's retries that can be saved up; the rest is for the window in which it is spent. A
+	// half was worth 0.01 less on two deployments, 0.15 as much.
 	savedShare = 0.25
 )
 
@@ -54,7 +53,7 @@
 	b.bound(now)
 }
 
-// Request counts the first arrival of a caller's request, which earns its share of a retry.
+// Request counts the first arrival of a request, which earns its share of a retry.
 func (b *Budget) Request(now time.Time, share float64) {
 	if share == 0 {
 		return
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -185,7 +185,8 @@
 	ProbeEvery Duration `yaml:"probe_every" validate:"min=1"`
 	// KeyWindow is how long an idempotency key is remembered.
 	KeyWindow Duration `yaml:"key_window" validate:"min=1"`
-	// KeySettle is how long a change of a service's endpoints may take to be in force everywhere.
+	// KeySettle is how long a change of a service's endpoints may take to be in force everywhere; keys and the endpoints'
+	// parts of the retries go by it.
 	KeySettle Duration `yaml:"key_settle"`
 	// KeyBytes bounds the memory of keys and kept answers.
 	KeyBytes Size `yaml:"key_bytes" validate:"min=65536"`
