lynxplankctl sends: what was handed to each service's endpoints beyond the first sends, and in its worst window

Whether a service kept to its retries took a script over all nodes' logs. The loop that reads a log stood twice in trace and would have stood a third time: it is one function now.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -4,6 +4,7 @@
 	"flag"
 	"io"
 	"os"
+	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/trace"
@@ -21,9 +22,34 @@
 		name: "losses", args: "[LOG...]", offline: true,
 		help: "which requests were not served, by cause, service and hall, from the logs of all nodes",
 		run:  reportLosses,
+	}, {
+		name: "sends", args: "[-window 10s] [LOG...]", offline: true,
+		help: "what was sent further than once to each service's endpoints, and in its worst window, from the logs of all nodes",
+		run:  reportSends,
+		flags: func(f *flag.FlagSet) {
+			f.Duration(windowFlag, usualWindow, "the window over which a service's retries are counted")
+		},
 	}}
 }
 
+const (
+	windowFlag = "window"
+	// usualWindow is that of the nodes' settings where they name none.
+	usualWindow = 10 * time.Second
+)
+
+func reportSends(a *app, f *flag.FlagSet) error {
+	window, err := time.ParseDuration(f.Lookup(windowFlag).Value.String())
+	if err != nil || window <= 0 {
+		return fault.New(fault.BadUsage, "-"+windowFlag, "want a time above 0")
+	}
+	sends := trace.NewSends()
+	if err := readLogs(sends, f.Args()); err != nil {
+		return err
+	}
+	return sends.Print(a.out, window)
+}
+
 func reportLosses(a *app, f *flag.FlagSet) error {
 	losses := trace.NewLosses()
 	if err := readLogs(losses, f.Args()); err != nil {
--- a/trace/line.go
+++ b/trace/line.go
@@ -1,15 +1,12 @@
 package trace
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"io"
 	"time"
 
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
-	"github.com/lynxplank/lynxplank/fault"
 )
 
 const (
@@ -100,22 +97,13 @@
 // Read takes a log; each line may stand behind other text, as collectors of logs put before it. It fails with BadUsage for a
 // line that is too long to be one of a node's.
 func (l *Log) Read(r io.Reader) error {
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, longestLine)
-	for in.Scan() {
-		l.take(in.Bytes())
-	}
-	if err := in.Err(); err != nil {
-		return fault.Wrap(err, fault.BadUsage, "log", "cannot be read")
-	}
-	return nil
+	return readLines(r, l.take)
 }
 
 // take keeps a line that is an event and may matter to the story.
 func (l *Log) take(text []byte) {
-	at := bytes.IndexByte(text, '{')
 	var line Line
-	if at < 0 || json.Unmarshal(text[at:], &line) != nil || line.Event == 0 {
+	if json.Unmarshal(text, &line) != nil || line.Event == 0 {
 		return
 	}
 	switch {
--- a/trace/losses.go
+++ b/trace/losses.go
@@ -1,8 +1,6 @@
 package trace
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -58,15 +56,7 @@
 // Read takes a node's log, or several one after the other; each line may stand behind other text. It fails with BadUsage for
 // a line that is too long to be one of a node's.
 func (l *Losses) Read(r io.Reader) error {
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, longestLine)
-	for in.Scan() {
-		l.take(in.Bytes())
-	}
-	if err := in.Err(); err != nil {
-		return fault.Wrap(err, fault.BadUsage, "log", "cannot be read")
-	}
-	return nil
+	return readLines(r, l.take)
 }
 
 // started is the line that tells a node's hall.
@@ -76,15 +66,14 @@
 }
 
 func (l *Losses) take(text []byte) {
-	at := bytes.IndexByte(text, '{')
 	var line Line
-	if at < 0 || json.Unmarshal(text[at:], &line) != nil {
+	if json.Unmarshal(text, &line) != nil {
 		return
 	}
 	switch line.Event {
 	case events.NodeStarted.Number:
 		var s started
-		if json.Unmarshal(text[at:], &s) == nil {
+		if json.Unmarshal(text, &s) == nil {
 			l.halls[s.Node] = s.Hall
 		}
 	case events.RequestFailed.Number, events.RequestRefused.Number:
