--- a/bench/decisions.go
+++ b/bench/decisions.go
@@ -102,6 +102,11 @@
 	for _, r := range results {
 		list = append(list, value(r))
 	}
+	return middle(list)
+}
+
+// middle is the median, never where that is beyond all bounds.
+func middle(list []float64) float64 {
 	slices.Sort(list)
 	m := list[len(list)/2]
 	if math.IsInf(m, 1) {
--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -4,6 +4,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/lynxplank/lynxplank/bench"
@@ -16,34 +17,50 @@
 // defaultHours keeps the healthy runs to a few minutes on eight cores.
 const defaultHours = 1000
 
+// hangingPart is how much shorter the hours of a single endpoint under mixed work are.
+const hangingPart = 10
+
 func main() {
 	outbound.Tune()
 	bin := flag.String("bin", "bin", "directory of the programs")
-	only := flag.String("only", "", `"path", "decisions", "healthy", "curve", "overload" or "scale"; all but the last without it`)
+	only := flag.String("only", "", `"path", "decisions", "healthy", "hanging", "curve", "overload" or "scale"; all but the last without it`)
 	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
 	flag.Parse()
-	if *only == "" || *only == "path" {
-		if err := bench.Path(*bin, os.Stdout); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+	for _, p := range parts(*bin, *hours) {
+		if *only != p.name && (*only != "" || p.name == scalePart) {
+			continue
 		}
-	}
-	if *only == "scale" {
-		if err := bench.Scale(*bin, os.Stdout, scaleSizes); err != nil {
+		if err := p.run(os.Stdout); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
 	}
-	if *only == "" || *only == "decisions" {
-		bench.Decisions(os.Stdout)
-	}
-	if *only == "" || *only == "healthy" {
-		bench.Healthy(os.Stdout, *hours)
-	}
-	if *only == "" || *only == "curve" {
-		bench.Curve(os.Stdout)
+}
+
+// scalePart is measured only when it is asked for.
+const scalePart = "scale"
+
+// part is one group of measurements.
+type part struct {
+	name string
+	run  func(out io.Writer) error
+}
+
+// parts lists the measurements in the order in which they are printed.
+func parts(bin string, hours float64) []part {
+	sure := func(run func(out io.Writer)) func(out io.Writer) error {
+		return func(out io.Writer) error {
+			run(out)
+			return nil
+		}
 	}
-	if *only == "" || *only == "overload" {
-		bench.Overload(os.Stdout)
+	return []part{
+		{"path", func(out io.Writer) error { return bench.Path(bin, out) }},
+		{scalePart, func(out io.Writer) error { return bench.Scale(bin, out, scaleSizes) }},
+		{"decisions", sure(bench.Decisions)},
+		{"healthy", sure(func(out io.Writer) { bench.Healthy(out, hours) })},
+		{"hanging", sure(func(out io.Writer) { bench.Hanging(out, hours/hangingPart) })},
+		{"curve", sure(bench.Curve)},
+		{"overload", sure(bench.Overload)},
 	}
 }
