Egress: the operators' own rows are asked for as the platform's configuration is

Cause: a request that came without a version of the platform's configuration was never stale, so that a deployment on the product's own rows had no check at all: a route moved by a row was served as before by whoever was behind. The property over nodes that read and tell each other in any order holds for both planes now; its part for rows failed after 8 draws on the code before. A sender that waits for what refused it looks at both. On the users' deployments there are no such rows, so nothing changes there.

--- a/egress/stale.go
+++ b/egress/stale.go
@@ -8,9 +8,10 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// seenConfig remembers the newest configuration by which a request has come: this node may itself be behind it.
+// seenConfig remembers the newest configuration by which a request has come, of the operators' rows and of the platform's
+// configuration: this node may itself be behind it.
 type seenConfig struct {
-	newest atomic.Uint64
+	newest [table.PlaneConfig + 1]atomic.Uint64
 }
 
 // stale tells whether a request was sent by an older configuration than this node holds or has served, and its route may
@@ -20,20 +21,27 @@
 // Invariant: once a request of a newer configuration was served here, none goes by an older one to where only that
 // would send it.
 func (c *seenConfig) stale(s *table.State, d *peerpb.Dispatch) bool {
-	own := s.Revisions()[table.PlaneConfig]
-	if d.GetConfig() == 0 {
+	byConfig := c.staleIn(s, d, table.PlaneConfig, d.GetConfig())
+	byRows := c.staleIn(s, d, table.PlaneRows, d.GetRevision())
+	return byConfig || byRows
+}
+
+// staleIn asks the same of one plane, by whose revision the request was sent; 0 where the sender has none.
+func (c *seenConfig) staleIn(s *table.State, d *peerpb.Dispatch, plane table.Plane, sent uint64) bool {
+	if sent == 0 {
 		return false
 	}
-	newest := c.note(max(own, d.GetConfig()))
-	if d.GetConfig() >= newest {
+	own := s.Revisions()[plane]
+	newest := c.note(plane, max(own, sent))
+	if sent >= newest {
 		return false
 	}
-	return own < newest || !s.Knows(table.PlaneConfig, d.GetConfig()) || changed(s, d)
+	return own < newest || !s.Knows(plane, sent) || changed(s, d, plane, sent)
 }
 
 // logOlder tells of a request that is handed over although it was sent by an older configuration than the newest seen here.
 func (e *Egress) logOlder(d *peerpb.Dispatch) {
-	seen := e.configs.newest.Load()
+	seen := e.configs.newest[table.PlaneConfig].Load()
 	if d.GetConfig() == 0 || d.GetConfig() >= seen {
 		return
 	}
@@ -42,22 +50,23 @@
 		Uint64("holds", e.state().Revisions()[table.PlaneConfig]).Uint64("seen", seen).Send()
 }
 
-// note raises the newest configuration seen and returns it.
-func (c *seenConfig) note(version uint64) uint64 {
+// note raises the newest revision seen of a plane and returns it.
+func (c *seenConfig) note(plane table.Plane, revision uint64) uint64 {
+	newest := &c.newest[plane]
 	for {
-		old := c.newest.Load()
-		if version <= old {
+		old := newest.Load()
+		if revision <= old {
 			return old
 		}
-		if c.newest.CompareAndSwap(old, version) {
-			return version
+		if newest.CompareAndSwap(old, revision) {
+			return revision
 		}
 	}
 }
 
-// changed tells whether the route has changed or gone, or no longer takes all that it took, since the configuration that the
-// request came by.
-func changed(s *table.State, d *peerpb.Dispatch) bool {
+// changed tells whether a plane has changed the route or taken it out, or no longer leaves it all that it took, since the
+// revision by which the request came.
+func changed(s *table.State, d *peerpb.Dispatch, plane table.Plane, since uint64) bool {
 	row, ok := s.Route(d.GetRoute())
-	return !ok || row.Revision > d.GetConfig() || s.Overtaken(row, d.GetConfig())
+	return !ok || row.Plane == plane && row.Revision > since || s.Overtaken(row, plane, since)
 }
--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -25,7 +25,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, staleWait)
 	defer cancel()
-	for x.config() <= x.call.config {
+	for !x.behind() {
 		select {
 		case <-ctx.Done():
 			return false
@@ -47,12 +47,16 @@
 	if !ok || next.Key != x.call.route.Key || !sends(next.Value, x.call.service.Key) {
 		return false
 	}
-	x.call.config = snap.State.Revisions()[table.PlaneConfig]
+	held := snap.State.Revisions()
+	x.call.config, x.call.revision = held[table.PlaneConfig], held[table.PlaneRows]
 	return true
 }
 
-// config is the number of the configuration in force here now.
-func (x *exchange) config() uint64 { return x.g.snapshot().State.Revisions()[table.PlaneConfig] }
+// behind tells whether a newer configuration is in force here than the one that the request goes by.
+func (x *exchange) behind() bool {
+	held := x.g.snapshot().State.Revisions()
+	return held[table.PlaneConfig] > x.call.config || held[table.PlaneRows] > x.call.revision
+}
 
 // sends tells whether a route sends requests to a service.
 func sends(r table.Route, service string) bool {
--- a/table/state.go
+++ b/table/state.go
@@ -192,10 +192,10 @@
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
 }
 
-// Overtaken tells whether, since a revision of the platform's configuration, another route has come before one for some of
-// its requests: one with a longer prefix, or for its host where it is for any host.
-func (s *State) Overtaken(r Entry[Route], since uint64) bool {
-	later := func(o Entry[Route]) bool { return o.Plane == PlaneConfig && o.Revision > since && o.Key != r.Key }
+// Overtaken tells whether, since a revision of a plane, another route of it has come before one for some of its requests: one
+// with a longer prefix, or for its host where it is for any host.
+func (s *State) Overtaken(r Entry[Route], p Plane, since uint64) bool {
+	later := func(o Entry[Route]) bool { return o.Plane == p && o.Revision > since && o.Key != r.Key }
 	longer := func(o Entry[Route]) bool { return later(o) && strings.HasPrefix(o.Value.Prefix, r.Value.Prefix) }
 	host := strings.ToLower(r.Value.Host)
 	own, _ := s.byHost.Get(host)
