Follow: a later word of a peer is kept while an earlier one waits, and a pull that brought nothing is made again

What a peer shows was kept with the first word of it; one that came while that waited was dropped, and once 5 was in force nothing was wanted any more. A link without requests says again what it shows every four seconds. A pull that failed, or whose answer did not lead on, was forgotten in the same way, and one that its peer did not even take held up all others past its limit.

--- a/follow/pull.go
+++ b/follow/pull.go
@@ -22,9 +22,13 @@
 	if address == "" || !f.State().Revisions().Behind(m.revisions) {
 		return
 	}
-	if _, ok := f.wanted[address]; !ok {
-		f.wanted[address] = wantedPull{revisions: m.revisions, since: time.Now()}
+	w, ok := f.wanted[address]
+	if !ok {
+		w.since = time.Now()
 	}
+	// An earlier word may still wait: once what that showed is in force, this one must be wanted all the same.
+	w.revisions, w.pulls = w.revisions.Latest(m.revisions), 0
+	f.wanted[address] = w
 	f.pullNext(ctx)
 }
 
@@ -32,8 +36,19 @@
 type wantedPull struct {
 	revisions table.Revisions
 	since     time.Time
+	// pulls counts how often it was asked for, again is when it may be next.
+	pulls int
+	again time.Time
 }
 
+const (
+	// mostPulls bounds how often a peer is asked for what one word of it has shown: the answer may be lost, or not lead on from
+	// what is in force here by now. Without a second question a node waits for the next word, four seconds on an idle link.
+	mostPulls = 3
+	// pullAgain is the time between two such questions.
+	pullAgain = 100 * time.Millisecond
+)
+
 // addressOf takes a peer's address or its host id.
 func (f *Follower) addressOf(name string) string {
 	for _, h := range f.Snapshot().Hosts {
@@ -59,17 +74,23 @@
 			delete(f.wanted, address)
 			continue
 		}
-		if now.Sub(w.since) < f.patience(w.revisions) {
+		if now.Sub(w.since) < f.patience(w.revisions) || now.Before(w.again) {
 			continue
 		}
 		if best == "" || f.near(address) {
 			best = address
 		}
 	}
-	if best != "" {
+	if best == "" {
+		return
+	}
+	w := f.wanted[best]
+	w.pulls, w.again = w.pulls+1, now.Add(pullAgain)
+	f.wanted[best] = w
+	if w.pulls == mostPulls {
 		delete(f.wanted, best)
-		f.pull(ctx, best)
 	}
+	f.pull(ctx, best)
 }
 
 // patience is how long this node waits for what a peer has shown: not at all for what it does not read itself.
@@ -117,19 +138,39 @@
 	}
 }
 
-// pull asks one peer for what is missing, in a goroutine of its own.
+// pull asks one peer for what is missing, in a goroutine of its own. A peer that does not even take the question, as a link
+// does that carries nothing, holds up no other for longer than the time of a pull.
 func (f *Follower) pull(ctx context.Context, address string) {
 	f.pulling = true
 	from := f.State().Revisions()
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	answer := make(chan pulled, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 		defer cancel()
 		m := pulled{address: address}
 		m.parts, m.err = f.pullFrom(ctx, address, from)
-		f.deliver(m)
+		answer <- m
+	}()
+	go func() {
+		select {
+		case m := <-answer:
+			f.deliver(m)
+		case <-ctx.Done():
+			f.deliver(f.latePull(ctx, address, answer))
+		}
 	}()
 }
 
+// latePull is the result of a pull whose time is over: its answer if that came at the same moment.
+func (f *Follower) latePull(ctx context.Context, address string, answer <-chan pulled) pulled {
+	select {
+	case m := <-answer:
+		return m
+	default:
+		return pulled{address: address, err: fault.Wrap(ctx.Err(), fault.DeadlineExceeded, address, "pull took too long")}
+	}
+}
+
 func (f *Follower) pullFrom(ctx context.Context, address string, from table.Revisions) ([]*peerpb.Delta, error) {
 	s, err := f.links.Session(ctx, address)
 	if err != nil {
--- a/table/plane.go
+++ b/table/plane.go
@@ -33,6 +33,14 @@
 // Revisions is how far each plane has come.
 type Revisions [planeCount]uint64
 
+// Latest returns the later revision of each plane.
+func (r Revisions) Latest(o Revisions) Revisions {
+	for p := range r {
+		r[p] = max(r[p], o[p])
+	}
+	return r
+}
+
 // Behind tells whether another node has come further in some plane.
 func (r Revisions) Behind(o Revisions) bool {
 	for p := range r {
