--- /dev/null
+++ b/egress/find.go
@@ -0,0 +1,78 @@
+package egress
+
+import (
+	"math/rand/v2"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/registry"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// find returns the endpoint's runtime, or the refusal when it takes nothing new here.
+//
+// Invariant: a draining endpoint is refused here whatever the ingress believes.
+func (e *Egress) find(d *peerpb.Dispatch) (*local, *peerpb.End) {
+	if e.closing.Load() {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	if e.configs.stale(e.state(), d) {
+		return nil, peer.NotRun(fault.Stale, shortRetryAfter)
+	}
+	if r, ok := e.announcedHere(d); ok {
+		if r.Leaving {
+			return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+		}
+		return e.open(r.Entry, r.Leaving)
+	}
+	if !e.here(d) {
+		return nil, peer.NotRun(fault.WrongHost, shortRetryAfter)
+	}
+	s := e.state()
+	row, _ := s.Endpoint(d.GetEndpoint())
+	return e.open(row, s.EndpointPhase(row) != table.Active)
+}
+
+// open returns the runtime of an endpoint beside this node unless it takes nothing new.
+func (e *Egress) open(row table.Entry[table.Endpoint], closed bool) (*local, *peerpb.End) {
+	s := e.state()
+	if closed || s.HostPhase(e.cfg.Host) != table.Active {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	l := e.local(row, s)
+	if l.leaving.Load() {
+		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	return l, nil
+}
+
+// announcedHere returns the endpoint if it has announced itself to this node.
+func (e *Egress) announcedHere(d *peerpb.Dispatch) (registry.Endpoint, bool) {
+	if e.announced == nil {
+		return registry.Endpoint{}, false
+	}
+	r, ok := e.announced.Endpoint(d.GetEndpoint())
+	return r, ok && r.Value.Service == d.GetService()
+}
+
+// here tells whether the table has the endpoint beside this node, and of this service. An endpoint that announces
+// itself and that this life of the node has not heard of is not here: whatever the store shows of it may be old.
+func (e *Egress) here(d *peerpb.Dispatch) bool {
+	row, ok := e.state().Endpoint(d.GetEndpoint())
+	return ok && row.Plane != table.PlaneHosts && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
+}
+
+// local returns the endpoint's runtime as the table wants it, a new one for an endpoint that had no work yet.
+func (e *Egress) local(row table.Entry[table.Endpoint], s *table.State) *local {
+	view, _ := s.Service(row.Value.Service)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.locals[row.Key]
+	if l == nil {
+		l = newLocal(row, e.cfg, e.pool, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
+		e.locals[row.Key] = l
+	}
+	l.configure(row, view, e.cfg.Retries)
+	return l
+}
