--- a/ingress/arrivals_test.go
+++ b/ingress/arrivals_test.go
@@ -63,6 +63,15 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// egressWith returns the egress of host h1 with retries to spare, which speaks to endpoints by a contract.
+func egressWith(s *table.State, c contract.Contract) *egress.Egress {
+	log := zerolog.Nop()
+	return egress.New(egress.Config{
+		Host: "h1", Contract: c, ProbeEvery: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20,
+		Retries: retry.Share{Slack: 30, Window: time.Nanosecond, Most: 10},
+	}, &log, func() *table.State { return s })
+}
+
 // aimed is the fleet's route with an aim, and endpoints at addresses.
 func aimed(t *testing.T, addresses []string) *table.State {
 	s := fleet(t, 0, mostArrivals)
@@ -98,11 +107,7 @@
 			addresses = append(addresses, behaving(t, &words, &arrivals))
 		}
 		s := aimed(t, addresses)
-		log := zerolog.Nop()
-		e := egress.New(egress.Config{
-			Host: "h1", Contract: marked{}, ProbeEvery: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20,
-			Retries: retry.Share{Slack: 30, Window: time.Nanosecond, Most: 10},
-		}, &log, func() *table.State { return s })
+		e := egressWith(s, marked{})
 		status := statusOfCall(t, ingressWith(t, s, e), d.Cmd)
 		return fmt.Sprintf("%d, %d arrivals, %d taken\n", status, arrivals.Load(), further(e))
 	})
--- a/ingress/calls_test.go
+++ b/ingress/calls_test.go
@@ -11,13 +11,10 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/contract"
-	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/header"
-	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -120,11 +117,7 @@
 			addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 		}
 		s := twoServices(t, addresses[0], addresses[1])
-		log := zerolog.Nop()
-		e := egress.New(egress.Config{
-			Host: "h1", Contract: named{}, ProbeEvery: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20,
-			Retries: retry.Share{Slack: 30, Window: time.Nanosecond, Most: 10},
-		}, &log, func() *table.State { return s })
+		e := egressWith(s, named{})
 		g = ingressWith(t, s, e)
 		g.cfg.Contract = named{}
 		status := ask(t, g, "desk.example", "/x", "r")
