Eject: what a report's pieces are compared with is looked up once, not once a piece

Cause: a report of others' work brings up to 64 pieces, and for each the other endpoints were sorted twice. Nothing is decided otherwise: the endpoint's own work is no part of what it is compared with (TestReportIsItsPieces).

--- a/eject/service.go
+++ b/eject/service.go
@@ -108,9 +108,12 @@
 		return
 	}
 	const mostAtOnce = 64
+	// The others' share is the same for all of them: it leaves this endpoint out. To look it up for each one costs 64 times as
+	// much, most of a node's processor time where it meets each of hundreds of endpoints once a minute.
+	healthy := s.healthyFailures(e)
 	for i := range min(finished, mostAtOnce) {
 		e.countRate(now)
-		e.tests.failure(i < failed, s.healthyFailures(e))
+		e.tests.failure(i < failed, healthy)
 		e.noteFailure(i < failed)
 	}
 	s.judge(now, e)
