Table: a host's new line writes the rows that differ, not the whole list anew

Cause: each line of a host brings the whole list of announced endpoints to WithEndpoints in every node, which turned every one of them, and every row of every other sheet, into text and back, and sorted each out of its service's list: n squared, five times a second while a fleet starts or is rolled. Ruled out as the cause: the sort of the list, the map by name (microseconds).

--- a/table/apply.go
+++ b/table/apply.go
@@ -64,28 +64,32 @@
 
 // WithEndpoints returns the state with the endpoints that the hosts announce, at the hosts' revision. Unlike other
 // planes this one is put together by each node, whose own endpoint is known here before the store has heard of it.
+//
+// Only what differs is written as rows: each line of a host brings the whole list here, in every node, and to write and read
+// hundreds of rows anew for one of them was a hundred times the work (BenchmarkCapacityAnnounced).
 func (s *State) WithEndpoints(revision uint64, announced []Announced) (*State, error) {
 	next := *s
 	next.announcements++
-	d := Delta{Plane: PlaneHosts, Full: true, To: next.announcements}
-	changed := revision > s.revisions[PlaneHosts]
+	meta := Meta{Revision: next.announcements, Plane: PlaneHosts}
+	var rows []Row
+	kept := make(map[string]bool, len(announced))
 	for _, a := range announced {
+		kept[a.Key] = true
 		old, ok := s.endpoints.Get(a.Key)
-		same := ok && old.Plane == PlaneHosts && old.Value == a.Value
-		changed = changed || !same
-		meta := Meta{Revision: next.announcements, Plane: PlaneHosts}
-		if same {
-			meta = old.Meta
+		if !ok || old.Plane != PlaneHosts || old.Value != a.Value {
+			rows = append(rows, Encode(KindEndpoint, a.Key, meta, a.Value))
+		}
+	}
+	for it := s.endpoints.Iterator(); !it.Done(); {
+		key, e, _ := it.Next()
+		if e.Plane == PlaneHosts && !kept[key] {
+			rows = append(rows, deletion(RowID{Kind: KindEndpoint, Key: key}, meta))
 		}
-		d.Rows = append(d.Rows, Encode(KindEndpoint, a.Key, meta, a.Value))
 	}
-	before := len(d.Rows)
-	// More rows than before are the deletions of endpoints that nobody announces any more.
-	d.Rows = s.fullChanges(d)
-	if !changed && len(d.Rows) == before {
+	if revision <= s.revisions[PlaneHosts] && len(rows) == 0 {
 		return s, nil
 	}
-	if err := next.applyRows(d); err != nil {
+	if err := next.applyRows(Delta{Plane: PlaneHosts, Rows: rows}); err != nil {
 		return s, err
 	}
 	next.revisions[PlaneHosts] = max(revision, s.revisions[PlaneHosts])
--- a/table/capacity_test.go
+++ b/table/capacity_test.go
@@ -111,3 +111,29 @@
 		}
 	})
 }
+
+// BenchmarkCapacityAnnounced reports the time that one host's new line takes in a node, by the number of hosts, an endpoint
+// each, beside 500 routes.
+func BenchmarkCapacityAnnounced(b *testing.B) {
+	for _, n := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, err := NewState().With(Delta{Full: true, To: 1, Rows: plannedRows(b, 2, 0, 500, 0)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			lines := make([]Announced, n)
+			for i := range lines {
+				lines[i] = Announced{Key: fmt.Sprintf("endpoint-%05d", i), Value: Endpoint{
+					Service: fmt.Sprintf("service-%04d", i%2), Host: fmt.Sprintf("host-%04d", i), Hall: "hall",
+					Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Slots: 1, Weight: 1,
+				}}
+			}
+			for i := 0; b.Loop(); i++ {
+				lines[i%n].Value.Slots++
+				if s, err = s.WithEndpoints(uint64(i)+1, lines); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
