Follow: hosts are ranked once a list; a starting node takes no short list for a small fleet

Cause: four times a second each node copied the list of hosts, asked the links of each and hashed and sorted every hall, twice for the readers and again for the neighbours; each change of the list built it anew through a map and a sort. A node that has been up for less than 3 s pins no mesh now. What is ranked, read and neighboured is the same (tests unchanged).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -62,6 +62,9 @@
 	keepLinksEvery = 250 * time.Millisecond
 	// mostPinned bounds the fleet in which each node keeps a link to every other; links of larger fleets open by need.
 	mostPinned = 64
+	// meshAfter is how long a node has been up before it takes a short list of hosts for a small fleet: while a fleet starts
+	// every list is short, and 353 nodes opened 37 links each before the first request.
+	meshAfter = 3 * time.Second
 )
 
 // Snapshot is the configuration and the hosts in force.
@@ -120,6 +123,8 @@
 	startedAt  time.Time
 	// hosts is the newest list of hosts as the store or a peer told it.
 	hosts hostList
+	// ranked is the list in force by rank.
+	ranked ranking
 }
 
 // sourceState is what is known of one of the platform's tables that the node reads.
@@ -219,15 +224,14 @@
 func (f *Follower) tick(ctx context.Context) {
 	now := time.Now()
 	snap := f.Snapshot()
-	hosts := f.reachable(snap.Hosts)
-	reader := f.isReader(hosts, f.cfg.Readers)
+	reader := f.isReader(f.cfg.Readers)
 	alone := !snap.Ready || now.Sub(f.heardAt) > lonelyAfter*f.cfg.Retry
 	f.reading.Store(alone || reader)
-	f.readingConfig.Store(alone || f.isReader(hosts, f.cfg.ConfigReaders))
+	f.readingConfig.Store(alone || f.isReader(f.cfg.ConfigReaders))
 	if !snap.Ready {
 		f.askSeeds(ctx)
 	}
-	f.keepLinks(ctx, snap.Hosts, hosts, reader)
+	f.keepLinks(ctx, now, snap.Hosts, reader)
 	f.pullNext(ctx)
 }
 
--- a/follow/hosts.go
+++ b/follow/hosts.go
@@ -69,28 +69,40 @@
 	if c.from == 0 {
 		return hostList{hosts: byName(c.hosts), revision: c.revision, base: max(c.base, c.revision)}, true
 	}
-	lines := make(map[string]table.HostInfo, len(l.hosts))
-	for _, h := range l.hosts {
-		lines[h.ID] = h
-	}
+	next := hostList{revision: c.revision, base: l.base, gone: slices.Concat(l.gone, c.gone)}
+	next.hosts = slices.Clone(l.hosts)
 	for _, h := range c.hosts {
-		if h.Version >= lines[h.ID].Version {
-			lines[h.ID] = h
-		}
+		next.put(h)
 	}
 	for _, g := range c.gone {
-		if h, ok := lines[g.id]; ok && h.Version < g.version {
-			delete(lines, g.id)
-		}
-	}
-	next := hostList{revision: c.revision, base: l.base, gone: slices.Concat(l.gone, c.gone)}
-	for _, h := range lines {
-		next.hosts = append(next.hosts, h)
+		next.remove(g)
 	}
-	next.hosts = byName(next.hosts)
 	return next.trimmed(), true
 }
 
+// put takes a line into a list that nobody else sees yet.
+func (l *hostList) put(h table.HostInfo) {
+	i, ok := l.find(h.ID)
+	switch {
+	case !ok:
+		l.hosts = slices.Insert(l.hosts, i, h)
+	case h.Version >= l.hosts[i].Version:
+		l.hosts[i] = h
+	}
+}
+
+// remove takes an older line out of a list that nobody else sees yet.
+func (l *hostList) remove(g goneHost) {
+	if i, ok := l.find(g.id); ok && l.hosts[i].Version < g.version {
+		l.hosts = slices.Delete(l.hosts, i, i+1)
+	}
+}
+
+// find returns where a host stands in the list, or would.
+func (l *hostList) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(l.hosts, id, func(h table.HostInfo, id string) int { return strings.Compare(h.ID, id) })
+}
+
 // trimmed forgets the oldest removals beyond the bound.
 func (l hostList) trimmed() hostList {
 	slices.SortStableFunc(l.gone, func(a, b goneHost) int { return cmp.Compare(a.version, b.version) })
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -98,6 +98,7 @@
 	for _, h := range hosts {
 		next.ByID[h.ID] = h
 	}
+	f.ranked = rankHosts(hosts)
 	f.publish(&next)
 	return nil
 }
--- a/follow/links.go
+++ b/follow/links.go
@@ -8,44 +8,34 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// isReader tells whether this node is one of so many of its hall that read a table of the platform.
-func (f *Follower) isReader(hosts []table.HostInfo, count int) bool {
-	if len(hosts) == 0 {
+// isReader tells whether this node is one of so many of its hall that read a table of the platform. The next ones in rank
+// stand in for readers out of reach.
+func (f *Follower) isReader(count int) bool {
+	if len(f.Snapshot().Hosts) == 0 {
 		return true
 	}
-	for _, h := range Readers(hosts, f.cfg.Hall, count) {
-		if h.ID == f.cfg.Host {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(f.ranked.readers(f.cfg.Hall, count, f.reachable), f.isSelf)
 }
 
-// reachable leaves out the hosts that this node has found out of reach: the next ones in rank stand in for readers among
-// them, and this node itself if it is next. Nodes that differ in this cost a few reads more and nothing else.
-func (f *Follower) reachable(hosts []table.HostInfo) []table.HostInfo {
-	out := make([]table.HostInfo, 0, len(hosts))
-	for _, h := range hosts {
-		if h.ID == f.cfg.Host || f.links.Usable(h.Address) {
-			out = append(out, h)
-		}
-	}
-	return out
-}
+func (f *Follower) isSelf(h table.HostInfo) bool { return h.ID == f.cfg.Host }
+
+// reachable tells whether this node has not found a host out of reach. Nodes that differ in this cost a few reads more and
+// nothing else.
+func (f *Follower) reachable(h table.HostInfo) bool { return f.isSelf(h) || f.links.Usable(h.Address) }
 
 // keepLinks holds a link to the hall's readers and to those that stand in for them, from a reader also to those of the
 // next halls, and in a small fleet to every host.
-func (f *Follower) keepLinks(ctx context.Context, hosts, reachable []table.HostInfo, reader bool) {
+func (f *Follower) keepLinks(ctx context.Context, now time.Time, hosts []table.HostInfo, reader bool) {
 	wanted := hosts
-	if len(hosts) > mostPinned {
-		wanted = slices.Concat(
-			Readers(hosts, f.cfg.Hall, f.cfg.Readers), Readers(reachable, f.cfg.Hall, f.cfg.Readers))
+	if len(hosts) > mostPinned || now.Sub(f.startedAt) < meshAfter {
+		wanted = slices.Concat(f.ranked.readers(f.cfg.Hall, f.cfg.Readers, anyOf),
+			f.ranked.readers(f.cfg.Hall, f.cfg.Readers, f.reachable))
 		if reader {
-			wanted = append(wanted, Neighbours(reachable, f.cfg.Hall, neighbourHalls)...)
+			wanted = append(wanted, f.ranked.neighbours(f.cfg.Hall, neighbourHalls, f.reachable)...)
 		}
 	}
 	for _, h := range wanted {
-		if h.ID != f.cfg.Host {
+		if !f.isSelf(h) {
 			f.pin(ctx, h)
 		}
 	}
