Peer: header and body go out in one write, a link that answers offers does not beat besides

Cause: yamux writes the header and the body of each frame by themselves, and the opening of a stream before what is said on it: 12 writes for an exchange of a word each way twice, each a system call and mostly a wake-up at the other side; 6 with the joined connection (TestWritesOfAnExchange). Each use of an idle link brought a beat and its echo beside the offer, which the peer answers anyway: an answered offer now says what an echo says, and a link in use beats only when no offer was answered for a heartbeat, at the latest after eight (the acceptor closes after sixteen). A link under suspicion beats as before.

Ruled out: holding a stream's end too; it is how a keyed request is given up.

--- a/peer/accept.go
+++ b/peer/accept.go
@@ -40,7 +40,7 @@
 		events.PeerRefused.Log(m.log).Str("peer", c.RemoteAddr().String()).Err(err).Send()
 		return
 	}
-	mux, err := yamux.Server(c, m.cfg.mux())
+	mux, err := yamux.Server(newJoined(c), m.cfg.mux())
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/peer/beat_test.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestUntilBeat checks when a link beats next, for a heartbeat of 100 ms.
+func TestUntilBeat(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ms := func(n int64) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	for _, c := range []struct {
+		name               string
+		sent, busy, proven int64
+		inFlight           int64
+		suspect, urgent    bool
+		now                int64
+		want               time.Duration
+	}{
+		{name: "idle", now: 100, want: 700 * time.Millisecond},
+		{name: "idle for long", now: 900, want: -100 * time.Millisecond},
+		{name: "just busy after a rest", busy: 600, inFlight: 1, now: 600, want: 100 * time.Millisecond},
+		{name: "busy without a word", busy: 0, inFlight: 1, now: 150, want: -50 * time.Millisecond},
+		{name: "busy and answered", busy: 0, proven: 120, inFlight: 2, now: 150, want: 70 * time.Millisecond},
+		{name: "always answered", busy: 0, proven: 790, inFlight: 1, now: 795, want: 5 * time.Millisecond},
+		{name: "under suspicion, answered before", proven: 120, inFlight: 1, suspect: true, now: 150, want: -50 * time.Millisecond},
+		{name: "wanted at once", urgent: true, now: 1, want: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Session{m: &Manager{cfg: Config{Heartbeat: 100 * time.Millisecond}}}
+			s.busyAt.Store(ms(c.busy).UnixNano())
+			s.provenAt.Store(ms(c.proven).UnixNano())
+			s.inFlight.Store(c.inFlight)
+			s.suspect.Store(c.suspect)
+			s.urgent.Store(c.urgent)
+			if got := s.untilBeat(ms(c.sent), ms(c.now)); got != c.want {
+				t.Errorf("until the next beat: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestAnsweredOfferStandsForAnEcho checks that an offer which its peer has answered clears an older beat without an echo, and
+// not a younger one.
+func TestAnsweredOfferStandsForAnEcho(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		offered time.Duration
+		want    uint64
+	}{{time.Millisecond, 0}, {-time.Millisecond, 3}} {
+		s := &Session{pending: 3, pendingAt: start}
+		s.proved(start.Add(c.offered))
+		if got := s.pending; got != c.want {
+			t.Errorf("beat without an echo, offer made %v after it: got %d, want %d", c.offered, got, c.want)
+		}
+	}
+}
--- a/peer/control.go
+++ b/peer/control.go
@@ -82,26 +82,47 @@
 		if err := WriteFrame(stream, beatFrame(beat)); err != nil {
 			return
 		}
+		if !s.awaitBeat(time.Now(), tick) {
+			return
+		}
+	}
+}
+
+// awaitBeat waits until the next beat after the one sent at a time is due; false when the link is done with.
+func (s *Session) awaitBeat(sent time.Time, tick *time.Timer) bool {
+	for {
+		wait := s.untilBeat(sent, time.Now())
+		if wait <= 0 {
+			return true
+		}
+		tick.Reset(wait)
 		select {
 		case <-s.done:
-			return
+			return false
 		case <-s.wake:
 		case <-tick.C:
 		}
-		tick.Reset(s.interval())
 		if !s.judge(time.Now()) {
-			return
+			return false
 		}
 	}
 }
 
-// interval is the time to the next beat. A link on which no request is under way beats slowly: an offer finds out at
-// once whether it is cut, and what its peer has to tell comes without being asked.
-func (s *Session) interval() time.Duration {
-	if s.inFlight.Load() == 0 && !s.suspect.Load() {
-		return idleFactor * s.m.cfg.Heartbeat
+// untilBeat is the time from now to the next beat. A link on which no request is under way beats slowly: an offer finds out at
+// once whether it is cut, and what its peer has to tell comes without being asked. On one that carries requests an answered
+// offer says what an echo would, so it beats only when none has been answered for a while.
+func (s *Session) untilBeat(sent, now time.Time) time.Duration {
+	idle := sent.Add(idleFactor * s.m.cfg.Heartbeat).Sub(now)
+	switch {
+	case s.urgent.Swap(false):
+		return 0
+	case s.suspect.Load():
+		return sent.Add(s.m.cfg.Heartbeat).Sub(now)
+	case s.inFlight.Load() == 0:
+		return idle
 	}
-	return s.m.cfg.Heartbeat
+	last := max(sent.UnixNano(), s.busyAt.Load(), s.provenAt.Load())
+	return min(idle, time.Unix(0, last).Add(s.m.cfg.Heartbeat).Sub(now))
 }
 
 // idleFactor is how many times the usual interval lies between the beats of an idle link.
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkDown, address, "peer cannot be reached")
 	}
-	mux, err := yamux.Client(counted{c, &m.bytes}, m.cfg.mux())
+	mux, err := yamux.Client(newJoined(counted{c, &m.bytes}), m.cfg.mux())
 	if err != nil {
 		_ = c.Close()
 		return nil, fault.Wrap(err, fault.LinkDown, address, "session cannot be opened")
@@ -92,7 +92,7 @@
 		m: m, address: address, mux: mux, conn: c,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{}),
 	}
-	s.used()
+	s.usedAt.Store(time.Now().UnixNano())
 	// A frozen peer takes connections too: a link that closed under suspicion comes back under it, until an echo.
 	m.mu.Lock()
 	s.suspect.Store(m.suspects[address])
--- /dev/null
+++ b/peer/joined_test.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// writes counts the writes of a connection.
+type writes struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+func (w writes) Write(b []byte) (int, error) {
+	w.count.Add(1)
+	return w.Conn.Write(b)
+}
+
+// oneExchange says on one stream what an exchange does, a word each way twice, and returns how many writes that took.
+func oneExchange(t *testing.T, wrap func(net.Conn) net.Conn) int64 {
+	t.Helper()
+	var count atomic.Int64
+	a, b := tcpPair(t)
+	cfg := Config{}.mux()
+	client, err := yamux.Client(wrap(writes{a, &count}), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := yamux.Server(wrap(writes{b, &count}), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _, _ = client.Close(), server.Close() }()
+	served := make(chan error, 1)
+	go func() { served <- serveWords(server) }()
+	stream, err := client.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := word(stream, stream); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = stream.Close()
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+	// The last write may still be held for this long.
+	time.Sleep(5 * holdLimit)
+	return count.Load()
+}
+
+func serveWords(server *yamux.Session) error {
+	stream, err := server.AcceptStream()
+	if err != nil {
+		return err
+	}
+	for range 2 {
+		got := make([]byte, 4)
+		if _, err := io.ReadFull(stream, got); err != nil {
+			return err
+		}
+		if _, err := stream.Write(got); err != nil {
+			return err
+		}
+	}
+	return stream.Close()
+}
+
+// word says a word and waits for it to come back.
+func word(w io.Writer, r io.Reader) error {
+	if _, err := w.Write([]byte("word")); err != nil {
+		return err
+	}
+	got := make([]byte, 4)
+	_, err := io.ReadFull(r, got)
+	return err
+}
+
+func tcpPair(t *testing.T) (a, b net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if a, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if b, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return a, b
+}
+
+// TestWritesOfAnExchange checks how many writes an exchange takes with and without joining them.
+func TestWritesOfAnExchange(t *testing.T) {
+	if got, want := oneExchange(t, func(c net.Conn) net.Conn { return c }), int64(12); got != want {
+		t.Errorf("writes without joining: got %d, want %d", got, want)
+	}
+	if got, most := oneExchange(t, func(c net.Conn) net.Conn { return newJoined(c) }), int64(6); got > most {
+		t.Errorf("writes with joining: got %d, want at most %d", got, most)
+	}
+}
+
+// TestOpeningIsNotHeldForLong checks that a stream on which nothing is said still opens at the other side.
+func TestOpeningIsNotHeldForLong(t *testing.T) {
+	a, b := tcpPair(t)
+	client, err := yamux.Client(newJoined(a), Config{}.mux())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := yamux.Server(newJoined(b), Config{}.mux())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _, _ = client.Close(), server.Close() }()
+	if _, err := client.OpenStream(); err != nil {
+		t.Fatal(err)
+	}
+	opened := make(chan error, 1)
+	go func() {
+		_, err := server.AcceptStream()
+		opened <- err
+	}()
+	select {
+	case err := <-opened:
+		if err != nil {
+			t.Errorf("accept: got %v, want a stream", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("got no stream, want one")
+	}
+}
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -19,6 +19,8 @@
 	s      *Session
 	stream net.Conn
 	stop   func() bool
+	// at is when the exchange began.
+	at time.Time
 	// offered is set for an exchange that waits for a grant, handed once the request may run.
 	offered bool
 	handed  bool
@@ -31,7 +33,7 @@
 		return nil, NotRun(fault.LinkDown, linkRetryAfter)
 	}
 	s.begin(stream, offered)
-	x := &sending{ctx: ctx, s: s, stream: stream, offered: offered, handed: !offered}
+	x := &sending{ctx: ctx, s: s, stream: stream, at: time.Now(), offered: offered, handed: !offered}
 	if offered {
 		_ = stream.SetReadDeadline(time.Now().Add(s.offerLimit()))
 	}
@@ -90,12 +92,15 @@
 // receive reads frames until the exchange ends.
 func (x *sending) receive(sink Sink, handOver func() error) *peerpb.End {
 	r := NewFrameReader(x.stream)
-	for {
+	for first := true; ; first = false {
 		f, err := r.Read()
 		if err != nil {
 			x.s.unanswered(x)
 			return x.broken()
 		}
+		if x.offered && first {
+			x.s.proved(x.at)
+		}
 		if x.offered {
 			x.patient()
 		}
--- a/peer/session.go
+++ b/peer/session.go
@@ -31,6 +31,12 @@
 	// nanoseconds.
 	usedAt    atomic.Int64
 	roundTrip atomic.Int64
+	// busyAt is when the link last began to carry a request after it had carried none, provenAt when an offer was last made on
+	// it that its peer has answered, both in nanoseconds since 1970.
+	busyAt   atomic.Int64
+	provenAt atomic.Int64
+	// urgent is set while a beat is wanted at once.
+	urgent atomic.Bool
 	// done is closed with the link; wake has the next heartbeat sent now.
 	done      chan struct{}
 	wake      chan struct{}
@@ -57,15 +63,30 @@
 	return min(max(leastOffer, offerRounds*time.Duration(s.roundTrip.Load())), mostOffer)
 }
 
-// begin notes an exchange under way; only an offer's answer can be fetched by another way when the link turns suspect.
+// begin notes an exchange under way; only an offer's answer can be fetched by another way when the link turns suspect. The
+// heartbeat of a link that was idle is woken to watch it.
 func (s *Session) begin(stream net.Conn, offered bool) {
-	s.inFlight.Add(1)
+	now := time.Now().UnixNano()
+	s.usedAt.Store(now)
+	if s.inFlight.Add(1) == 1 {
+		s.busyAt.Store(now)
+		s.wakeBeat()
+	}
 	if offered {
 		s.mu.Lock()
 		s.streams[stream] = struct{}{}
 		s.mu.Unlock()
 	}
-	s.used()
+}
+
+// proved notes that the peer has answered an offer made at a time: both ways of the link carried it.
+func (s *Session) proved(at time.Time) {
+	s.provenAt.Store(at.UnixNano())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending != 0 && s.pendingAt.Before(at) {
+		s.pending = 0
+	}
 }
 
 // finish notes that an exchange has ended.
@@ -106,21 +127,18 @@
 
 // nudge has the next heartbeat sent now.
 func (s *Session) nudge() {
+	s.urgent.Store(true)
+	s.wakeBeat()
+}
+
+// wakeBeat has the heartbeat look at the link now.
+func (s *Session) wakeBeat() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
-// used notes that the link carries a request, and wakes the heartbeat of one that was idle.
-func (s *Session) used() {
-	now := time.Now().UnixNano()
-	if now-s.usedAt.Swap(now) < int64(s.m.cfg.Heartbeat) {
-		return
-	}
-	s.nudge()
-}
-
 func (s *Session) lastUse() time.Time { return time.Unix(0, s.usedAt.Load()) }
 
 // close ends the link; the streams on it end with it.
