--- a/director/director.go
+++ b/director/director.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,12 @@
 
 // Config is what a director needs to know of its node.
 type Config struct {
+	// Host is this node's host.
+	Host string
 	// Hall is the node's hall.
 	Hall string
+	// Choosers returns the hosts of the hall in order, the same list until they are others; nil stands for none.
+	Choosers func() []string
 	// Distance is the time there and back to another hall.
 	Distance time.Duration
 	// Ejection is the policy of ejections but for what a service's row says; the zero value stands for the default.
@@ -54,8 +59,9 @@
 type view struct {
 	revision uint64
 	service  table.ServiceView
-	entries  []entry
-	marks    eject.Marks
+	// entries are the endpoints that this node sends to.
+	entries []entry
+	marks   eject.Marks
 }
 
 type entry struct {
@@ -67,13 +73,16 @@
 }
 
 type runtime struct {
-	key      string
-	detector *eject.Service
-	targets  map[string]*target
-	added    map[string]time.Time
-	phases   map[string]eject.Phase
-	revision table.Revisions
-	usedAt   time.Time
+	key        string
+	detector   *eject.Service
+	targets    map[string]*target
+	added      map[string]time.Time
+	phases     map[string]eject.Phase
+	revision   table.Revisions
+	usedAt     time.Time
+	membership *membership
+	// need is how many endpoints of the own hall this node's requests take, as of late.
+	need float64
 	// unsettled is set while some endpoint is not simply serving.
 	unsettled   bool
 	refreshedAt time.Time
@@ -84,6 +93,9 @@
 	if cfg.Ejection == (eject.Config{}) {
 		cfg.Ejection = eject.DefaultConfig()
 	}
+	if cfg.Choosers == nil {
+		cfg.Choosers = func() []string { return nil }
+	}
 	d := &Director{
 		cfg: cfg, log: log, state: state, leaving: leaving, usable: usable,
 		messages: make(chan message, backlog), done: make(chan struct{}),
@@ -172,8 +184,11 @@
 		rt.detector.SetConfig(now, cfg)
 		rt.revision = s.Revisions()
 	}
-	list := make([]eject.Endpoint, 0, len(sv.Endpoints))
-	for _, e := range sv.Endpoints {
+	d.rejoin(now, rt, sv)
+	members := d.membersOf(now, rt, s, sv)
+	list := make([]eject.Endpoint, 0, len(members))
+	for _, i := range members {
+		e := sv.Endpoints[i]
 		usable := s.EndpointPhase(e) == table.Active && !d.leaving(e.Value.Host)
 		list = append(list, eject.Endpoint{
 			Key: e.Key, Capacity: float64(e.Value.Weight) * float64(e.Value.Slots), Usable: usable,
@@ -181,27 +196,23 @@
 	}
 	rt.detector.SetEndpoints(now, list)
 	rt.refreshedAt = now
-	d.publish(rt.key, d.viewOf(now, rt, s, sv))
+	d.publish(rt.key, d.viewOf(rt, s, sv, members))
 }
 
-func (d *Director) viewOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) *view {
-	v := &view{revision: s.Revision(), service: sv, marks: rt.detector.Marks()}
+// rejoin works out anew which endpoints this node sends to, if these or the hall's hosts are others than before.
+func (d *Director) rejoin(now time.Time, rt *runtime, sv table.ServiceView) {
+	choosers := d.cfg.Choosers()
+	if rt.membership.fits(sv.Endpoints, choosers) {
+		return
+	}
+	rt.membership = newMembership(d.cfg.Host, d.cfg.Hall, choosers, sv.Endpoints)
 	known := make(map[string]bool, len(sv.Endpoints))
-	rt.unsettled = false
 	for _, e := range sv.Endpoints {
 		known[e.Key] = true
-		t := rt.targets[e.Key]
-		if t == nil {
-			t = newTarget()
-			rt.targets[e.Key] = t
+		if rt.targets[e.Key] == nil {
+			rt.targets[e.Key] = newTarget()
 			rt.added[e.Key] = now
 		}
-		verdict := rt.detector.Verdict(e.Key)
-		d.notePhase(rt, e.Key, verdict)
-		rt.unsettled = rt.unsettled || verdict.Phase != eject.Serving
-		v.entries = append(v.entries, entry{
-			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: t, addedAt: rt.added[e.Key],
-		})
 	}
 	for key := range rt.targets {
 		if !known[key] {
@@ -210,6 +221,44 @@
 			delete(rt.phases, key)
 		}
 	}
+}
+
+// membersOf returns the places of the endpoints that this node sends to now.
+func (d *Director) membersOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) []int {
+	rt.need = max(rt.need*workMemory, d.needOf(now, rt, sv))
+	return rt.membership.members(int(math.Ceil(rt.need)), func(i int) bool {
+		e := &sv.Endpoints[i]
+		in := entry{endpoint: *e, phase: s.EndpointPhase(*e), verdict: rt.detector.Verdict(e.Key), target: rt.targets[e.Key]}
+		return !in.out() && d.open(&in, now)
+	})
+}
+
+// needOf is how many endpoints it takes for this node's own requests to fill workShare of their slots.
+func (d *Director) needOf(now time.Time, rt *runtime, sv table.ServiceView) float64 {
+	inFlight, slots := 0.0, 0.0
+	for _, i := range rt.membership.near[:rt.membership.nearCount] {
+		e := &sv.Endpoints[i]
+		inFlight += float64(rt.targets[e.Key].inFlight.Load())
+		slots += float64(e.Value.Slots)
+	}
+	if slots == 0 {
+		return 0
+	}
+	return inFlight / workShare * float64(rt.membership.nearCount) / slots
+}
+
+func (d *Director) viewOf(rt *runtime, s *table.State, sv table.ServiceView, members []int) *view {
+	v := &view{revision: s.Revision(), service: sv, marks: rt.detector.Marks(), entries: make([]entry, 0, len(members))}
+	rt.unsettled = false
+	for _, i := range members {
+		e := sv.Endpoints[i]
+		verdict := rt.detector.Verdict(e.Key)
+		d.notePhase(rt, e.Key, verdict)
+		rt.unsettled = rt.unsettled || verdict.Phase != eject.Serving
+		v.entries = append(v.entries, entry{
+			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: rt.targets[e.Key], addedAt: rt.added[e.Key],
+		})
+	}
 	return v
 }
 
--- a/director/pick.go
+++ b/director/pick.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lynxplank/lynxplank/balance"
@@ -43,6 +44,9 @@
 		return Pick{}, err
 	}
 	now := time.Now()
+	if w.Only != "" && v.find(w.Only) < 0 {
+		return d.pickOutside(v, w, now)
+	}
 	f := field{candidates: make([]balance.Candidate, 0, len(v.entries)), from: make([]int, 0, len(v.entries))}
 	for i := range v.entries {
 		e := &v.entries[i]
@@ -54,7 +58,10 @@
 		}
 		d.consider(&f, v, i, w, now)
 	}
-	i := w.choose(f.candidates)
+	i := d.ownFirst(v, f, w)
+	if i < 0 {
+		i = w.choose(f.candidates)
+	}
 	if i < 0 && f.busy {
 		return Pick{}, fault.New(fault.Busy, w.Service, "no endpoint has a free slot")
 	}
@@ -166,8 +173,9 @@
 	return false
 }
 
-func (v *view) pick(i int, trial bool) Pick {
-	e := &v.entries[i]
+func (v *view) pick(i int, trial bool) Pick { return v.pickEntry(&v.entries[i], trial) }
+
+func (v *view) pickEntry(e *entry, trial bool) Pick {
 	e.target.inFlight.Add(1)
 	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target, SeenMillis: e.target.idle(time.Now())}
 	p.Typical = time.Duration(math.Float64frombits(e.target.latency.Load()))
@@ -177,6 +185,34 @@
 	return p
 }
 
+// find returns the place of an endpoint among those that this node sends to, -1 if it is none of them.
+func (v *view) find(key string) int {
+	return slices.IndexFunc(v.entries, func(e entry) bool { return e.endpoint.Key == key })
+}
+
+// outside returns an endpoint of the service that this node does not send to of its own choice, such as a key's home.
+func (d *Director) outside(v *view, key string) (entry, bool) {
+	list := v.service.Endpoints
+	i, ok := slices.BinarySearchFunc(list, key, func(e table.Entry[table.Endpoint], key string) int {
+		return strings.Compare(e.Key, key)
+	})
+	if !ok {
+		return entry{}, false
+	}
+	e := entry{endpoint: list[i], phase: d.state().EndpointPhase(list[i]), target: newTarget()}
+	e.verdict.Share = 1
+	return e, true
+}
+
+// pickOutside picks the one endpoint that is asked for and that this node does not send to of its own choice.
+func (d *Director) pickOutside(v *view, w Wish, now time.Time) (Pick, error) {
+	e, ok := d.outside(v, w.Only)
+	if !ok || !w.allows(w.Only) || !d.open(&e, now) {
+		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "the endpoint takes no new work")
+	}
+	return v.pickEntry(&e, false), nil
+}
+
 // Homely tells whether the endpoint would be chosen at all, and so may run a keyed request at its home.
 func (d *Director) Homely(ctx context.Context, service, endpoint string) bool {
 	v, err := d.view(ctx, service)
@@ -184,11 +220,10 @@
 		return false
 	}
 	now := time.Now()
-	for i := range v.entries {
+	if i := v.find(endpoint); i >= 0 {
 		e := &v.entries[i]
-		if e.endpoint.Key == endpoint {
-			return d.open(e, now) && (e.verdict.Phase == eject.Serving || e.verdict.Phase == eject.LastChoice)
-		}
+		return d.open(e, now) && (e.verdict.Phase == eject.Serving || e.verdict.Phase == eject.LastChoice)
 	}
-	return false
+	e, ok := d.outside(v, endpoint)
+	return ok && d.open(&e, now)
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -75,6 +75,8 @@
 	Hosts []table.HostInfo
 	// ByID is the list by the hosts' names.
 	ByID map[string]table.HostInfo
+	// HallHosts are the names of the hosts of this node's hall, in order; the same list until they are others.
+	HallHosts []string
 	// SelfLine is this host's line as the store shows it, which an earlier life of its node may have written.
 	SelfLine table.HostInfo
 	// Ready is false until the node may serve.
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -99,10 +99,25 @@
 		next.ByID[h.ID] = h
 	}
 	f.ranked = rankHosts(hosts)
+	if here := hallHosts(hosts, f.cfg.Hall); !slices.Equal(here, old.HallHosts) {
+		next.HallHosts = here
+	}
 	f.publish(&next)
 	return nil
 }
 
+// hallHosts returns the names of a hall's hosts, in order.
+func hallHosts(hosts []table.HostInfo, hall string) []string {
+	var names []string
+	for _, h := range hosts {
+		if h.Hall == hall {
+			names = append(names, h.ID)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // hostsWithSelf returns the newest list with this host's own line in place of the one that it shows, and that one.
 func (f *Follower) hostsWithSelf() (hosts []table.HostInfo, shown table.HostInfo) {
 	hosts = slices.Clone(f.hosts.hosts)
--- a/node/node.go
+++ b/node/node.go
@@ -140,8 +140,10 @@
 	if n.announced = n.registry(a, follower, incarnation); n.announced != nil {
 		egressOptions = append(egressOptions, egress.WithRegistry(n.announced))
 	}
-	d := director.New(director.Config{Hall: n.cfg.Node.Hall, Distance: hallDistance, Ejection: n.ejection()}, n.log,
-		follower.State, view.leaving, view.usable)
+	d := director.New(director.Config{
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Choosers: func() []string { return follower.Snapshot().HallHosts },
+		Distance: hallDistance, Ejection: n.ejection(),
+	}, n.log, follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
 	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm))
