Announce: a start writes its line once, and reads nothing before

Cause: the first delay had the line marked again when the endpoint's heartbeat had written it already, so every start wrote the same line twice, each time waking every reader of the fleet; and the version to replace was read although the store's refusal tells it.

A line that is known to stand as it should is not written; a lost answer still has it read.

--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -50,8 +51,11 @@
 	dirty bool
 	// written is the version of the line as this process last wrote it.
 	written uint64
-	// sure is set while the line is known to be at that version.
-	sure bool
+	// sure is set while the line is known to be at that version, with the value that was written last; asked while it has to be
+	// read before the next write.
+	sure  bool
+	asked bool
+	value []byte
 }
 
 // New returns an announcer that has written nothing.
@@ -191,12 +195,13 @@
 	return err
 }
 
-// version returns the version of the line that the next write replaces.
+// version returns the version of the line that the next write replaces. Before a process's first write none is taken to be
+// there: mostly that is so, and if not the refusal says what is, for the price of the question.
 func (a *Announcer) version(ctx context.Context, key string) (uint64, error) {
 	a.mu.Lock()
-	known, sure := a.written, a.sure
+	known, sure, ask := a.written, a.sure, a.asked
 	a.mu.Unlock()
-	if sure {
+	if sure || !ask {
 		return known, nil
 	}
 	recs, err := a.table.Get(ctx, key)
@@ -206,31 +211,48 @@
 	return recs[0].Version, nil
 }
 
+// stands tells whether the line is known to be as a write would make it.
+func (a *Announcer) stands(w platform.Write) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sure && !w.Delete && bytes.Equal(a.value, w.Value)
+}
+
 // commit does one write, provided that the line is still at the version that it replaces.
 func (a *Announcer) commit(ctx context.Context, w platform.Write) error {
+	if a.stands(w) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
 	defer cancel()
 	version, err := a.version(ctx, w.Key)
 	if err != nil {
 		return err
 	}
-	if w.Delete && version == 0 {
-		return nil
-	}
-	reply, err := a.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: w.Key, Version: version}}, Writes: []platform.Write{w},
-	})
+	reply, err := a.replace(ctx, w, version)
 	if err == nil && !reply.Committed {
+		if version = reply.VersionOf(w.Key); version != 0 || !w.Delete {
+			reply, err = a.replace(ctx, w, version)
+		}
+	}
+	if err == nil && !reply.Committed && (version != 0 || !w.Delete) {
 		err = fault.New(fault.Conflict, w.Key, "line was written meanwhile")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// After a failure the line may be at any version: the next attempt asks for it.
-	a.sure = err == nil
+	a.sure, a.asked = err == nil, true
 	if err != nil {
 		return err
 	}
-	a.written = reply.Version
+	a.written, a.value = reply.Version, w.Value
 	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).Send()
 	return nil
 }
+
+// replace makes one write, provided that the line is at a version, 0 for not there.
+func (a *Announcer) replace(ctx context.Context, w platform.Write, version uint64) (platform.TxnReply, error) {
+	return a.table.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: w.Key, Version: version}}, Writes: []platform.Write{w},
+	})
+}
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -87,7 +87,7 @@
 		return platform.TxnReply{}, fault.New(fault.Unavailable, "platform", "reply lost")
 	}
 	done, ok := l.store.commit(wire)
-	return platform.TxnReply{Committed: ok, Version: done.Version}, nil
+	return platform.TxnReplyOf(done, ok), nil
 }
 
 // All reads every record of a table.
