--- a/director/capacity_test.go
+++ b/director/capacity_test.go
@@ -59,3 +59,37 @@
 	}
 	return d
 }
+
+// BenchmarkCapacityPick reports the time of one choice, and its report, by the number of the service's endpoints.
+func BenchmarkCapacityPick(b *testing.B) {
+	for _, n := range []int{8, 32, 128, 512} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := ownHall(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				p, err := d.Pick(b.Context(), Wish{Service: "desk", Free: true, Near: true})
+				if err != nil {
+					b.Fatal(err)
+				}
+				d.Done(Report{Service: "desk", Pick: p, Worked: true})
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityRefresh reports the time in which a node brings its view of a service up, ten times a second while some
+// endpoint of it is not simply serving, by the number of the service's endpoints.
+func BenchmarkCapacityRefresh(b *testing.B) {
+	for _, n := range []int{8, 32, 128, 512} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := ownHall(b, n)
+			_ = d.Stop(b.Context())
+			now := time.Now()
+			rt := d.runtimeOf(now, "desk")
+			b.ReportAllocs()
+			for b.Loop() {
+				d.refresh(now, rt)
+			}
+		})
+	}
+}
