Platform: calls to the store are counted by what they are for, in the metrics and in the log

A line every two seconds at most (event 209) and the label reason on lynxplank_store_calls: load of a table, hosts, config, confirm, line, reap. So far the reasons had to be counted by a script at the client.

--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -223,7 +223,7 @@
 	if a.stands(w) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(platform.WithReason(ctx, platform.ReasonLine), a.cfg.Timeout)
 	defer cancel()
 	version, err := a.version(ctx, w.Key)
 	if err != nil {
--- a/announce/reaper.go
+++ b/announce/reaper.go
@@ -112,7 +112,7 @@
 
 // take takes out the line of a host that is gone, provided that it still is the one that this node saw.
 func (r *Reaper) take(ctx context.Context, h table.HostInfo) {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	ctx, cancel := context.WithTimeout(platform.WithReason(ctx, platform.ReasonReap), r.timeout)
 	defer cancel()
 	key := follow.HostPrefix + h.ID
 	reply, err := r.table.Commit(ctx, platform.Txn{
--- a/follow/read.go
+++ b/follow/read.go
@@ -39,10 +39,14 @@
 
 // records waits for what changed in a table after the cursor, or reads the whole table where none of it was loaded.
 func (f *Follower) records(ctx context.Context, name string, loaded bool, cursor uint64) (platform.Records, error) {
-	if loaded {
-		return f.platform.Feed(ctx, name, cursor, f.cfg.Wait)
+	if !loaded {
+		return f.platform.All(platform.WithReason(ctx, platform.ReasonLoad), name)
 	}
-	return f.platform.All(ctx, name)
+	reason := platform.ReasonHosts
+	if name == platform.TableOperators {
+		reason = platform.ReasonConfig
+	}
+	return f.platform.Feed(platform.WithReason(ctx, reason), name, cursor, f.cfg.Wait)
 }
 
 // ownReader reads the product's own table: the operators' rows and what the nodes announce. One goroutine owns it.
--- a/follow/readconfig.go
+++ b/follow/readconfig.go
@@ -90,7 +90,7 @@
 	if !f.cfg.WithConfig {
 		return true
 	}
-	recs, err := f.platform.Feed(ctx, platform.TableOperators, f.configCursor.Load(), 0)
+	recs, err := f.platform.Feed(platform.WithReason(ctx, platform.ReasonConfirm), platform.TableOperators, f.configCursor.Load(), 0)
 	if err != nil {
 		return false
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,10 +45,10 @@
 	scope   tally.Scope
 }
 
-// Done counts one call by the code of its failure, "" for none.
-func (c *Call) Done(code string, took time.Duration) {
+// Done counts one call by what it was for and the code of its failure, "" for none.
+func (c *Call) Done(reason, code string, took time.Duration) {
 	c.latency.RecordDuration(took)
-	c.scope.Tagged(map[string]string{"code": code}).Counter("store_calls").Inc(1)
+	c.scope.Tagged(map[string]string{"reason": reason, "code": code}).Counter("store_calls").Inc(1)
 }
 
 // Class holds the instruments of one service.
--- a/node/node.go
+++ b/node/node.go
@@ -123,11 +123,10 @@
 	var follower *follow.Follower
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
 		peer.WithBeatHook(func(name string, revisions table.Revisions) { follower.Hint(name, revisions) }))
+	calls := &storeCalls{metrics: m}
 	client := platform.NewClient(n.cfg.Platform.Address.String(),
 		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()),
-		platform.WithObserver(func(call string, err error, took time.Duration) {
-			m.Store(call).Done(string(fault.CodeOf(err)), took)
-		}))
+		platform.WithObserver(calls.note))
 	var e *egress.Egress
 	var egressOptions []egress.Option
 	a := announce.New(n.announceConfig(incarnation), n.log, client)
@@ -150,18 +149,21 @@
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
 		n.log, client, links, follower.Snapshot))
-	n.register(links, follower, d, e, g, m)
+	n.register(links, follower, d, e, g, m, calls)
 	return nil
 }
 
 // register registers the parts and the listeners, in the order in which they start.
 func (n *Node) register(
 	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress, m *metrics.Metrics,
+	calls *storeCalls,
 ) {
 	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, e, d, links, m.Handler())
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
-	n.kernel.Register(Sampler, &sampler{metrics: m, follower: f, egress: e, links: links, events: counter})
+	n.kernel.Register(Sampler, &sampler{
+		metrics: m, follower: f, egress: e, links: links, events: counter, calls: calls, log: n.log,
+	})
 	n.kernel.Register(Links, links)
 	n.kernel.Register(Follower, f)
 	n.kernel.Register(Director, d)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -5,7 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
@@ -28,6 +31,8 @@
 	links    *peer.Manager
 	// events is nil where the log is not counted.
 	events eventCounter
+	calls  *storeCalls
+	log    *zerolog.Logger
 
 	// counted is how many lines of each event the metrics show.
 	counted map[int]uint64
@@ -72,6 +77,20 @@
 	s.sampleConfig(now)
 	s.sampleWork()
 	s.sampleEvents()
+	s.tellCalls()
+}
+
+// tellCalls logs the calls to the platform's store since the last look, if there were any.
+func (s *sampler) tellCalls() {
+	names, counts := s.calls.take()
+	if len(names) == 0 {
+		return
+	}
+	line := events.StoreCalls.Log(s.log)
+	for _, name := range names {
+		line.Int(name, counts[name])
+	}
+	line.Send()
 }
 
 // sampleConfig shows what is in force here and since when.
