Egress: the work under way is looked at when it can say something, not forty times a second

Cause: every node with work under way woke every 25 ms to weigh it, and of work that goes as usual there is nothing to say. What it can say only grows until something begins or ends, so the moment from which it says that the endpoint hangs is worked out at each of these, to the same 25 ms, and otherwise it is looked at after 200 ms.

--- a/breaker/watch.go
+++ b/breaker/watch.go
@@ -16,6 +16,9 @@
 	mostEnded = 16
 )
 
+// answeredEvidence is what an answer in time says, in nats.
+var answeredEvidence = math.Log(1 - hangShare)
+
 // Work says what kind of work is under way, and its usual time elsewhere, 0 if that is not known.
 type Work struct {
 	// Kind names the kind.
@@ -82,7 +85,7 @@
 // evidence is the log likelihood ratio of one piece of work.
 func (r piece) evidence(now time.Time, survival Survival) float64 {
 	if r.answered {
-		return math.Log(1 - hangShare)
+		return answeredEvidence
 	}
 	age := r.age
 	if !r.ended {
@@ -104,6 +107,11 @@
 	return w.runs[i].work, now.Sub(w.runs[i].start), true
 }
 
+// Idle tells whether no work is under way.
+func (w *Watch) Idle() bool {
+	return !slices.ContainsFunc(w.runs, func(r piece) bool { return !r.ended })
+}
+
 // Running returns the ids of the work under way.
 func (w *Watch) Running() []uint64 {
 	var ids []uint64
--- a/egress/local.go
+++ b/egress/local.go
@@ -45,8 +45,8 @@
 	asking map[uint64]peer.Sink
 	// suspected is set while the breaker is open for the work under way alone.
 	suspected bool
-	// looking is set while the work under way is looked at in turn.
-	looking bool
+	// looks has the work under way looked at, nil before there was any.
+	looks *time.Timer
 	// shown is the breaker's state as it was last logged.
 	shown breaker.State
 	queue *admit.Queue
--- a/egress/silence.go
+++ b/egress/silence.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// lookEvery is the time between two looks at the work under way: short beside the second for which endpoints are seen to
-	// hang, and 40 wake-ups a second of a node that works.
-	lookEvery = 25 * time.Millisecond
+	// lookWithin is how soon after it could be said the work under way is found to say that the endpoint hangs: short beside the
+	// second for which endpoints are seen to.
+	lookWithin = 25 * time.Millisecond
+	// lookAhead is how far ahead that is worked out; at most so often is work looked at that goes as usual. A look every lookWithin
+	// was 40 wake-ups a second of each node that worked.
+	lookAhead = 8 * lookWithin
 	// suspectScore is the evidence of the work under way, in nats, that opens the breaker: odds of 55 to 1. Where endpoints
 	// hang for seconds, 15 in 100 requests go unserved with it and 20 without (docs/DECISIONS.md).
 	suspectScore = 4
@@ -33,13 +36,13 @@
 	if d.GetTellDue() {
 		l.asking[id] = sink
 	}
-	if !l.looking {
-		l.looking = true
-		time.AfterFunc(lookEvery, func() { e.look(l) })
+	if l.looks == nil {
+		l.looks = time.AfterFunc(lookAhead, func() { e.look(l) })
 	}
+	l.planLook(now)
 }
 
-// look judges the work under way and comes back while there is any.
+// look judges the work under way.
 func (e *Egress) look(l *local) {
 	for _, sink := range l.weigh(time.Now()) {
 		sink.Due(0)
@@ -47,10 +50,53 @@
 	e.noteState(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.looking = len(l.watch.Running()) > 0
-	if l.looking {
-		time.AfterFunc(lookEvery, func() { e.look(l) })
+	l.planLook(time.Now())
+}
+
+// planLook has the work under way looked at when it can say something, as long as nothing of it ends and nothing begins; the lock
+// is held.
+func (l *local) planLook(now time.Time) {
+	if l.looks == nil {
+		return
+	}
+	if l.watch.Idle() {
+		l.looks.Stop()
+		return
+	}
+	l.looks.Reset(l.nextLook(now))
+}
+
+// nextLook is the time until the work under way says something, to lookWithin and at most lookAhead; the lock is held. What it
+// says only grows as long as nothing ends.
+func (l *local) nextLook(now time.Time) time.Duration {
+	if !l.saysSomething(now.Add(lookAhead)) {
+		return lookAhead
+	}
+	early, late := time.Duration(0), lookAhead
+	for late-early > lookWithin {
+		middle := (early + late) / 2
+		if l.saysSomething(now.Add(middle)) {
+			late = middle
+		} else {
+			early = middle
+		}
 	}
+	return late
+}
+
+// saysSomething tells whether the work under way, if none of it has ended by a time, shows then that the endpoint hangs or that a
+// trial has failed; the lock is held.
+func (l *local) saysSomething(at time.Time) bool {
+	if l.trialOverdue(at) {
+		return true
+	}
+	return l.breaker.State() == breaker.Closed && l.watch.Score(at, l.survival) >= suspectScore
+}
+
+// trialOverdue tells whether the breaker's trial has taken too long by a time; the lock is held.
+func (l *local) trialOverdue(at time.Time) bool {
+	work, age, ok := l.watch.Age(at, l.trial)
+	return ok && l.survival(work, age) < trialOverdue
 }
 
 // survival tells how much of a kind's ordinary work takes longer than an age; the lock is held.
@@ -83,7 +129,7 @@
 func (l *local) weigh(now time.Time) []peer.Sink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if work, age, ok := l.watch.Age(now, l.trial); ok && l.survival(work, age) < trialOverdue {
+	if l.trialOverdue(now) {
 		l.trial = 0
 		l.breaker.Done(now, breaker.Overdue, true)
 	}
@@ -105,6 +151,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	defer l.planLook(now)
 	delete(l.asking, id)
 	// A trial that was overdue has failed already.
 	trial = trial && l.trial == id
