Director, settings: nothing is done ten times a second, or parsed every two, that has not changed

Cause: the director ticked ten times a second in every node, and the settings file was parsed and checked every two seconds although it said the same. The director ticks so only while some endpoint is on its way out or back, twice a second otherwise; the file is parsed when its text has changed.

--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -85,6 +85,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	file := settings.NewWatch(path)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
@@ -92,7 +93,9 @@
 		case <-reloads:
 			reload(n, path)
 		case <-tick.C:
-			reload(n, path)
+			if file.Changed() {
+				reload(n, path)
+			}
 		case <-stops:
 			if n.Stop() != nil {
 				return exitFailed
--- a/director/director.go
+++ b/director/director.go
@@ -52,7 +52,10 @@
 	stop     context.CancelFunc
 
 	// The control goroutine alone uses what follows.
+
 	services map[string]*runtime
+	// restless is set while some endpoint of some service is not simply serving.
+	restless bool
 }
 
 // view is what traffic reads of one service; immutable but for its targets.
@@ -121,24 +124,40 @@
 
 func (d *Director) control(ctx context.Context) {
 	defer close(d.done)
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTimer(refreshEvery)
 	defer tick.Stop()
 	for {
+		calm := !d.restless
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-d.messages:
 			m.apply(d, time.Now())
+			if calm && d.restless {
+				tick.Reset(tickEvery)
+			}
 		case now := <-tick.C:
 			d.tick(now)
+			tick.Reset(d.pause())
 		}
 	}
 }
 
+// pause is the time to the next tick: endpoints that are on their way out or back are moved on ten times a second, and while
+// there is none nothing waits for the time.
+func (d *Director) pause() time.Duration {
+	if d.restless {
+		return tickEvery
+	}
+	return refreshEvery
+}
+
 func (d *Director) tick(now time.Time) {
 	if n := d.dropped.Swap(0); n > 0 {
 		events.ReportsDropped.Log(d.log).Uint64("count", n).Send()
 	}
+	calm := !d.restless
+	d.restless = false
 	for key, rt := range d.services {
 		if now.Sub(rt.usedAt) > forgetAfter {
 			delete(d.services, key)
@@ -146,9 +165,10 @@
 			continue
 		}
 		rt.detector.Tick(now)
-		if rt.unsettled || now.Sub(rt.refreshedAt) >= refreshEvery {
+		if calm || rt.unsettled || now.Sub(rt.refreshedAt) >= refreshEvery {
 			d.refresh(now, rt)
 		}
+		d.restless = d.restless || rt.unsettled
 	}
 }
 
@@ -259,6 +279,7 @@
 			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: rt.targets[e.Key], addedAt: rt.added[e.Key],
 		})
 	}
+	d.restless = d.restless || rt.unsettled
 	return v
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -27,6 +27,25 @@
 	return Parse(path, text, cfg)
 }
 
+// Watch tells whether a settings file has changed since it last asked; reading is cheap beside parsing and checking.
+type Watch struct {
+	path string
+	text []byte
+}
+
+// NewWatch returns a watch of a file, of which it has seen nothing.
+func NewWatch(path string) *Watch { return &Watch{path: path} }
+
+// Changed tells whether the file says something else than at the last call, or cannot be read.
+func (w *Watch) Changed() bool {
+	text, err := os.ReadFile(w.path)
+	if err == nil && bytes.Equal(text, w.text) {
+		return false
+	}
+	w.text = text
+	return true
+}
+
 // Parse reads a text over the defaults in cfg; name stands for the file in the faults.
 func Parse[T any](name string, text []byte, cfg *T) error {
 	var root yaml.Node
