Announce: each host is watched by the one before it on a circle, so that a gone host's line is taken out at any size

Cause: the node that hashing named for a gone host took it out only if it had tried to reach it itself. With links by need that is a matter of luck from 65 hosts on, and with bounded subsets it would mostly not be so: lines of hosts that are gone, and their endpoints, would stay. Each node keeps a link to the next host on a circle of hashes, and beyond it while those in between are out of reach. Whether a node is cut off itself is judged by the hosts that it reaches, no longer by those that it never tried.

The doubt of a node that has lost most others is tested as before.

--- a/announce/announce_test.go
+++ b/announce/announce_test.go
@@ -102,8 +102,8 @@
 	snap := &follow.Snapshot{State: table.NewState(), Hosts: hosts}
 	gone := unreachable{"127.0.0.1:1": time.Now().Add(-time.Minute)}
 	r := NewReaper("h2", time.Second, time.Second, &log, store.NewLocal(s), gone, func() *follow.Snapshot { return snap })
-	if !r.mine(time.Now(), hosts, h) {
-		t.Fatal("got a host that nobody takes out, want h2 to")
+	if got := r.gone(time.Now(), hosts); len(got) != 1 || got[0].ID != h.ID {
+		t.Fatalf("hosts for h2 to take out: got %v, want %s", got, h.ID)
 	}
 	r.take(t.Context(), h)
 	if _, ok := line(t, s); ok {
@@ -123,15 +123,17 @@
 
 func (u unreachable) Unreachable(address string) time.Time { return u[address] }
 
+func (u unreachable) Reached(address string) bool { return u[address].IsZero() }
+
+func (unreachable) Keep(string) {}
+
 // TestReaperDoubtsItself checks that a node which has lost most of the others takes none of them out.
 func TestReaperDoubtsItself(t *testing.T) {
 	log := zerolog.Nop()
 	long := time.Now().Add(-time.Minute)
 	hosts := []table.HostInfo{{ID: "h1", Address: "1"}, {ID: "h2", Address: "2"}, {ID: "h3", Address: "3"}}
 	r := NewReaper("h1", time.Second, time.Second, &log, nil, unreachable{"2": long, "3": long}, nil)
-	for _, h := range hosts {
-		if got, want := r.mine(time.Now(), hosts, h), false; got != want {
-			t.Errorf("%s: got taken out %v, want %v", h.ID, got, want)
-		}
+	if got := r.gone(time.Now(), hosts); len(got) != 0 {
+		t.Errorf("taken out: got %v, want none", got)
 	}
 }
--- a/announce/reaper.go
+++ b/announce/reaper.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/changes"
@@ -13,15 +14,20 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// Links tells how long a peer has been out of reach.
+// Links tells which peers are out of reach.
 type Links interface {
 	// Unreachable returns since when a peer cannot be reached, the zero time for one that can or was not tried.
 	Unreachable(address string) time.Time
+	// Reached tells whether a link to a peer stands that is not under suspicion.
+	Reached(address string) bool
+	// Keep has a link to a peer opened and kept.
+	Keep(address string)
 }
 
-// Reaper takes out the lines of hosts that are gone; it is a kernel component. Of the nodes that are live it is the one
-// that hashing names for the host, so that usually one node writes. A host that is only out of this node's reach sees
-// that its line is gone and writes it again.
+// Reaper takes out the lines of hosts that are gone; it is a kernel component. The hosts stand on a circle by their hashes, and
+// each node watches the next one, and beyond that as long as those in between are out of reach: so each host is watched by one
+// node, whatever the size of the fleet, and usually one node writes. A host that is only out of that node's reach sees that its
+// line is gone and writes it again.
 type Reaper struct {
 	host string
 	// after is how long a host must be out of reach, timeout bounds one write.
@@ -67,47 +73,63 @@
 func (r *Reaper) run(ctx context.Context) {
 	defer close(r.done)
 	for sleep(ctx, reapEvery) {
-		hosts := r.snapshot().Hosts
-		for _, h := range hosts {
-			if r.mine(time.Now(), hosts, h) {
-				r.take(ctx, h)
-			}
+		for _, h := range r.gone(time.Now(), r.snapshot().Hosts) {
+			r.take(ctx, h)
 		}
 	}
 }
 
+// gone returns the hosts that are gone and that it is up to this node to take out. It keeps a link to those that it watches.
+func (r *Reaper) gone(now time.Time, hosts []table.HostInfo) []table.HostInfo {
+	var out []table.HostInfo
+	h, ok := r.next(hosts, r.host)
+	for ; ok; h, ok = r.next(hosts, h.ID) {
+		r.links.Keep(h.Address)
+		if !r.lost(now, h) {
+			break
+		}
+		out = append(out, h)
+	}
+	if len(out) > 0 && r.cutOff(now, hosts) {
+		return nil
+	}
+	return out
+}
+
+// next returns the host that follows another one on the circle, false once that is this node's own.
+func (r *Reaper) next(hosts []table.HostInfo, after string) (next table.HostInfo, ok bool) {
+	self := placeOf(r.host)
+	from, best := placeOf(after)-self, uint64(0)
+	for _, h := range hosts {
+		if at := placeOf(h.ID) - self; at > from && (!ok || at < best) {
+			next, best, ok = h, at, true
+		}
+	}
+	return next, ok
+}
+
+// placeOf is a host's place on the circle.
+func placeOf(host string) uint64 { return xxhash.Sum64String(host) }
+
 // lost tells whether a host has been out of this node's reach for long enough.
 func (r *Reaper) lost(now time.Time, h table.HostInfo) bool {
-	if h.ID == r.host {
-		return false
-	}
 	since := r.links.Unreachable(h.Address)
 	return !since.IsZero() && now.Sub(since) > r.after
 }
 
-// mine tells whether a host is gone and this node is the one to say so.
-func (r *Reaper) mine(now time.Time, hosts []table.HostInfo, gone table.HostInfo) bool {
-	if !r.lost(now, gone) {
-		return false
-	}
-	lost := 0
-	var live []table.HostInfo
+// cutOff tells whether this node has lost more hosts than it reaches, itself counted: it is more likely to be cut off itself.
+func (r *Reaper) cutOff(now time.Time, hosts []table.HostInfo) bool {
+	lost, reached := 0, 1
 	for _, h := range hosts {
-		if r.lost(now, h) {
+		switch {
+		case h.ID == r.host:
+		case r.lost(now, h):
 			lost++
-			continue
+		case r.links.Reached(h.Address):
+			reached++
 		}
-		// The hosts are ranked within a hall, by its name too: as if all stood in one of the lost host's name, a different
-		// one comes first for each lost host.
-		h.Hall = gone.ID
-		live = append(live, h)
-	}
-	// A node that has lost most of the others is more likely to be cut off itself.
-	if lost > len(live) {
-		return false
 	}
-	first := follow.Readers(live, gone.ID, 1)
-	return len(first) == 1 && first[0].ID == r.host
+	return lost > reached
 }
 
 // take takes out the line of a host that is gone, provided that it still is the one that this node saw.
--- a/peer/reach.go
+++ b/peer/reach.go
@@ -1,6 +1,9 @@
 package peer
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Unreachable returns since when a peer cannot be reached, the zero time for one that can or was not tried.
 func (m *Manager) Unreachable(address string) time.Time {
@@ -42,3 +45,28 @@
 	}
 	return !s.suspect.Load() && !s.leaving.Load()
 }
+
+// Reached tells whether a link to a peer stands that is not under suspicion.
+func (m *Manager) Reached(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sessions[address]
+	return s != nil && !s.suspect.Load()
+}
+
+// Keep has a link to a peer opened, and keeps one that stands open while it carries nothing; it does not wait.
+func (m *Manager) Keep(address string) {
+	m.mu.Lock()
+	s := m.sessions[address]
+	m.mu.Unlock()
+	if s != nil {
+		s.pinned.Store(true)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		// The link's own events say why a peer cannot be reached.
+		_, _ = m.Pin(ctx, address)
+	}()
+}
