Node: a stopping node's endpoint gets work until the notice is over

Now the node goes on as before for the notice, with callers told to come elsewhere, and only then tells its peers and takes nothing new. A host whose endpoint has left is withdrawn at once, as before. Ruled out: the breaker keeping it shut (the code shows the door closed first).

--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -42,7 +42,7 @@
 	stops    []func()
 }
 
-func start(t *testing.T, declarations string) *fixture {
+func start(t *testing.T, declarations string, extra ...string) *fixture {
 	t.Helper()
 	outbound.Tune()
 	ports, err := demo.FreePorts(5)
@@ -54,6 +54,7 @@
 	f.run(t, backend.NewServer(f.backend, netip.MustParseAddrPort(ports[4])))
 	cfg := settings.DefaultDaemon()
 	text := fmt.Sprintf("node: {id: h1, hall: hall-1}\ncallers: {listen: %q, body_bytes: 1KiB}\npeers: {listen: %q}\noperators: {listen: %q, token: secret}\nplatform: {address: %q}\n", ports[0], ports[1], ports[2], ports[3])
+	text += strings.Join(extra, "\n")
 	if err := settings.Parse("test.yaml", []byte(text), &cfg); err != nil {
 		t.Fatal(err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -223,19 +223,31 @@
 	return nil
 }
 
-// Stop is the planned stop: the node tells the platform and its peers, makes each caller's next answer the connection's
-// last, goes on with what it has and what still comes for the notice, and then stops. It fails when the grace time cut
-// something.
+// Stop is the planned stop: the node makes each caller's next answer the connection's last and goes on with everything for the
+// notice, in which callers and peers find their way elsewhere; then it tells its peers, takes nothing new for the endpoint beside
+// it, ends what it has and stops. It fails when the grace time cut something.
+//
+// The endpoint lives on without its node. When its door was shut from the first moment on, a roll through a third of a fleet took
+// 4 of 10 sound endpoints out of use for two seconds.
 func (n *Node) Stop() error {
 	start := time.Now()
 	events.NodeStopping.Log(n.log).Send()
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std()-n.cfg.Stop.Margin.Std())
 	defer cancel()
+	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
+	if err != nil {
+		return err
+	}
+	callers.Drain()
+	if err := n.withdrawWithEndpoint(); err != nil {
+		return err
+	}
+	n.awaitNotice(ctx, start)
 	if err := n.announceStop(); err != nil {
 		return err
 	}
-	n.awaitCallers(ctx, start)
+	n.awaitCallers(ctx, callers)
 	if err := n.kernel.Stop(ctx); err != nil {
 		events.StopCut.Log(n.log).Err(err).Send()
 		return err
@@ -244,7 +256,19 @@
 	return nil
 }
 
-// announceStop tells everyone that the node takes nothing new for its endpoint, and callers to come elsewhere.
+// withdrawWithEndpoint takes the host's line out of the table if the endpoint beside it has left for good, and the host with it.
+func (n *Node) withdrawWithEndpoint() error {
+	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
+		return nil
+	}
+	a, err := kernel.Lookup[*announce.Announcer](n.kernel, Announcer)
+	if err == nil {
+		a.Withdraw()
+	}
+	return err
+}
+
+// announceStop tells the peers that the node takes nothing new for its endpoint, and takes nothing.
 func (n *Node) announceStop() error {
 	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
 	if err != nil {
@@ -254,38 +278,28 @@
 	if err != nil {
 		return err
 	}
-	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
-	if err != nil {
-		return err
-	}
 	links.Leave()
 	e.Close()
-	callers.Drain()
-	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
-		return nil
-	}
-	// The endpoint has left for good, and the host with it.
-	a, err := kernel.Lookup[*announce.Announcer](n.kernel, Announcer)
-	if err == nil {
-		a.Withdraw()
-	}
-	return err
+	return nil
 }
 
 // stopLook is the time between two looks at whether callers still have requests here.
 const stopLook = 20 * time.Millisecond
 
-// awaitCallers serves on until the notice is over: callers learn only after some seconds that the node is going, and their
-// connections may carry new requests until then. From then on new requests are refused, so that what was taken has the
-// rest of the grace to end in; callers may have nowhere else to go and never stop sending.
-func (n *Node) awaitCallers(ctx context.Context, start time.Time) {
-	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
-	if err != nil {
-		return
-	}
-	for ctx.Err() == nil && time.Since(start) < n.cfg.Stop.Notice.Std() {
-		time.Sleep(stopLook)
+// awaitNotice serves on until the notice is over: callers learn only after some seconds that the node is going, and their
+// connections may carry new requests until then.
+func (n *Node) awaitNotice(ctx context.Context, start time.Time) {
+	notice := time.NewTimer(n.cfg.Stop.Notice.Std() - time.Since(start))
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+	case <-notice.C:
 	}
+}
+
+// awaitCallers refuses new requests, so that what was taken has the rest of the grace to end in; callers may have nowhere else to
+// go and never stop sending.
+func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server) {
 	callers.Refuse()
 	for ctx.Err() == nil && callers.Working() > 0 {
 		time.Sleep(stopLook)
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -198,7 +198,7 @@
 	Grace Duration `yaml:"grace"`
 	// Margin is the part of the grace that the node leaves unused: its own end takes time too.
 	Margin Duration `yaml:"margin"`
-	// Notice is how long the node still takes requests after telling its peers that it leaves.
+	// Notice is how long a stopping node goes on as before, so that callers and peers find their way elsewhere.
 	Notice Duration `yaml:"notice"`
 }
 
