Follow: questions whether the configuration is the newest are shared, and read each configuration once

Cause: each request that finds no route asked the store by itself, and a node that does not read the configuration asked from the version of its start on, so it was sent every configuration since, whole, with each such request. Who asks while a question is under way waits for the next one, which all share: none is answered by a question from before it was asked (TestSharedQuestions). The version that the answer shows is remembered (TestConfirmReadsEachConfigurationOnce).

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -150,6 +150,47 @@
 	}
 }
 
+// feedsOfConfig notes from which version on the operators' table is asked for without waiting.
+type feedsOfConfig struct {
+	Platform
+	after []uint64
+}
+
+func (p *feedsOfConfig) Feed(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Records, error) {
+	if name == platform.TableOperators && wait == 0 {
+		p.after = append(p.after, after)
+	}
+	return p.Platform.Feed(ctx, name, after, wait)
+}
+
+// TestConfirmReadsEachConfigurationOnce has a node that does not read the configuration itself confirm it twice after a change:
+// the second time it asks only for what is newer.
+func TestConfirmReadsEachConfigurationOnce(t *testing.T) {
+	s := store.New()
+	f := startFollower(t, s)
+	configure(t, s, "7", "a")
+	wait(t, f, "first", routed("/a/", true))
+	if err := f.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	// Without its control goroutine the node takes nothing more by itself; what Confirm reads is as new as what is in force.
+	feeds := &feedsOfConfig{Platform: f.platform}
+	f.platform = feeds
+	before := f.configCursor.Load()
+	s.SetOperatorRow(platform.TableOperators, "other", []byte("{}"))
+	for range 2 {
+		if got, want := f.Confirm(t.Context()), true; got != want {
+			t.Errorf("confirmed: got %v, want %v", got, want)
+		}
+	}
+	if got, want := len(feeds.after), 2; got != want {
+		t.Fatalf("questions: got %d, want %d", got, want)
+	}
+	if feeds.after[0] != before || feeds.after[1] <= before {
+		t.Errorf("asked from versions: got %v, want %d and a later one", feeds.after, before)
+	}
+}
+
 // TestReadIsNotInForce checks that a configuration which was read and is not in force yet is no confirmation: the store has
 // nothing newer to show then.
 func TestReadIsNotInForce(t *testing.T) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -105,6 +105,8 @@
 	configCursor atomic.Uint64
 	// configSeen is the newest configuration that was read, which is in force a moment later.
 	configSeen atomic.Uint64
+	// confirms are the questions whether the configuration in force is the newest.
+	confirms shared
 	// self is this host's own line as this node knows it.
 	self     atomic.Pointer[table.HostInfo]
 	messages chan message
