--- a/cli/reports.go
+++ b/cli/reports.go
@@ -58,7 +58,7 @@
 		var s operator.Status
 		if err := a.askNode(node, operator.PathStatus, &s); err != nil {
 			failed = err
-			lines = append(lines, []string{node.String(), "-", "no answer", "-", "-", "-", "-"})
+			lines = append(lines, []string{node.String(), "-", "no answer", "-", "-", "-", "-", "-", "-", "-"})
 			continue
 		}
 		values = append(values, s)
@@ -69,16 +69,30 @@
 		}
 		lines = append(lines, []string{
 			s.Node, s.Hall, strconv.FormatBool(s.Ready), strconv.FormatUint(s.Revision, 10),
+			strconv.FormatUint(s.Config, 10), strconv.FormatUint(s.HostsRevision, 10), readsOf(s),
 			fmt.Sprintf("%d/%d", s.LinksDialed, s.LinksAccepted), strconv.Itoa(busy), strconv.FormatUint(done, 10),
 		})
 	}
-	head := []string{"NODE", "HALL", "READY", "REVISION", "LINKS", "BUSY", "FINISHED"}
+	head := []string{"NODE", "HALL", "READY", "REVISION", "CONFIG", "HOSTS", "READS", "LINKS", "BUSY", "FINISHED"}
 	if err := a.printReport(values, head, lines); err != nil {
 		return err
 	}
 	return failed
 }
 
+// readsOf names the tables of the platform that a node reads itself.
+func readsOf(s operator.Status) string {
+	switch {
+	case s.ReadsOwn && s.ReadsConfig:
+		return "own,config"
+	case s.ReadsOwn:
+		return "own"
+	case s.ReadsConfig:
+		return "config"
+	}
+	return "-"
+}
+
 // nodeExplanation is an explanation with the node that gave it.
 type nodeExplanation struct {
 	Node string `json:"node"`
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -193,6 +193,11 @@
 	return nil
 }
 
+// Reads tells which of the platform's tables this node reads itself: the product's own, and the operators' configuration.
+func (f *Follower) Reads() (own, config bool) {
+	return f.reading.Load(), f.cfg.WithConfig && f.readingConfig.Load()
+}
+
 // Hint tells that a peer shows a later revision of something; it never blocks.
 func (f *Follower) Hint(peerName string, revisions table.Revisions) {
 	select {
--- a/node/node.go
+++ b/node/node.go
@@ -158,7 +158,7 @@
 	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress, m *metrics.Metrics,
 	calls *storeCalls,
 ) {
-	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, e, d, links, m.Handler())
+	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, m.Handler())
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
 	n.kernel.Register(Sampler, &sampler{
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -42,6 +42,12 @@
 	Ready bool `json:"ready"`
 	// Revision is the revision in force.
 	Revision uint64 `json:"revision"`
+	// Config and HostsRevision are the platform's configuration and the list of hosts in force, by their versions.
+	Config        uint64 `json:"config"`
+	HostsRevision uint64 `json:"hosts_revision"`
+	// ReadsOwn and ReadsConfig tell whether it reads the product's own table and the configuration from the platform itself.
+	ReadsOwn    bool `json:"reads_own"`
+	ReadsConfig bool `json:"reads_config"`
 	// Hosts is the length of the host list that it holds.
 	Hosts int `json:"hosts"`
 	// LinksDialed and LinksAccepted count its links to peers.
@@ -103,6 +109,7 @@
 	node, hall string
 	token      string
 	snapshot   func() *follow.Snapshot
+	reads      func() (own, config bool)
 	egress     *egress.Egress
 	director   *director.Director
 	links      Links
@@ -111,11 +118,11 @@
 
 // New returns the answers of one node; token must come with every request but that for health.
 func New(
-	node, hall, token string, snapshot func() *follow.Snapshot,
+	node, hall, token string, snapshot func() *follow.Snapshot, reads func() (own, config bool),
 	e *egress.Egress, d *director.Director, l Links, metrics http.Handler,
 ) *Operator {
 	return &Operator{
-		node: node, hall: hall, token: token, snapshot: snapshot,
+		node: node, hall: hall, token: token, snapshot: snapshot, reads: reads,
 		egress: e, director: d, links: l, metrics: metrics,
 	}
 }
@@ -156,6 +163,9 @@
 		Node: o.node, Hall: o.hall, Ready: snap.Ready, Revision: snap.State.Revision(), Hosts: len(snap.Hosts),
 		Process: process(), Keys: o.egress.Keys(), Endpoints: o.egress.Statuses(),
 	}
+	held := snap.State.Revisions()
+	s.Config, s.HostsRevision = held[table.PlaneConfig], held[table.PlaneHosts]
+	s.ReadsOwn, s.ReadsConfig = o.reads()
 	s.LinksDialed, s.LinksAccepted = o.links.Links()
 	s.PeerBytes = o.links.Bytes()
 	reply(w, s)
