Follow: readers ask less often where many lines come at once

Cause: while a fleet starts or is rolled each reader is woken five times a second, whatever comes. The wait grows with what came, to 0.8 s. At real size not measured yet.

--- a/follow/read.go
+++ b/follow/read.go
@@ -22,6 +22,11 @@
 	// gather is how long a reader lets changes of the hosts come together before it looks again: a fleet that starts
 	// writes a row a node within a second or so.
 	gather = 200 * time.Millisecond
+	// mostGather bounds that wait where many lines come at once, each linesAGather of them a gather more: a fleet of hundreds that
+	// starts or is rolled has each reader ask less often instead of five times a second, and a new endpoint is known within a
+	// second all the same. What drains or stops is refused by its own node meanwhile.
+	mostGather   = 4 * gather
+	linesAGather = 4
 	// pauseJitter is by how much of itself a pause varies, half of it either way, so that readers do not look together.
 	pauseJitter = 0.4
 )
@@ -87,9 +92,17 @@
 	}
 }
 
+// gatherFor is how long a reader waits after a look that brought some changed lines.
+func gatherFor(lines int) time.Duration {
+	if lines == 0 {
+		return 0
+	}
+	return min(gather*time.Duration(1+lines/linesAGather), mostGather)
+}
+
 // look reads once and returns what was found and when to look again.
 func (r *ownReader) look(ctx context.Context) (ownRead, time.Duration) {
-	changed, err := r.advance(ctx)
+	lines, err := r.advance(ctx)
 	if err != nil {
 		if fault.CodeOf(err) == fault.Gone {
 			r.loaded = false
@@ -102,17 +115,15 @@
 	}.trimmed()}
 	// The reader forgets what the list does, and has each removal once.
 	r.gone, r.base = slices.Clone(m.hosts.gone), m.hosts.base
-	if changed {
-		return m, gather
-	}
-	return m, 0
+	return m, gatherFor(lines)
 }
 
-// advance takes what has changed since the last look, after waiting for it, or the whole table.
-func (r *ownReader) advance(ctx context.Context) (changed bool, err error) {
+// advance takes what has changed since the last look, after waiting for it, or the whole table, and returns how many lines that
+// were.
+func (r *ownReader) advance(ctx context.Context) (lines int, err error) {
 	recs, err := r.f.records(ctx, platform.TableOwn, r.loaded, r.cursor)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	if !r.loaded {
 		// A read of the whole table shows what is gone by not showing it.
@@ -126,17 +137,17 @@
 			continue
 		}
 		if err := r.noteHost(rec); err != nil {
-			return false, err
+			return 0, err
 		}
 	}
 	if rows {
 		if r.state, err = r.rows.Advance(ctx, r.state); err != nil {
-			return false, err
+			return 0, err
 		}
 	}
 	r.loaded = true
 	r.cursor = recs.Version
-	return len(recs.Records) > 0, nil
+	return len(recs.Records), nil
 }
 
 // noteHost takes one announcement, or that it was taken out.
