--- a/director/own.go
+++ b/director/own.go
@@ -12,8 +12,9 @@
 	// ownShare is the part of its slots up to which the endpoint beside this node is preferred: it is full for none but this
 	// node's own callers, and beyond it the others' slots are as good.
 	ownShare = 0.5
-	// ownSuccess is the least recent share of good answers for that.
-	ownSuccess = 0.9
+	// ownSuccess is the least recent share of good answers for that: one failure costs it the preference until seven answers or so
+	// have been good.
+	ownSuccess = 0.95
 	// ownSlowdown is by how much it may be slower than the service is usually.
 	ownSlowdown = 1.5
 	// drawnShare is the part of the requests that are drawn among all the same, so that the others' evidence stays fresh and a new
