Peer: a link that is only used by requests beats half as often while it rests

Cause: a node of a large fleet has two dozen members and as many choosers; a beat every 4 s on each is 12 a second at a node, each with a wake-up at both ends for its echo too, most of what a node at rest does. Links kept for what the peer has to tell beat as before. Left as it is: an offer on a link whose peer is gone without a word is answered by nobody for 60 to 300 ms, and goes elsewhere.

--- a/peer/control.go
+++ b/peer/control.go
@@ -24,7 +24,7 @@
 	go func() {
 		defer close(heard)
 		for {
-			_ = stream.SetReadDeadline(time.Now().Add(acceptorPatience * m.cfg.CutAfter))
+			_ = stream.SetReadDeadline(time.Now().Add(m.cfg.acceptorLimit()))
 			f, err := r.Read()
 			if err != nil {
 				return
@@ -52,8 +52,7 @@
 	}
 }
 
-// acceptorPatience is after how many times the limit of an echo a link is closed on which nothing is heard: long enough for
-// a frozen peer to come back to its link.
+// acceptorPatience is after how many times the limit of an echo a link is closed on which nothing is heard.
 const acceptorPatience = 10
 
 // drain empties a channel, so that whoever fills it comes to its end.
@@ -112,7 +111,7 @@
 // once whether it is cut, and what its peer has to tell comes without being asked. On one that carries requests an answered
 // offer says what an echo would, so it beats only when none has been answered for a while.
 func (s *Session) untilBeat(sent, now time.Time) time.Duration {
-	idle := sent.Add(idleFactor * s.m.cfg.Heartbeat).Sub(now)
+	idle := sent.Add(s.restFactor() * s.m.cfg.Heartbeat).Sub(now)
 	switch {
 	case s.urgent.Swap(false):
 		return 0
@@ -125,8 +124,27 @@
 	return min(idle, time.Unix(0, last).Add(s.m.cfg.Heartbeat).Sub(now))
 }
 
-// idleFactor is how many times the usual interval lies between the beats of an idle link.
-const idleFactor = 8
+// idleFactor is how many times the usual interval lies between the beats of an idle link that is kept for what its peer has to
+// tell, restFactor the same for one that only carries requests: those find out for themselves, and a node of a large fleet has
+// dozens, each beat of which wakes both ends.
+const (
+	idleFactor = 8
+	restFactor = 2 * idleFactor
+)
+
+// restFactor is the factor of this link.
+func (s *Session) restFactor() time.Duration {
+	if s.pinned.Load() {
+		return idleFactor
+	}
+	return restFactor
+}
+
+// acceptorLimit is how long the acceptor of a link hears nothing before it closes it: long enough for a frozen peer to come back
+// to its link, and for some beats of an idle one to be late.
+func (c Config) acceptorLimit() time.Duration {
+	return max(acceptorPatience*c.CutAfter, 2*restFactor*c.Heartbeat)
+}
 
 func (s *Session) listen(r FrameReader) {
 	defer s.close()
