Follow: a hall's first reader confirms the configuration for the hall, by a word of the platform at most half a second old

A node that does not read the configuration asks its hall's first reader over the link that it keeps to it, and is brought to the version that the reader names before it answers; the reader asks twice a second at most. A reader's own requests go by a question from after they came.

Calls at real size are not measured yet.

--- a/director/director.go
+++ b/director/director.go
@@ -245,7 +245,7 @@
 
 // membersOf returns the places of the endpoints that this node sends to now.
 func (d *Director) membersOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) []int {
-	rt.need = max(rt.need*workMemory, d.needOf(now, rt, sv))
+	rt.need = max(rt.need*workMemory, needOf(rt, sv))
 	return rt.membership.members(int(math.Ceil(rt.need)), func(i int) bool {
 		e := &sv.Endpoints[i]
 		in := entry{endpoint: *e, phase: s.EndpointPhase(*e), verdict: rt.detector.Verdict(e.Key), target: rt.targets[e.Key]}
@@ -254,7 +254,7 @@
 }
 
 // needOf is how many endpoints it takes for this node's own requests to fill workShare of their slots.
-func (d *Director) needOf(now time.Time, rt *runtime, sv table.ServiceView) float64 {
+func needOf(rt *runtime, sv table.ServiceView) float64 {
 	inFlight, slots := 0.0, 0.0
 	for _, i := range rt.membership.near[:rt.membership.nearCount] {
 		e := &sv.Endpoints[i]
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -71,13 +71,29 @@
 
 func announceHost(t *testing.T, s *store.Store, id string, gone bool) {
 	t.Helper()
-	l := store.NewLocal(s)
-	value, err := json.Marshal(table.HostInfo{ID: id, Hall: "hall-1", Address: "127.0.0.1:1"})
+	write := lineOf(t, table.HostInfo{ID: id, Hall: "hall-1", Address: "127.0.0.1:1"})
+	write.Delete = gone
+	commit(t, s, write)
+}
+
+// announceAt writes a host's line.
+func announceAt(t *testing.T, s *store.Store, h table.HostInfo) {
+	t.Helper()
+	commit(t, s, lineOf(t, h))
+}
+
+func lineOf(t *testing.T, h table.HostInfo) platform.Write {
+	t.Helper()
+	value, err := json.Marshal(h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	write := platform.Write{Key: HostPrefix + id, Value: value, Delete: gone}
-	if _, err := l.Commit(t.Context(), platform.Txn{Writes: []platform.Write{write}}); err != nil {
+	return platform.Write{Key: HostPrefix + h.ID, Value: value}
+}
+
+func commit(t *testing.T, s *store.Store, write platform.Write) {
+	t.Helper()
+	if _, err := store.NewLocal(s).Commit(t.Context(), platform.Txn{Writes: []platform.Write{write}}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -81,8 +81,9 @@
 	SelfLine table.HostInfo
 	// Ready is false until the node may serve.
 	Ready bool
-	// list is the hosts as the store or a peer told them.
-	list hostList
+	// list is the hosts as the store or a peer told them, ranked those in force by rank.
+	list   hostList
+	ranked ranking
 }
 
 // Listed tells whether the list shows a host; without a list every host counts as shown.
@@ -127,8 +128,6 @@
 	startedAt  time.Time
 	// hosts is the newest list of hosts as the store or a peer told it.
 	hosts hostList
-	// ranked is the list in force by rank.
-	ranked ranking
 }
 
 // sourceState is what is known of one of the platform's tables that the node reads.
@@ -240,7 +239,7 @@
 	if !snap.Ready {
 		f.askSeeds(ctx)
 	}
-	f.keepLinks(ctx, now, snap.Hosts, reader)
+	f.keepLinks(ctx, now, snap, reader)
 	f.pullNext(ctx)
 }
 
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -98,7 +98,7 @@
 	for _, h := range hosts {
 		next.ByID[h.ID] = h
 	}
-	f.ranked = rankHosts(hosts)
+	next.ranked = rankHosts(hosts)
 	if here := hallHosts(hosts, f.cfg.Hall); !slices.Equal(here, old.HallHosts) {
 		next.HallHosts = here
 	}
--- a/follow/links.go
+++ b/follow/links.go
@@ -11,10 +11,11 @@
 // isReader tells whether this node is one of so many of its hall that read a table of the platform. The next ones in rank
 // stand in for readers out of reach.
 func (f *Follower) isReader(count int) bool {
-	if len(f.Snapshot().Hosts) == 0 {
+	snap := f.Snapshot()
+	if len(snap.Hosts) == 0 {
 		return true
 	}
-	return slices.ContainsFunc(f.ranked.readers(f.cfg.Hall, count, f.reachable), f.isSelf)
+	return slices.ContainsFunc(snap.ranked.readers(f.cfg.Hall, count, f.reachable), f.isSelf)
 }
 
 func (f *Follower) isSelf(h table.HostInfo) bool { return h.ID == f.cfg.Host }
@@ -25,13 +26,13 @@
 
 // keepLinks holds a link to the hall's readers and to those that stand in for them, from a reader also to those of the
 // next halls, and in a small fleet to every host.
-func (f *Follower) keepLinks(ctx context.Context, now time.Time, hosts []table.HostInfo, reader bool) {
-	wanted := hosts
-	if len(hosts) > mostPinned || now.Sub(f.startedAt) < meshAfter {
-		wanted = slices.Concat(f.ranked.readers(f.cfg.Hall, f.cfg.Readers, anyOf),
-			f.ranked.readers(f.cfg.Hall, f.cfg.Readers, f.reachable))
+func (f *Follower) keepLinks(ctx context.Context, now time.Time, snap *Snapshot, reader bool) {
+	wanted := snap.Hosts
+	if len(wanted) > mostPinned || now.Sub(f.startedAt) < meshAfter {
+		wanted = slices.Concat(snap.ranked.readers(f.cfg.Hall, f.cfg.Readers, anyOf),
+			snap.ranked.readers(f.cfg.Hall, f.cfg.Readers, f.reachable))
 		if reader {
-			wanted = append(wanted, f.ranked.neighbours(f.cfg.Hall, neighbourHalls, f.reachable)...)
+			wanted = append(wanted, snap.ranked.neighbours(f.cfg.Hall, neighbourHalls, f.reachable)...)
 		}
 	}
 	for _, h := range wanted {
--- a/follow/readconfig.go
+++ b/follow/readconfig.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
-	"github.com/lynxplank/lynxplank/table"
 )
 
 // readConfig keeps reading the configuration of the platform's operators until the node stops.
@@ -81,40 +79,3 @@
 		}
 	}
 }
-
-// confirmLook is the time between two looks whether a newer configuration is in force.
-const confirmLook = time.Millisecond
-
-// Confirm tells whether the configuration in force is the platform's newest; a newer one is in force when it returns. Whoever
-// asks while a question is under way waits for the next one, which all who wait share.
-//
-// Invariant: the store is asked after Confirm was called, so no earlier question answers for a later configuration.
-func (f *Follower) Confirm(ctx context.Context) bool {
-	if !f.cfg.WithConfig {
-		return true
-	}
-	return f.confirms.Do(ctx, f.confirm)
-}
-
-// confirm asks the store once.
-func (f *Follower) confirm(ctx context.Context) bool {
-	after := f.configCursor.Load()
-	recs, err := f.platform.Feed(platform.WithReason(ctx, platform.ReasonConfirm), platform.TableOperators, after, 0)
-	if err != nil {
-		return false
-	}
-	// One that cannot be used is told by the reader, which meets it too.
-	configs, _ := f.decodeConfigs(recs)
-	for _, cfg := range configs {
-		f.seeConfig(cfg.Version)
-		f.deliver(configRead{config: &cfg})
-	}
-	for f.State().Revisions()[table.PlaneConfig] < f.configSeen.Load() {
-		if !f.pause(ctx, confirmLook) {
-			return false
-		}
-	}
-	// A node that is no reader would be sent the same configurations again with each answer.
-	f.configCursor.CompareAndSwap(after, max(after, recs.Version))
-	return true
-}
--- a/follow/shared.go
+++ b/follow/shared.go
@@ -15,6 +15,8 @@
 	mu sync.Mutex
 	// running is the question under way, next the one that begins when it has ended; nil for none.
 	running, next *round
+	// heardOf is when the last question began that was answered with yes.
+	heardOf time.Time
 }
 
 // round is one question and, once done is closed, its answer.
@@ -23,6 +25,13 @@
 	answer bool
 }
 
+// Fresh tells whether a question that began at most so long before now was answered with yes.
+func (s *shared) Fresh(now time.Time, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.heardOf.IsZero() && now.Sub(s.heardOf) <= age
+}
+
 // Do asks, or joins a question that has not begun yet; false when ctx ends first.
 func (s *shared) Do(ctx context.Context, ask func(context.Context) bool) bool {
 	s.mu.Lock()
@@ -51,12 +60,16 @@
 		return
 	}
 	go func(r *round) {
+		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), sharedLimit)
 		defer cancel()
 		r.answer = ask(ctx)
 		close(r.done)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if r.answer {
+			s.heardOf = began
+		}
 		s.begin(ask)
 	}(s.running)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -144,7 +144,7 @@
 		Distance: hallDistance, Ejection: n.ejection(),
 	}, n.log, follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
-	links.Handle(handler{Egress: e, snapshot: follower.Snapshot})
+	links.Handle(handler{Egress: e, follower: follower})
 	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm))
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
@@ -309,12 +309,18 @@
 // handler answers peers.
 type handler struct {
 	*egress.Egress
-	snapshot func() *follow.Snapshot
+	follower *follow.Follower
+}
+
+// Confirm implements peer.Handler.
+func (h handler) Confirm(ctx context.Context) (config uint64, known bool) {
+	known = h.follower.ConfirmForPeer(ctx)
+	return h.follower.State().Revisions()[table.PlaneConfig], known
 }
 
 // Deltas implements peer.Handler.
 func (h handler) Deltas(from table.Revisions, changesOnly bool) []*peerpb.Delta {
-	return follow.Deltas(h.snapshot(), from, changesOnly)
+	return follow.Deltas(h.follower.Snapshot(), from, changesOnly)
 }
 
 // hostView tells what the host list and the links say of a host.
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -40,6 +40,8 @@
 
 func (echo) Settle(*peerpb.Settle) {}
 
+func (echo) Confirm(context.Context) (uint64, bool) { return 7, true }
+
 func (echo) Deltas(table.Revisions, bool) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
 
 type kept struct{ body []byte }
--- a/peer/offer_test.go
+++ b/peer/offer_test.go
@@ -74,6 +74,8 @@
 
 func (*offers) Settle(*peerpb.Settle) {}
 
+func (*offers) Confirm(context.Context) (uint64, bool) { return 0, false }
+
 func (*offers) Deltas(table.Revisions, bool) []*peerpb.Delta { return nil }
 
 func startOffers(t *testing.T, o *offers) (*Manager, string) {
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -98,12 +98,7 @@
 			x.s.unanswered(x)
 			return x.broken()
 		}
-		if x.offered && first {
-			x.s.proved(x.at)
-		}
-		if x.offered {
-			x.patient()
-		}
+		x.heard(first)
 		switch k := f.GetKind().(type) {
 		case *peerpb.Frame_Ack:
 		case *peerpb.Frame_Grant:
@@ -148,6 +143,17 @@
 	return Unknown(fault.Canceled)
 }
 
+// heard takes a frame as evidence about the link, the first one of an offer in both directions.
+func (x *sending) heard(first bool) {
+	if !x.offered {
+		return
+	}
+	if first {
+		x.s.proved(x.at)
+	}
+	x.patient()
+}
+
 // patient takes the limit of the first frame away; the link's heartbeat judges from here on.
 func (x *sending) patient() {
 	_ = x.stream.SetReadDeadline(time.Time{})
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -21,6 +21,8 @@
 	Fetch(ctx context.Context, exchange uint64, sink Sink) *peerpb.End
 	// Settle notes how a claimed request ended elsewhere.
 	Settle(s *peerpb.Settle)
+	// Confirm tells the newest version of the platform's configuration; false when that cannot be said now.
+	Confirm(ctx context.Context) (config uint64, known bool)
 	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame; changesOnly tells
 	// whether the asker takes the hosts' changes alone.
 	Deltas(from table.Revisions, changesOnly bool) []*peerpb.Delta
@@ -66,6 +68,8 @@
 		m.serveRelay(stream, r, k.Relay)
 	case *peerpb.Frame_Pull:
 		m.servePull(stream, k.Pull)
+	case *peerpb.Frame_Confirm:
+		m.serveConfirm(stream)
 	case *peerpb.Frame_Settle:
 		m.handler.Settle(k.Settle)
 		_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}})
@@ -81,6 +85,17 @@
 	}
 }
 
+// confirmServe bounds a peer's question for the newest configuration: it waits no longer itself.
+const confirmServe = 250 * time.Millisecond
+
+func (m *Manager) serveConfirm(stream net.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmServe)
+	defer cancel()
+	config, known := m.handler.Confirm(ctx)
+	answer := &peerpb.Confirmed{Known: known, Config: config}
+	_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Confirmed{Confirmed: answer}})
+}
+
 func (m *Manager) servePull(stream net.Conn, p *peerpb.Pull) {
 	for _, d := range m.handler.Deltas(revisionsOf(p.GetFrom()), p.GetHostChanges()) {
 		if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Delta{Delta: d}}); err != nil {
--- a/peer/session.go
+++ b/peer/session.go
@@ -188,17 +188,31 @@
 	}
 }
 
-// Settle tells the peer how a claimed request ended; LinkLost when that cannot be confirmed.
-func (s *Session) Settle(ctx context.Context, msg *peerpb.Settle) error {
+// Confirm asks the peer for the newest version of the platform's configuration; false when it cannot say.
+func (s *Session) Confirm(ctx context.Context) (config uint64, known bool) {
+	f, err := s.ask(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Confirm{Confirm: &peerpb.Confirm{}}})
+	if err != nil {
+		return 0, false
+	}
+	return f.GetConfirmed().GetConfig(), f.GetConfirmed().GetKnown()
+}
+
+// ask says one word on a stream of its own and returns the peer's.
+func (s *Session) ask(ctx context.Context, word *peerpb.Frame) (*peerpb.Frame, error) {
 	stream, err := s.mux.OpenStream()
 	if err != nil {
-		return fault.Wrap(err, fault.LinkDown, s.address, "stream cannot be opened")
+		return nil, fault.Wrap(err, fault.LinkDown, s.address, "stream cannot be opened")
 	}
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
-	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Settle{Settle: msg}}); err != nil {
-		return err
+	if err := WriteFrame(stream, word); err != nil {
+		return nil, err
 	}
-	_, err = NewFrameReader(stream).Read()
+	return NewFrameReader(stream).Read()
+}
+
+// Settle tells the peer how a claimed request ended; LinkLost when that cannot be confirmed.
+func (s *Session) Settle(ctx context.Context, msg *peerpb.Settle) error {
+	_, err := s.ask(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Settle{Settle: msg}})
 	return err
 }
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -63,8 +63,8 @@
 
 // draw takes a chooser's endpoints off the circle's room.
 func (c *circle) draw(chosen []int, chooser uint64, size int) []int {
-	for n := range uint64(size) {
-		at := mix(chooser, n)
+	for n := range size {
+		at := mix(chooser, uint64(n)) //nolint:gosec // counts are not negative
 		e := c.next(chosen, at)
 		for e < 0 {
 			c.raise()
