--- a/subset/subset.go
+++ b/subset/subset.go
@@ -64,7 +64,7 @@
 // draw takes a chooser's endpoints off the circle's room.
 func (c *circle) draw(chosen []int, chooser uint64, size int) []int {
 	for n := range size {
-		at := mix(chooser, uint64(n)) //nolint:gosec // counts are not negative
+		at := mix(chooser, uint64(n))
 		e := c.next(chosen, at)
 		for e < 0 {
 			c.raise()
