Announce, peer: a restart whose line stands writes nothing; a peer that could not be reached is tried again

The lines say what the store knows but for the number of the process's life, which only its own node looks at: a line left by an earlier life is kept if it differs in nothing else, the first write waits until the store's list is loaded, and a refused write says what stands, so nothing is read.

Read in the code meanwhile: beyond 64 hosts nobody tried a peer again whose link could not be opened once, so each node lost for good the peers that it had met while they restarted.

--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -49,18 +49,20 @@
 	withdrawn bool
 	// dirty is set while the line may not be as it should be.
 	dirty bool
-	// written is the version of the line as this process last wrote it.
+	// written is the version of the line as this process last wrote it, or found it to be as it should.
 	written uint64
-	// sure is set while the line is known to be at that version, with the value that was written last; asked while it has to be
-	// read before the next write.
-	sure  bool
-	asked bool
-	value []byte
+	// sure is set while the line is known to be at that version, with that value and that incarnation.
+	sure        bool
+	value       []byte
+	incarnation uint64
+	// loaded is closed once a snapshot shows what the store holds, or may hold nothing.
+	loaded     chan struct{}
+	loadedOnce sync.Once
 }
 
 // New returns an announcer that has written nothing.
 func New(cfg Config, log *zerolog.Logger, t changes.Table) *Announcer {
-	return &Announcer{cfg: cfg, log: log, table: t, want: cfg.Host, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	return &Announcer{cfg: cfg, log: log, table: t, want: cfg.Host, wake: make(chan struct{}, 1), done: make(chan struct{}), loaded: make(chan struct{})}
 }
 
 // Start keeps the line as it should be. With endpoints that announce themselves it is first written when one has, or
@@ -100,11 +102,16 @@
 	a.mark()
 }
 
-// Observe looks whether a snapshot in force shows the line as it was written; another node may have taken it out.
+// Observe looks whether a snapshot in force shows the line as it was written; another node may have taken it out. Before the
+// first write it takes what an earlier life of the node has left.
 func (a *Announcer) Observe(snap *follow.Snapshot) {
 	a.mu.Lock()
+	if a.written == 0 && snap.SelfLine.Version != 0 {
+		a.found(snap.SelfLine, snap.SelfLine.Version)
+	}
 	shown := a.written != 0 && snap.State.Revisions()[table.PlaneHosts] > a.written
-	lost := shown && !a.withdrawn && snap.SelfLine.Incarnation != a.cfg.Host.Incarnation
+	other := shown && (snap.SelfLine.Incarnation != a.incarnation || snap.SelfLine.Version > a.written)
+	lost := other && !a.withdrawn
 	if lost {
 		a.sure = false
 	}
@@ -112,6 +119,21 @@
 	if lost {
 		a.mark()
 	}
+	if snap.Ready {
+		a.loadedOnce.Do(func() { close(a.loaded) })
+	}
+}
+
+// found takes a line that stands in the store; the lock is held. One that differs in its incarnation alone is as good as the one
+// that this process would write: a fleet that restarts at once would queue for seconds to say what the store knows, and each line
+// wakes every reader.
+func (a *Announcer) found(line table.HostInfo, version uint64) {
+	line.Version = 0
+	value, err := json.Marshal(line)
+	if err != nil {
+		return
+	}
+	a.written, a.value, a.incarnation, a.sure = version, value, line.Incarnation, true
 }
 
 // mark has the line written.
@@ -127,6 +149,9 @@
 
 func (a *Announcer) run(ctx context.Context) {
 	defer close(a.done)
+	if !a.awaitLoaded(ctx) {
+		return
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -145,6 +170,20 @@
 	}
 }
 
+// awaitLoaded waits until it is known what the store holds of this host, as long as the first write may wait; false when the node
+// stops.
+func (a *Announcer) awaitLoaded(ctx context.Context) bool {
+	wait := time.NewTimer(a.cfg.FirstDelay)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.loaded:
+	case <-wait.C:
+	}
+	return true
+}
+
 // sleep waits; false when the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
@@ -167,7 +206,11 @@
 	if a.withdrawn {
 		return write, true, nil
 	}
-	write.Value, err = json.Marshal(a.want)
+	line := a.want
+	if a.written != 0 {
+		line.Incarnation = a.incarnation
+	}
+	write.Value, err = json.Marshal(line)
 	if err != nil {
 		err = fault.Wrap(err, fault.Internal, write.Key, "announcement cannot be encoded")
 	}
@@ -195,22 +238,6 @@
 	return err
 }
 
-// version returns the version of the line that the next write replaces. Before a process's first write none is taken to be
-// there: mostly that is so, and if not the refusal says what is, for the price of the question.
-func (a *Announcer) version(ctx context.Context, key string) (uint64, error) {
-	a.mu.Lock()
-	known, sure, ask := a.written, a.sure, a.asked
-	a.mu.Unlock()
-	if sure || !ask {
-		return known, nil
-	}
-	recs, err := a.table.Get(ctx, key)
-	if err != nil {
-		return 0, err
-	}
-	return recs[0].Version, nil
-}
-
 // stands tells whether the line is known to be as a write would make it.
 func (a *Announcer) stands(w platform.Write) bool {
 	a.mu.Lock()
@@ -225,31 +252,44 @@
 	}
 	ctx, cancel := context.WithTimeout(platform.WithReason(ctx, platform.ReasonLine), a.cfg.Timeout)
 	defer cancel()
-	version, err := a.version(ctx, w.Key)
-	if err != nil {
-		return err
-	}
+	a.mu.Lock()
+	version := a.written
+	a.mu.Unlock()
 	reply, err := a.replace(ctx, w, version)
 	if err == nil && !reply.Committed {
-		if version = reply.VersionOf(w.Key); version != 0 || !w.Delete {
-			reply, err = a.replace(ctx, w, version)
-		}
-	}
-	if err == nil && !reply.Committed && (version != 0 || !w.Delete) {
-		err = fault.New(fault.Conflict, w.Key, "line was written meanwhile")
+		reply, err = a.replaceFound(ctx, w, reply)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	// After a failure the line may be at any version: the next attempt asks for it.
-	a.sure, a.asked = err == nil, true
+	a.sure = err == nil
 	if err != nil {
 		return err
 	}
 	a.written, a.value = reply.Version, w.Value
+	if a.incarnation == 0 {
+		a.incarnation = a.cfg.Host.Incarnation
+	}
 	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).Send()
 	return nil
 }
 
+// replaceFound writes once more over the line that a refusal has shown, unless that is what is to be written: a write of this
+// process whose answer was lost.
+func (a *Announcer) replaceFound(ctx context.Context, w platform.Write, refused platform.TxnReply) (platform.TxnReply, error) {
+	found := refused.FoundAt(w.Key)
+	if found.Version == 0 && w.Delete {
+		return refused, nil
+	}
+	if !w.Delete && bytes.Equal(found.Value, w.Value) {
+		return platform.TxnReply{Committed: true, Version: found.Version}, nil
+	}
+	reply, err := a.replace(ctx, w, found.Version)
+	if err == nil && !reply.Committed {
+		err = fault.New(fault.Conflict, w.Key, "line was written meanwhile")
+	}
+	return reply, err
+}
+
 // replace makes one write, provided that the line is at a version, 0 for not there.
 func (a *Announcer) replace(ctx context.Context, w platform.Write, version uint64) (platform.TxnReply, error) {
 	return a.table.Commit(ctx, platform.Txn{
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -93,8 +93,9 @@
 	dialing  map[string]*dial
 	// suspects are the peers whose last link ended, or was replaced, under suspicion.
 	suspects map[string]bool
-	// unreachable says since when a peer cannot be reached.
-	unreachable map[string]time.Time
+	// unreachable are the peers that cannot be reached; redialing is set while some of them are tried again.
+	unreachable map[string]*outage
+	redialing   bool
 	accepted    map[*yamux.Session]net.Conn
 	// subscribers are the connected peers that hear of news at once, with the hall of each.
 	subscribers map[chan struct{}]string
@@ -124,7 +125,7 @@
 		sessions:    make(map[string]*Session),
 		dialing:     make(map[string]*dial),
 		suspects:    make(map[string]bool),
-		unreachable: make(map[string]time.Time),
+		unreachable: make(map[string]*outage),
 		accepted:    make(map[*yamux.Session]net.Conn),
 		subscribers: make(map[chan struct{}]string),
 		onBeat:      func(string, table.Revisions) {},
