Egress, ingress: a refusal names the endpoint that stands where the asked one stood, and that is asked at once

A refusal of that kind is proof of not run, so the request goes to the endpoint named, under an exchange of its own; what runs under a key does not.

--- a/egress/find.go
+++ b/egress/find.go
@@ -27,7 +27,7 @@
 		return e.open(r.Entry, r.Leaving)
 	}
 	if !e.here(d) {
-		return nil, peer.NotRun(fault.WrongHost, shortRetryAfter)
+		return nil, e.notHere(d)
 	}
 	s := e.state()
 	row, _ := s.Endpoint(d.GetEndpoint())
@@ -63,6 +63,18 @@
 	return ok && row.Plane != table.PlaneHosts && row.Value.Host == e.cfg.Host && row.Value.Service == d.GetService()
 }
 
+// notHere refuses a request for an endpoint that is not here, and names the one of its service that is: one that was started anew
+// beside this node has another name, which the store may not know for seconds after a whole fleet has lost power.
+func (e *Egress) notHere(d *peerpb.Dispatch) *peerpb.End {
+	end := peer.NotRun(fault.WrongHost, shortRetryAfter)
+	if e.announced != nil {
+		if r, ok := e.announced.Of(d.GetService()); ok {
+			end.Stands = r.Key
+		}
+	}
+	return end
+}
+
 // local returns the endpoint's runtime as the table wants it, a new one for an endpoint that had no work yet.
 func (e *Egress) local(row table.Entry[table.Endpoint], s *table.State) *local {
 	view, _ := s.Service(row.Value.Service)
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -4,15 +4,43 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/table"
 )
 
-// deliver brings a dispatch to the egress beside the endpoint: a function call here, a link elsewhere.
+// deliver brings a dispatch to the egress beside the endpoint, or to the endpoint that stands there in its place: one that was
+// started anew is known to its node at once, and to everybody else only by way of the store. When a fleet of hundreds has lost
+// power, that is most of what is asked in the first seconds.
 func (x *exchange) deliver(
 	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
+) *peerpb.End {
+	end := x.deliverTo(ctx, e, d, sink)
+	if next := x.inPlace(d, end); next != nil {
+		return x.deliverTo(ctx, e, next, sink)
+	}
+	return end
+}
+
+// inPlace returns the dispatch for the endpoint that a refusal names in place of the one that was asked for; nil if it names none.
+// What runs under a key stays with the key's home.
+func (x *exchange) inPlace(d *peerpb.Dispatch, end *peerpb.End) *peerpb.Dispatch {
+	if end.GetStands() == "" || end.GetStands() == d.GetEndpoint() || d.GetClaim() != nil ||
+		end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN {
+		return nil
+	}
+	next, _ := proto.Clone(d).(*peerpb.Dispatch)
+	next.Endpoint = end.GetStands()
+	next.Exchange = x.g.cfg.Incarnation + x.g.sent.Add(1)
+	return next
+}
+
+// deliverTo brings a dispatch to the egress of an endpoint's host: a function call here, a link elsewhere.
+func (x *exchange) deliverTo(
+	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
 ) *peerpb.End {
 	if e.Value.Host == x.g.cfg.Host {
 		return x.g.local.Serve(ctx, d, x.body.reader(), sink)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -197,6 +197,19 @@
 	return e, ok
 }
 
+// Of returns an endpoint of a service that takes new work, the first by name.
+func (r *Registry) Of(service string) (Endpoint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first, found := Endpoint{}, false
+	for key, e := range r.live {
+		if e.Value.Service == service && !e.Leaving && (!found || key < first.Key) {
+			first, found = e, true
+		}
+	}
+	return first, found
+}
+
 // Serving tells whether some endpoint takes new work.
 func (r *Registry) Serving() bool {
 	r.mu.Lock()
