--- a/director/director.go
+++ b/director/director.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,23 +57,6 @@
 	restless bool
 }
 
-// view is what traffic reads of one service; immutable but for its targets.
-type view struct {
-	revision uint64
-	service  table.ServiceView
-	// entries are the endpoints that this node sends to.
-	entries []entry
-	marks   eject.Marks
-}
-
-type entry struct {
-	endpoint table.Entry[table.Endpoint]
-	phase    table.Phase
-	verdict  eject.Verdict
-	target   *target
-	addedAt  time.Time
-}
-
 type runtime struct {
 	key        string
 	detector   *eject.Service
@@ -190,109 +172,6 @@
 	return rt
 }
 
-// refresh brings the detector to the table in force and publishes the view.
-func (d *Director) refresh(now time.Time, rt *runtime) {
-	s := d.state()
-	sv, ok := s.Service(rt.key)
-	if !ok {
-		delete(d.services, rt.key)
-		d.publish(rt.key, nil)
-		return
-	}
-	if rt.revision != s.Revisions() {
-		cfg := d.cfg.Ejection.With(float64(sv.Value.FalseEjections), float64(sv.Value.Floor))
-		rt.detector.SetConfig(now, cfg)
-		rt.revision = s.Revisions()
-	}
-	d.rejoin(now, rt, sv)
-	members := d.membersOf(now, rt, s, sv)
-	list := make([]eject.Endpoint, 0, len(members))
-	for _, i := range members {
-		e := sv.Endpoints[i]
-		usable := s.EndpointPhase(e) == table.Active && !d.leaving(e.Value.Host)
-		list = append(list, eject.Endpoint{
-			Key: e.Key, Capacity: float64(e.Value.Weight) * float64(e.Value.Slots), Usable: usable,
-		})
-	}
-	rt.detector.SetEndpoints(now, list)
-	rt.refreshedAt = now
-	d.publish(rt.key, d.viewOf(rt, s, sv, members))
-}
-
-// rejoin works out anew which endpoints this node sends to, if these or the hall's hosts are others than before.
-func (d *Director) rejoin(now time.Time, rt *runtime, sv table.ServiceView) {
-	choosers := d.cfg.Choosers()
-	if rt.membership.fits(sv.Endpoints, choosers) {
-		return
-	}
-	rt.membership = newMembership(d.cfg.Host, d.cfg.Hall, choosers, sv.Endpoints)
-	known := make(map[string]bool, len(sv.Endpoints))
-	for _, e := range sv.Endpoints {
-		known[e.Key] = true
-		if rt.targets[e.Key] == nil {
-			rt.targets[e.Key] = newTarget()
-			rt.added[e.Key] = now
-		}
-	}
-	for key := range rt.targets {
-		if !known[key] {
-			delete(rt.targets, key)
-			delete(rt.added, key)
-			delete(rt.phases, key)
-		}
-	}
-}
-
-// membersOf returns the places of the endpoints that this node sends to now.
-func (d *Director) membersOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) []int {
-	rt.need = max(rt.need*workMemory, needOf(rt, sv))
-	return rt.membership.members(int(math.Ceil(rt.need)), func(i int) bool {
-		e := &sv.Endpoints[i]
-		in := entry{endpoint: *e, phase: s.EndpointPhase(*e), verdict: rt.detector.Verdict(e.Key), target: rt.targets[e.Key]}
-		return !in.out() && d.open(&in, now)
-	})
-}
-
-// needOf is how many endpoints it takes for this node's own requests to fill workShare of their slots.
-func needOf(rt *runtime, sv table.ServiceView) float64 {
-	inFlight, slots := 0.0, 0.0
-	for _, i := range rt.membership.near[:rt.membership.nearCount] {
-		e := &sv.Endpoints[i]
-		inFlight += float64(rt.targets[e.Key].inFlight.Load())
-		slots += float64(e.Value.Slots)
-	}
-	if slots == 0 {
-		return 0
-	}
-	return inFlight / workShare * float64(rt.membership.nearCount) / slots
-}
-
-func (d *Director) viewOf(rt *runtime, s *table.State, sv table.ServiceView, members []int) *view {
-	v := &view{revision: s.Revision(), service: sv, marks: rt.detector.Marks(), entries: make([]entry, 0, len(members))}
-	rt.unsettled = false
-	for _, i := range members {
-		e := sv.Endpoints[i]
-		verdict := rt.detector.Verdict(e.Key)
-		d.notePhase(rt, e.Key, verdict)
-		rt.unsettled = rt.unsettled || verdict.Phase != eject.Serving
-		v.entries = append(v.entries, entry{
-			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: rt.targets[e.Key], addedAt: rt.added[e.Key],
-		})
-	}
-	d.restless = d.restless || rt.unsettled
-	return v
-}
-
-func (d *Director) notePhase(rt *runtime, key string, v eject.Verdict) {
-	if rt.phases[key] == v.Phase {
-		return
-	}
-	events.PhaseChanged.Log(d.log).Str("service", rt.key).Str("endpoint", key).
-		Str("from", rt.phases[key].String()).Str("to", v.Phase.String()).
-		Str("test", v.Test).Float64("score", v.Score).Float64("threshold", v.Threshold).Send()
-	rt.phases[key] = v.Phase
-}
-
 func (d *Director) published(key string) *view {
 	found, _ := d.views.Load(key)
 	v, _ := found.(*view)
--- a/table/state.go
+++ b/table/state.go
@@ -21,7 +21,7 @@
 	Address string `json:"address"`
 	// Leaving is set when the host's node is stopping.
 	Leaving bool `json:"leaving,omitempty"`
-	// Incarnation tells the node's life from earlier ones of the same host.
+	// Incarnation tells which life of the node wrote the line; a later one that finds it as it should be leaves it.
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	// Endpoints are those beside the node that have announced themselves.
 	Endpoints []Announced `json:"endpoints,omitempty"`
