Cli: the tests' platform claims its port instead of borrowing one of the kernel's

The whole script failed once beside four busy processes: TestScripts/outages, 127.0.0.1:41893 in use. Traced: the test listened on a port of the kernel's choice, closed it and listened again; that range is given to outgoing connections of every other test meanwhile. No check is changed.

--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/lynxplank/lynxplank/cli"
+	"github.com/lynxplank/lynxplank/demo"
 	"github.com/lynxplank/lynxplank/outbound"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
@@ -49,14 +49,11 @@
 }
 
 func startPlatform(env *testscript.Env, s *store.Store) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := demo.FreePorts(1)
 	if err != nil {
 		return err
 	}
-	address := l.Addr().String()
-	if err := l.Close(); err != nil {
-		return err
-	}
+	address := ports[0]
 	server := store.NewServer(s, netip.MustParseAddrPort(address))
 	if err := server.Start(context.Background()); err != nil {
 		return err
