Soak: what was accepted is looked for until it is in force, not once when all nodes show one revision

The judge waited until all nodes showed the same revision, and then looked once for the accepted rows. Read in the code: nodes that are all behind the store show the same revision, too, and the others had moved on by the time they were asked. Not reproduced with logs.

Only the moment of the single look is gone.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	if !waitFor(r.sameRevision) {
 		r.breaks("revision: the nodes do not come to the same one")
 	}
+	// Nodes that are all behind show the same revision, too; what does not come in force is told by judgeRows.
+	waitFor(r.holdsAccepted)
 	if !waitFor(r.servesAgain) {
 		r.breaks("recovery: lookups are not served %v after everything healed", settleLimit)
 	}
@@ -54,6 +57,12 @@
 	return true
 }
 
+// holdsAccepted tells whether every accepted change is in force at every node.
+func (r *run) holdsAccepted() bool {
+	broken, err := r.rowsNotInForce()
+	return err == nil && len(broken) == 0
+}
+
 // servesAgain tells whether each node serves a row of lookups at the first send.
 func (r *run) servesAgain() bool {
 	for _, m := range r.fleet.Members {
@@ -128,20 +137,33 @@
 
 // judgeRows looks for accepted changes that are not in force at every node.
 func (r *run) judgeRows() error {
+	broken, err := r.rowsNotInForce()
+	for _, row := range broken {
+		r.breaks("change: %s", row)
+	}
+	for key := range r.weights {
+		if !r.unknown[key] {
+			r.report.Changes++
+		}
+	}
+	return err
+}
+
+// rowsNotInForce tells of each accepted change that some node does not hold.
+func (r *run) rowsNotInForce() (broken []string, err error) {
 	for key, want := range r.weights {
 		if r.unknown[key] {
 			continue
 		}
-		r.report.Changes++
 		for _, m := range r.fleet.Members {
 			row, err := m.Row("endpoint", key)
 			if err != nil {
-				return err
+				return broken, err
 			}
 			if got := row.Cells["weight"]; got != want {
-				r.breaks("change: node %s holds weight %s of %s, accepted was %s", m.Host, got, key, want)
+				broken = append(broken, fmt.Sprintf("node %s holds weight %s of %s, accepted was %s", m.Host, got, key, want))
 			}
 		}
 	}
-	return nil
+	return broken, nil
 }
