Customers are known by the keys that their callers bear

The platform's tenants become rows of the customer sheet: digests of the keys (a key itself is kept nowhere, and a cell written as plain:KEY becomes a digest before it is stored), limit, burst as a time, priority. A route may be open, the callers' listener says whether keys are wanted. Ingress finds the customer for each request; 401 only once the configuration in force was confirmed as the newest, as for unknown routes. Towards endpoints the name is set by the system, and every spelling of the field and every Authorization that the caller sent is dropped. A request that goes by an older configuration is refused by the endpoint's node if its customer has changed since, and its key is looked at again. Calls of endpoints bear no key and carry no name; beside the endpoint each stands for itself in the fair queue. A customer's priority goes before its route's.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -12,8 +12,8 @@
 type Contract interface {
 	// Call reads what a caller says of its request.
 	Call(h http.Header) (Call, *fault.Error)
-	// Forward returns the fields of a caller's request that go on to the endpoint.
-	Forward(h http.Header, caller string) []*peerpb.Header
+	// Forward returns the fields of a request that go on to the endpoint.
+	Forward(h http.Header, from Origin) []*peerpb.Header
 	// Dispatch adds what the endpoint is told of a request.
 	Dispatch(h http.Header, d Dispatch)
 	// Answer reads what an endpoint's answer says besides its body.
@@ -28,8 +28,10 @@
 type Call struct {
 	// ID names the request.
 	ID string
-	// Customer is who pays.
+	// Customer is who pays, as the caller says; it counts only where callers need no customer's key.
 	Customer string
+	// Token is what the caller bears of a customer's key.
+	Token Token
 	// Timeout is how long the caller waits.
 	Timeout time.Duration
 	// Repeatable is the caller's word on whether the request may run more than once: "yes", "no" or "".
@@ -40,6 +42,22 @@
 	Attempt uint32
 }
 
+// Token is what a caller bears of a customer's key. It is not to be kept, logged or passed on.
+type Token struct {
+	// Borne is set when the caller bears something, readable or not.
+	Borne bool
+	// Key is the key, "" for one that cannot be read.
+	Key string
+}
+
+// Origin is where a request comes from.
+type Origin struct {
+	// Address is the caller's IP.
+	Address string
+	// Keyed is set where callers bear customers' keys, which never go on to an endpoint.
+	Keyed bool
+}
+
 // Dispatch is what an endpoint is told of a request.
 type Dispatch struct {
 	// ID names the request.
@@ -48,6 +66,8 @@
 	Endpoint string
 	// Caller is the service beside whose host the request began, "" for none.
 	Caller string
+	// Customer is the customer whose key the caller bears, "" where it bears none.
+	Customer string
 	// Left is the time until the answer is of no more use.
 	Left time.Duration
 }
--- a/contract/own.go
+++ b/contract/own.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +29,7 @@
 func (Own) Call(h http.Header) (Call, *fault.Error) {
 	c := Call{
 		ID: uuid.NewString(), Customer: h.Get(header.Customer), Repeatable: h.Get(header.Repeatable),
-		Key: h.Get(header.IdempotencyKey),
+		Key: h.Get(header.IdempotencyKey), Token: TokenOf(h),
 	}
 	if c.Customer == "" {
 		c.Customer = anonymous
@@ -72,14 +73,20 @@
 }
 
 // Forward implements Contract.
-func (Own) Forward(h http.Header, caller string) []*peerpb.Header {
-	return append(header.FromHTTP(h), &peerpb.Header{Name: "X-Forwarded-For", Value: caller})
+func (Own) Forward(h http.Header, from Origin) []*peerpb.Header {
+	fields := slices.DeleteFunc(header.FromHTTP(h), func(f *peerpb.Header) bool {
+		return from.Keyed && (KeyField(f.GetName()) || SameField(f.GetName(), header.Customer))
+	})
+	return append(fields, &peerpb.Header{Name: "X-Forwarded-For", Value: from.Address})
 }
 
 // Dispatch implements Contract.
 func (Own) Dispatch(h http.Header, d Dispatch) {
 	h.Set(header.Deadline, strconv.FormatInt(d.Left.Milliseconds(), 10)+"ms")
 	h.Set(header.RequestID, d.ID)
+	if d.Customer != "" {
+		h.Set(header.Customer, d.Customer)
+	}
 }
 
 // Answer implements Contract.
--- a/egress/local.go
+++ b/egress/local.go
@@ -106,7 +106,7 @@
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
 	r := admit.Request{
-		ID: id, Customer: d.GetCustomer(), Weight: float64(customer.Value.Weight), Deadline: deadline,
+		ID: id, Customer: payer(d), Weight: float64(customer.Value.Weight), Deadline: deadline,
 		Aim: time.Now().Add(aimLeft(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(), Work: l.expected(d),
 	}
 	wait, until, end := l.offer(r)
@@ -123,6 +123,15 @@
 	}
 }
 
+// payer is by whom the request shares the queue. One that bears no customer's key, as the calls of endpoints' work, stands for
+// itself: counted as one customer, the calls of all customers' work waited behind everybody else's requests.
+func payer(d *peerpb.Dispatch) string {
+	if c := d.GetCustomer(); c != "" {
+		return c
+	}
+	return "request " + d.GetRequestId()
+}
+
 // aimLeft is the time in which the answer is worth its full value; without one, the whole time left.
 func aimLeft(d *peerpb.Dispatch) time.Duration {
 	if aim := d.GetAimMicros(); aim != 0 {
--- a/egress/run.go
+++ b/egress/run.go
@@ -87,8 +87,12 @@
 	deadline, _ := ctx.Deadline()
 	h := make(http.Header, len(d.GetHeaders()))
 	header.ToHTTP(d.GetHeaders(), h)
+	customer := ""
+	if d.GetKeyed() {
+		customer = d.GetCustomer()
+	}
 	l.contract.Dispatch(h, contract.Dispatch{
-		ID: d.GetRequestId(), Endpoint: d.GetEndpoint(), Caller: d.GetCaller(), Left: time.Until(deadline),
+		Customer: customer, ID: d.GetRequestId(), Endpoint: d.GetEndpoint(), Caller: d.GetCaller(), Left: time.Until(deadline),
 	})
 	r := upstream.Request{
 		Address: *l.address.Load(), Method: d.GetMethod(), Target: d.GetTarget(), Host: d.GetHost(), Header: h,
--- a/egress/stale.go
+++ b/egress/stale.go
@@ -65,8 +65,14 @@
 }
 
 // changed tells whether a plane has changed the route or taken it out, or no longer leaves it all that it took, since the
-// revision by which the request came.
+// revision by which the request came; or the customer whose key it bears, which may have been taken away.
 func changed(s *table.State, d *peerpb.Dispatch, plane table.Plane, since uint64) bool {
 	row, ok := s.Route(d.GetRoute())
-	return !ok || row.Plane == plane && row.Revision > since || s.Overtaken(row, plane, since)
+	return !ok || row.Plane == plane && row.Revision > since || s.Overtaken(row, plane, since) ||
+		d.GetKeyed() && customerChanged(s, d.GetCustomer(), plane, since)
+}
+
+func customerChanged(s *table.State, customer string, plane table.Plane, since uint64) bool {
+	row, ok := s.Customer(customer)
+	return !ok || row.Plane == plane && row.Revision > since
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -57,6 +57,8 @@
 	Stale Code = "stale"
 	// DeadlineTooShort is a refusal because the work cannot end before the deadline.
 	DeadlineTooShort Code = "deadline_too_short"
+	// UnknownToken is a refusal because the caller bears no key that a customer holds.
+	UnknownToken Code = "unknown_token"
 	// CustomerLimit is a refusal because a customer exceeds its limit.
 	CustomerLimit Code = "customer_limit"
 	// Draining is a refusal by an endpoint or node that takes nothing new.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -46,7 +46,7 @@
 }
 
 func newAnswer(w http.ResponseWriter, c call, say contract.Contract, s *winner) *answer {
-	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.keyed(), due: newDueWatch(), winner: s}
+	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.claims(), due: newDueWatch(), winner: s}
 }
 
 // reset forgets a held answer before the next exchange.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -17,12 +17,21 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
+const (
+	// routeRanks is how many priorities of routes lie between two of customers, customerRanks how many of those there are.
+	routeRanks    = 1 << 10
+	customerRanks = 1 << 20
+)
+
 // call is what the caller asks for, as the contract reads it.
 type call struct {
 	id         string
 	route      route
 	service    table.ServiceView
 	customer   string
+	// token is what the caller bears of its customer's key, keyed is set where that is the customer's.
+	token      contract.Token
+	keyed      bool
 	repeatable bool
 	// further is set for a call of work that was itself sent again, ofRepeat is the chance of that where the work that made
 	// the call is not known.
@@ -44,7 +53,7 @@
 func (g *Ingress) parse(snap *follow.Snapshot, r *http.Request) (call, *fault.Error) {
 	say, bad := g.cfg.Contract.Call(r.Header)
 	c := call{
-		id: say.ID, method: r.Method, target: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), customer: say.Customer,
+		id: say.ID, method: r.Method, target: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), customer: say.Customer, token: say.Token,
 		key: say.Key, attempt: say.Attempt, revision: snap.State.Revision(),
 		config: snap.State.Revisions()[table.PlaneConfig],
 	}
@@ -57,13 +66,48 @@
 	if bad := g.findRoute(&c, snap.State); bad != nil {
 		return c, bad
 	}
+	if bad := c.findCustomer(snap.State); bad != nil {
+		return c, bad
+	}
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
 	g.findOrigin(&c)
-	c.headers = g.cfg.Contract.Forward(r.Header, clientIP(r))
+	c.headers = g.cfg.Contract.Forward(r.Header, contract.Origin{Address: clientIP(r), Keyed: snap.State.KeysWanted()})
 	return c, nil
 }
 
+// findCustomer names the customer by the key that the caller bears, where callers must bear one. A route that is open takes who
+// bears none, or none that counts, as nobody's.
+func (c *call) findCustomer(s *table.State) *fault.Error {
+	if !s.KeysWanted() {
+		return nil
+	}
+	c.customer, c.keyed = "", false
+	if c.token.Key != "" {
+		if holder, ok := s.Holder(table.DigestKey(c.token.Key)); ok {
+			c.customer, c.keyed = holder.Key, true
+			return nil
+		}
+	}
+	switch {
+	case bool(c.route.Value.Open):
+		return nil
+	case c.token.Borne:
+		return fault.New(fault.UnknownToken, "", "no customer holds this key")
+	}
+	return fault.New(fault.UnknownToken, "", "want a customer's key")
+}
+
+// rank is the request's place among those that wait: first by its customer, then by its route.
+func (c *call) rank(s *table.State) uint32 {
+	rank := min(uint32(c.route.Value.Priority), routeRanks-1)
+	if c.keyed {
+		customer, _ := s.Customer(c.customer)
+		rank += min(uint32(customer.Value.Priority), customerRanks-1) * routeRanks
+	}
+	return rank
+}
+
 // findOrigin tells a caller's request from a call of the work beside this node: by the work that the request's id names, else
 // by what was seen of its route.
 func (g *Ingress) findOrigin(c *call) {
@@ -150,8 +194,8 @@
 	return false
 }
 
-// keyed tells whether the request runs under an idempotency key.
-func (c *call) keyed() bool { return !c.repeatable && c.key != "" }
+// claims tells whether the request runs under an idempotency key.
+func (c *call) claims() bool { return !c.repeatable && c.key != "" }
 
 func (c *call) scope() string { return c.customer + "\x00" + c.service.Key }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -71,7 +71,7 @@
 
 // run brings the request to an answer and returns how it ended; what the caller is told is up to answer.finish.
 func (x *exchange) run(ctx context.Context) *peerpb.End {
-	if x.call.keyed() {
+	if x.call.claims() {
 		return x.runKeyed(ctx)
 	}
 	return x.runAnywhere(ctx)
@@ -234,7 +234,7 @@
 		BudgetMicros: time.Until(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
 		Route: x.call.route.Key, Config: x.call.config,
 		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
-		Priority: uint32(x.call.route.Value.Priority), AimMicros: x.aimLeft().Microseconds(),
+		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.keyed, AimMicros: x.aimLeft().Microseconds(),
 		UsualMicros: x.g.routes.usual(x.call.route.Key, x.aim()).Microseconds(),
 	}
 	if len(x.body.head) <= inlineBody {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -108,8 +108,8 @@
 		return
 	}
 	c, bad := g.parse(snap, r)
-	if bad != nil && bad.Code == fault.UnknownRoute {
-		c, bad = g.parseAgain(r, c, bad)
+	if bad != nil && (bad.Code == fault.UnknownRoute || bad.Code == fault.UnknownToken) {
+		c, bad = g.parseAgain(r, c)
 	}
 	if bad != nil {
 		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", string(bad.Code)).
@@ -132,19 +132,15 @@
 // confirmLimit bounds the question whether the configuration in force is the newest.
 const confirmLimit = 250 * time.Millisecond
 
-// parseAgain looks once more for a route that the configuration in force does not have: one that the platform has
+// parseAgain looks once more for a route or a key that the configuration in force does not have: one that the platform has
 // accepted meanwhile must not be told as unknown.
-func (g *Ingress) parseAgain(r *http.Request, c call, unknown *fault.Error) (call, *fault.Error) {
+func (g *Ingress) parseAgain(r *http.Request, c call) (call, *fault.Error) {
 	ctx, cancel := context.WithTimeout(r.Context(), confirmLimit)
 	defer cancel()
 	if !g.confirm(ctx) {
-		return c, fault.New(fault.NotReady, "", "whether the route exists cannot be told now")
+		return c, fault.New(fault.NotReady, "", "whether the route and the key exist cannot be told now")
 	}
-	again, bad := g.parse(g.snapshot(), r)
-	if bad != nil {
-		return c, unknown
-	}
-	return again, nil
+	return g.parse(g.snapshot(), r)
 }
 
 // refuseEarly answers a request for which no endpoint and no key's home was asked.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -30,6 +30,7 @@
 	fault.BadDeadline:      http.StatusBadRequest,
 	fault.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 	fault.UnknownRoute:     http.StatusNotFound,
+	fault.UnknownToken:     http.StatusUnauthorized,
 	fault.CustomerLimit:    http.StatusTooManyRequests,
 	fault.KeyMismatch:      http.StatusUnprocessableEntity,
 	fault.KeyInProgress:    http.StatusConflict,
@@ -109,6 +110,8 @@
 
 // details are the sentences for people, by code.
 var details = map[fault.Code]string{
+	fault.UnknownToken:        "no customer holds the caller's key any more",
+	fault.CustomerLimit:       "the customer sends more than its limit",
 	fault.Busy:                "no endpoint has a free slot",
 	fault.Suspect:             "the endpoints broke off their work just now",
 	fault.Stale:               "the route has changed meanwhile",
--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -33,6 +33,9 @@
 		}
 	}
 	if !x.adopt() {
+		if x.call.findCustomer(x.g.snapshot().State) != nil {
+			end.Code = string(fault.UnknownToken)
+		}
 		return false
 	}
 	// The endpoint refused the configuration, not the request.
@@ -40,13 +43,18 @@
 	return true
 }
 
-// adopt brings the request to the configuration in force here now; false when that no longer sends it to its service.
+// adopt brings the request to the configuration in force here now; false when that no longer sends it to its
+// service, or no longer holds its key.
 func (x *exchange) adopt() bool {
 	snap := x.g.snapshot()
 	next, ok := matchCall(snap.State, &x.call)
 	if !ok || next.Key != x.call.route.Key || !sends(next.Value, x.call.service.Key) {
 		return false
 	}
+	customer := x.call.customer
+	if x.call.findCustomer(snap.State) != nil || x.call.customer != customer {
+		return false
+	}
 	held := snap.State.Revisions()
 	x.call.config, x.call.revision = held[table.PlaneConfig], held[table.PlaneRows]
 	return true
--- a/table/apply.go
+++ b/table/apply.go
@@ -185,8 +185,7 @@
 	case KindRoute:
 		return b.applyRoute(row)
 	case KindCustomer:
-		b.state.customers, err = applyRow(b.state.customers, row)
-		return err
+		return b.applyCustomer(row)
 	case KindHost:
 		b.state.hosts, err = applyRow(b.state.hosts, row)
 		return err
@@ -268,6 +267,42 @@
 	return nil
 }
 
+// applyCustomer applies a customer's row and keeps the index of its keys.
+func (b *builder) applyCustomer(row Row) error {
+	before, _ := b.state.customers.Get(row.Key)
+	next, err := applyRow(b.state.customers, row)
+	if err != nil {
+		return err
+	}
+	b.state.customers = next
+	after, _ := next.Get(row.Key)
+	for _, d := range before.Value.Keys.Digests() {
+		b.setHolders(d, func(names []string) []string {
+			return slices.DeleteFunc(names, func(name string) bool { return name == row.Key })
+		})
+	}
+	for _, d := range after.Value.Keys.Digests() {
+		b.setHolders(d, func(names []string) []string {
+			names = append(names, after.Key)
+			slices.Sort(names)
+			return names
+		})
+	}
+	return nil
+}
+
+// setHolders changes the names of the customers that hold a key; change may change its copy of them.
+func (b *builder) setHolders(d KeyDigest, change func(names []string) []string) {
+	digest := string(d[:])
+	old, _ := b.state.holders.Get(digest)
+	names := change(slices.Clone(old))
+	if len(names) == 0 {
+		b.state.holders = b.state.holders.Delete(digest)
+		return
+	}
+	b.state.holders = b.state.holders.Set(digest, names)
+}
+
 // hostRoutes returns the builder's own copy of the routes of a host in lower case, which may be changed until finish.
 func (b *builder) hostRoutes(host string) []Entry[Route] {
 	if routes, ok := b.routes[host]; ok {
--- a/table/columns.go
+++ b/table/columns.go
@@ -19,7 +19,9 @@
 	Help string
 	// Required marks a column whose cell may not be empty.
 	Required bool
-	index    int
+	// Secret marks a column whose text is never shown as it was given.
+	Secret bool
+	index  int
 }
 
 // Sheet describes one kind of row.
@@ -53,6 +55,7 @@
 			Default:  tag.Get("default"),
 			Help:     tag.Get("help"),
 			Required: tag.Get("required") == "yes",
+			Secret:   tag.Get("secret") == "yes",
 			index:    i,
 		})
 	}
@@ -124,7 +127,7 @@
 			cellErr = checkCell(c.Name, canonical)
 		}
 		if cellErr != nil {
-			bad = append(bad, fault.New(fault.BadRow, sheet.Name+" "+key+" "+c.Name, cellErr.Detail+", got "+quote(text)))
+			bad = append(bad, fault.New(fault.BadRow, sheet.Name+" "+key+" "+c.Name, cellErr.Detail+c.got(text)))
 		}
 		row.Cells = append(row.Cells, canonical)
 	}
@@ -238,4 +241,10 @@
 	return err.Error()
 }
 
-func quote(text string) string { return `"` + text + `"` }
+// got quotes the text of a cell that cannot be read.
+func (c Column) got(text string) string {
+	if c.Secret {
+		return ""
+	}
+	return `, got "` + text + `"`
+}
--- a/table/rows.go
+++ b/table/rows.go
@@ -1,5 +1,7 @@
 package table
 
+import "time"
+
 // Kind says which sheet of the table a row belongs to.
 type Kind uint8
 
@@ -77,6 +79,8 @@
 	Aim Duration `col:"aim" default:"0s" help:"time within which an answer has its full worth, 0s if nobody says"`
 	// Split shares the requests among services by weight; Service is the first of them then.
 	Split Split `col:"split" help:"services by weight, such as a=90,b=10, empty for one service"`
+	// Open lets in callers that bear no customer's key, where the others must bear one.
+	Open YesNo `col:"open" default:"no" help:"whether callers need no customer's key: no or yes"`
 }
 
 // Listener bounds what the callers' listeners take; its row has the key CallersListener and goes before the settings.
@@ -89,6 +93,8 @@
 	HeaderTimeout Duration `col:"header_timeout" default:"10s" help:"longest time for a header"`
 	// IdleTimeout bounds the wait for a connection's next request.
 	IdleTimeout Duration `col:"idle_timeout" default:"2m" help:"longest wait for a next request"`
+	// Keys has every caller bear a customer's key.
+	Keys YesNo `col:"keys" default:"no" help:"whether callers must bear a customer's key: no or yes"`
 }
 
 // CallersListener is the key of the row of the callers' listeners.
@@ -98,10 +104,19 @@
 type Customer struct {
 	// Weight is its share when an endpoint's queue is full.
 	Weight Rate `col:"weight" default:"1" help:"share of a full queue, relative to others"`
-	// Limit is how many requests a second it may send to a node; 0 stands for no limit.
-	Limit Rate `col:"limit" default:"0" help:"requests a second through each node, 0 for none"`
+	// Limit is how many requests a second it may send through all nodes together; 0 stands for no limit.
+	Limit Rate `col:"limit" default:"0" help:"requests a second through all nodes together, 0 for no limit"`
+	// Burst is how much of its limit may come at once, as the time in which the limit would let it in.
+	Burst Duration `col:"burst" default:"1s" help:"how much of the limit may come at once, as a time"`
+	// Priority ranks its requests where they wait before what their routes say; 0 goes first.
+	Priority Count `col:"priority" default:"0" help:"rank among waiting requests before their routes', 0 first"`
+	// Keys are the digests of the keys by which its requests are known.
+	Keys Keys `col:"keys" secret:"yes" help:"digests of its keys; a key written as plain:KEY becomes one at once"`
 }
 
+// BurstSize returns how many requests of the customer may come at once.
+func (c Customer) BurstSize() float64 { return float64(c.Limit) * time.Duration(c.Burst).Seconds() }
+
 // Host is an operator's intention for one host; the platform's list says which hosts there are.
 type Host struct {
 	// Phase says whether the host's endpoints take new work.
--- a/table/state.go
+++ b/table/state.go
@@ -99,6 +99,8 @@
 	// byHost are the routes by their host in lower case, longest prefix first.
 	byHost    *immutable.Map[string, []Entry[Route]]
 	customers *immutable.Map[string, Entry[Customer]]
+	// holders are the names of the customers that hold a key, in order, by its digest.
+	holders   *immutable.Map[string, []string]
 	hosts     *immutable.Map[string, Entry[Host]]
 	listeners *immutable.Map[string, Entry[Listener]]
 	tails     [planeCount]tail
@@ -114,6 +116,7 @@
 		routes:    immutable.NewMap[string, Entry[Route]](nil),
 		byHost:    immutable.NewMap[string, []Entry[Route]](nil),
 		customers: immutable.NewMap[string, Entry[Customer]](nil),
+		holders:   immutable.NewMap[string, []string](nil),
 		hosts:     immutable.NewMap[string, Entry[Host]](nil),
 		listeners: immutable.NewMap[string, Entry[Listener]](nil),
 	}
@@ -152,6 +155,21 @@
 // Customer returns one customer's row.
 func (s *State) Customer(key string) (Entry[Customer], bool) { return s.customers.Get(key) }
 
+// Holder returns the customer that holds a key, the first by name where several do.
+func (s *State) Holder(key KeyDigest) (Entry[Customer], bool) {
+	names, ok := s.holders.Get(string(key[:]))
+	if !ok {
+		return Entry[Customer]{}, false
+	}
+	return s.Customer(names[0])
+}
+
+// KeysWanted tells whether callers must bear a customer's key.
+func (s *State) KeysWanted() bool {
+	row, ok := s.Callers()
+	return ok && bool(row.Value.Keys)
+}
+
 // HostPhase returns the operator's intention for a host; a host without a row is active.
 func (s *State) HostPhase(id string) Phase {
 	h, _ := s.hosts.Get(id)
--- a/table/values.go
+++ b/table/values.go
@@ -139,6 +139,27 @@
 	return err
 }
 
+// YesNo is a choice that is off unless a row turns it on.
+type YesNo bool
+
+// noYes are the words of the choice.
+var noYes = []string{"no", "yes"}
+
+// MarshalText writes the word for the row's cell.
+func (y YesNo) MarshalText() ([]byte, error) {
+	if y {
+		return []byte(noYes[1]), nil
+	}
+	return []byte(noYes[0]), nil
+}
+
+// UnmarshalText reads "no" or "yes", BadRow for any other word.
+func (y *YesNo) UnmarshalText(text []byte) error {
+	i, err := indexOf(noYes, string(text))
+	*y = i == 1
+	return err
+}
+
 func indexOf(names []string, word string) (int, error) {
 	for i, name := range names {
 		if name == word {
