Registry, follow: an endpoint's life is its name and its birth; what nobody knows names no endpoint

The registry went by the name and the highest number: the new life was never heard, and held as leaving for good once the old one had left. A heartbeat of an old life that came late could end the one that stands at its address. One line of the list of hosts that could not be read stopped the reading of all behind it, for good.

Now the key of an endpoint is its name and its birth, so that everything that goes by the key (view, subset, ejection, breaker, warm-up, lines, news between nodes) tells lives apart; towards the endpoint its own name is sent. A life that another has followed, under its name or at its address, is past, also for a node that has met only the later one. A word of leaving without a birth is of the life that is there.

Ruled out: births in a field of their own beside the key, which each of nine packages would have had to compare.

--- a/egress/nothere_test.go
+++ b/egress/nothere_test.go
@@ -21,9 +21,9 @@
 		beat registry.Beat
 		want string
 	}{
-		{"started anew", registry.Beat{Key: "new", Service: "desk", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}, "new"},
-		{"leaving", registry.Beat{Key: "new", Service: "desk", Address: "127.0.0.1:1", Slots: 1, Sequence: 1, Draining: true}, ""},
-		{"of another service", registry.Beat{Key: "new", Service: "hub", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}, ""},
+		{"started anew", registry.Beat{Instance: "new", Service: "desk", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}, "new"},
+		{"leaving", registry.Beat{Instance: "new", Service: "desk", Address: "127.0.0.1:1", Slots: 1, Sequence: 1, Draining: true}, ""},
+		{"of another service", registry.Beat{Instance: "new", Service: "hub", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			log := zerolog.Nop()
--- a/follow/read.go
+++ b/follow/read.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/lynxplank/lynxplank/changes"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
@@ -25,7 +27,9 @@
 	// mostGather bounds that wait where many lines come at once, each linesAGather of them a gather more: a fleet of hundreds that
 	// starts or is rolled has each reader ask less often instead of five times a second, and a new endpoint is known within a
 	// second all the same. What drains or stops is refused by its own node meanwhile.
-	mostGather   = 4 * gather
+	mostGather = 4 * gather
+	// mostBad bounds the records that cannot be read of which it is remembered that this was logged.
+	mostBad      = 1000
 	linesAGather = 4
 	// pauseJitter is by how much of itself a pause varies, half of it either way, so that readers do not look together.
 	pauseJitter = 0.4
@@ -64,6 +68,10 @@
 	// cursor is the store's version up to which the table was read, loaded is false until it was read whole.
 	cursor uint64
 	loaded bool
+	// before are the hosts as they were before the table was read whole again, for lines that cannot be read any more.
+	before map[string]table.HostInfo
+	// bad are the records that could not be read, with why, as far as that was logged.
+	bad map[string]string
 	// revision is the newest version of an announcement, or of one that was taken out.
 	revision uint64
 	// gone are the announcements taken out since base, the store's version at the last read of the whole table.
@@ -76,7 +84,7 @@
 // readOwn keeps reading the product's own table until the node stops.
 func (f *Follower) readOwn(ctx context.Context) {
 	r := &ownReader{
-		f: f, rows: changes.NewReader(f.platform), state: table.NewState(),
+		f: f, rows: changes.NewReader(f.platform), state: table.NewState(), bad: make(map[string]string),
 		failing: retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost},
 	}
 	for {
@@ -127,7 +135,7 @@
 	}
 	if !r.loaded {
 		// A read of the whole table shows what is gone by not showing it.
-		r.hosts = make(map[string]table.HostInfo)
+		r.before, r.hosts = r.hosts, make(map[string]table.HostInfo)
 		r.base, r.gone = recs.Version, nil
 	}
 	rows := false
@@ -136,34 +144,69 @@
 			rows = true
 			continue
 		}
-		if err := r.noteHost(rec); err != nil {
-			return 0, err
-		}
+		r.noteHost(rec)
 	}
 	if rows {
 		if r.state, err = r.rows.Advance(ctx, r.state); err != nil {
 			return 0, err
 		}
 	}
+	r.before = nil
 	r.loaded = true
 	r.cursor = recs.Version
 	return len(recs.Records), nil
 }
 
-// noteHost takes one announcement, or that it was taken out.
-func (r *ownReader) noteHost(rec platform.Record) error {
+// noteHost takes one announcement, or that it was taken out. One that cannot be read is left out: what was known of its host, and all
+// others, stand.
+func (r *ownReader) noteHost(rec platform.Record) {
 	r.revision = max(r.revision, rec.Version)
 	id := strings.TrimPrefix(rec.Key, HostPrefix)
 	if rec.Deleted {
 		delete(r.hosts, id)
 		r.gone = append(r.gone, goneHost{id: id, version: rec.Version})
-		return nil
+		return
 	}
-	var h table.HostInfo
-	if err := json.Unmarshal(rec.Value, &h); err != nil || h.ID != id {
-		return fault.New(fault.BadRow, rec.Key, "announcement cannot be read")
+	h, err := readLine(id, rec.Value)
+	if err != nil {
+		r.tellBad(rec.Key, err)
+		if old, ok := r.before[id]; ok {
+			r.hosts[id] = old
+		}
+		return
 	}
 	h.Version = rec.Version
 	r.hosts[id] = h
-	return nil
+}
+
+// readLine reads an announcement, BadRow for one that no node has written.
+func readLine(id string, text []byte) (table.HostInfo, error) {
+	var h table.HostInfo
+	if err := json.Unmarshal(text, &h); err != nil {
+		return h, fault.Wrap(err, fault.BadRow, HostPrefix+id, "announcement cannot be read")
+	}
+	if h.ID != id || h.Hall == "" {
+		return h, fault.New(fault.BadRow, HostPrefix+id, "want the host's name and hall")
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return h, fault.New(fault.BadRow, HostPrefix+id+" address", "want an IP and port")
+	}
+	for _, e := range h.Endpoints {
+		if _, err := table.NewRow(table.KindEndpoint, e.Key, table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value).Cells); err != nil {
+			return h, err
+		}
+	}
+	return h, nil
+}
+
+// tellBad logs a record that cannot be read, once until another cannot.
+func (r *ownReader) tellBad(key string, err error) {
+	if r.bad[key] == err.Error() {
+		return
+	}
+	if len(r.bad) >= mostBad {
+		clear(r.bad)
+	}
+	r.bad[key] = err.Error()
+	events.BadTable.Log(r.f.log).Err(err).Send()
 }
--- a/node/restore.go
+++ b/node/restore.go
@@ -69,7 +69,7 @@
 		if !ok || service.Value.ProbePath == "" || a.Value.Phase != table.Active || a.Value.Address != r.address {
 			continue
 		}
-		if r.instance(ctx, service.Value.ProbePath) == a.Key {
+		if name, _ := registry.Instance(a.Key); r.instance(ctx, service.Value.ProbePath) == name {
 			r.registry.Restore(a)
 		}
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,8 +25,10 @@
 
 // Beat is one heartbeat of an endpoint.
 type Beat struct {
-	// Key names the endpoint's instance.
-	Key string
+	// Instance is the endpoint's own name.
+	Instance string
+	// Born is when its life began, in milliseconds since 1970; 0 if it does not say.
+	Born int64
 	// Service is the key of the service's row.
 	Service string
 	// Address is the endpoint's IP and port.
@@ -36,10 +39,13 @@
 	Draining bool
 	// Cold is how much longer it is slow from its start.
 	Cold time.Duration
-	// Sequence rises with each call of the instance.
+	// Sequence rises with each call of a life.
 	Sequence uint64
 }
 
+// Key names the endpoint's life.
+func (b Beat) Key() string { return Key(b.Instance, b.Born) }
+
 // Endpoint is one endpoint beside this node.
 type Endpoint struct {
 	// Entry is its row.
@@ -63,26 +69,31 @@
 	// left before they had begun here, oldest first.
 	live  map[string]Endpoint
 	ended []string
+	// left are the endpoints that said that they leave before this process had met them, without their birth, by their names, with
+	// when that was in milliseconds since 1970.
+	left map[string]int64
 }
 
 // New returns an empty registry of a host; onChange is called with every endpoint after each change, and must not block.
 func New(host, hall string, log *zerolog.Logger, onChange func([]table.Announced)) *Registry {
-	return &Registry{host: host, hall: hall, log: log, onChange: onChange, live: make(map[string]Endpoint)}
+	return &Registry{host: host, hall: hall, log: log, onChange: onChange, live: make(map[string]Endpoint), left: make(map[string]int64)}
 }
 
 // Beat takes a heartbeat, BadRequest for one that makes no sense. Once it returns, a draining endpoint gets nothing new.
 //
-// Invariant: an instance that was ever draining or leaving never takes new work again, whatever comes later.
+// Invariant: a life that was ever draining or leaving never takes new work again, and none that another has followed, under its name
+// or at its address, comes back, whatever comes later.
 func (r *Registry) Beat(now time.Time, b Beat) error {
-	if err := check(b); err != nil {
+	if err := b.Check(); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.Contains(r.ended, b.Key) {
+	if r.past(b) {
 		return nil
 	}
-	old, known := r.live[b.Key]
+	key := b.Key()
+	old, known := r.live[key]
 	if known && b.Sequence <= old.sequence {
 		// An old heartbeat that says it drains is believed in that alone: draining is for good.
 		if b.Draining {
@@ -91,7 +102,7 @@
 		return nil
 	}
 	next := Endpoint{
-		Entry: table.Entry[table.Endpoint]{Key: b.Key, Value: table.Endpoint{
+		Entry: table.Entry[table.Endpoint]{Key: key, Value: table.Endpoint{
 			Service: b.Service, Host: r.host, Hall: r.hall, Address: b.Address,
 			Slots: table.Count(b.Slots), Weight: 1, //nolint:gosec // checked
 		}},
@@ -101,13 +112,30 @@
 		next.Value.Phase = table.Draining
 	}
 	r.replaceOthers(next)
-	r.live[b.Key] = next
+	r.live[key] = next
 	if !known || old.Value != next.Value {
 		r.changed(next)
 	}
 	return nil
 }
 
+// past tells whether a heartbeat is of a life that has ended, or that another has followed; the lock is held.
+func (r *Registry) past(b Beat) bool {
+	if slices.Contains(r.ended, b.Key()) {
+		return true
+	}
+	if at, ok := r.left[b.Instance]; ok && b.Born <= at {
+		return true
+	}
+	for key, e := range r.live {
+		name, born := Instance(key)
+		if born > b.Born && (name == b.Instance || e.Value.Address == b.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Restore takes back an endpoint that an earlier life of the node knew and that has just said that it is still the same
 // and not leaving; one that has spoken to this life goes by its own word.
 func (r *Registry) Restore(a table.Announced) {
@@ -121,13 +149,15 @@
 	r.changed(e)
 }
 
-// check refuses a heartbeat that makes no sense.
-func check(b Beat) error {
+// Check refuses a heartbeat that makes no sense.
+func (b Beat) Check() error {
 	switch {
-	case b.Key == "":
+	case b.Instance == "" || strings.ContainsAny(b.Instance, " \t\r\n/"):
 		return fault.New(fault.BadRequest, "heartbeat", "want the instance")
 	case b.Service == "":
 		return fault.New(fault.BadRequest, "heartbeat.service", "want a service")
+	case b.Born < 0:
+		return fault.New(fault.BadRequest, "heartbeat.born", "want milliseconds since 1970")
 	case b.Slots <= 0 || b.Slots > mostSlots:
 		return fault.New(fault.BadRequest, "heartbeat.slots", fmt.Sprintf("want 1 to %d slots", mostSlots))
 	}
@@ -137,10 +167,12 @@
 	return nil
 }
 
-// replaceOthers ends the instances that were at the same address before.
+// replaceOthers ends the lives that were at the same address or under the same name before.
 func (r *Registry) replaceOthers(next Endpoint) {
+	name, _ := Instance(next.Key)
 	for key, e := range r.live {
-		if key != next.Key && e.Value.Address == next.Value.Address {
+		other, _ := Instance(key)
+		if key != next.Key && (other == name || e.Value.Address == next.Value.Address) {
 			r.end(key)
 		}
 	}
@@ -165,17 +197,35 @@
 	r.onChange(r.list())
 }
 
-// Leave takes an instance's word that it leaves for good; it may finish what it has.
-func (r *Registry) Leave(key string) {
+// Leave takes an endpoint's word that it leaves for good; it may finish what it has. Without its birth, 0, the word is of the life
+// that is there.
+func (r *Registry) Leave(now time.Time, instance string, born int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, ok := r.live[key]
-	if !ok {
-		// One that this process never met must not begin later by a heartbeat that was on its way.
-		r.end(key)
-		return
+	met := false
+	for key, e := range r.live {
+		if name, at := Instance(key); name == instance && (born == 0 || at == born) {
+			r.drain(e)
+			met = true
+		}
+	}
+	// One that this process never met must not begin later by a heartbeat that was on its way.
+	switch {
+	case met:
+	case born > 0:
+		r.end(Key(instance, born))
+	default:
+		r.end(instance)
+		r.noteLeft(now, instance)
+	}
+}
+
+// noteLeft remembers that an endpoint has left whose birth is not known: later lives of it are born after that.
+func (r *Registry) noteLeft(now time.Time, instance string) {
+	if len(r.left) >= mostEnded {
+		clear(r.left)
 	}
-	r.drain(e)
+	r.left[instance] = now.UnixMilli()
 }
 
 // drain keeps new work from an instance for good.
--- a/registry/script_test.go
+++ b/registry/script_test.go
@@ -14,8 +14,8 @@
 
 // TestScripts runs the scenarios of testdata. Commands:
 //
-//	beat key=K [service=S] [at=IP:PORT] [slots=N] [draining] seq=N
-//	leave key=K
+//	beat key=K [born=N] [service=S] [at=IP:PORT] [slots=N] [draining] seq=N
+//	leave key=K [born=N] [at=N]    at a time in milliseconds since 1970
 //	serving
 //	new                    another life of the node
 //	restore key=K [draining]
@@ -34,22 +34,28 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			announced = nil
 			b := Beat{Service: "desk", Address: "10.0.0.1:80", Slots: 4, Draining: d.HasArg("draining")}
-			d.MaybeScanArgs(t, "key", &b.Key)
+			d.MaybeScanArgs(t, "key", &b.Instance)
+			d.MaybeScanArgs(t, "born", &b.Born)
 			d.MaybeScanArgs(t, "service", &b.Service)
-			d.MaybeScanArgs(t, "at", &b.Address)
 			d.MaybeScanArgs(t, "slots", &b.Slots)
 			d.MaybeScanArgs(t, "seq", &b.Sequence)
+			leftAt := int64(0)
+			if d.Cmd == "leave" {
+				d.MaybeScanArgs(t, "at", &leftAt)
+			} else {
+				d.MaybeScanArgs(t, "at", &b.Address)
+			}
 			switch d.Cmd {
 			case "beat":
 				if err := r.Beat(time.Unix(1000, 0), b); err != nil {
 					return err.Error() + "\n"
 				}
 			case "leave":
-				r.Leave(b.Key)
+				r.Leave(time.UnixMilli(leftAt), b.Instance, b.Born)
 			case "new":
 				r = New("h1", "hall-1", &log, r.onChange)
 			case "restore":
-				a := table.Announced{Key: b.Key, Value: table.Endpoint{Service: b.Service, Address: b.Address}}
+				a := table.Announced{Key: b.Key(), Value: table.Endpoint{Service: b.Service, Address: b.Address}}
 				if b.Draining {
 					a.Value.Phase = table.Draining
 				}
