Customers are kept to their limits over the whole fleet by homes that lend

A limit has three homes by rendezvous hashing, in different halls where there are such, each with a third of rate and burst. A node borrows what a request needs from the home of its own hall, then from the others; loans end 250 ms after the borrower began to ask, by its own steady clock. A home that is new begins with nothing, after a change of the hosts once that has settled. Nodes that reach no home pass a part of the slack, dealt out by hosts. Further sends are taken from the limit too, since it counts what endpoints run. Beyond the limit: 429 at once, each refused caller with a time of its own.

In virtual time (quota/testdata/fleets): below the limit even parts refuse 35 in 100 at 93 nodes and 94 in 100 where a customer comes by four of them, loans none; 2,500 drawn fleets with freezes, restarts, lost and late loans and views that differ pass at most 0.89 of the bound.

lynxplankctl customers, metrics limit_passed and limit_refused, settings limits.

--- /dev/null
+++ b/allowance/allowance.go
@@ -0,0 +1,283 @@
+package allowance
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/metrics"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/quota"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// Policy says how customers are kept to their limits.
+type Policy string
+
+// The policies.
+const (
+	// Lent has the homes of a limit lend it to the nodes that need it.
+	Lent Policy = "lent"
+	// Even gives each node an equal part.
+	Even Policy = "even"
+)
+
+// Config is the limits' section of the settings.
+type Config struct {
+	// Host is this node's host, Hall its hall.
+	Host, Hall string
+	// Policy says how limits are kept.
+	Policy Policy
+	// Settle is the time in which a change of the hosts is known everywhere.
+	Settle time.Duration
+	// Window is the time over which limits are counted, Spare how many requests of each customer the whole fleet may pass in one by
+	// nodes that reach no home.
+	Window time.Duration
+	Spare  int
+}
+
+// patience is how long a home's answer is waited for: several round trips between regions (20 ms one way) are too long for requests
+// wanted within 100 ms, and another home is asked instead.
+const patience = 40 * time.Millisecond
+
+// spread is by how much of itself the time to come back varies, so that those who are refused do not come together.
+const spread = 0.5
+
+// Links are the links to peers.
+type Links interface {
+	// Session returns the link to a peer.
+	Session(ctx context.Context, address string) (*peer.Session, error)
+	// Usable tells whether a peer can be reached as far as is known.
+	Usable(address string) bool
+}
+
+// Allowance is safe for concurrent use.
+type Allowance struct {
+	cfg      Config
+	log      *zerolog.Logger
+	snapshot func() *follow.Snapshot
+	links    Links
+	metrics  *metrics.Metrics
+
+	mu       sync.Mutex
+	hosts    []table.HostInfo
+	place    *quota.Place
+	home     *quota.Home
+	borrower *quota.Borrower
+	spare    *quota.Spare
+	used     *quota.Ledger[*Use]
+}
+
+// New returns the allowance of a node that starts.
+func New(cfg Config, log *zerolog.Logger, snapshot func() *follow.Snapshot, links Links, m *metrics.Metrics) *Allowance {
+	now := time.Now()
+	return &Allowance{
+		cfg: cfg, log: log, snapshot: snapshot, links: links, metrics: m,
+		home: quota.NewHome(now, cfg.Settle), borrower: quota.NewBorrower(quota.DefaultTerms()),
+		spare: quota.NewSpare(cfg.Window), used: quota.NewLedger[*Use](nil),
+	}
+}
+
+// Observe takes a new snapshot in force.
+func (a *Allowance) Observe(now time.Time, snap *follow.Snapshot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(snap.Hosts) == 0 || sameList(a.hosts, snap.Hosts) {
+		return
+	}
+	a.hosts = snap.Hosts
+	next := placeOf(snap.Hosts)
+	last := a.place
+	a.place = next
+	if last != nil && !last.Same(next) {
+		a.home.Changed(now, a.isHome)
+	}
+}
+
+// sameList tells whether two lists are one and the same.
+func sameList(a, b []table.HostInfo) bool { return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] }
+
+func placeOf(hosts []table.HostInfo) *quota.Place {
+	list := make([]quota.Host, 0, len(hosts))
+	for _, h := range hosts {
+		if !h.Leaving {
+			list = append(list, quota.Host{ID: h.ID, Hall: h.Hall})
+		}
+	}
+	return quota.NewPlace(list)
+}
+
+// isHome tells whether this node is a home of a customer; the lock is held.
+func (a *Allowance) isHome(customer string) bool {
+	return slices.ContainsFunc(a.homes(customer), a.own)
+}
+
+func (a *Allowance) own(h quota.Host) bool { return h.ID == a.cfg.Host }
+
+// homes are the homes of a customer, those of the own hall first; the lock is held.
+func (a *Allowance) homes(customer string) []quota.Host {
+	if a.place == nil || a.cfg.Policy == Even {
+		return []quota.Host{{ID: a.cfg.Host, Hall: a.cfg.Hall}}
+	}
+	homes := a.place.Homes(customer)
+	slices.SortStableFunc(homes, func(x, y quota.Host) int { return a.distance(x) - a.distance(y) })
+	return homes
+}
+
+func (a *Allowance) distance(h quota.Host) int {
+	switch {
+	case a.own(h):
+		return 0
+	case h.Hall == a.cfg.Hall:
+		return 1
+	}
+	return 2
+}
+
+// limitOf is what a customer may send; false where it has no limit.
+func limitOf(s *table.State, customer string) (quota.Limit, bool) {
+	row, ok := s.Customer(customer)
+	if !ok || row.Value.Limit == 0 {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{Rate: float64(row.Value.Limit), Burst: row.Value.BurstSize()}, true
+}
+
+// Lend answers a peer: it lends from this node's part of a customer's limit.
+func (a *Allowance) Lend(customer string, want int) quota.Loan {
+	limit, ok := limitOf(a.snapshot().State, customer)
+	if !ok {
+		return quota.Loan{}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loan := a.lend(time.Now(), customer, limit, want)
+	a.use(customer).Lent += uint64(loan.Granted) //nolint:gosec // not negative
+	return loan
+}
+
+// lend lends where this node is a home; the lock is held.
+func (a *Allowance) lend(now time.Time, customer string, limit quota.Limit, want int) quota.Loan {
+	parts := len(a.homes(customer))
+	switch {
+	case a.cfg.Policy == Even:
+		parts = a.nodes()
+	case !a.isHome(customer):
+		return quota.Loan{}
+	}
+	return a.home.Lend(now, customer, limit.Part(parts), want)
+}
+
+// nodes is how many nodes share a limit evenly; the lock is held.
+func (a *Allowance) nodes() int {
+	if a.place == nil {
+		return 1
+	}
+	return max(1, a.place.Hosts())
+}
+
+// Pass is one request that may pass; it stands until the request has reached an endpoint or is given back.
+type Pass struct {
+	a        *Allowance
+	customer string
+	until    time.Time
+}
+
+// Return gives the pass back: the request has reached no endpoint.
+func (p Pass) Return() {
+	if p.a == nil || p.until.IsZero() {
+		return
+	}
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.a.borrower.Return(time.Now(), p.customer, p.until)
+	p.a.use(p.customer).Unused++
+}
+
+// Take lets one request of a customer pass, else returns when one should.
+func (a *Allowance) Take(ctx context.Context, customer string) (Pass, time.Duration, bool) {
+	limit, ok := limitOf(a.snapshot().State, customer)
+	if !ok {
+		return Pass{}, 0, true
+	}
+	a.mu.Lock()
+	want := a.borrower.Arrived(time.Now(), customer)
+	homes := a.homes(customer)
+	pass, ok := a.take(customer)
+	a.mu.Unlock()
+	for i := 0; !ok && i < len(homes); i++ {
+		pass, ok = a.borrow(ctx, homes[i], customer, limit, want)
+	}
+	wait := time.Duration(0)
+	if !ok {
+		pass, wait, ok = a.lastResort(customer, homes)
+	}
+	a.count(customer, ok)
+	return pass, wait, ok
+}
+
+// take uses what is held; the lock is held.
+func (a *Allowance) take(customer string) (Pass, bool) {
+	until, ok := a.borrower.Use(time.Now(), customer)
+	return Pass{a: a, customer: customer, until: until}, ok
+}
+
+// borrow asks one home and uses what it lends.
+func (a *Allowance) borrow(ctx context.Context, home quota.Host, customer string, limit quota.Limit, want int) (Pass, bool) {
+	asked := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.borrower.May(asked, customer, home.ID) {
+		return Pass{}, false
+	}
+	if a.own(home) {
+		a.borrower.Lent(asked, asked, customer, home.ID, a.lend(asked, customer, limit, want))
+		return a.take(customer)
+	}
+	a.mu.Unlock()
+	loan, ok := a.ask(ctx, home.ID, customer, want)
+	a.mu.Lock()
+	if !ok {
+		a.borrower.Silent(time.Now(), home.ID)
+		return Pass{}, false
+	}
+	a.borrower.Lent(asked, time.Now(), customer, home.ID, loan)
+	return a.take(customer)
+}
+
+// ask asks a peer; false when it does not answer in time.
+func (a *Allowance) ask(ctx context.Context, home, customer string, want int) (quota.Loan, bool) {
+	host, ok := a.snapshot().ByID[home]
+	if !ok || !a.links.Usable(host.Address) {
+		return quota.Loan{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	s, err := a.links.Session(ctx, host.Address)
+	if err != nil {
+		return quota.Loan{}, false
+	}
+	granted, wait, err := s.Borrow(ctx, customer, want)
+	return quota.Loan{Granted: granted, Wait: wait}, err == nil
+}
+
+// lastResort lets a request pass by this node's part of the spare while no home can be reached, else tells when to come back.
+func (a *Allowance) lastResort(customer string, homes []quota.Host) (Pass, time.Duration, bool) {
+	names := make([]string, 0, len(homes))
+	for _, h := range homes {
+		names = append(names, h.ID)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	wait, reached := a.borrower.Wait(now, customer, names)
+	if !reached && a.place != nil && a.spare.Use(now, customer, a.place.Share(a.cfg.Host, customer, a.cfg.Spare)) {
+		return Pass{}, 0, true
+	}
+	return Pass{}, time.Duration(float64(wait) * (1 + spread*rand.Float64())), false //nolint:gosec // spreads callers, no secret
+}
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/operator"
@@ -20,6 +23,7 @@
 func reportCommands() []command {
 	return []command{
 		{name: "status", args: "", help: "show every node of the settings: revision in force, links, work", run: runStatus},
+		{name: "customers", args: "[CUSTOMER]", help: "show what passed and was refused of customers with a limit, over all nodes of the settings", run: runCustomers},
 		{name: "explain", args: "SERVICE [ENDPOINT]", help: "show why endpoints are in use or ejected, as each node sees it", run: runExplain},
 	}
 }
@@ -125,3 +129,39 @@
 	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS"}
 	return a.printReport(values, head, lines)
 }
+
+// runCustomers adds up what the nodes say of each customer with a limit; with a customer's name it shows each node.
+func runCustomers(a *app, f *flag.FlagSet) error {
+	if f.NArg() > 1 {
+		return wrongArgs(f)
+	}
+	all := make(map[string]allowance.Use)
+	var lines [][]string
+	for _, node := range a.cfg.Nodes {
+		var list []allowance.Use
+		if err := a.askNode(node, operator.PathCustomers, &list); err != nil {
+			return err
+		}
+		for _, u := range list {
+			if f.NArg() == 0 {
+				all[u.Customer] = u.With(all[u.Customer])
+			} else if u.Customer == f.Arg(0) {
+				lines = append(lines, useLine(node.String(), u))
+			}
+		}
+	}
+	for _, customer := range slices.Sorted(maps.Keys(all)) {
+		lines = append(lines, useLine("all", all[customer]))
+	}
+	head := []string{"NODE", "CUSTOMER", "LIMIT", "BURST", "PASSED", "REFUSED", "UNUSED", "LENT", "HOME"}
+	return a.printReport(lines, head, lines)
+}
+
+func useLine(node string, u allowance.Use) []string {
+	number := func(n uint64) string { return strconv.FormatUint(n, 10) }
+	rate := func(r float64) string { return strconv.FormatFloat(r, 'g', -1, 64) }
+	return []string{
+		node, u.Customer, rate(u.Limit), rate(u.Burst), number(u.Passed), number(u.Refused), number(u.Unused), number(u.Lent),
+		strconv.FormatBool(u.Home),
+	}
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -25,10 +25,10 @@
 
 // call is what the caller asks for, as the contract reads it.
 type call struct {
-	id         string
-	route      route
-	service    table.ServiceView
-	customer   string
+	id       string
+	route    route
+	service  table.ServiceView
+	customer string
 	// token is what the caller bears of its customer's key, keyed is set where that is the customer's.
 	token      contract.Token
 	keyed      bool
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
@@ -60,6 +61,9 @@
 	spent int
 	// sends counts the answers, refusals by full queues among them, that the retry policy had to judge.
 	sends int
+	// paid is set while the customer's limit has let a send pass that has reached no endpoint yet, pass is that.
+	paid bool
+	pass allowance.Pass
 	// trail is who was asked and what came of it, for the log.
 	trail trail
 	// arrived is set once an endpoint may have had the request.
@@ -94,13 +98,22 @@
 			// Nobody took the request again: what the last endpoint answered still stands.
 			end = last
 		}
-		if !again {
+		if !again || !x.pay(ctx) {
 			return x.truth(end)
 		}
 		last = end
 	}
 }
 
+// pay has the customer's limit let a further send pass, unless the last that passed has reached no endpoint: what endpoints run is
+// what the limit counts.
+func (x *exchange) pay(ctx context.Context) bool {
+	if !x.paid {
+		x.pass, _, x.paid = x.g.limits.Take(ctx, x.call.customer)
+	}
+	return x.paid
+}
+
 // sendTo sends the request to the endpoint that was picked; pick names the one that decided, which may be another.
 func (x *exchange) sendTo(ctx context.Context, pick *director.Pick, wait bool) (end *peerpb.End) {
 	if !x.call.repeatable {
@@ -220,7 +233,9 @@
 
 // note keeps what an end says of whether the request ran, for truth.
 func (x *exchange) note(end *peerpb.End) {
-	x.arrived = x.arrived || reached(end)
+	if reached(end) {
+		x.arrived, x.paid = true, false
+	}
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.unknown = x.unknown || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
 }
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
@@ -44,6 +45,8 @@
 	// at is how long after the request's arrival it began.
 	at     time.Duration
 	second bool
+	// pass is what the customer's limit has let pass for a second send.
+	pass   allowance.Pass
 	cancel context.CancelFunc
 	end    *peerpb.End
 }
@@ -126,9 +129,14 @@
 		h.later()
 		return
 	}
+	pass, _, ok := x.g.limits.Take(ctx, x.call.customer)
+	if !ok {
+		h.later()
+		return
+	}
 	events.SentTwice.Log(x.g.log).Str("request", x.call.id).Str("service", x.call.service.Key).
 		Str("endpoint", pick.Endpoint.Key).Dur("after", time.Since(x.start)).Send()
-	h.start(ctx, pick, false, true)
+	h.start(ctx, pick, false, true).pass = pass
 }
 
 // later has the endpoints asked again after a pause.
@@ -146,6 +154,7 @@
 	h.running = slices.DeleteFunc(h.running, func(o *attempt) bool { return o == a })
 	h.x.settleAttempt(a)
 	if a.second && refusedSecond(a.end) {
+		a.pass.Return()
 		h.declined = append(h.declined, a.pick.Endpoint.Key)
 		if len(h.running) > 0 {
 			h.startSecond(ctx)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/events"
@@ -53,7 +55,7 @@
 	links    *peer.Manager
 	local    Local
 	metrics  *metrics.Metrics
-	limits   *limiters
+	limits   Limits
 	splits   *splits
 	settling flight.Counter
 	// sent numbers this node's offers.
@@ -66,6 +68,23 @@
 	routes  *routes
 }
 
+// Limits keeps customers to what they may send.
+type Limits interface {
+	// Take lets one send of a customer pass, else tells when one should.
+	Take(ctx context.Context, customer string) (allowance.Pass, time.Duration, bool)
+}
+
+// unlimited lets everything pass.
+type unlimited struct{}
+
+// Take implements Limits.
+func (unlimited) Take(context.Context, string) (allowance.Pass, time.Duration, bool) {
+	return allowance.Pass{}, 0, true
+}
+
+// WithLimits has customers kept to their limits.
+func WithLimits(l Limits) Option { return func(g *Ingress) { g.limits = l } }
+
 // Option changes an ingress under construction.
 type Option func(*Ingress)
 
@@ -82,7 +101,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: newLimiters(), splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
+		limits: unlimited{}, splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
 		confirm: func(context.Context) bool { return true },
 	}
 	for _, opt := range opts {
@@ -122,13 +141,16 @@
 	class.Count(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	class.Latency.RecordDuration(elapsed)
-	g.metrics.Customer(c.customer).RecordDuration(elapsed)
+	g.metrics.Customer(cmp.Or(c.customer, nobody)).RecordDuration(elapsed)
 	if end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && !end.GetComplete() {
 		// The answer was cut: break the connection, so that it cannot look whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// nobody stands in the metrics for callers that bear no customer's key.
+const nobody = "none"
+
 // confirmLimit bounds the question whether the configuration in force is the newest.
 const confirmLimit = 250 * time.Millisecond
 
@@ -150,23 +172,30 @@
 }
 
 func (g *Ingress) serve(w http.ResponseWriter, r *http.Request, c call) *peerpb.End {
-	if wait, ok := g.limits.take(g.snapshot().State, c.customer); !ok {
+	pass, wait, ok := g.limits.Take(r.Context(), c.customer)
+	if !ok {
 		end := peer.NotRun(fault.CustomerLimit, wait)
-		g.refuseEarly(w, r, c.id, end, "the customer sends more than its limit")
+		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", end.GetCode()).Str("customer", c.customer).
+			Dur("retry_after", wait).Send()
+		g.refuseEarly(w, r, c.id, end, details[fault.CustomerLimit])
 		return end
 	}
 	body, err := takeBody(r)
 	if err != nil {
+		pass.Return()
 		end := peer.NotRun(err.Code, 0)
 		g.refuseEarly(w, r, c.id, end, err.Detail)
 		return end
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, start: time.Now(), call: c, body: body, winner: new(winner)}
+	x := &exchange{g: g, start: time.Now(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
 	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
+	if x.paid {
+		x.pass.Return()
+	}
 	x.log(end)
 	return x.answer.finish(end)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,6 +35,7 @@
 	reporter  tallyprom.Reporter
 	services  bounded[*Class]
 	customers bounded[tally.Histogram]
+	limits    bounded[*limited]
 	calls     bounded[*Call]
 	buckets   tally.Buckets
 }
@@ -87,6 +88,7 @@
 	m.services = bounded[*Class]{most: mostServices, make: m.newClass}
 	m.calls = bounded[*Call]{most: mostCalls, make: m.newCall}
 	m.customers = bounded[tally.Histogram]{most: mostCustomers, make: m.newCustomer}
+	m.limits = bounded[*limited]{most: mostCustomers, make: m.newLimited}
 	return m, nil
 }
 
@@ -118,6 +120,26 @@
 // Customer returns the latency histogram of a customer; past a bounded number all share one.
 func (m *Metrics) Customer(name string) tally.Histogram { return m.customers.get(name) }
 
+// limited are the counters of a customer with a limit.
+type limited struct {
+	passed, refused tally.Counter
+}
+
+func (m *Metrics) newLimited(name string) *limited {
+	scope := m.root.Tagged(map[string]string{"customer": name})
+	return &limited{passed: scope.Counter("limit_passed"), refused: scope.Counter("limit_refused")}
+}
+
+// Limited counts a send of a customer with a limit that passed, or a request that was refused as beyond it.
+func (m *Metrics) Limited(customer string, passed bool) {
+	l := m.limits.get(customer)
+	if passed {
+		l.passed.Inc(1)
+		return
+	}
+	l.refused.Inc(1)
+}
+
 // Gauge sets a node-wide gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.root.Gauge(name).Update(value) }
 
--- a/node/config.go
+++ b/node/config.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/announce"
 	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/contract"
@@ -146,6 +147,18 @@
 	}
 }
 
+// spareShare is the part of the slack of customers' limits that nodes pass which reach no home.
+const spareShare = 0.4
+
+// allowanceConfig is how customers are kept to their limits.
+func (n *Node) allowanceConfig() allowance.Config {
+	c := n.cfg.Limits
+	return allowance.Config{
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Policy: allowance.Policy(c.Policy), Settle: c.Settle.Std(),
+		Window: c.Window.Std(), Spare: int(c.Slack * spareShare),
+	}
+}
+
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/header"
 	"github.com/lynxplank/lynxplank/standin/backend"
 )
 
@@ -25,6 +26,7 @@
 service: {desk: {}}
 endpoint: {e1: {service: desk, host: h1, hall: hall-1, address: "ENDPOINT", slots: 1}}
 route: {all: {service: desk, repeatable: "yes"}}
+customer: {limited: {limit: 0.01}}
 `)
 	defer f.stop(t)
 	text, err := os.ReadFile("../docs/METRICS.md")
@@ -39,6 +41,7 @@
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
+	f.askLimited(t)
 	var got []string
 	for range 600 {
 		got = namesIn(shownName, f.metrics(t))
@@ -50,6 +53,24 @@
 	t.Errorf("names: got %q, want %q", got, want)
 }
 
+// askLimited sends requests of a customer until one is refused as beyond its limit. What its limit saves up first comes in with time.
+func (f *fixture) askLimited(t *testing.T) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.callers+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(header.Customer, "limited")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusTooManyRequests; got != want {
+		t.Errorf("beyond the limit: got %d, want %d", got, want)
+	}
+}
+
 func namesIn(name *regexp.Regexp, text string) []string {
 	var names []string
 	for _, m := range name.FindAllStringSubmatch(text, -1) {
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/announce"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
@@ -128,12 +129,15 @@
 		platform.WithToken(string(n.cfg.Platform.Token)), platform.WithTimeout(n.cfg.Platform.Timeout.Std()),
 		platform.WithObserver(calls.note))
 	var e *egress.Egress
+	var limits *allowance.Allowance
 	var egressOptions []egress.Option
 	a := announce.New(n.announceConfig(incarnation), n.log, client)
 	follower = follow.New(n.followConfig(), n.log, client, links, follow.WithChangeHook(func(s *follow.Snapshot) {
 		e.Observe(time.Now(), s)
 		a.Observe(s)
+		limits.Observe(time.Now(), s)
 	}))
+	limits = allowance.New(n.allowanceConfig(), n.log, follower.Snapshot, links, m)
 	follower.ShowSelf(n.announceConfig(incarnation).Host)
 	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
 	if n.announced = n.registry(a, follower, incarnation); n.announced != nil {
@@ -144,21 +148,22 @@
 		Distance: hallDistance, Ejection: n.ejection(),
 	}, n.log, follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
-	links.Handle(handler{Egress: e, follower: follower})
-	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm))
+	links.Handle(handler{Egress: e, follower: follower, limits: limits})
+	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm),
+		ingress.WithLimits(limits))
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
 		n.log, client, links, follower.Snapshot))
-	n.register(links, follower, d, e, g, m, calls)
+	n.register(links, follower, d, e, g, limits, m, calls)
 	return nil
 }
 
 // register registers the parts and the listeners, in the order in which they start.
 func (n *Node) register(
-	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress, m *metrics.Metrics,
-	calls *storeCalls,
+	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress,
+	caps *allowance.Allowance, m *metrics.Metrics, calls *storeCalls,
 ) {
-	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, m.Handler())
+	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, caps, m.Handler())
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
 	n.kernel.Register(Sampler, &sampler{
@@ -310,6 +315,13 @@
 type handler struct {
 	*egress.Egress
 	follower *follow.Follower
+	limits   *allowance.Allowance
+}
+
+// Lend implements peer.Handler.
+func (h handler) Lend(customer string, want int) (granted int, wait time.Duration) {
+	loan := h.limits.Lend(customer, want)
+	return loan.Granted, loan.Wait
 }
 
 // Confirm implements peer.Handler.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/fault"
@@ -24,6 +25,8 @@
 	PathStatus = "/v1/status"
 	// PathExplain answers a list of director.Explanation for the query's "service", or all.
 	PathExplain = "/v1/explain"
+	// PathCustomers answers a list of allowance.Use, the customers with a limit that the node has met.
+	PathCustomers = "/v1/customers"
 	// PathRow answers the row in force of the query's "kind" and "key".
 	PathRow = "/v1/row"
 	// PathProfile answers a processor profile of the query's "seconds".
@@ -113,17 +116,18 @@
 	egress     *egress.Egress
 	director   *director.Director
 	links      Links
+	limits     *allowance.Allowance
 	metrics    http.Handler
 }
 
 // New returns the answers of one node; token must come with every request but that for health.
 func New(
 	node, hall, token string, snapshot func() *follow.Snapshot, reads func() (own, config bool),
-	e *egress.Egress, d *director.Director, l Links, metrics http.Handler,
+	e *egress.Egress, d *director.Director, l Links, limits *allowance.Allowance, metrics http.Handler,
 ) *Operator {
 	return &Operator{
 		node: node, hall: hall, token: token, snapshot: snapshot, reads: reads,
-		egress: e, director: d, links: l, metrics: metrics,
+		egress: e, director: d, links: l, limits: limits, metrics: metrics,
 	}
 }
 
@@ -133,6 +137,7 @@
 		{Method: http.MethodGet, Path: PathHealth, Handler: o.health},
 		{Method: http.MethodGet, Path: PathStatus, Handler: o.guarded(o.status)},
 		{Method: http.MethodGet, Path: PathExplain, Handler: o.guarded(o.explain)},
+		{Method: http.MethodGet, Path: PathCustomers, Handler: o.guarded(o.customers)},
 		{Method: http.MethodGet, Path: PathRow, Handler: o.guarded(o.row)},
 		{Method: http.MethodGet, Path: PathProfile, Handler: o.guarded(pprof.Profile)},
 		{Method: http.MethodGet, Path: PathMetrics, Handler: o.guarded(o.metrics.ServeHTTP)},
@@ -175,6 +180,8 @@
 	reply(w, o.director.Explain(r.URL.Query().Get("service")))
 }
 
+func (o *Operator) customers(w http.ResponseWriter, _ *http.Request) { reply(w, o.limits.Report()) }
+
 func (o *Operator) row(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	sheet, err := table.SheetNamed(q.Get("kind"))
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -40,6 +40,9 @@
 
 func (echo) Settle(*peerpb.Settle) {}
 
+// Lend implements Handler.
+func (echo) Lend(_ string, want int) (int, time.Duration) { return want - 1, 0 }
+
 func (echo) Confirm(context.Context) (uint64, bool) { return 7, true }
 
 func (echo) Deltas(table.Revisions, bool) []*peerpb.Delta { return []*peerpb.Delta{{To: 7}} }
--- a/peer/offer_test.go
+++ b/peer/offer_test.go
@@ -74,6 +74,9 @@
 
 func (*offers) Settle(*peerpb.Settle) {}
 
+// Lend implements Handler.
+func (*offers) Lend(_ string, _ int) (int, time.Duration) { return 0, time.Second }
+
 func (*offers) Confirm(context.Context) (uint64, bool) { return 0, false }
 
 func (*offers) Deltas(table.Revisions, bool) []*peerpb.Delta { return nil }
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -23,6 +23,8 @@
 	Settle(s *peerpb.Settle)
 	// Confirm tells the newest version of the platform's configuration; false when that cannot be said now.
 	Confirm(ctx context.Context) (config uint64, known bool)
+	// Lend lends some requests of a customer's limit, or tells when there should be one.
+	Lend(customer string, want int) (granted int, wait time.Duration)
 	// Deltas returns what leads from the asker's revisions to those in force, in parts that fit a frame; changesOnly tells
 	// whether the asker takes the hosts' changes alone.
 	Deltas(from table.Revisions, changesOnly bool) []*peerpb.Delta
@@ -34,6 +36,8 @@
 	// grantLife is how long a slot is held for an ingress that does not answer: several round trips between regions
 	// (20 ms one way), and little beside the work of a slot (50 to 300 ms).
 	grantLife = 150 * time.Millisecond
+	// mostBorrowed bounds what one question may ask for: a customer's requests at one node within a term, with room.
+	mostBorrowed = 10000
 	// fetchLimit bounds how long a peer may wait here for an answer.
 	fetchLimit = 30 * time.Second
 )
@@ -70,6 +74,10 @@
 		m.servePull(stream, k.Pull)
 	case *peerpb.Frame_Confirm:
 		m.serveConfirm(stream)
+	case *peerpb.Frame_Borrow:
+		granted, wait := m.handler.Lend(k.Borrow.GetCustomer(), int(min(k.Borrow.GetWant(), mostBorrowed)))
+		lent := &peerpb.Lent{Granted: uint32(granted), WaitMicros: wait.Microseconds()} //nolint:gosec // bounded above
+		_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Lent{Lent: lent}})
 	case *peerpb.Frame_Settle:
 		m.handler.Settle(k.Settle)
 		_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}})
--- a/peer/session.go
+++ b/peer/session.go
@@ -197,6 +197,20 @@
 	return f.GetConfirmed().GetConfig(), f.GetConfirmed().GetKnown()
 }
 
+// Borrow asks the peer, as a home of a customer's limit, for some requests of it; an error when it does not answer.
+func (s *Session) Borrow(ctx context.Context, customer string, want int) (granted int, wait time.Duration, err error) {
+	word := &peerpb.Borrow{Customer: customer, Want: uint32(want)} //nolint:gosec // a small number
+	f, err := s.ask(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Borrow{Borrow: word}})
+	if err != nil {
+		return 0, 0, err
+	}
+	l := f.GetLent()
+	if l == nil || int(l.GetGranted()) > want {
+		return 0, 0, fault.New(fault.Protocol, s.address, "want a loan of what was asked for")
+	}
+	return int(l.GetGranted()), time.Duration(l.GetWaitMicros()) * time.Microsecond, nil
+}
+
 // ask says one word on a stream of its own and returns the peer's.
 func (s *Session) ask(ctx context.Context, word *peerpb.Frame) (*peerpb.Frame, error) {
 	stream, err := s.mux.OpenStream()
--- /dev/null
+++ b/quota/fleet_test.go
@@ -0,0 +1,387 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// The simulated fleets ask, lend, freeze, restart, lose words and learn of changes late. Only what passed counts, summed over all nodes
+// and over every window.
+const (
+	simTick   = 10 * time.Millisecond
+	simWindow = 5 * time.Second
+	simSettle = 2 * time.Second
+	// simPatience is how long a home's answer is waited for.
+	simPatience = 40 * time.Millisecond
+	simCustomer = "acme"
+)
+
+// simNode is one node with a steady clock of its own.
+type simNode struct {
+	host     Host
+	offset   time.Duration
+	home     *Home
+	borrower *Borrower
+	spare    *Spare
+	// view is which list of hosts it goes by, frozen until when it stands still, cut until when it reaches nobody.
+	view        int
+	frozen, cut time.Duration
+}
+
+// simFleet is a fleet over virtual time.
+type simFleet struct {
+	random *rand.Rand
+	nodes  []*simNode
+	// lists are the lists of hosts, since when each is the newest.
+	lists []*Place
+	since []time.Duration
+	now   time.Duration
+	limit Limit
+	spare int
+	// even has every node lend to itself alone; stray lets cut nodes outlive the time to settle.
+	even, stray bool
+	// passed are the times at which requests passed, staleOwn those that a cut node lent to itself by a list that is no more.
+	passed   []time.Duration
+	staleOwn int
+	asked    int
+	refused  int
+	all      int
+}
+
+// simStart is far from the zero time, which means "never".
+var simStart = time.Unix(1_000_000, 0)
+
+func (f *simFleet) clock(n *simNode) time.Time { return simStart.Add(f.now + n.offset) }
+
+func newSimFleet(random *rand.Rand, nodes, halls int, limit Limit, spare int) *simFleet {
+	f := &simFleet{random: random, limit: limit, spare: spare}
+	var hosts []Host
+	for i := range nodes {
+		h := Host{ID: fmt.Sprint("h", i), Hall: fmt.Sprint("hall", i%halls)}
+		hosts = append(hosts, h)
+		n := &simNode{host: h, offset: time.Duration(random.IntN(1e9))}
+		f.nodes = append(f.nodes, n)
+		f.restart(n)
+	}
+	f.list(hosts)
+	return f
+}
+
+func (f *simFleet) restart(n *simNode) {
+	settle := simSettle
+	if f.even {
+		settle = 0
+	}
+	n.home = NewHome(f.clock(n), settle)
+	n.borrower = NewBorrower(DefaultTerms())
+	n.spare = NewSpare(simWindow)
+}
+
+// list makes a list of hosts the newest.
+func (f *simFleet) list(hosts []Host) {
+	f.lists = append(f.lists, NewPlace(hosts))
+	f.since = append(f.since, f.now)
+}
+
+// learn brings a node to a later list.
+func (f *simFleet) learn(n *simNode, view int) {
+	if view <= n.view {
+		return
+	}
+	old := f.lists[n.view]
+	n.view = view
+	if !f.lists[view].Same(old) && !f.even {
+		n.home.Changed(f.clock(n), func(c string) bool { return f.isHome(n, c) })
+	}
+}
+
+func (f *simFleet) isHome(n *simNode, customer string) bool {
+	return slices.Contains(f.lists[n.view].Homes(customer), n.host)
+}
+
+// lend has a node answer a question; false when it does not take itself for a home.
+func (f *simFleet) lend(n *simNode, want int) (Loan, bool) {
+	if f.even {
+		return n.home.Lend(f.clock(n), simCustomer, f.limit.Part(len(f.nodes)), want), true
+	}
+	if !f.isHome(n, simCustomer) {
+		return Loan{}, false
+	}
+	return n.home.Lend(f.clock(n), simCustomer, f.limit.Part(len(f.lists[n.view].Homes(simCustomer))), want), true
+}
+
+func (f *simFleet) reaches(a, b *simNode) bool {
+	return a == b || a.cut <= f.now && b.cut <= f.now && b.frozen <= f.now
+}
+
+// request lets one request of the customer come to a node.
+func (f *simFleet) request(n *simNode) {
+	if n.frozen > f.now {
+		return
+	}
+	f.all++
+	want := n.borrower.Arrived(f.clock(n), simCustomer)
+	if f.use(n) {
+		return
+	}
+	homes := []Host{n.host}
+	if !f.even {
+		homes = f.lists[n.view].Homes(simCustomer)
+		slices.SortStableFunc(homes, func(a, b Host) int { return hallOrder(n.host, a) - hallOrder(n.host, b) })
+	}
+	names := make([]string, 0, len(homes))
+	for _, h := range homes {
+		names = append(names, h.ID)
+		if n.borrower.May(f.clock(n), simCustomer, h.ID) && f.ask(n, h, want) && f.use(n) {
+			return
+		}
+	}
+	_, reached := n.borrower.Wait(f.clock(n), simCustomer, names)
+	if !reached && n.spare.Use(f.clock(n), simCustomer, f.lists[n.view].Share(n.host.ID, simCustomer, f.spare)) {
+		f.passed = append(f.passed, f.now)
+		return
+	}
+	f.refused++
+}
+
+func hallOrder(n, home Host) int {
+	if n.Hall == home.Hall {
+		return 0
+	}
+	return 1
+}
+
+func (f *simFleet) use(n *simNode) bool {
+	if f.random.IntN(2000) == 0 {
+		// It stands still between the answer and the request; time goes on for the others.
+		n.frozen = f.now + time.Duration(f.random.IntN(3e9))
+		late := f.clock(n).Add(n.frozen - f.now)
+		if _, ok := n.borrower.Use(late, simCustomer); ok {
+			f.passed = append(f.passed, n.frozen)
+		}
+		return true
+	}
+	_, ok := n.borrower.Use(f.clock(n), simCustomer)
+	if ok {
+		f.passed = append(f.passed, f.now)
+	}
+	return ok
+}
+
+// ask asks a home; the question or the answer may be lost, and the answer late.
+func (f *simFleet) ask(n *simNode, h Host, want int) bool {
+	asked := f.clock(n)
+	home := f.nodes[slices.IndexFunc(f.nodes, func(o *simNode) bool { return o.host == h })]
+	f.asked++
+	if !f.reaches(n, home) || n != home && f.random.IntN(50) == 0 {
+		n.borrower.Silent(asked, h.ID)
+		return false
+	}
+	loan, ok := f.lend(home, want)
+	took := time.Duration(f.random.IntN(int(simPatience / 20)))
+	if n != home && f.random.IntN(50) == 0 {
+		took = simPatience + 1
+	}
+	if n == home && home.cut > f.now && f.lists[len(f.lists)-1] != f.lists[home.view] {
+		f.staleOwn += loan.Granted
+	}
+	if !ok || took > simPatience {
+		// What was lent is lost: nobody uses it.
+		n.borrower.Silent(asked, h.ID)
+		return false
+	}
+	n.borrower.Lent(asked, asked.Add(took), simCustomer, h.ID, loan)
+	return loan.Granted > 0
+}
+
+// trouble draws what may happen within a tick to a fleet that lives for so long.
+func (f *simFleet) trouble() {
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	switch f.random.IntN(60) {
+	case 0:
+		f.restart(n)
+	case 1:
+		n.frozen = f.now + time.Duration(f.random.IntN(4e9))
+	case 2:
+		most := simSettle
+		if f.stray {
+			most = 8 * time.Second
+		}
+		n.cut = f.now + time.Duration(f.random.Int64N(int64(most)))
+	case 3:
+		if f.since[len(f.since)-1]+simSettle <= f.now {
+			f.list(f.someHosts())
+		}
+	case 4:
+		// A third of the nodes start again at once.
+		for _, o := range f.nodes {
+			if f.random.IntN(3) == 0 {
+				f.restart(o)
+			}
+		}
+	}
+}
+
+// someHosts leaves out one host in ten.
+func (f *simFleet) someHosts() []Host {
+	var hosts []Host
+	for _, n := range f.nodes {
+		if f.random.IntN(10) > 0 {
+			hosts = append(hosts, n.host)
+		}
+	}
+	if len(hosts) < Parts {
+		return []Host{f.nodes[0].host, f.nodes[1].host, f.nodes[2].host}
+	}
+	return hosts
+}
+
+// step lets a tick pass, in which some requests come.
+func (f *simFleet) step(requests float64, to func() *simNode) {
+	f.now += simTick
+	newest := len(f.lists) - 1
+	for _, n := range f.nodes {
+		late := f.since[newest]+simSettle <= f.now
+		if n.cut <= f.now && (late || f.random.IntN(50) == 0) {
+			f.learn(n, newest)
+		}
+	}
+	for range int(requests) + bernoulli(f.random, requests-math.Floor(requests)) {
+		f.request(to())
+	}
+}
+
+func bernoulli(r *rand.Rand, p float64) int {
+	if r.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+// worst is the most that passed in a window, less what the rule of a test allows besides.
+func (f *simFleet) worst() int {
+	slices.Sort(f.passed)
+	most, from := 0, 0
+	for i, at := range f.passed {
+		for at-f.passed[from] > simWindow {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// TestFleetKeepsToTheLimit runs testdata/fleets. Commands:
+//
+//	draw fleets=N [stray]    fleets of drawn sizes, limits, loads and troubles; prints the seeds that pass more than the bound
+//	calm nodes=N rate=R share=S on=M [even]    a customer that sends S of its limit by M of the nodes, without troubles
+func TestFleetKeepsToTheLimit(t *testing.T) {
+	datadriven.RunTest(t, "testdata/fleets", func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "draw":
+			count := 0
+			d.ScanArgs(t, "fleets", &count)
+			return drawFleets(count, d.HasArg("stray"))
+		case "calm":
+			return calmFleet(t, d)
+		}
+		d.Fatalf(t, "no such command")
+		return ""
+	})
+}
+
+func drawFleets(count int, stray bool) string {
+	over, closest := 0, 0.0
+	out := ""
+	for seed := range count {
+		f, bound := drawnFleet(uint64(seed), stray)
+		got := float64(f.worst())
+		bound += float64(f.staleOwn)
+		closest = max(closest, got/bound)
+		if got > bound {
+			over++
+			out += fmt.Sprintf("seed %d: %v passed in a window, at most %.1f may\n", seed, got, bound)
+		}
+	}
+	return fmt.Sprintf("%s%d of %d over the bound, the closest at %.2f of it\n", out, over, count, closest)
+}
+
+// drawnFleet lives for a while and returns the most that its nodes may pass in a window.
+func drawnFleet(seed uint64, stray bool) (*simFleet, float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	nodes := 3 + random.IntN(40)
+	rate := math.Exp(random.Float64() * math.Log(400))
+	limit := Limit{Rate: rate, Burst: rate * 2 * random.Float64()}
+	spare := random.IntN(12)
+	f := newSimFleet(random, nodes, 1+random.IntN(4), limit, spare)
+	f.stray = stray
+	most := limit
+	favourite := f.nodes[random.IntN(nodes)]
+	for range 1200 {
+		f.trouble()
+		switch random.IntN(300) {
+		case 0:
+			favourite = f.nodes[random.IntN(nodes)]
+		case 1:
+			// Limits fall and rise; the bound goes by the highest of a day.
+			f.limit = limit.Part(1 + random.IntN(3))
+		}
+		load := rate * simTick.Seconds() * 10 * random.Float64()
+		skewed := random.IntN(2) == 0
+		f.step(load, func() *simNode {
+			if skewed {
+				return favourite
+			}
+			return f.nodes[random.IntN(nodes)]
+		})
+	}
+	// Each part saves up one request at least.
+	return f, most.Within(simWindow+DefaultTerms().Term) + Parts + float64(spare)
+}
+
+// calmFleet prints what a fleet without troubles refuses of a customer, and how many words that takes.
+func calmFleet(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	nodes, on, rate, share := 0, 0, 0.0, 0.0
+	d.ScanArgs(t, "nodes", &nodes)
+	d.ScanArgs(t, "on", &on)
+	readFloat(t, d, "rate", &rate)
+	readFloat(t, d, "share", &share)
+	random := rand.New(rand.NewPCG(1, 2))
+	f := newSimFleet(random, nodes, 3, Limit{Rate: rate, Burst: rate}, 0)
+	f.even = d.HasArg("even")
+	for _, n := range f.nodes {
+		f.restart(n)
+	}
+	idle := func() *simNode { return nil }
+	for range 500 {
+		f.step(0, idle)
+	}
+	for range 2000 {
+		f.step(rate*share*simTick.Seconds(), func() *simNode { return f.nodes[random.IntN(on)] })
+	}
+	return fmt.Sprintf("%.1f%% of %d refused, %.2f of what may pass in a window, %.2f words a request\n",
+		100*float64(f.refused)/float64(f.all), f.all, float64(f.worst())/f.limit.Within(simWindow), words(f))
+}
+
+func words(f *simFleet) float64 {
+	if f.even {
+		return 0
+	}
+	return float64(f.asked) / float64(f.all)
+}
+
+func readFloat(t *testing.T, d *datadriven.TestData, name string, to *float64) {
+	t.Helper()
+	text := ""
+	d.ScanArgs(t, name, &text)
+	if _, err := fmt.Sscan(text, to); err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -30,6 +30,8 @@
 	Services Services `yaml:"services"`
 	// Retries is the fleet's budget of retries.
 	Retries Retries `yaml:"retries"`
+	// Limits is how customers are kept to their limits.
+	Limits Limits `yaml:"limits"`
 	// Ejection is how long endpoints are taken out and how they come back.
 	Ejection Ejection `yaml:"ejection"`
 	// Stop is the planned stop.
@@ -114,6 +116,19 @@
 	MostBurst float64 `yaml:"most_burst" validate:"min=0"`
 }
 
+// Limits is how customers are kept to their limits over all nodes.
+type Limits struct {
+	// Policy says how: lent has a few homes of each limit lend it to the nodes that need it, even gives each node an equal part.
+	Policy string `yaml:"policy" validate:"oneof=lent even"`
+	// Window is the time over which requests are counted.
+	Window Duration `yaml:"window" validate:"min=1000000"`
+	// Slack is how many requests of a customer beyond its limit are bearable in a window. Nodes that reach no home pass a part of
+	// it; the rest is for homes that change while the list of hosts does.
+	Slack float64 `yaml:"slack" validate:"min=0"`
+	// Settle is the time in which a change of the hosts is known everywhere; a new home of a limit lends nothing before.
+	Settle Duration `yaml:"settle"`
+}
+
 // Peers is the listener and the links between nodes.
 type Peers struct {
 	// Listen is the IP and port.
@@ -247,6 +262,7 @@
 			Timeout: Duration(30 * time.Second),
 		},
 		Retries: Retries{Slack: 1000, Use: 1, Window: Duration(10 * time.Second), MostBurst: 10},
+		Limits:  Limits{Policy: "lent", Window: Duration(5 * time.Second), Settle: Duration(2 * time.Second)},
 		Ejection: Ejection{
 			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
 			Successes: 8, RampStep: Duration(2 * time.Second),
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -38,6 +38,7 @@
 	fault.RetryBudget:      "the service's retries were spent",
 	fault.NotReady:         "the node held no configuration, or could not make sure that it is the newest",
 	fault.UnknownRoute:     "the newest configuration has no route for this host and path",
+	fault.UnknownToken:     "no customer holds the key that the caller bore, by the newest configuration",
 	fault.CustomerLimit:    "the customer sent more than its limit",
 	fault.BadRequest:       "the request made no sense; `where` names the place",
 	fault.BadDeadline:      "the deadline that came with the request cannot be read",
