Allowance: the list of hosts with which a node starts is no change that has to settle

Each node's first list shows itself alone (its own line is shown before the table is read); the whole list then was a change, and a home lends nothing while a change settles (2 s). Worse, with that first list a node took itself for the home of all customers.

Lists count from when the node is ready. Ruled out: a shorter settle, which is what keeps two homes of one part from lending at once.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -83,11 +83,12 @@
 	}
 }
 
-// Observe takes a new snapshot in force.
+// Observe takes a new snapshot in force. Before the node is ready its list shows little more than itself: with that it would take
+// itself for the home of all customers, and then wait for the list to settle with which it has started.
 func (a *Allowance) Observe(now time.Time, snap *follow.Snapshot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(snap.Hosts) == 0 || sameList(a.hosts, snap.Hosts) {
+	if !snap.Ready || len(snap.Hosts) == 0 || sameList(a.hosts, snap.Hosts) {
 		return
 	}
 	a.hosts = snap.Hosts
@@ -119,9 +120,12 @@
 
 func (a *Allowance) own(h quota.Host) bool { return h.ID == a.cfg.Host }
 
-// homes are the homes of a customer, those of the own hall first; the lock is held.
+// homes are the homes of a customer, those of the own hall first, none while the hosts are not known; the lock is held.
 func (a *Allowance) homes(customer string) []quota.Host {
-	if a.place == nil || a.cfg.Policy == Even {
+	if a.place == nil {
+		return nil
+	}
+	if a.cfg.Policy == Even {
 		return []quota.Host{{ID: a.cfg.Host, Hall: a.cfg.Hall}}
 	}
 	homes := a.place.Homes(customer)
@@ -163,22 +167,14 @@
 
 // lend lends where this node is a home; the lock is held.
 func (a *Allowance) lend(now time.Time, customer string, limit quota.Limit, want int) quota.Loan {
-	parts := len(a.homes(customer))
-	switch {
-	case a.cfg.Policy == Even:
-		parts = a.nodes()
-	case !a.isHome(customer):
+	if !a.isHome(customer) {
 		return quota.Loan{}
 	}
-	return a.home.Lend(now, customer, limit.Part(parts), want)
-}
-
-// nodes is how many nodes share a limit evenly; the lock is held.
-func (a *Allowance) nodes() int {
-	if a.place == nil {
-		return 1
+	parts := len(a.homes(customer))
+	if a.cfg.Policy == Even {
+		parts = max(1, a.place.Hosts())
 	}
-	return max(1, a.place.Hosts())
+	return a.home.Lend(now, customer, limit.Part(parts), want)
 }
 
 // Pass is one request that may pass; it stands until the request has reached an endpoint or is given back.
