Ingress: a request whose key is lost keeps its customer's name

Before a second send the request is brought to the configuration in force; where its key had been taken away meanwhile that failed, but had already made the call nobody's, and the next send went by that.

The look-up leaves the call as it is; it is changed only where the request is brought to the newer configuration.

--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -33,7 +33,7 @@
 		}
 	}
 	if !x.adopt() {
-		if x.call.findCustomer(x.g.snapshot().State) != nil {
+		if _, _, bad := x.call.holder(x.g.snapshot().State); bad != nil {
 			end.Code = string(fault.UnknownToken)
 		}
 		return false
@@ -51,8 +51,9 @@
 	if !ok || next.Key != x.call.route.Key || !sends(next.Value, x.call.service.Key) {
 		return false
 	}
-	customer := x.call.customer
-	if x.call.findCustomer(snap.State) != nil || x.call.customer != customer {
+	// The call stays as it was where its key is gone or another's: what is still under way was sent under the name that it had.
+	customer, keyed, bad := x.call.holder(snap.State)
+	if bad != nil || customer != x.call.customer || keyed != x.call.keyed {
 		return false
 	}
 	held := snap.State.Revisions()
--- a/node/config.go
+++ b/node/config.go
@@ -148,7 +148,7 @@
 }
 
 // spareShare is the part of the slack of customers' limits that nodes pass which reach no home.
-const spareShare = 0.4
+const spareShare = 0.2
 
 // allowanceConfig is how customers are kept to their limits.
 func (n *Node) allowanceConfig() allowance.Config {
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/standin/backend"
 )
 
