--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -70,7 +70,7 @@
 	home     *quota.Home
 	borrower *quota.Borrower
 	spare    *quota.Spare
-	used     *quota.Ledger[*Use]
+	used     *quota.PerCustomer[*Use]
 }
 
 // New returns the allowance of a node that starts.
@@ -79,7 +79,7 @@
 	return &Allowance{
 		cfg: cfg, log: log, snapshot: snapshot, links: links, metrics: m,
 		home: quota.NewHome(now, cfg.Settle), borrower: quota.NewBorrower(quota.DefaultTerms()),
-		spare: quota.NewSpare(cfg.Window), used: quota.NewLedger[*Use](nil),
+		spare: quota.NewSpare(cfg.Window), used: quota.NewPerCustomer[*Use](nil),
 	}
 }
 
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -34,13 +34,13 @@
 // was asked for and so before it was lent.
 type Borrower struct {
 	terms  Terms
-	purses *Ledger[*purse]
+	holdings *PerCustomer[*holding]
 	// away is until when homes that did not answer are not asked.
 	away map[string]time.Time
 }
 
-// purse is what is held for one customer.
-type purse struct {
+// holding is what is held for one customer.
+type holding struct {
 	held  int
 	until time.Time
 	// demand is the customer's recent rate at this node, as it was at seen.
@@ -52,16 +52,16 @@
 
 // NewBorrower returns a borrower that holds nothing.
 func NewBorrower(t Terms) *Borrower {
-	return &Borrower{terms: t, purses: NewLedger[*purse](nil), away: make(map[string]time.Time)}
+	return &Borrower{terms: t, holdings: NewPerCustomer[*holding](nil), away: make(map[string]time.Time)}
 }
 
-func (b *Borrower) purse(customer string) *purse {
-	return b.purses.Of(customer, func() *purse { return &purse{empty: make(map[string]time.Time)} })
+func (b *Borrower) holding(customer string) *holding {
+	return b.holdings.Of(customer, func() *holding { return &holding{empty: make(map[string]time.Time)} })
 }
 
 // Use lets one request pass on a loan that is held, and returns when that ends.
 func (b *Borrower) Use(now time.Time, customer string) (until time.Time, ok bool) {
-	p := b.purse(customer)
+	p := b.holding(customer)
 	if p.held == 0 || !now.Before(p.until) {
 		p.held = 0
 		return time.Time{}, false
@@ -72,7 +72,7 @@
 
 // Return gives back what was used, of a loan that ends at a time, for a request that reached no endpoint.
 func (b *Borrower) Return(now time.Time, customer string, until time.Time) {
-	p := b.purse(customer)
+	p := b.holding(customer)
 	if !now.Before(until) || p.held > 0 && !p.until.Equal(until) {
 		return
 	}
@@ -82,7 +82,7 @@
 
 // Arrived counts a request of a customer and returns how many to ask for: what should come within a term.
 func (b *Borrower) Arrived(now time.Time, customer string) int {
-	p := b.purse(customer)
+	p := b.holding(customer)
 	if !p.seen.IsZero() {
 		p.demand *= math.Exp(-now.Sub(p.seen).Seconds() / demandMemory.Seconds())
 	}
@@ -93,12 +93,12 @@
 
 // May tells whether a home is to be asked for a customer now.
 func (b *Borrower) May(now time.Time, customer, home string) bool {
-	return !now.Before(b.away[home]) && !now.Before(b.purse(customer).empty[home])
+	return !now.Before(b.away[home]) && !now.Before(b.holding(customer).empty[home])
 }
 
 // Lent takes a home's answer to a question that was asked at a time.
 func (b *Borrower) Lent(asked, now time.Time, customer, home string, l Loan) {
-	p := b.purse(customer)
+	p := b.holding(customer)
 	delete(b.away, home)
 	if l.Granted == 0 {
 		p.empty[home] = now.Add(min(max(l.Wait, b.terms.LeastPause), b.terms.MostPause))
@@ -122,7 +122,7 @@
 
 // Wait returns when a home should have something for a customer again; reached is false when none of its homes has answered of late.
 func (b *Borrower) Wait(now time.Time, customer string, homes []string) (wait time.Duration, reached bool) {
-	p := b.purse(customer)
+	p := b.holding(customer)
 	wait = b.terms.MostPause
 	for _, home := range homes {
 		if at, ok := p.empty[home]; ok && !now.Before(b.away[home]) {
--- a/quota/ledger.go
+++ b/quota/customers.go
@@ -5,23 +5,23 @@
 // mostCustomers bounds the customers that a node keeps something of, about 200 bytes each.
 const mostCustomers = 20000
 
-// Ledger keeps something for each customer that was met of late; its owner locks it.
-type Ledger[T any] struct {
+// PerCustomer keeps something for each customer that was met of late; its owner locks it.
+type PerCustomer[T any] struct {
 	entries *simplelru.LRU[string, T]
 }
 
-// NewLedger returns an empty ledger; forgotten is told what had to make room.
-func NewLedger[T any](forgotten func(customer string, entry T)) *Ledger[T] {
+// NewPerCustomer returns an empty ledger; forgotten is told what had to make room.
+func NewPerCustomer[T any](forgotten func(customer string, entry T)) *PerCustomer[T] {
 	l, err := simplelru.NewLRU(mostCustomers, forgotten)
 	if err != nil {
 		// It fails for a size below one only.
 		panic(err)
 	}
-	return &Ledger[T]{entries: l}
+	return &PerCustomer[T]{entries: l}
 }
 
 // Of returns what is kept for a customer, made anew where there is nothing.
-func (l *Ledger[T]) Of(customer string, make func() T) T {
+func (l *PerCustomer[T]) Of(customer string, make func() T) T {
 	entry, ok := l.entries.Get(customer)
 	if !ok {
 		entry = make()
@@ -31,7 +31,7 @@
 }
 
 // Retain forgets the customers that keep does not hold on to.
-func (l *Ledger[T]) Retain(keep func(customer string) bool) {
+func (l *PerCustomer[T]) Retain(keep func(customer string) bool) {
 	for _, customer := range l.entries.Keys() {
 		if !keep(customer) {
 			l.entries.Remove(customer)
@@ -40,4 +40,4 @@
 }
 
 // Customers returns the customers of which something is kept.
-func (l *Ledger[T]) Customers() []string { return l.entries.Keys() }
+func (l *PerCustomer[T]) Customers() []string { return l.entries.Keys() }
--- a/quota/home.go
+++ b/quota/home.go
@@ -18,10 +18,10 @@
 // node goes on until it has heard of the change.
 type Home struct {
 	settle  time.Duration
-	buckets *Ledger[*Bucket]
+	buckets *PerCustomer[*Bucket]
 	// from is when customers that this home has not met begin to come in.
 	from time.Time
-	// dropping is set while customers leave the ledger because they have other homes now.
+	// dropping is set while customers leave the container because they have other homes now.
 	dropping bool
 	now      time.Time
 }
@@ -29,7 +29,7 @@
 // NewHome returns the home of a node that starts; settle is the time in which a change of the hosts is known everywhere.
 func NewHome(now time.Time, settle time.Duration) *Home {
 	h := &Home{settle: settle, from: now}
-	h.buckets = NewLedger(h.forgotten)
+	h.buckets = NewPerCustomer(h.forgotten)
 	return h
 }
 
--- a/quota/spare.go
+++ b/quota/spare.go
@@ -6,12 +6,12 @@
 // that all of them together pass no more in a window, whoever is cut off from whom; its owner locks it.
 type Spare struct {
 	window time.Duration
-	used   *Ledger[*[]time.Time]
+	used   *PerCustomer[*[]time.Time]
 }
 
 // NewSpare returns a spare of which nothing is used.
 func NewSpare(window time.Duration) *Spare {
-	return &Spare{window: window, used: NewLedger[*[]time.Time](nil)}
+	return &Spare{window: window, used: NewPerCustomer[*[]time.Time](nil)}
 }
 
 // Use lets one request of a customer pass if the node has passed fewer than part in the window before now.
