--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -33,7 +33,7 @@
 // Invariant: a request passes only on a loan, and within the term of the loan by the node's own steady clock, begun before the loan
 // was asked for and so before it was lent.
 type Borrower struct {
-	terms  Terms
+	terms    Terms
 	holdings *PerCustomer[*holding]
 	// away is until when homes that did not answer are not asked.
 	away map[string]time.Time
--- a/quota/customers.go
+++ b/quota/customers.go
@@ -10,7 +10,7 @@
 	entries *simplelru.LRU[string, T]
 }
 
-// NewPerCustomer returns an empty ledger; forgotten is told what had to make room.
+// NewPerCustomer returns an empty one; forgotten is told what had to make room.
 func NewPerCustomer[T any](forgotten func(customer string, entry T)) *PerCustomer[T] {
 	l, err := simplelru.NewLRU(mostCustomers, forgotten)
 	if err != nil {
