--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -235,8 +235,10 @@
 service: {desk: {}}
 endpoint: {e1: {service: desk, host: h1, hall: hall-1, address: "ENDPOINT"}}
 route: {all: {service: desk}}
+customer: {limited: {limit: 0.01}}
 `)
 	defer f.stop(t)
+	f.askLimited(t)
 	if _, err := http.Get("http://" + f.callers + "/x"); err != nil {
 		t.Fatal(err)
 	}
@@ -261,6 +263,7 @@
 		operator.PathStatus:                         `"revision":1`,
 		operator.PathExplain + "?service=desk":      `"phase":"serving"`,
 		operator.PathRow + "?kind=service&key=desk": `"floor":"60%"`,
+		operator.PathCustomers:                      `"customer":"limited","limit":0.01,"burst":0.01,"passed":0,"refused":1`,
 	}
 	for path, want := range wants {
 		if code, got := get(path, "secret"); code != http.StatusOK || !strings.Contains(got, want) {
