Table: changes of several revisions that come at once are told on, whatever order they came in

Cause: a state keeps its latest changes in the order in which they came, and looks for those after a revision from the last one back to the first that is older. A peer tells the changes of several revisions from the last to the first; whoever had them from it and was asked for the later ones stopped at once and told nothing. A node that learned in that way went on by a route, or a key, that was gone.

Found by TestNothingGoesByAnOlderConfiguration, which draws customers' keys now, too: the first draw failed, with rows alone. Ruled out: the keys, none was in that draw. The changes of a tail rise now (sorted where they come in, 1 to some hundred rows).

--- a/egress/stale_test.go
+++ b/egress/stale_test.go
@@ -15,6 +15,9 @@
 // the configuration that the request came by. It had not, as far as that node knew: it had gone past that configuration
 // without seeing it. Nor does the row change when a longer path takes over a part of it. The nodes below proved both.
 
+// callersKey is the digest of the key that callers bear, as long as some customer holds it.
+var callersKey = table.DigestKey("k1")
+
 // paths are what callers ask for; the routes are drawn so that the longer path is a route of its own in some configurations.
 var paths = []string{"/a/1", "/a/b/1"}
 
@@ -31,6 +34,9 @@
 	}
 	add(table.KindService, "x")
 	add(table.KindService, "y")
+	if key := rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(t, "key"); key != "" {
+		add(table.KindCustomer, "acme", "", "", "", "", "plain:"+key)
+	}
 	for _, r := range [][3]string{{"any", "*", "/a/"}, {"short", "h", "/a/"}, {"long", "h", "/a/b/"}} {
 		if service := rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, r[0]); service != "" {
 			add(table.KindRoute, r[0], r[1], r[2], service)
@@ -68,6 +74,9 @@
 		return nil
 	}
 	d := &peerpb.Dispatch{Route: r.Key, Service: r.Value.Service, Target: path}
+	if holder, ok := n.state.Holder(callersKey); ok {
+		d.Customer, d.Keyed = holder.Key, true
+	}
 	if n.plane == table.PlaneConfig {
 		d.Config = n.version()
 	} else {
@@ -87,7 +96,7 @@
 }
 
 // TestNothingGoesByAnOlderConfiguration checks that once a node has held a configuration, or served a request by it, it hands
-// over no request to a service to which only older ones would send it, in whatever order configurations and requests reach
+// over no request to a service to which only older ones would send it, nor one with a key that only older ones hold, in whatever order configurations and requests reach
 // it, however long these wait, and whoever is started anew meanwhile; of the platform's configuration and of the operators'
 // own rows.
 func TestNothingGoesByAnOlderConfiguration(t *testing.T) {
@@ -103,10 +112,11 @@
 		nodes := []*fleetNode{newFleetNode(plane), newFleetNode(plane), newFleetNode(plane)}
 		node := func(what string) *fleetNode { return rapid.SampledFrom(nodes).Draw(t, what) }
 		var rows []table.Row
-		allowed := func(path, service string, from uint64) bool {
+		allowed := func(d *peerpb.Dispatch, from uint64) bool {
 			return slices.ContainsFunc(history[from-1:], func(s *table.State) bool {
-				r, ok := s.Match("h", path)
-				return ok && r.Value.Service == service
+				r, ok := s.Match("h", d.GetTarget())
+				_, held := s.Holder(callersKey)
+				return ok && r.Value.Service == d.GetService() && (held || !d.GetKeyed())
 			})
 		}
 		actions := []func(){
@@ -153,7 +163,7 @@
 				d := n.offers[i]
 				n.offers = slices.Delete(n.offers, i, i+1)
 				known := max(n.version(), n.seen.newest[plane].Load())
-				if !n.seen.stale(n.state, d) && known > 0 && !allowed(d.GetTarget(), d.GetService(), known) {
+				if !n.seen.stale(n.state, d) && known > 0 && !allowed(d, known) {
 					t.Fatalf("request of %s by %d to %s at a node that has seen %d: got served, want refused",
 						d.GetTarget(), max(d.GetConfig(), d.GetRevision()), d.GetService(), known)
 				}
--- a/table/apply.go
+++ b/table/apply.go
@@ -141,6 +141,22 @@
 	return ok && old.Plane == p && slices.Equal(old.Cells, row.Cells)
 }
 
+// changesSince returns the changes of rows after a revision, the earliest first: a delta that covers several revisions may hold its rows
+// in any order.
+//
+// Invariant: the changes of a tail rise. Whoever looks for those after a revision stops at the first that is not, and once told a peer
+// nothing of a route that had been dropped.
+func changesSince(revision uint64, rows []Row) []change {
+	var out []change
+	for _, row := range rows {
+		if row.Revision > revision {
+			out = append(out, change{revision: row.Revision, row: row.ID()})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
+	return out
+}
+
 // extendTail adds a delta's changes to those of the old state; a whole plane starts the tail anew, but that of a sparse one
 // that the old state held.
 func (s *State) extendTail(old *State, d Delta) {
@@ -150,10 +166,7 @@
 		return
 	}
 	t.steps = old.tails[d.Plane].stepsThrough(d)
-	changes := slices.Clone(old.tails[d.Plane].changes)
-	for _, row := range d.Rows {
-		changes = append(changes, change{revision: row.Revision, row: row.ID()})
-	}
+	changes := slices.Concat(old.tails[d.Plane].changes, changesSince(old.revisions[d.Plane], d.Rows))
 	if extra := len(changes) - tailLength; extra > 0 {
 		t.from = changes[extra-1].revision
 		changes = changes[extra:]
