Sight: what a request asks for, and the work under which an endpoint ended

Cause for the change: the logs of the incident tell neither whether the work that broke off had the same content nor whether the endpoint ended or let go of one connection; the hypotheses differ in just that. A request's content (customer, method, host, target, body) goes with it to the endpoint's node and stands in 407 and in the lines of requests that were not simply served; event 411 tells that an endpoint takes no connection after work broke off, and what was under way.

Ruled out: a line for each content (503 would need it; a sample says nothing of repeats). No decision depends on any of it yet.

--- /dev/null
+++ b/egress/ended.go
@@ -0,0 +1,145 @@
+package egress
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fatal"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/upstream"
+)
+
+const (
+	// mostBroken bounds the work that is remembered as broken off: several times the slots of an endpoint.
+	mostBroken = 64
+	// checkLimit bounds the question whether an endpoint still takes connections, which takes about a millisecond.
+	checkLimit = 500 * time.Millisecond
+	// endSettle is how long work that an ended endpoint had may take to be seen as broken off: its connections break at once, and a
+	// node with a third of a core has told of all of them within 2 ms.
+	endSettle = 50 * time.Millisecond
+)
+
+// brokenWork is a piece of work that broke off.
+type brokenWork struct {
+	request string
+	content fatal.Content
+	// began is when it was handed over, at when it broke off.
+	began, at time.Time
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (b brokenWork) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("request", b.request).Stringer("content", b.content).Dur("after", b.at.Sub(b.began))
+}
+
+// contentOf is what a request asks for, the zero content where the sender does not say.
+func contentOf(d *peerpb.Dispatch) fatal.Content {
+	c, _ := fatal.Read(d.GetContent())
+	return c
+}
+
+// noteBroken notes work that broke off and has the endpoint asked whether it lives: one that let go of a connection does, one that
+// has ended takes no connection.
+func (e *Egress) noteBroken(l *local, work brokenWork) {
+	if !l.addBroken(work) {
+		return
+	}
+	e.flight.Add()
+	go func() {
+		defer e.flight.Done()
+		e.checkEnded(l)
+	}()
+}
+
+// addBroken notes work that broke off and tells whether the endpoint is to be asked; it is asked by one goroutine at a time.
+func (l *local) addBroken(work brokenWork) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.broken) < mostBroken {
+		l.broken = append(l.broken, work)
+	}
+	if l.checking {
+		return false
+	}
+	l.checking = true
+	return true
+}
+
+// checkEnded asks the endpoint for a connection until it has answered for all work that broke off.
+func (e *Egress) checkEnded(l *local) {
+	for {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
+		refused := upstream.Refuses(ctx, *l.address.Load())
+		cancel()
+		if refused {
+			time.Sleep(endSettle)
+			e.tellEnded(l, l.takeBroken(time.Now()))
+		} else {
+			l.takeBroken(began)
+		}
+		if !l.checkAgain() {
+			return
+		}
+	}
+}
+
+// takeBroken takes out the work that broke off by a time.
+func (l *local) takeBroken(by time.Time) []brokenWork {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var taken, left []brokenWork
+	for _, b := range l.broken {
+		if b.at.After(by) {
+			left = append(left, b)
+		} else {
+			taken = append(taken, b)
+		}
+	}
+	l.broken = left
+	return taken
+}
+
+// checkAgain tells whether work broke off that the latest answer says nothing of.
+func (l *local) checkAgain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checking = len(l.broken) > 0
+	return l.checking
+}
+
+// tellEnded tells of an endpoint that has ended and of the work that it had then: what broke off first and all that had begun before.
+func (e *Egress) tellEnded(l *local, broken []brokenWork) {
+	work := underWay(broken)
+	if len(work) == 0 {
+		return
+	}
+	list := zerolog.Arr()
+	for _, b := range work {
+		list.Object(b)
+	}
+	events.EndpointEnded.Log(e.log).Str("endpoint", l.key).Str("service", l.service).Array("work", list).Send()
+}
+
+// underWay returns what was under way when the first of some work broke off: what began later came to an endpoint that had ended.
+func underWay(broken []brokenWork) []brokenWork {
+	if len(broken) == 0 {
+		return nil
+	}
+	ended := broken[0].at
+	for _, b := range broken {
+		if b.at.Before(ended) {
+			ended = b.at
+		}
+	}
+	var work []brokenWork
+	for _, b := range broken {
+		if b.began.Before(ended) {
+			work = append(work, b)
+		}
+	}
+	return work
+}
--- a/egress/local.go
+++ b/egress/local.go
@@ -60,6 +60,9 @@
 	service  string
 	part     float64
 	arrivals arrivals
+	// broken is the work that broke off since the endpoint last showed that it lives, checking is set while it is asked.
+	broken   []brokenWork
+	checking bool
 	// waiters are the channels on which queued requests wait for their decision, by the queue's ids.
 	waiters map[uint64]chan admit.Decision
 }
--- a/egress/run.go
+++ b/egress/run.go
@@ -35,6 +35,11 @@
 	cause error
 }
 
+// brokenAtWork tells whether the answer broke off, or never came, of a request that the endpoint may have been running.
+func (r result) brokenAtWork() bool {
+	return r.broken && r.worked && r.end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN
+}
+
 const (
 	answerBuffer = 32 << 10
 	// freshConn is how long a connection may have been idle for a request that must not repeat: an endpoint may have
--- a/egress/work.go
+++ b/egress/work.go
@@ -34,6 +34,9 @@
 	}
 	e.noteState(l)
 	e.noteLeaving(l, result.leaving)
+	if result.brokenAtWork() {
+		e.noteBroken(l, brokenWork{request: d.GetRequestId(), content: contentOf(d), began: start, at: start.Add(service)})
+	}
 	result.end.Load = l.load(service, e.cfg.Incarnation)
 	if kept {
 		result.end.Revision = e.state().Revision()
@@ -53,7 +56,7 @@
 func (e *Egress) logFailure(l *local, d *peerpb.Dispatch, r result, service time.Duration, trial bool) {
 	events.WorkFailed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).
 		Str("outcome", r.end.GetOutcome().String()).Str("code", r.end.GetCode()).
-		Dur("after", service).Bool("trial", trial).
+		Stringer("content", contentOf(d)).Dur("after", service).Bool("trial", trial).
 		Bool("last_resort", d.GetLastResort()).Any("said", l.said.Load()).Uint32("busy", l.load(0, 0).GetBusy()).
 		Err(r.cause).Send()
 }
--- a/events/events.go
+++ b/events/events.go
@@ -51,6 +51,7 @@
 	OfferRefused      = Event{408, "offer refused", zerolog.InfoLevel}
 	FurtherSends      = Event{409, "further sends at the endpoint", zerolog.InfoLevel}
 	OlderTaken        = Event{410, "older configuration taken", zerolog.InfoLevel}
+	EndpointEnded     = Event{411, "endpoint ended at its work", zerolog.WarnLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -69,7 +70,7 @@
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
-	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends, OlderTaken,
+	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends, OlderTaken, EndpointEnded,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, SentAgain, SentTwice,
 }
 
--- /dev/null
+++ b/fatal/content.go
@@ -0,0 +1,47 @@
+package fatal
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"io"
+	"strings"
+)
+
+// contentBytes is how much of a content's SHA-256 is kept: nobody can make a request that passes for another's.
+const contentBytes = 16
+
+// Content is what a request asks for: it stays the same when the request comes again under another id or at another node.
+type Content [contentBytes]byte
+
+// ContentOf returns the content of a request of a customer, "" for none. Host names differ by more than their case.
+//
+// The host beside which the request came in does not belong to it: whoever repeats it does so anywhere.
+func ContentOf(customer, method, host, target string, body []byte) Content {
+	h := sha256.New()
+	for _, part := range []string{customer, method, strings.ToLower(host), target} {
+		_, _ = io.WriteString(h, part+"\x00")
+	}
+	_, _ = h.Write(body)
+	var sum [sha256.Size]byte
+	return Content(h.Sum(sum[:0])[:contentBytes])
+}
+
+// Read returns the content that a message carries, false where it carries none.
+func Read(b []byte) (Content, bool) {
+	if len(b) != contentBytes {
+		return Content{}, false
+	}
+	return Content(b), true
+}
+
+// String returns the content as logs and rows show it, 22 letters of base64.
+func (c Content) String() string { return base64.RawURLEncoding.EncodeToString(c[:]) }
+
+// Parse reads what String returns, false for anything else.
+func Parse(text string) (Content, bool) {
+	b, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return Content{}, false
+	}
+	return Read(b)
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lynxplank/lynxplank/contract"
+	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -38,6 +39,8 @@
 	further  bool
 	ofRepeat float64
 	timeout  time.Duration
+	// content is what the request asks for, the same whenever it comes again.
+	content  fatal.Content
 	key      string
 	attempt  uint32
 	method   string
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -250,7 +250,7 @@
 		Route: x.call.route.Key, Config: x.call.config,
 		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
 		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.keyed, AimMicros: x.aimLeft().Microseconds(),
-		UsualMicros: x.g.routes.usual(x.call.route.Key, x.aim()).Microseconds(),
+		UsualMicros: x.g.routes.usual(x.call.route.Key, x.aim()).Microseconds(), Content: x.call.content[:],
 	}
 	if len(x.body.head) <= inlineBody {
 		d.Body = x.body.head
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
@@ -187,6 +188,7 @@
 		g.refuseEarly(w, r, c.id, end, err.Detail)
 		return end
 	}
+	c.content = fatal.ContentOf(c.customer, c.method, c.host, c.target, body.head)
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	x := &exchange{g: g, start: time.Now(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -87,7 +87,7 @@
 		e.Str("code", code)
 	}
 	if event != events.RequestServed {
-		e.Dur("aim", x.aim()).Dur("limit", x.call.timeout).
+		e.Stringer("content", x.call.content).Dur("aim", x.aim()).Dur("limit", x.call.timeout).
 			Bool("last_resort", x.lastResort).Array("trail", &x.trail)
 	}
 	e.Send()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
@@ -118,3 +120,14 @@
 		delete(p.idle, address)
 	}
 }
+
+// Refuses tells whether an endpoint's address refuses a new connection, as it does once the endpoint has ended; false while that cannot
+// be said.
+func Refuses(ctx context.Context, address string) bool {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
