Peer: an offer says what its request asks for

Cause: an offer carries what the endpoint's node needs before the hand-over, and the new field was not among it; TestHandOverCompletesTheOffer failed, which I had not run.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -83,7 +83,7 @@
 		Priority: d.GetPriority(), Caller: d.GetCaller(), AimMicros: d.GetAimMicros(),
 		LastResort: d.GetLastResort(), Canary: d.GetCanary(), Route: d.GetRoute(), Config: d.GetConfig(),
 		LikelyOnly: d.GetLikelyOnly(), Repeat: d.GetRepeat(), TellDue: d.GetTellDue(),
-		UsualMicros: d.GetUsualMicros(), OfRepeat: d.GetOfRepeat(), Keyed: d.GetKeyed(),
+		UsualMicros: d.GetUsualMicros(), OfRepeat: d.GetOfRepeat(), Keyed: d.GetKeyed(), Content: d.GetContent(),
 	}
 }
 
