--- a/cmd/lynxplank-standin/main.go
+++ b/cmd/lynxplank-standin/main.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/outbound"
-	"github.com/lynxplank/lynxplank/serve"
 	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
@@ -38,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	var server *serve.Server
+	var server listener
 	switch role {
 	case "platform":
 		server = store.NewServer(store.New(), address)
@@ -47,7 +46,7 @@
 		if err := json.Unmarshal([]byte(how), &b); err != nil {
 			return err
 		}
-		server = backend.NewServer(backend.New(name, b, seed), address)
+		server = backend.NewPort(backend.New(name, b, seed), address)
 	default:
 		flag.Usage()
 		os.Exit(2)
@@ -63,3 +62,9 @@
 	defer cancel()
 	return server.Stop(ctx)
 }
+
+// listener is a stand-in's port.
+type listener interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -52,6 +52,8 @@
 	Sends int
 	// Code is the system's own code for a failure.
 	Code string
+	// Fatal names a request that ends endpoints, "" for any other.
+	Fatal string
 	// ComesBack is set when a refusal said when to come back.
 	ComesBack bool
 }
@@ -72,6 +74,8 @@
 	clientLimit = 60 * time.Second
 	pause       = 150 * time.Millisecond
 	bodyLength  = 16
+	// fatalCall begins the names of fatal requests in the endpoints' records.
+	fatalCall = "fatal-"
 )
 
 // NewLoad returns a load on the callers' addresses.
@@ -150,7 +154,7 @@
 
 // send makes one send; reached is false when no node took the connection.
 func (l *Load) send(r *Result, attempt int, target string) (reached bool) {
-	req, err := http.NewRequest(r.Kind.method(), "http://"+target+"/"+kindNames[r.Kind], r.body()) //nolint:noctx // the client's limit
+	req, err := http.NewRequest(r.Kind.method(), "http://"+target+r.path(), r.body()) //nolint:noctx // the client's limit
 	if err != nil {
 		return false
 	}
@@ -187,6 +191,32 @@
 	return true
 }
 
+// path is what the request asks for: the same for every send of a fatal one.
+func (r *Result) path() string {
+	if r.Fatal != "" {
+		return backend.PathFatal + "/" + r.Fatal
+	}
+	return "/" + kindNames[r.Kind]
+}
+
+// SendFatal sends a request that ends endpoints once, under a number of its own, to the node whose turn it is.
+func (l *Load) SendFatal(name string, n int) Result {
+	r := Result{Kind: Lookup, Fatal: name, Call: fatalCall + name + "-" + strconv.Itoa(n), Sends: 1}
+	l.send(&r, 1, l.targets[n%len(l.targets)])
+	return r
+}
+
+// FatalRuns counts, in an endpoint's record, how often it began a fatal request.
+func FatalRuns(record map[string]backend.Run, name string) int {
+	sum := 0
+	for call, r := range record {
+		if strings.HasPrefix(call, fatalCall+name+"-") {
+			sum += r.Started
+		}
+	}
+	return sum
+}
+
 func (k Kind) method() string {
 	if k == Lookup {
 		return http.MethodGet
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -58,9 +58,22 @@
 //	ctl ARGS...                                                     the operators' tool; prints "ok" or the exit
 //	inforce                                                         waits until every running node holds the same revision
 //	inforce after=down                                              the same, without asking the platform
+//	fatal name=N [down=500] [ends=N] [for=3s] [n=N]                 a request that ends the endpoints that run it comes again and again, at each
+//	                                                                node in turn: until endpoints have ended N times, then for some time, then
+//	                                                                N times, of which it prints how many began to run, if more than three
 //	check                                                           holds answers against the endpoints' records
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/scenarios/*")
+	runScenarios(t, "testdata/scenarios/*")
+}
+
+// TestFatalRequests runs the scenarios of testdata/fatal: requests that end the endpoints that run them.
+func TestFatalRequests(t *testing.T) {
+	runScenarios(t, "testdata/fatal/*")
+}
+
+func runScenarios(t *testing.T, pattern string) {
+	t.Helper()
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("scenarios: got %v and %v, want some", files, err)
 	}
@@ -91,7 +104,7 @@
 		"fleet": s.start, "send": s.send, "hold": s.hold, "held": s.wait, "endpoint": s.endpoint,
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
-		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "inforce": s.inForce, "check": s.check,
+		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "inforce": s.inForce, "fatal": s.fatal, "check": s.check,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -369,6 +382,60 @@
 	return "in force\n"
 }
 
+// fatalPause is the time between two sends of a fatal request.
+const fatalPause = 100 * time.Millisecond
+
+func (s *scenario) fatal(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	const allowed = 3
+	name := word(t, d, "name", "")
+	how := s.how
+	how.DownMillis = number(t, d, "down", 500)
+	for _, m := range s.fleet.Members {
+		must(t, d, m.Behave(how))
+	}
+	l := NewLoad(s.targets())
+	again := func() {
+		l.SendFatal(name, s.sent)
+		s.sent++
+		time.Sleep(fatalPause)
+	}
+	for end := time.Now().Add(waitLimit); s.fatalRuns(t, d, name) < number(t, d, "ends", 0); again() {
+		if time.Now().After(end) {
+			d.Fatalf(t, "ends: got %d within %v", s.fatalRuns(t, d, name), waitLimit)
+		}
+	}
+	length, err := time.ParseDuration(word(t, d, "for", "0s"))
+	must(t, d, err)
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		again()
+	}
+	before := s.fatalRuns(t, d, name)
+	for range number(t, d, "n", 0) {
+		again()
+	}
+	if got := s.fatalRuns(t, d, name) - before; got > allowed {
+		return fmt.Sprintf("begun %d times, want %d at most\n", got, allowed)
+	}
+	return ""
+}
+
+// fatalRuns counts how often endpoints have begun a fatal request; one that has ended is waited for.
+func (s *scenario) fatalRuns(t *testing.T, d *datadriven.TestData, name string) int {
+	t.Helper()
+	sum := 0
+	for _, m := range s.fleet.Members {
+		must(t, d, waitFor("record", func() bool {
+			runs, err := m.Runs()
+			if err == nil {
+				sum += FatalRuns(runs, name)
+			}
+			return err == nil
+		}))
+	}
+	return sum
+}
+
 func (s *scenario) check(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	s.held.Wait()
--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -51,7 +51,7 @@
 	}
 	f := &fixture{store: store.New(), backend: backend.New("e1", backend.Behaviour{WorkMillis: 1}, 1), callers: ports[0], operator: ports[2], logs: new(bytes.Buffer)}
 	f.run(t, store.NewServer(f.store, netip.MustParseAddrPort(ports[3])))
-	f.run(t, backend.NewServer(f.backend, netip.MustParseAddrPort(ports[4])))
+	f.run(t, backend.NewPort(f.backend, netip.MustParseAddrPort(ports[4])))
 	cfg := settings.DefaultDaemon()
 	text := fmt.Sprintf("node: {id: h1, hall: hall-1}\ncallers: {listen: %q, body_bytes: 1KiB}\npeers: {listen: %q}\noperators: {listen: %q, token: secret}\nplatform: {address: %q}\n", ports[0], ports[1], ports[2], ports[3])
 	text += strings.Join(extra, "\n")
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -32,6 +32,8 @@
 	ColdMillis int `json:"cold_millis"`
 	// Leaving marks every answer as that of an endpoint about to stop.
 	Leaving bool `json:"leaving"`
+	// DownMillis is how long the endpoint is gone once it has worked at a fatal request; 0 has it live on and answer.
+	DownMillis int `json:"down_millis"`
 	// ReportLoad is what it says of its load: "" for the truth, "stuck" for the first value, "idle" for none.
 	ReportLoad string `json:"report_load"`
 }
@@ -66,11 +68,13 @@
 	busy   int
 	stuck  int
 	random *rand.Rand
+	// ends takes, at its end, for how long the endpoint is gone.
+	ends chan time.Duration
 }
 
 // New returns an endpoint with a name for its answers and fixed random numbers.
 func New(name string, how Behaviour, seed uint64) *Backend {
-	b := &Backend{name: name, runs: make(map[string]Run), random: rand.New(rand.NewPCG(seed, seed))} //nolint:gosec // no secret
+	b := &Backend{name: name, runs: make(map[string]Run), random: rand.New(rand.NewPCG(seed, seed)), ends: make(chan time.Duration, 1)} //nolint:gosec // no secret
 	b.Set(how)
 	return b
 }
@@ -100,9 +104,11 @@
 	shed, fail, half, leaving bool
 	work                      time.Duration
 	report                    int
+	// down is how long the endpoint is gone after the work, 0 for not at all.
+	down time.Duration
 }
 
-func (b *Backend) begin(call string) plan {
+func (b *Backend) begin(call string, fatal bool) plan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := plan{leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report()}
@@ -121,6 +127,9 @@
 			p.work = time.Duration(float64(p.work) * b.how.SlowFactor)
 		}
 	}
+	if fatal {
+		p.down = time.Duration(b.how.DownMillis) * time.Millisecond
+	}
 	b.busy++
 	r := b.runs[call]
 	r.Started++
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -4,12 +4,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 
 	"github.com/lynxplank/lynxplank/header"
-	"github.com/lynxplank/lynxplank/serve"
 )
 
 // The paths that switch the stand-in itself.
@@ -18,15 +16,12 @@
 	PathBehaviour = "/admin/behaviour"
 	// PathRuns answers the record, a Run by call.
 	PathRuns = "/admin/runs"
+	// PathFatal begins the paths of requests that end the endpoint.
+	PathFatal = "/fatal"
 	// PathHealth is the probe; it lies: it succeeds whatever the faults are.
 	PathHealth = "/healthz"
 )
 
-// NewServer returns the stand-in's listener.
-func NewServer(b *Backend, address netip.AddrPort) *serve.Server {
-	return serve.New("endpoint-standin", address, serve.WithHandler(b))
-}
-
 // ServeHTTP answers work on every path but those of the stand-in itself.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -64,7 +59,7 @@
 		return
 	}
 	call := r.Header.Get(CallHeader)
-	p := b.begin(call)
+	p := b.begin(call, strings.HasPrefix(r.URL.Path, PathFatal))
 	w.Header().Set(reportHeader, strconv.Itoa(p.report))
 	if p.leaving {
 		w.Header().Set(header.Leaving, "yes")
@@ -76,7 +71,11 @@
 		return
 	}
 	done := p.wait(r.Context(), deadlineOf(r))
-	b.end(call, done && !p.fail)
+	b.end(call, done && !p.fail && p.down == 0)
+	if done && p.down > 0 {
+		b.endLife(p.down)
+		done = false
+	}
 	if !done {
 		// The deadline has passed or the caller is gone; whoever waits will see no answer.
 		<-r.Context().Done()
