A clock that goes on while the host is suspended

A host's steady clock stands still while it is suspended, and what a node believes by it has ended for all others. Found in the code: loans of customers' limits, the homes' lists, the freshness of a confirmed configuration, and the time left that endpoints are told.

Ruled out for a steady clock: budgets of retries (the users' rule takes the earlier window too), keys (they are forgotten later), ejections, breakers and hosts that are out of reach (all later), links (by the time of day), drains (no clock).

Before, in 250 drawn fleets whose hosts are suspended alone and most of them at once: 69 requests pass by loans that have ended, none over the bound; after: none. Cost: a system call at a request's arrival, at each send and at the hand-over, two each.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
@@ -63,6 +64,9 @@
 	snapshot func() *follow.Snapshot
 	links    Links
 	metrics  *metrics.Metrics
+	// now counts the time in which the host is suspended: a loan ends at its home meanwhile, which lends it again. By
+	// a steady clock 69 requests pass by loans that have ended in 250 drawn fleets whose hosts are suspended, by this one none.
+	now clock.Clock
 
 	mu       sync.Mutex
 	hosts    []table.HostInfo
@@ -73,21 +77,33 @@
 	used     *quota.PerCustomer[*Use]
 }
 
+// Option changes an allowance under construction.
+type Option func(*Allowance)
+
+// WithClock replaces the clock.
+func WithClock(c clock.Clock) Option { return func(a *Allowance) { a.now = c } }
+
 // New returns the allowance of a node that starts.
-func New(cfg Config, log *zerolog.Logger, snapshot func() *follow.Snapshot, links Links, m *metrics.Metrics) *Allowance {
-	now := time.Now()
-	return &Allowance{
-		cfg: cfg, log: log, snapshot: snapshot, links: links, metrics: m,
-		home: quota.NewHome(now, cfg.Settle), borrower: quota.NewBorrower(quota.DefaultTerms()),
+func New(
+	cfg Config, log *zerolog.Logger, snapshot func() *follow.Snapshot, links Links, m *metrics.Metrics, opts ...Option,
+) *Allowance {
+	a := &Allowance{
+		cfg: cfg, log: log, snapshot: snapshot, links: links, metrics: m, now: clock.Boot, borrower: quota.NewBorrower(quota.DefaultTerms()),
 		spare: quota.NewSpare(cfg.Window), used: quota.NewPerCustomer[*Use](nil),
 	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	a.home = quota.NewHome(a.now(), cfg.Settle)
+	return a
 }
 
 // Observe takes a new snapshot in force. Before the node is ready its list shows little more than itself: with that it would take
 // itself for the home of all customers, and then wait for the list to settle with which it has started.
-func (a *Allowance) Observe(now time.Time, snap *follow.Snapshot) {
+func (a *Allowance) Observe(snap *follow.Snapshot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.now()
 	if !snap.Ready || len(snap.Hosts) == 0 || sameList(a.hosts, snap.Hosts) {
 		return
 	}
@@ -160,7 +176,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	loan := a.lend(time.Now(), customer, limit, want)
+	loan := a.lend(a.now(), customer, limit, want)
 	a.use(customer).Lent += uint64(loan.Granted) //nolint:gosec // not negative
 	return loan
 }
@@ -191,7 +207,7 @@
 	}
 	p.a.mu.Lock()
 	defer p.a.mu.Unlock()
-	p.a.borrower.Return(time.Now(), p.customer, p.until)
+	p.a.borrower.Return(p.a.now(), p.customer, p.until)
 	p.a.use(p.customer).Unused++
 }
 
@@ -202,7 +218,7 @@
 		return Pass{}, 0, true
 	}
 	a.mu.Lock()
-	want := a.borrower.Arrived(time.Now(), customer)
+	want := a.borrower.Arrived(a.now(), customer)
 	homes := a.homes(customer)
 	pass, ok := a.take(customer)
 	a.mu.Unlock()
@@ -219,13 +235,13 @@
 
 // take uses what is held; the lock is held.
 func (a *Allowance) take(customer string) (Pass, bool) {
-	until, ok := a.borrower.Use(time.Now(), customer)
+	until, ok := a.borrower.Use(a.now(), customer)
 	return Pass{a: a, customer: customer, until: until}, ok
 }
 
 // borrow asks one home and uses what it lends.
 func (a *Allowance) borrow(ctx context.Context, home quota.Host, customer string, limit quota.Limit, want int) (Pass, bool) {
-	asked := time.Now()
+	asked := a.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.borrower.May(asked, customer, home.ID) {
@@ -239,10 +255,10 @@
 	loan, ok := a.ask(ctx, home.ID, customer, want)
 	a.mu.Lock()
 	if !ok {
-		a.borrower.Silent(time.Now(), home.ID)
+		a.borrower.Silent(a.now(), home.ID)
 		return Pass{}, false
 	}
-	a.borrower.Lent(asked, time.Now(), customer, home.ID, loan)
+	a.borrower.Lent(asked, a.now(), customer, home.ID, loan)
 	return a.take(customer)
 }
 
@@ -270,7 +286,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := a.now()
 	wait, reached := a.borrower.Wait(now, customer, names)
 	if !reached && a.place != nil && a.spare.Use(now, customer, a.place.Share(a.cfg.Host, customer, a.cfg.Spare)) {
 		return Pass{}, 0, true
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -52,7 +52,7 @@
 			next.Hosts, next.ByID[h.ID] = append(next.Hosts, h), h
 		}
 		snap = next
-		a.Observe(time.Now(), next)
+		a.Observe(next)
 	}
 }
 
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
 	"github.com/lynxplank/lynxplank/fatal"
@@ -61,6 +62,7 @@
 	// announced are the endpoints that announce themselves beside this node.
 	announced *registry.Registry
 	endings   Endings
+	clock     clock.Clock
 	nextID    atomic.Uint64
 	closing   atomic.Bool
 	// working is the work under way.
@@ -102,6 +104,9 @@
 // WithEndings has the egress tell of endpoints that end, and refuse requests that end them.
 func WithEndings(g Endings) Option { return func(e *Egress) { e.endings = g } }
 
+// WithClock replaces the clock that counts the time in which the host is suspended.
+func WithClock(c clock.Clock) Option { return func(e *Egress) { e.clock = c } }
+
 // Option changes an egress under construction.
 type Option func(*Egress)
 
@@ -119,7 +124,7 @@
 	e := &Egress{
 		cfg: cfg, log: log, state: state,
 		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.KeySettle),
-		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(), endings: noEndings{},
+		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(), endings: noEndings{}, clock: clock.Boot,
 	}
 	for _, opt := range opts {
 		opt(e)
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -19,15 +20,29 @@
 		e.logRefusal(nil, d, end)
 		return end
 	}
+	watch := e.clock.Begin()
 	trial, end := e.take(ctx, l, d, sink)
 	if end != nil {
 		end.Load = l.load(0, e.cfg.Incarnation)
 		e.logRefusal(l, d, end)
 		return end
 	}
+	ctx, cancel := withoutSuspended(ctx, watch)
+	defer cancel()
 	return e.runAt(ctx, l, d, body, sink, trial)
 }
 
+// withoutSuspended brings the deadline of a request forward by the time in which the host was suspended while it waited: for its caller that
+// time went on.
+func withoutSuspended(ctx context.Context, watch clock.Stopwatch) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	lost := watch.Suspended()
+	if !ok || lost == 0 {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline.Add(-lost))
+}
+
 // take brings a request to a slot of the endpoint and to the word of whoever sent it, or returns the refusal.
 func (e *Egress) take(ctx context.Context, l *local, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
 	if !l.takes(time.Now(), d) {
--- a/follow/confirm.go
+++ b/follow/confirm.go
@@ -35,7 +35,7 @@
 
 // ConfirmForPeer is the same for a node of the hall, which may be answered by the platform's word of a moment ago.
 func (f *Follower) ConfirmForPeer(ctx context.Context) bool {
-	return f.confirms.Fresh(time.Now(), confirmFresh) || f.confirms.Do(ctx, f.confirm)
+	return f.confirms.Fresh(confirmFresh) || f.confirms.Do(ctx, f.confirm)
 }
 
 // confirmByReader asks the hall's first reader, and brings this node to the configuration that it names; false when that does not
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/changes"
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
@@ -149,6 +150,7 @@
 func New(cfg Config, log *zerolog.Logger, p Platform, links *peer.Manager, opts ...Option) *Follower {
 	f := &Follower{
 		cfg: cfg, log: log, platform: p, links: links,
+		confirms: shared{now: clock.Boot},
 		messages: make(chan message, messageBacklog), done: make(chan struct{}),
 		sources: map[table.Plane]*sourceState{table.PlaneRows: {}},
 		wanted:  make(map[string]wantedPull), seedsAsked: make(map[string]bool),
--- a/follow/shared.go
+++ b/follow/shared.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lynxplank/lynxplank/clock"
 )
 
 // sharedLimit bounds one shared question: callers wait for a quarter of a second at most.
@@ -15,6 +17,8 @@
 	mu sync.Mutex
 	// running is the question under way, next the one that begins when it has ended; nil for none.
 	running, next *round
+	// now counts the time in which the host is suspended: the configuration goes on meanwhile.
+	now clock.Clock
 	// heardOf is when the last question began that was answered with yes.
 	heardOf time.Time
 }
@@ -25,11 +29,11 @@
 	answer bool
 }
 
-// Fresh tells whether a question that began at most so long before now was answered with yes.
-func (s *shared) Fresh(now time.Time, age time.Duration) bool {
+// Fresh tells whether a question that began at most so long ago was answered with yes.
+func (s *shared) Fresh(age time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.heardOf.IsZero() && now.Sub(s.heardOf) <= age
+	return !s.heardOf.IsZero() && s.now.Since(s.heardOf) <= age
 }
 
 // Do asks, or joins a question that has not begun yet; false when ctx ends first.
@@ -60,7 +64,7 @@
 		return
 	}
 	go func(r *round) {
-		began := time.Now()
+		began := s.now()
 		ctx, cancel := context.WithTimeout(context.Background(), sharedLimit)
 		defer cancel()
 		r.answer = ask(ctx)
--- a/follow/shared_test.go
+++ b/follow/shared_test.go
@@ -13,7 +13,7 @@
 // asked.
 func TestSharedQuestions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var s shared
+		s := shared{now: time.Now}
 		var asked atomic.Int64
 		var began []time.Time
 		ask := func(context.Context) bool {
@@ -46,7 +46,7 @@
 // TestSharedQuestionIsNobodysOwn checks that a question goes on for the others when the one who asked first leaves.
 func TestSharedQuestionIsNobodysOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var s shared
+		s := shared{now: time.Now}
 		ask := func(ctx context.Context) bool {
 			time.Sleep(10 * time.Millisecond)
 			return ctx.Err() == nil
@@ -69,3 +69,18 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestSuspendedHostIsNotFresh has the host suspended after the platform has answered: by a clock that stands still meanwhile, a reader
+// answers its hall for half a second more that its configuration is the newest.
+func TestSuspendedHostIsNotFresh(t *testing.T) {
+	lost := time.Duration(0)
+	s := shared{now: func() time.Time { return time.Now().Add(lost) }}
+	s.Do(t.Context(), func(context.Context) bool { return true })
+	if got, want := s.Fresh(time.Minute), true; got != want {
+		t.Errorf("fresh: got %v, want %v", got, want)
+	}
+	lost = time.Hour
+	if got, want := s.Fresh(time.Minute), false; got != want {
+		t.Errorf("fresh after a suspension: got %v, want %v", got, want)
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/allowance"
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fatal"
@@ -32,7 +33,9 @@
 type exchange struct {
 	g *Ingress
 	// start is when the request came.
-	start  time.Time
+	start time.Time
+	// watch tells how long the host was suspended since then.
+	watch  clock.Stopwatch
 	call   call
 	body   *requestBody
 	answer *answer
@@ -247,7 +250,7 @@
 	d := &peerpb.Dispatch{
 		RequestId: x.call.id, Endpoint: pick.Endpoint.Key, Service: x.call.service.Key, Customer: x.call.customer,
 		Method: x.call.method, Target: x.call.target, Host: x.call.host, Headers: x.call.headers,
-		BudgetMicros: time.Until(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
+		BudgetMicros: x.left(deadline).Microseconds(), Repeatable: x.call.repeatable, Claim: claim,
 		Route: x.call.route.Key, Config: x.call.config,
 		Revision: x.call.revision, LateMicros: pick.Late.Microseconds(), Caller: x.g.cfg.Service,
 		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.keyed, AimMicros: x.aimLeft().Microseconds(),
@@ -264,6 +267,11 @@
 	return d
 }
 
+// left is the time left until the deadline, at least a moment: for the caller it went on while the host was suspended.
+func (x *exchange) left(deadline time.Time) time.Duration {
+	return max(time.Until(deadline)-x.watch.Suspended(), time.Microsecond)
+}
+
 // aim is the time from the request's arrival in which its answer is worth its full value, 0 if the route has none.
 func (x *exchange) aim() time.Duration { return time.Duration(x.call.route.Value.Aim) }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/allowance"
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/events"
@@ -64,6 +65,7 @@
 	// confirm asks the platform whether this node's configuration is the newest.
 	confirm func(ctx context.Context) bool
 	fatal   Fatal
+	clock   clock.Clock
 
 	mu      sync.Mutex
 	refused map[string]*refusals
@@ -102,6 +104,9 @@
 // WithFatal has requests that end endpoints refused.
 func WithFatal(f Fatal) Option { return func(g *Ingress) { g.fatal = f } }
 
+// WithClock replaces the clock that counts the time in which the host is suspended.
+func WithClock(c clock.Clock) Option { return func(g *Ingress) { g.clock = c } }
+
 // Option changes an ingress under construction.
 type Option func(*Ingress)
 
@@ -118,7 +123,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: unlimited{}, fatal: harmless{}, splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
+		limits: unlimited{}, fatal: harmless{}, clock: clock.Boot, splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
 		confirm: func(context.Context) bool { return true },
 	}
 	for _, opt := range opts {
@@ -215,7 +220,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, start: time.Now(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
+	x := &exchange{g: g, start: time.Now(), watch: g.clock.Begin(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
 	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
--- a/node/node.go
+++ b/node/node.go
@@ -139,7 +139,7 @@
 	follower = follow.New(n.followConfig(), n.log, client, links, follow.WithChangeHook(func(s *follow.Snapshot) {
 		e.Observe(time.Now(), s)
 		a.Observe(s)
-		limits.Observe(time.Now(), s)
+		limits.Observe(s)
 		keeper.Observe(s)
 	}))
 	keeper = barring.New(barring.Config{
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -11,7 +11,8 @@
 
 // TestFleetKeepsToTheLimit runs testdata/fleets. Commands:
 //
-//	draw fleets=N [stray]    fleets of drawn sizes, limits, loads and troubles; prints the seeds that pass more than the bound
+//	draw fleets=N [stray] [suspend [steady]]    fleets of drawn sizes, limits, loads and troubles; prints the seeds that pass more than the bound;
+//	                                            hosts may be suspended, and nodes go by clocks that stand still meanwhile
 //	calm nodes=N rate=R share=S on=M [even]    a customer that sends S of its limit by M of the nodes, without troubles
 func TestFleetKeepsToTheLimit(t *testing.T) {
 	datadriven.RunTest(t, "testdata/fleets", func(t *testing.T, d *datadriven.TestData) string {
@@ -19,7 +20,7 @@
 		case "draw":
 			count := 0
 			d.ScanArgs(t, "fleets", &count)
-			return drawFleets(count, d.HasArg("stray"))
+			return drawFleets(count, d)
 		case "calm":
 			return calmFleet(t, d)
 		}
@@ -28,12 +29,13 @@
 	})
 }
 
-func drawFleets(count int, stray bool) string {
-	over, broken := 0, 0
+func drawFleets(count int, d *datadriven.TestData) string {
+	over, broken, ended := 0, 0, 0
 	out := ""
 	for seed := range count {
-		f, bound := drawnFleet(uint64(seed), stray)
+		f, bound := drawnFleet(uint64(seed), d)
 		got := float64(f.worst())
+		ended += f.ended
 		if len(f.broken) > 0 {
 			broken++
 			out += fmt.Sprintf("seed %d: %s\n", seed, f.broken[0])
@@ -43,18 +45,21 @@
 			out += fmt.Sprintf("seed %d: %v passed in a window, at most %.1f may\n", seed, got, bound)
 		}
 	}
+	if d.HasArg("suspend") {
+		out += fmt.Sprintf("%d passed by loans that had ended\n", ended)
+	}
 	return fmt.Sprintf("%s%d of %d over the bound, %d break an invariant\n", out, over, count, broken)
 }
 
 // drawnFleet lives for a while and returns the most that its nodes may pass in a window.
-func drawnFleet(seed uint64, stray bool) (*simFleet, float64) {
+func drawnFleet(seed uint64, d *datadriven.TestData) (*simFleet, float64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	nodes := Parts + random.IntN(40)
 	rate := math.Exp(random.Float64() * math.Log(400))
 	limit := Limit{Rate: rate, Burst: rate * 2 * random.Float64()}
 	spare := random.IntN(12)
 	f := newSimFleet(random, nodes, 1+random.IntN(4), limit, spare)
-	f.stray = stray
+	f.stray, f.suspend, f.steady = d.HasArg("stray"), d.HasArg("suspend"), d.HasArg("steady")
 	most := limit
 	favourite := f.nodes[random.IntN(nodes)]
 	// Some fleets have the same load all the time, some rest for seconds and are full then, some have lists in quick succession.
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -30,6 +30,8 @@
 	// process was.
 	view                 int
 	frozen, cut, started time.Duration
+	// lentUntil is when what it holds ends for its home.
+	lentUntil time.Duration
 	// slow has it learn of each list as late as may be.
 	slow bool
 }
@@ -46,12 +48,16 @@
 	spare int
 	// even has every node lend to itself alone; stray lets cut nodes outlive the time to settle.
 	even, stray bool
+	// suspend has hosts suspended where they would freeze, steady has nodes go by clocks that stand still meanwhile.
+	suspend, steady bool
 	// passed are the times at which requests passed, staleOwn those that a cut node lent to itself by a list that is no more.
 	passed   []time.Duration
 	staleOwn int
-	asked    int
-	refused  int
-	all      int
+	// ended counts those that passed by loans that had ended for their homes.
+	ended   int
+	asked   int
+	refused int
+	all     int
 	// taken is the latest list by which a host has lent that was no home by the list before, broken what must not be.
 	taken  int
 	broken []string
@@ -180,12 +186,31 @@
 	if f.random.IntN(2000) == 0 {
 		// It stands still between the answer and the request; time goes on for the others.
 		n.frozen = f.now + time.Duration(f.random.IntN(3e9))
+		f.standStill(n)
 		f.pass(n, n.frozen)
 		return true
 	}
 	return f.pass(n, f.now)
 }
 
+// suspendMany suspends most hosts at once, as a move of their machines does.
+func (f *simFleet) suspendMany() {
+	length := time.Duration(f.random.IntN(4e9))
+	for _, o := range f.nodes {
+		if f.random.IntN(4) > 0 {
+			o.frozen = f.now + length
+			f.standStill(o)
+		}
+	}
+}
+
+// standStill has a node's clock stand still while its host is suspended, if it goes by a steady one.
+func (f *simFleet) standStill(n *simNode) {
+	if f.suspend && f.steady {
+		n.offset -= n.frozen - f.now
+	}
+}
+
 // pass uses a loan at a time, within its term.
 func (f *simFleet) pass(n *simNode, at time.Duration) bool {
 	now := f.clock(n).Add(at - f.now)
@@ -194,6 +219,9 @@
 		return false
 	}
 	f.passed = append(f.passed, at)
+	if at > n.lentUntil {
+		f.ended++
+	}
 	if !now.Before(until) {
 		f.broken = append(f.broken, fmt.Sprintf("%v: %s uses a loan %v after its end", at, n.host.ID, now.Sub(until)))
 	}
@@ -223,6 +251,9 @@
 		return false
 	}
 	n.borrower.Lent(asked, asked.Add(took), simCustomer, h.ID, loan)
+	if loan.Granted > 0 {
+		n.lentUntil = max(n.lentUntil, f.now+DefaultTerms().Term)
+	}
 	return loan.Granted > 0
 }
 
@@ -234,6 +265,7 @@
 		f.restart(n)
 	case 1:
 		n.frozen = f.now + time.Duration(f.random.IntN(4e9))
+		f.standStill(n)
 	case 2:
 		// It hears of a change half the time late and is cut off for the other half.
 		most := simSettle/2 - 3*simTick
@@ -247,6 +279,10 @@
 		n.cut = f.now + time.Duration(f.random.Int64N(int64(most)))
 	case 3:
 		f.newList()
+	case 5:
+		if f.suspend {
+			f.suspendMany()
+		}
 	case 4:
 		// A third of the nodes start again at once.
 		for _, o := range f.nodes {
