Egress: what a leaving endpoint takes with it is not held against its work

Cause: read in the code: a planned end cuts what is still under way, and each would have cost a row and a suspicion. An endpoint that said that it drains gets nothing new, and its end was to be expected. And a node that knows of no such request does nothing each second.

--- a/barring/known.go
+++ b/barring/known.go
@@ -122,6 +122,9 @@
 	return news
 }
 
+// empty tells whether nothing is known of any content.
+func (k *known) empty() bool { return len(k.rows) == 0 && len(k.word) == 0 }
+
 // forget drops what no longer counts by word alone.
 func (k *known) forget(now time.Time) {
 	maps.DeleteFunc(k.word, func(_ fatal.Content, h heard) bool { return fatal.Forgotten(h.Fatal, now) })
--- a/barring/write.go
+++ b/barring/write.go
@@ -56,7 +56,11 @@
 	hosts := k.snapshot().Hosts
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.known.empty() && len(k.clear) == 0 {
+		return
+	}
 	k.known.forget(now)
+	maps.DeleteFunc(k.own, func(c fatal.Content, _ bool) bool { return k.known.word[c].Ends == "" })
 	maps.DeleteFunc(k.clear, func(_ fatal.Content, at time.Time) bool { return now.Sub(at) > ranWithin })
 	for c, row := range k.known.rows {
 		if fatal.Forgotten(row.Value, now) && k.rank(c, hosts) == 0 {
--- a/egress/ended.go
+++ b/egress/ended.go
@@ -9,6 +9,7 @@
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
 
@@ -123,8 +124,23 @@
 		list.Object(b)
 		contents = append(contents, b.content)
 	}
-	events.EndpointEnded.Log(e.log).Str("endpoint", l.key).Str("service", l.service).Array("work", list).Send()
-	e.endings.EndedHere(l.key, l.service, contents)
+	leaving := e.leaves(l)
+	events.EndpointEnded.Log(e.log).Str("endpoint", l.key).Str("service", l.service).Bool("leaving", leaving).
+		Array("work", list).Send()
+	if !leaving {
+		e.endings.EndedHere(l.key, l.service, contents)
+	}
+}
+
+// leaves tells whether an endpoint's end was to be expected: that it took work with it says nothing against the work.
+func (e *Egress) leaves(l *local) bool {
+	if e.announced != nil {
+		if r, ok := e.announced.Endpoint(l.key); ok {
+			return r.Leaving
+		}
+	}
+	row, ok := e.state().Endpoint(l.key)
+	return l.leaving.Load() || ok && e.state().EndpointPhase(row) != table.Active
 }
 
 // underWay returns what was under way when the first of some work broke off: what began later came to an endpoint that had ended.
