Tests: ends are told, words add up and end, rows follow, second sends after an end; soak with requests that end endpoints

What the emulator could not show: the stand-in's endpoints never ended and no request came again with the same content. Soak: -fatal draws such requests in a stream of its own, so that the old seeds' plans stay as they are; once all is healed each may begin to run three times at most.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -23,12 +23,14 @@
 	halls := flag.Int("halls", 2, "halls")
 	length := flag.Duration("length", 15*time.Second, "how long faults begin in each run")
 	rate := flag.Int("rate", 150, "requests a second")
+	fatal := flag.Int("fatal", 0, "requests that end the endpoints that run them")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
 	flag.Parse()
 	broken := 0
 	for i := range *seeds {
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
+			Fatal: *fatal,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -58,6 +60,9 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d actions, %d drains and %d rows checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes)
 	demo.Print(out, demo.Check(report.Results, report.Records))
+	if cfg.Fatal > 0 {
+		fmt.Fprintf(out, "fatal requests begun: %v\n", report.Fatal)
+	}
 	for _, line := range report.Broken {
 		fmt.Fprintln(out, "BROKEN", line)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -234,18 +234,33 @@
 	return post(f.platform+store.PathFaults, faults)
 }
 
-// Behave switches a member's endpoint.
+// Behave switches a member's endpoint; one that has ended is waited for.
 func (m *Member) Behave(how backend.Behaviour) error {
-	return post(m.Endpoint+backend.PathBehaviour, how)
+	return m.whenUp(func() error { return post(m.Endpoint+backend.PathBehaviour, how) })
 }
 
-// Runs returns the endpoint's own record.
+// Runs returns the endpoint's own record; one that has ended is waited for.
 func (m *Member) Runs() (map[string]backend.Run, error) {
 	runs := make(map[string]backend.Run)
-	err := get(m.Endpoint+backend.PathRuns, &runs)
+	err := m.whenUp(func() error { return get(m.Endpoint+backend.PathRuns, &runs) })
 	return runs, err
 }
 
+// upLimit is how long an endpoint that has ended may be gone.
+const upLimit = 5 * time.Second
+
+// whenUp asks an endpoint until it answers, as long as upLimit.
+func (m *Member) whenUp(ask func() error) error {
+	end := time.Now().Add(upLimit)
+	for {
+		err := ask()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
 // WaitReady waits until every running node may serve.
 func (f *Fleet) WaitReady() error {
 	return waitFor("nodes ready", func() bool {
--- a/demo/load.go
+++ b/demo/load.go
@@ -74,6 +74,8 @@
 	clientLimit = 60 * time.Second
 	pause       = 150 * time.Millisecond
 	bodyLength  = 16
+	// fatalTimeout bounds one send of a fatal request.
+	fatalTimeout = time.Second
 	// fatalCall begins the names of fatal requests in the endpoints' records.
 	fatalCall = "fatal-"
 )
@@ -199,6 +201,13 @@
 	return "/" + kindNames[r.Kind]
 }
 
+// NewFatalLoad returns a load whose requests wait no longer than fatalTimeout, also for nodes that stand still.
+func NewFatalLoad(targets []string) *Load {
+	l := NewLoad(targets)
+	l.client.Timeout = fatalTimeout
+	return l
+}
+
 // SendFatal sends a request that ends endpoints once, under a number of its own, to the node whose turn it is.
 func (l *Load) SendFatal(name string, n int) Result {
 	r := Result{Kind: Lookup, Fatal: name, Call: fatalCall + name + "-" + strconv.Itoa(n), Sends: 1}
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -384,11 +384,8 @@
 	return "in force\n"
 }
 
-const (
-	// fatalPause is the time between two sends of a fatal request, fatalTimeout what bounds one to a node that stands still.
-	fatalPause   = 100 * time.Millisecond
-	fatalTimeout = time.Second
-)
+// fatalPause is the time between two sends of a fatal request.
+const fatalPause = 100 * time.Millisecond
 
 func (s *scenario) fatal(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
@@ -399,8 +396,7 @@
 	for _, m := range s.fleet.Members {
 		must(t, d, m.Behave(how))
 	}
-	l := NewLoad(s.targets())
-	l.client.Timeout = fatalTimeout
+	l := NewFatalLoad(s.targets())
 	again := func() {
 		l.SendFatal(name, s.sent)
 		s.sent++
@@ -446,18 +442,14 @@
 	return fmt.Sprintf("lifted %d\n", lifted)
 }
 
-// fatalRuns counts how often endpoints have begun a fatal request; one that has ended is waited for.
+// fatalRuns counts how often endpoints have begun a fatal request.
 func (s *scenario) fatalRuns(t *testing.T, d *datadriven.TestData, name string) int {
 	t.Helper()
 	sum := 0
 	for _, m := range s.fleet.Members {
-		must(t, d, waitFor("record", func() bool {
-			runs, err := m.Runs()
-			if err == nil {
-				sum += FatalRuns(runs, name)
-			}
-			return err == nil
-		}))
+		runs, err := m.Runs()
+		must(t, d, err)
+		sum += FatalRuns(runs, name)
 	}
 	return sum
 }
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lynxplank/lynxplank/director"
+	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
@@ -54,6 +55,12 @@
 	return end
 }
 
+// endsBefore is how many endpoints have ended under any request.
+type endsBefore int
+
+// Ends implements Fatal.
+func (n endsBefore) Ends(fatal.Content) int { return int(n) }
+
 func endName(end *peerpb.End) string {
 	return strings.TrimSpace(strings.ToLower(strings.TrimPrefix(end.GetOutcome().String(), "OUTCOME_")) + " " + end.GetCode())
 }
@@ -67,6 +74,10 @@
 		return peer.NotRun(fault.RetryBudget, 0)
 	case "refuses":
 		return peer.NotRun(fault.Busy, 0)
+	case "ends":
+		return peer.Unknown(fault.EndpointCut)
+	case "barred":
+		return peer.NotRun(fault.FatalRequest, 0)
 	case "sheds":
 		time.Sleep(100 * time.Millisecond)
 		return peer.NotRun(fault.EndpointShed, 0)
@@ -123,16 +134,18 @@
 // TestSecondSends runs the scenarios of testdata/hedge. Each request line gives the words of the sends in their order; it
 // prints the caller's status, and each send with what became of it.
 //
-//	get|post [endpoints=N] [attempts=N]
+//	get|post [endpoints=N] [attempts=N] [ends=N]    so many endpoints have ended under the same request before
 //	word word ...
 func TestSecondSends(t *testing.T) {
 	datadriven.RunTest(t, "testdata/hedge", func(t *testing.T, d *datadriven.TestData) string {
-		endpoints, attempts := 3, 2
+		endpoints, attempts, before := 3, 2, 0
+		d.MaybeScanArgs(t, "ends", &before)
 		d.MaybeScanArgs(t, "endpoints", &endpoints)
 		d.MaybeScanArgs(t, "attempts", &attempts)
 		words := strings.Fields(d.Input)
 		local := &scripted{words: slices.Clone(words), ended: make(chan struct{}, 1000)}
 		g := ingressWith(t, fleet(t, endpoints, attempts), local)
+		g.fatal = endsBefore(before)
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(strings.ToUpper(d.Cmd), "http://desk.example/x", nil)
 		r.RequestURI = "/x"
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -105,9 +105,9 @@
 	r.ends[a.On].Lock()
 	defer r.ends[a.On].Unlock()
 	m := r.fleet.Members[a.On]
-	r.must("endpoint", m.Behave(a.Behaviour))
+	r.must("endpoint", m.Behave(r.behaviour(a.Behaviour)))
 	time.Sleep(a.For)
-	r.must("endpoint", m.Behave(normal()))
+	r.must("endpoint", m.Behave(r.behaviour(normal())))
 }
 
 // weight has an operator write a cell; what came of it is held against what is in force in the end.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -85,6 +85,9 @@
 		r.report.Records = append(r.report.Records, runs)
 	}
 	r.judgeRequests()
+	if err := r.judgeFatal(); err != nil {
+		return err
+	}
 	if err := r.judgeLogs(); err != nil {
 		return err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	Length time.Duration
 	// Rate is how many requests the callers send a second.
 	Rate int
+	// Fatal is how many requests that end the endpoints that run them come again and again.
+	Fatal int
 }
 
 // Report is what a run showed.
@@ -35,6 +37,8 @@
 	Records []map[string]backend.Run
 	// Drains counts the drains that could be checked, Changes the rows whose value in force was.
 	Drains, Changes int
+	// Fatal is how often each fatal request began to run until all was healed.
+	Fatal []int
 	// Broken says which promises were broken; empty when all were kept.
 	Broken []string
 }
@@ -86,7 +90,7 @@
 		return Report{}, err
 	}
 	defer r.closeProxies()
-	if err := fleet.Start(serviceName, normal(), serviceCells); err != nil {
+	if err := fleet.Start(serviceName, r.behaviour(normal()), serviceCells); err != nil {
 		return Report{}, err
 	}
 	r.watch = newWatch(fleet, r.breaks)
@@ -143,6 +147,9 @@
 	var callers, actions sync.WaitGroup
 	r.start = time.Now()
 	callers.Go(func() { load.Run(ctx, r.cfg.Rate) })
+	for i := range r.cfg.Fatal {
+		callers.Go(func() { r.sendFatal(ctx, i, targets) })
+	}
 	r.watch.begin()
 	for _, a := range r.plan {
 		actions.Go(func() {
@@ -166,7 +173,7 @@
 			p.Hold(demo.From, false)
 			p.Slow(0)
 		}
-		r.must("endpoint", m.Behave(normal()))
+		r.must("endpoint", m.Behave(r.behaviour(normal())))
 	}
 	r.must("store", r.fleet.SetFaults(store.Faults{}))
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,14 +49,14 @@
 			continue
 		}
 		var seed uint64
-		var members, seconds, rate int
-		if _, err := fmt.Sscan(text, &seed, &members, &seconds, &rate); err != nil {
+		var members, seconds, rate, fatal int
+		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal); n < 4 {
 			t.Fatalf("%q: %v", text, err)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(Config{
 				Bin: binaries, Dir: t.TempDir(), Seed: seed, Members: members, Halls: 2,
-				Length: time.Duration(seconds) * time.Second, Rate: rate,
+				Length: time.Duration(seconds) * time.Second, Rate: rate, Fatal: fatal,
 			})
 			if err != nil {
 				t.Fatal(err)
