--- a/demo/load.go
+++ b/demo/load.go
@@ -215,6 +215,17 @@
 	return r
 }
 
+// FatalBegun returns when an endpoint began a fatal request, by its record.
+func FatalBegun(record map[string]backend.Run, name string) []time.Time {
+	var out []time.Time
+	for call, r := range record {
+		if strings.HasPrefix(call, fatalCall+name+"-") && r.Started > 0 {
+			out = append(out, time.UnixMilli(r.LastMillis))
+		}
+	}
+	return out
+}
+
 // FatalRuns counts, in an endpoint's record, how often it began a fatal request.
 func FatalRuns(record map[string]backend.Run, name string) int {
 	sum := 0
