--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -134,11 +134,13 @@
 // TestSecondSends runs the scenarios of testdata/hedge. Each request line gives the words of the sends in their order; it
 // prints the caller's status, and each send with what became of it.
 //
-//	get|post [endpoints=N] [attempts=N] [ends=N]    so many endpoints have ended under the same request before
+//	get|post [endpoints=N] [attempts=N] [ends=N] [unused=N]    so many endpoints have ended under the same request before; so many words
+//	                                                           are not to be used
 //	word word ...
 func TestSecondSends(t *testing.T) {
 	datadriven.RunTest(t, "testdata/hedge", func(t *testing.T, d *datadriven.TestData) string {
-		endpoints, attempts, before := 3, 2, 0
+		endpoints, attempts, before, unused := 3, 2, 0, 0
+		d.MaybeScanArgs(t, "unused", &unused)
 		d.MaybeScanArgs(t, "ends", &before)
 		d.MaybeScanArgs(t, "endpoints", &endpoints)
 		d.MaybeScanArgs(t, "attempts", &attempts)
@@ -153,7 +155,7 @@
 		defer cancel()
 		aborted := serveCaller(g, w, r.WithContext(ctx))
 		cancel()
-		for range words {
+		for range words[unused:] {
 			select {
 			case <-local.ended:
 			case <-time.After(5 * time.Second):
