Peer: nodes of an older program are sent no rows of fatal requests

Cause: read in the code: while a fleet is brought to this program, an older node that pulls from a newer one would refuse the whole answer for the one plane that it does not know, and miss the changes of the hosts. Whoever takes such rows says so in its question. TestOlderAskersGetNoFatalRows failed without it.

--- a/peer/serve.go
+++ b/peer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -110,7 +111,11 @@
 }
 
 func (m *Manager) servePull(stream net.Conn, p *peerpb.Pull) {
-	for _, d := range m.handler.Deltas(revisionsOf(p.GetFrom()), p.GetHostChanges()) {
+	from := revisionsOf(p.GetFrom())
+	if !p.GetFatal() {
+		from[table.PlaneFatal] = math.MaxUint64
+	}
+	for _, d := range m.handler.Deltas(from, p.GetHostChanges()) {
 		if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Delta{Delta: d}}); err != nil {
 			return
 		}
