--- a/demo/demo.go
+++ b/demo/demo.go
@@ -80,7 +80,7 @@
 // story lets the fleet fail in several ways, one after the other, under load.
 func story(f *Fleet, out io.Writer) error {
 	time.Sleep(calm)
-	steps := []func(*Fleet, io.Writer) error{turnGray, drainOne, stopOne, changeRow, killOne}
+	steps := []func(*Fleet, io.Writer) error{endEndpoints, turnGray, drainOne, stopOne, changeRow, killOne}
 	for _, step := range steps {
 		if err := step(f, out); err != nil {
 			return err
