--- a/clock/clock.go
+++ b/clock/clock.go
@@ -10,7 +10,7 @@
 type Clock func() time.Time
 
 // Boot is the time since the host was started, suspensions included, as a time after 1970 without a steady reading. It costs a system
-// call, 0.2 us, and so is asked only where a steady clock would be believed against time that goes on elsewhere.
+// call, 0.37 us (BenchmarkBoot), and so is asked only where a steady clock would be believed against time that goes on elsewhere.
 func Boot() time.Time {
 	var ts unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -34,3 +34,10 @@
 		t.Errorf("suspended: got %v, want %v", got, want)
 	}
 }
+
+// BenchmarkBoot is what each look at the clock costs.
+func BenchmarkBoot(b *testing.B) {
+	for range b.N {
+		Boot()
+	}
+}
