--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -51,7 +52,10 @@
 	dir      string
 	platform string
 	extra    string
-	started  []*process
+
+	mu sync.Mutex
+	// started are the processes; the soak starts two at the same moment.
+	started []*process
 }
 
 type process struct {
@@ -348,7 +352,9 @@
 		return nil, fault.Wrap(err, fault.Unavailable, program, "cannot be started")
 	}
 	p := &process{cmd: cmd, done: make(chan error, 1)}
+	f.mu.Lock()
 	f.started = append(f.started, p)
+	f.mu.Unlock()
 	go func() {
 		p.done <- cmd.Wait()
 		close(p.done)
