Second sends: one that has failed counts to what the route allows

Cause: startSecond counted the sends under way and not those that had ended while another was still running.

Ruled out: refused second sends, which reach no endpoint and count no more than before.

Test: ingress/testdata/hedge, 'nags fails': the third endpoint was asked before (failed first), two are now. Before: 3 endpoints on a route of 2.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -112,7 +112,7 @@
 // startSecond sends the request to a second endpoint if one seems to have a free slot.
 func (h *hedge) startSecond(ctx context.Context) {
 	x := h.x
-	if x.sends+len(h.running) >= x.mostSends() || x.refusals.refusing() || !x.adopt() ||
+	if x.sends+len(h.running)+len(h.done)+len(h.beaten) >= x.mostSends() || x.refusals.refusing() || !x.adopt() ||
 		x.g.fatal.Ends(x.call.content) >= fatal.SendOnce {
 		return
 	}
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -67,6 +67,11 @@
 
 func serveAs(ctx context.Context, word string, sink peer.Sink) *peerpb.End {
 	switch word {
+	case "nags":
+		// The endpoint's node says once more that the answer is due, as it does when all that it has there is silent.
+		time.Sleep(100 * time.Millisecond)
+		sink.Due(0)
+		fallthrough
 	case "hangs":
 		<-ctx.Done()
 		return peer.Unknown(fault.Canceled)
