--- a/announce/announce_test.go
+++ b/announce/announce_test.go
@@ -109,10 +109,7 @@
 	if _, ok := line(t, s); ok {
 		t.Fatal("got a line of a host that is gone, want none")
 	}
-	state, err := table.NewState().WithEndpoints(h.Version+1, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := table.NewState().WithEndpoints(h.Version+1, nil)
 	a.Observe(&follow.Snapshot{State: state})
 	waitLine(t, s, "written again", shows("i1"))
 	a.Withdraw()
--- a/announce/calls_test.go
+++ b/announce/calls_test.go
@@ -99,10 +99,7 @@
 	if _, err := store.NewLocal(s).Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: follow.HostPrefix + "h1", Delete: true}}}); err != nil {
 		t.Fatal(err)
 	}
-	state, err := table.NewState().WithEndpoints(h.Version+1, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := table.NewState().WithEndpoints(h.Version+1, nil)
 	second.Observe(&follow.Snapshot{State: state, Ready: true})
 	waitLine(t, s, "written again", shows("i1"))
 }
--- a/changes/reader.go
+++ b/changes/reader.go
@@ -13,54 +13,73 @@
 // Reader reads accepted changes in their order.
 type Reader struct {
 	table Table
+	onBad func(key string, err error)
 }
 
+// Option changes a reader under construction.
+type Option func(*Reader)
+
+// WithBad has f told of each record that cannot be read and is left out.
+func WithBad(f func(key string, err error)) Option { return func(r *Reader) { r.onBad = f } }
+
 // NewReader returns a reader on the platform's table.
-func NewReader(t Table) *Reader { return &Reader{table: t} }
+func NewReader(t Table, opts ...Option) *Reader {
+	r := &Reader{table: t, onBad: func(string, error) {}}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
 
 // Advance returns the state with every change that the table holds after it; at most one read when there is none.
-// A row that cannot be read fails the whole step with BadRow and leaves the state as it was.
+// A record that cannot be read is left out, and all others stand; a row with cells that cannot be read is the state's to set aside.
 func (r *Reader) Advance(ctx context.Context, s *table.State) (*table.State, error) {
 	if s.Revision() == 0 {
 		return r.load(ctx)
 	}
-	return r.follow(ctx, s)
+	s, whole, err := r.follow(ctx, s)
+	if err == nil && !whole {
+		return r.load(ctx)
+	}
+	return s, err
 }
 
-// follow applies the log's entries behind the state's revision.
-func (r *Reader) follow(ctx context.Context, s *table.State) (*table.State, error) {
+// follow applies the log's entries behind the state's revision; whole is false when some of them cannot be read or are not there.
+func (r *Reader) follow(ctx context.Context, s *table.State) (next *table.State, whole bool, err error) {
 	for {
 		page, err := r.table.Scan(ctx, logPrefix, logKey(s.Revision()), scanPage)
 		if err != nil {
-			return s, err
+			return s, false, err
 		}
 		for _, rec := range page.Records {
-			next, err := applyEntry(s, rec)
-			if fault.CodeOf(err) == fault.Protocol {
-				return r.load(ctx)
-			}
+			next, err := r.applyEntry(s, rec)
 			if err != nil {
-				return s, err
+				r.onBad(rec.Key, err)
+				return s, false, nil
 			}
 			s = next
 		}
 		if !page.More {
-			return s, nil
+			return s, true, nil
 		}
 	}
 }
 
-// applyEntry applies one log record; Protocol when entries are missing before it.
-func applyEntry(s *table.State, rec platform.Record) (*table.State, error) {
+// applyEntry applies one log record; Protocol when it cannot be read, or entries are missing before it.
+func (r *Reader) applyEntry(s *table.State, rec platform.Record) (*table.State, error) {
 	var entry Entry
 	if err := decode(rec, &entry); err != nil {
 		return s, err
 	}
+	if rec.Key != logKey(entry.Revision) {
+		return s, fault.New(fault.Protocol, rec.Key, "want the entry of this revision")
+	}
 	d := table.Delta{From: entry.Revision - 1, To: entry.Revision}
 	for _, raw := range entry.Rows {
 		row, err := fromRecord(raw, rec.Version)
 		if err != nil {
-			return s, err
+			r.onBad(rec.Key, err)
+			continue
 		}
 		d.Rows = append(d.Rows, row)
 	}
@@ -86,7 +105,9 @@
 	if err != nil {
 		return s, err
 	}
-	return r.follow(ctx, s)
+	// What comes behind and cannot be read is left until the table has gone past it: the rows show what it did.
+	s, _, err = r.follow(ctx, s)
+	return s, err
 }
 
 // Sheet returns every row of a kind, with versions, in key order.
@@ -116,12 +137,13 @@
 			return nil, err
 		}
 		for _, rec := range page.Records {
+			after = rec.Key
 			row, err := decodeRow(rec)
 			if err != nil {
-				return nil, err
+				r.onBad(rec.Key, err)
+				continue
 			}
 			rows = append(rows, row)
-			after = rec.Key
 		}
 		if !page.More {
 			return rows, nil
--- a/changes/records.go
+++ b/changes/records.go
@@ -72,7 +72,8 @@
 	return rec, nil
 }
 
-// fromRecord reads a row; columns that this program does not know are left out, so that old nodes read new rows.
+// fromRecord reads a row, BadRow for one of a sheet that this program does not know. Columns that it does not know are left out, so
+// that old nodes read new rows; a cell that cannot be read stays as it is, for the state to set the row aside.
 func fromRecord(rec rowRecord, version uint64) (table.Row, error) {
 	sheet, err := table.SheetNamed(rec.Kind)
 	if err != nil {
@@ -86,9 +87,9 @@
 	for i, c := range sheet.Columns {
 		cells[i] = rec.Cells[c.Name]
 	}
-	row, err := table.NewRow(sheet.Kind, rec.Key, cells)
+	row, _ := table.NewRow(sheet.Kind, rec.Key, cells)
 	row.Meta = meta
-	return row, err
+	return row, nil
 }
 
 func decodeRow(r platform.Record) (table.Row, error) {
--- a/cli/app.go
+++ b/cli/app.go
@@ -123,7 +123,7 @@
 	if c.offline {
 		return c.run(&app{ctx: context.Background(), out: out, format: format}, f)
 	}
-	a, err := newApp(path, format, out)
+	a, err := newApp(path, format, out, errOut)
 	if err != nil {
 		return err
 	}
@@ -155,7 +155,7 @@
 	return !strings.Contains(name, "=") && slices.Contains([]string{"o", "source", "op", "kind", "version"}, name)
 }
 
-func newApp(path, format string, out io.Writer) (*app, error) {
+func newApp(path, format string, out, errOut io.Writer) (*app, error) {
 	cfg := settings.DefaultCtl()
 	if path == "" {
 		path = "lynxplankctl.yaml"
@@ -165,9 +165,10 @@
 	}
 	client := platform.NewClient(cfg.Platform.Address.String(),
 		platform.WithToken(string(cfg.Platform.Token)), platform.WithTimeout(cfg.Platform.Timeout.Std()))
+	leftOut := func(key string, err error) { fmt.Fprintf(errOut, "left out: %s: %v\n", key, err) }
 	return &app{
 		out: out, cfg: cfg, format: format, table: client,
-		reader: changes.NewReader(client), writer: changes.NewWriter(client),
+		reader: changes.NewReader(client, changes.WithBad(leftOut)), writer: changes.NewWriter(client),
 	}, nil
 }
 
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -10,12 +10,14 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/lynxplank/lynxplank/allowance"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/settings"
 )
@@ -24,6 +26,7 @@
 	return []command{
 		{name: "status", args: "", help: "show every node of the settings: revision in force, links, work", run: runStatus},
 		{name: "customers", args: "[CUSTOMER]", help: "show what passed and was refused of customers with a limit, over all nodes of the settings", run: runCustomers},
+		{name: "leftout", args: "", help: "show the entries that nodes of the settings could not understand and left out", run: runLeftOut},
 		{name: "explain", args: "SERVICE [ENDPOINT]", help: "show why endpoints are in use or ejected, as each node sees it", run: runExplain},
 	}
 }
@@ -157,6 +160,32 @@
 	return a.printReport(lines, head, lines)
 }
 
+// runLeftOut prints what each node could not understand.
+func runLeftOut(a *app, f *flag.FlagSet) error {
+	if f.NArg() != 0 {
+		return wrongArgs(f)
+	}
+	var values []nodeEntry
+	var lines [][]string
+	for _, node := range a.cfg.Nodes {
+		var list []leftout.Entry
+		if err := a.askNode(node, operator.PathLeftOut, &list); err != nil {
+			return err
+		}
+		for _, e := range list {
+			values = append(values, nodeEntry{Node: node.String(), Entry: e})
+			lines = append(lines, []string{node.String(), string(e.Source), e.Where, e.Since.UTC().Format(time.RFC3339), e.Detail})
+		}
+	}
+	return a.printReport(values, []string{"NODE", "SOURCE", "WHERE", "SINCE", "DETAIL"}, lines)
+}
+
+// nodeEntry is an entry that was left out with the node that did.
+type nodeEntry struct {
+	Node string `json:"node"`
+	leftout.Entry
+}
+
 func useLine(node string, u allowance.Use) []string {
 	number := func(n uint64) string { return strconv.FormatUint(n, 10) }
 	rate := func(r float64) string { return strconv.FormatFloat(r, 'g', -1, 64) }
--- a/events/events.go
+++ b/events/events.go
@@ -34,6 +34,7 @@
 	HostReaped      = Event{207, "host is gone", zerolog.WarnLevel}
 	HistoryGone     = Event{208, "platform dropped its history", zerolog.InfoLevel}
 	StoreCalls      = Event{209, "calls to the platform", zerolog.InfoLevel}
+	EntryLeftOut    = Event{210, "entry left out", zerolog.WarnLevel}
 	LinkUp          = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect     = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed      = Event{302, "link closed", zerolog.InfoLevel}
@@ -71,7 +72,7 @@
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	LinesLeftOut,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
-	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls,
+	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends, OlderTaken, EndpointEnded,
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -59,6 +59,8 @@
 	DeadlineTooShort Code = "deadline_too_short"
 	// UnknownToken is a refusal because the caller bears no key that a customer holds.
 	UnknownToken Code = "unknown_token"
+	// Closed is a refusal because the route or the customer takes nothing: an operator has closed it, or its entry cannot be understood.
+	Closed Code = "closed"
 	// CustomerLimit is a refusal because a customer exceeds its limit.
 	CustomerLimit Code = "customer_limit"
 	// FatalRequest is a refusal because endpoints have ended while they ran the same request.
--- a/follow/badlines_test.go
+++ b/follow/badlines_test.go
@@ -25,7 +25,9 @@
 		{"h5", `{"id":"h6","hall":"hall-1","address":"127.0.0.1:1"}`},
 		{"h6", `{"id":"h6","hall":"hall-1","address":"nowhere"}`},
 		{"h7", `{"id":"h7","address":"127.0.0.1:1"}`},
-		{"h8", `{"id":"h8","hall":"hall-1","address":"127.0.0.1:1","endpoints":[{"key":"e8","value":{"Service":"desk","Host":"h8","Hall":"hall-1","Address":"?"}}]}`},
+		{"h8", `{"id":"h8","hall":"hall-1","address":"127.0.0.1:1","endpoints":[
+			{"key":"e8","value":{"Service":"desk","Host":"h8","Hall":"hall-1","Address":"?"}}, 7, {"key":"e9","value":{"Phase":"odd"}},
+			{"key":"e10","value":{"Service":"desk","Host":"h8","Hall":"hall-1","Address":"127.0.0.1:2"}}]}`},
 		{"h9", `[]`},
 		{"h9", ``},
 		{"h4", good},
@@ -38,8 +40,11 @@
 	}
 	wait(t, f, "the good line behind", func(s *Snapshot) bool { return named(s, "h4") })
 	snap := f.Snapshot()
-	if got, want := len(snap.Hosts), 3; got != want || !named(snap, "h2") || !named(snap, "h3") {
-		t.Errorf("hosts: got %v, want h2, h3 and h4", snap.Hosts)
+	if got, want := len(snap.Hosts), 4; got != want || !named(snap, "h2") || !named(snap, "h3") || !named(snap, "h8") {
+		t.Errorf("hosts: got %v, want h2, h3, h4 and h8", snap.Hosts)
+	}
+	if got := snap.ByID["h8"].Endpoints; len(got) != 1 || got[0].Key != "e10" {
+		t.Errorf("endpoints of h8: got %v, want the good one alone", got)
 	}
 	announceAt(t, s, table.HostInfo{ID: "h2", Hall: "hall-1", Address: "127.0.0.1:22"})
 	wait(t, f, "a good line again", func(s *Snapshot) bool { return s.ByID["h2"].Address == "127.0.0.1:22" })
--- a/follow/fatals.go
+++ b/follow/fatals.go
@@ -14,7 +14,7 @@
 	for _, rec := range recs {
 		row, err := fatal.RowOf(rec)
 		if err != nil {
-			r.tellBad(rec.Key, err)
+			r.f.leaveOut(rec.Key, err)
 			continue
 		}
 		d.Rows = append(d.Rows, row)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxplank/lynxplank/changes"
 	"github.com/lynxplank/lynxplank/clock"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
@@ -112,6 +113,7 @@
 	// self is this host's own line as this node knows it.
 	self     atomic.Pointer[table.HostInfo]
 	messages chan message
+	leftOut  *leftout.List
 	onChange []func(*Snapshot)
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -146,11 +148,14 @@
 	return func(w *Follower) { w.onChange = append(w.onChange, f) }
 }
 
+// WithLeftOut has entries that cannot be understood noted in l.
+func WithLeftOut(l *leftout.List) Option { return func(w *Follower) { w.leftOut = l } }
+
 // New returns a follower that holds the empty state.
 func New(cfg Config, log *zerolog.Logger, p Platform, links *peer.Manager, opts ...Option) *Follower {
 	f := &Follower{
 		cfg: cfg, log: log, platform: p, links: links,
-		confirms: shared{now: clock.Boot},
+		confirms: shared{now: clock.Boot}, leftOut: leftout.New(log),
 		messages: make(chan message, messageBacklog), done: make(chan struct{}),
 		sources: map[table.Plane]*sourceState{table.PlaneRows: {}},
 		wanted:  make(map[string]wantedPull), seedsAsked: make(map[string]bool),
--- a/follow/fuzz_test.go
+++ b/follow/fuzz_test.go
@@ -13,15 +13,15 @@
 	f.Add([]byte(`{"id":"h1","hall":"a","address":"10.0.0.1:80","endpoints":[{"key":"e","value":{"Weight":-1,"Phase":200}}]}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		h, err := readLine("h1", text)
+		h, _, err := readLine("h1", text)
 		if err != nil {
 			return
 		}
 		if h.ID != "h1" {
 			t.Errorf("host: got %q, want h1", h.ID)
 		}
-		if _, err := table.NewState().WithEndpoints(1, h.Endpoints); err != nil {
-			t.Errorf("endpoints: got %v, want none", err)
-		}
+		table.NewState().WithEndpoints(1, h.Endpoints).Unread(func(u table.Unread) {
+			t.Errorf("endpoints: got %+v left out, want none", u)
+		})
 	})
 }
--- a/follow/hosts_test.go
+++ b/follow/hosts_test.go
@@ -28,7 +28,7 @@
 		next.base, next.gone = m.version, nil
 	}
 	for id, v := range m.lines {
-		next.hosts = append(next.hosts, table.HostInfo{ID: id, Version: v})
+		next.hosts = append(next.hosts, table.HostInfo{ID: id, Hall: "hall", Address: "127.0.0.1:1", Version: v})
 		next.revision = max(next.revision, v)
 	}
 	for _, g := range m.removed {
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -6,6 +6,7 @@
 
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -58,40 +59,36 @@
 // adoptReadHosts takes the list of hosts as the store showed it. A read of the whole table tells of hosts that are gone only
 // by not showing them, and so counts whatever the newest line's version; one that is older than what a peer has told is
 // followed by another.
-func (f *Follower) adoptReadHosts(m ownRead) error {
+func (f *Follower) adoptReadHosts(m ownRead) {
 	if m.at < f.hosts.revision {
-		return nil
+		return
 	}
 	revision := max(f.hosts.revision, m.hosts.revision)
 	f.hosts = m.hosts
 	f.hosts.revision = revision
-	return f.putHosts()
+	f.putHosts()
 }
 
 // adoptHosts puts a peer's changes of the hosts in force, and the endpoints that these announce.
-func (f *Follower) adoptHosts(c hostChanges) error {
+func (f *Follower) adoptHosts(c hostChanges) {
 	next, ok := f.hosts.with(c)
 	if !ok {
-		return nil
+		return
 	}
 	f.hosts = next
-	return f.putHosts()
+	f.putHosts()
 }
 
 // putHosts publishes the list of hosts with this host's own line as this node knows it.
-func (f *Follower) putHosts() error {
+func (f *Follower) putHosts() {
 	hosts, line := f.hostsWithSelf()
 	var announced []table.Announced
 	for _, h := range hosts {
 		announced = append(announced, h.Endpoints...)
 	}
 	old := f.Snapshot()
-	state, err := old.State.WithEndpoints(f.hosts.revision, announced)
-	if err != nil {
-		return err
-	}
 	next := *old
-	next.State = state
+	next.State = old.State.WithEndpoints(f.hosts.revision, announced)
 	next.Hosts = hosts
 	next.list = f.hosts
 	next.SelfLine = line
@@ -104,7 +101,6 @@
 		next.HallHosts = here
 	}
 	f.publish(&next)
-	return nil
 }
 
 // hallHosts returns the names of a hall's hosts, in order.
@@ -140,6 +136,9 @@
 // publish puts a snapshot in force and tells the hooks and the peers.
 func (f *Follower) publish(snap *Snapshot) {
 	f.current.Store(snap)
+	unread := make(map[string]string)
+	snap.State.Unread(func(u table.Unread) { unread[u.Kind.String()+" "+u.Key] = u.Detail })
+	f.leftOut.Replace(leftout.Table, unread)
 	for _, hook := range f.onChange {
 		hook(snap)
 	}
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -26,9 +26,7 @@
 func (m ownRead) apply(_ context.Context, f *Follower) {
 	err := m.err
 	if err == nil {
-		err = f.adoptReadHosts(m)
-	}
-	if err == nil {
+		f.adoptReadHosts(m)
 		err = f.adoptPlane(table.PlaneRows, m.state)
 	}
 	if err == nil {
@@ -42,9 +40,7 @@
 type selfShown struct{}
 
 func (selfShown) apply(_ context.Context, f *Follower) {
-	if err := f.putHosts(); err != nil {
-		f.notePlatform(table.PlaneRows, err)
-	}
+	f.putHosts()
 }
 
 // configRead is the result of one look at the platform's configuration.
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -205,16 +205,18 @@
 	f.pullNext(ctx)
 }
 
-// applyParts puts a peer's deltas in force; one that does not lead forward changes nothing.
+// applyParts puts a peer's deltas in force; one that does not lead forward changes nothing, one that cannot be applied keeps no other
+// from it.
 func (f *Follower) applyParts(parts []*peerpb.Delta) error {
 	deltas, hosts := fromParts(parts)
+	var failed error
 	for _, d := range deltas {
 		if err := f.apply(d); err != nil {
-			return err
+			failed = err
 		}
 	}
-	if hosts == nil {
-		return nil
+	if hosts != nil {
+		f.adoptHosts(*hosts)
 	}
-	return f.adoptHosts(*hosts)
+	return failed
 }
--- a/follow/read.go
+++ b/follow/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -11,9 +12,9 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/changes"
-	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
@@ -28,9 +29,7 @@
 	// mostGather bounds that wait where many lines come at once, each linesAGather of them a gather more: a fleet of hundreds that
 	// starts or is rolled has each reader ask less often instead of five times a second, and a new endpoint is known within a
 	// second all the same. What drains or stops is refused by its own node meanwhile.
-	mostGather = 4 * gather
-	// mostBad bounds the records that cannot be read of which it is remembered that this was logged.
-	mostBad      = 1000
+	mostGather   = 4 * gather
 	linesAGather = 4
 	// pauseJitter is by how much of itself a pause varies, half of it either way, so that readers do not look together.
 	pauseJitter = 0.4
@@ -73,8 +72,6 @@
 	loaded bool
 	// before are the hosts as they were before the table was read whole again, for lines that cannot be read any more.
 	before map[string]table.HostInfo
-	// bad are the records that could not be read, with why, as far as that was logged.
-	bad map[string]string
 	// revision is the newest version of an announcement, or of one that was taken out.
 	revision uint64
 	// gone are the announcements taken out since base, the store's version at the last read of the whole table.
@@ -87,7 +84,7 @@
 // readOwn keeps reading the product's own table until the node stops.
 func (f *Follower) readOwn(ctx context.Context) {
 	r := &ownReader{
-		f: f, rows: changes.NewReader(f.platform), state: table.NewState(), fatals: table.NewState(), bad: make(map[string]string),
+		f: f, rows: changes.NewReader(f.platform, changes.WithBad(f.leaveOut)), state: table.NewState(), fatals: table.NewState(),
 		failing: retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost},
 	}
 	for {
@@ -177,46 +174,66 @@
 		r.gone = append(r.gone, goneHost{id: id, version: rec.Version})
 		return
 	}
-	h, err := readLine(id, rec.Value)
+	h, bad, err := readLine(id, rec.Value)
+	for _, e := range bad {
+		r.f.leaveOut(rec.Key+" "+e.Where, e)
+	}
 	if err != nil {
-		r.tellBad(rec.Key, err)
+		r.f.leaveOut(rec.Key, err)
 		if old, ok := r.before[id]; ok {
 			r.hosts[id] = old
 		}
 		return
 	}
+	r.f.leftOut.Understood(leftout.Records, rec.Key)
 	h.Version = rec.Version
 	r.hosts[id] = h
 }
 
-// readLine reads an announcement, BadRow for one that no node has written.
-func readLine(id string, text []byte) (table.HostInfo, error) {
-	var h table.HostInfo
-	if err := json.Unmarshal(text, &h); err != nil {
-		return h, fault.Wrap(err, fault.BadRow, HostPrefix+id, "announcement cannot be read")
-	}
-	if h.ID != id || h.Hall == "" {
-		return h, fault.New(fault.BadRow, HostPrefix+id, "want the host's name and hall")
-	}
-	if _, err := netip.ParseAddrPort(h.Address); err != nil {
-		return h, fault.New(fault.BadRow, HostPrefix+id+" address", "want an IP and port")
-	}
-	for _, e := range h.Endpoints {
-		if _, err := table.NewRow(table.KindEndpoint, e.Key, table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value).Cells); err != nil {
-			return h, err
+// readLine reads an announcement, BadRow for one that no node has written. An endpoint that cannot be read is left out of it; bad says
+// why, each.
+func readLine(id string, text []byte) (h table.HostInfo, bad fault.ListError, err error) {
+	var line struct {
+		table.HostInfo
+		Endpoints []json.RawMessage `json:"endpoints"`
+	}
+	if err := json.Unmarshal(text, &line); err != nil {
+		return h, nil, fault.Wrap(err, fault.BadRow, HostPrefix+id, "announcement cannot be read")
+	}
+	h = line.HostInfo
+	for i, text := range line.Endpoints {
+		a, err := readEndpoint(text)
+		if err != nil {
+			bad = append(bad, fault.New(fault.BadRow, fmt.Sprintf("endpoints[%d] %s", i, a.Key), err.Error()))
+			continue
 		}
+		h.Endpoints = append(h.Endpoints, a)
 	}
-	return h, nil
+	return h, bad, checkLine(id, h)
 }
 
-// tellBad logs a record that cannot be read, once until another cannot.
-func (r *ownReader) tellBad(key string, err error) {
-	if r.bad[key] == err.Error() {
-		return
+// checkLine refuses a line that does not say what host it is of, where that stands and how it is reached.
+func checkLine(id string, h table.HostInfo) error {
+	if h.ID == "" || h.ID != id || h.Hall == "" {
+		return fault.New(fault.BadRow, HostPrefix+id, "want the host's name and hall")
 	}
-	if len(r.bad) >= mostBad {
-		clear(r.bad)
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return fault.New(fault.BadRow, HostPrefix+id+" address", "want an IP and port")
 	}
-	r.bad[key] = err.Error()
-	events.BadTable.Log(r.f.log).Err(err).Send()
+	return nil
+}
+
+// readEndpoint reads an endpoint of an announcement, BadRow for one that cannot be used.
+func readEndpoint(text []byte) (table.Announced, error) {
+	var a table.Announced
+	if err := json.Unmarshal(text, &a); err != nil {
+		return a, fault.Wrap(err, fault.BadRow, "endpoint", "announcement cannot be read")
+	}
+	_, err := table.NewRow(table.KindEndpoint, a.Key, table.Encode(table.KindEndpoint, a.Key, table.Meta{}, a.Value).Cells)
+	return a, err
+}
+
+// leaveOut notes a record that cannot be read.
+func (f *Follower) leaveOut(key string, err error) {
+	f.leftOut.Note(leftout.Records, key, err.Error())
 }
--- a/follow/readconfig.go
+++ b/follow/readconfig.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
 )
@@ -51,9 +53,24 @@
 		m.config = &configs[len(configs)-1]
 		f.seeConfig(m.config.Version)
 	}
+	f.noteLeftOut(m)
 	return recs.Version, m
 }
 
+// noteLeftOut notes what of the newest configuration could not be understood.
+func (f *Follower) noteLeftOut(m configRead) {
+	now := make(map[string]string)
+	if m.config != nil {
+		maps.Copy(now, m.config.LeftOut)
+	}
+	if m.bad != nil {
+		now[platform.KeyConfig] = m.bad.Error()
+	}
+	if m.config != nil || m.bad != nil {
+		f.leftOut.Replace(leftout.Configuration, now)
+	}
+}
+
 // decodeConfigs returns the usable configurations among some records, oldest first, and what is wrong with the last of
 // the others.
 func (f *Follower) decodeConfigs(recs platform.Records) (configs []platform.Config, bad error) {
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -101,6 +101,7 @@
 }
 
 func toWire(r table.Row) *peerpb.Row {
+	r = r.Trimmed()
 	return &peerpb.Row{
 		Kind: uint32(r.Kind), Key: r.Key, Version: r.Version, Revision: r.Revision,
 		Deleted: r.Deleted, Cells: r.Cells,
@@ -122,6 +123,10 @@
 			continue
 		}
 		plane := table.Plane(min(p.GetPlane(), math.MaxUint8))
+		if !plane.Known() {
+			// A part that a later program has and this one does not.
+			continue
+		}
 		if len(deltas) == 0 || deltas[len(deltas)-1].Plane != plane {
 			deltas = append(deltas, table.Delta{
 				Plane: plane, From: p.GetFrom(), To: p.GetTo(), Full: p.GetFull(), Steps: p.GetSteps(),
@@ -142,7 +147,9 @@
 		hosts: make([]table.HostInfo, 0, len(p.GetHosts())),
 	}
 	for _, h := range p.GetHosts() {
-		c.hosts = append(c.hosts, hostFromWire(h))
+		if line := hostFromWire(h); checkLine(h.GetId(), line) == nil {
+			c.hosts = append(c.hosts, line)
+		}
 	}
 	for _, g := range p.GetGone() {
 		c.gone = append(c.gone, goneHost{id: g.GetId(), version: g.GetVersion()})
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -87,6 +87,9 @@
 	}
 	if c.token.Key != "" {
 		if holder, ok := s.Holder(table.DigestKey(c.token.Key)); ok {
+			if holder.Value.Closed {
+				return holder.Key, true, fault.New(fault.Closed, "customer "+holder.Key, "the customer is closed")
+			}
 			return holder.Key, true, nil
 		}
 	}
@@ -146,13 +149,16 @@
 		return fault.New(fault.UnknownRoute, "", "no route for this host and path")
 	}
 	c.route = route{row}
+	if row.Value.Closed {
+		return fault.New(fault.Closed, "route "+row.Key, "the route is closed")
+	}
 	name := row.Value.Service
 	if parts := row.Value.Split.Parts(); len(parts) > 0 {
 		name = g.splits.choose(row.Key, parts)
 	}
 	c.service, ok = s.Service(name)
 	if !ok {
-		return fault.New(fault.UnknownRoute, "", "the route's service is not in the table")
+		return fault.New(fault.Closed, "route "+row.Key, "the route's service is not in the table")
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/kernel"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/peer"
@@ -82,6 +83,8 @@
 	stopping atomic.Bool
 	// announced holds the endpoints that announce themselves, nil where they are rows of the table.
 	announced *registry.Registry
+	// leftOut are the entries that could not be understood.
+	leftOut *leftout.List
 }
 
 // levelHook drops what is below a level that may change.
@@ -107,6 +110,7 @@
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
+	n.leftOut = leftout.New(n.log)
 	if err := n.build(); err != nil {
 		return nil, err
 	}
@@ -141,7 +145,7 @@
 		a.Observe(s)
 		limits.Observe(s)
 		keeper.Observe(s)
-	}))
+	}), follow.WithLeftOut(n.leftOut))
 	keeper = barring.New(barring.Config{
 		Host: n.cfg.Node.ID, Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
 	}, n.log, client, links, follower.Snapshot)
@@ -173,7 +177,8 @@
 	links *peer.Manager, f *follow.Follower, d *director.Director, e *egress.Egress, g *ingress.Ingress,
 	caps *allowance.Allowance, m *metrics.Metrics, calls *storeCalls, keeper *barring.Keeper,
 ) {
-	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, caps, m.Handler())
+	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, caps, n.leftOut,
+		m.Handler())
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
 	n.kernel.Register(Sampler, &sampler{
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,6 +14,7 @@
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -27,6 +28,8 @@
 	PathExplain = "/v1/explain"
 	// PathCustomers answers a list of allowance.Use, the customers with a limit that the node has met.
 	PathCustomers = "/v1/customers"
+	// PathLeftOut answers a list of leftout.Entry, what the node could not understand and left out.
+	PathLeftOut = "/v1/leftout"
 	// PathRow answers the row in force of the query's "kind" and "key".
 	PathRow = "/v1/row"
 	// PathProfile answers a processor profile of the query's "seconds".
@@ -117,17 +120,18 @@
 	director   *director.Director
 	links      Links
 	limits     *allowance.Allowance
+	leftOut    *leftout.List
 	metrics    http.Handler
 }
 
 // New returns the answers of one node; token must come with every request but that for health.
 func New(
 	node, hall, token string, snapshot func() *follow.Snapshot, reads func() (own, config bool),
-	e *egress.Egress, d *director.Director, l Links, limits *allowance.Allowance, metrics http.Handler,
+	e *egress.Egress, d *director.Director, l Links, limits *allowance.Allowance, leftOut *leftout.List, metrics http.Handler,
 ) *Operator {
 	return &Operator{
 		node: node, hall: hall, token: token, snapshot: snapshot, reads: reads,
-		egress: e, director: d, links: l, limits: limits, metrics: metrics,
+		egress: e, director: d, links: l, limits: limits, leftOut: leftOut, metrics: metrics,
 	}
 }
 
@@ -138,6 +142,7 @@
 		{Method: http.MethodGet, Path: PathStatus, Handler: o.guarded(o.status)},
 		{Method: http.MethodGet, Path: PathExplain, Handler: o.guarded(o.explain)},
 		{Method: http.MethodGet, Path: PathCustomers, Handler: o.guarded(o.customers)},
+		{Method: http.MethodGet, Path: PathLeftOut, Handler: o.guarded(o.leftOutEntries)},
 		{Method: http.MethodGet, Path: PathRow, Handler: o.guarded(o.row)},
 		{Method: http.MethodGet, Path: PathProfile, Handler: o.guarded(pprof.Profile)},
 		{Method: http.MethodGet, Path: PathMetrics, Handler: o.guarded(o.metrics.ServeHTTP)},
@@ -182,6 +187,10 @@
 
 func (o *Operator) customers(w http.ResponseWriter, _ *http.Request) { reply(w, o.limits.Report()) }
 
+func (o *Operator) leftOutEntries(w http.ResponseWriter, _ *http.Request) {
+	reply(w, o.leftOut.Entries())
+}
+
 func (o *Operator) row(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	sheet, err := table.SheetNamed(q.Get("kind"))
--- a/table/announced_test.go
+++ b/table/announced_test.go
@@ -23,14 +23,8 @@
 		s := empty
 		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
 			list := drawAnnounced(t)
-			next, err := s.WithEndpoints(uint64(step)+1, list)
-			if err != nil {
-				t.Fatal(err)
-			}
-			fresh, err := empty.WithEndpoints(uint64(step)+1, list)
-			if err != nil {
-				t.Fatal(err)
-			}
+			next := s.WithEndpoints(uint64(step)+1, list)
+			fresh := empty.WithEndpoints(uint64(step)+1, list)
 			if got, want := announcedOf(next), announcedOf(fresh); !slices.Equal(got, want) {
 				t.Fatalf("after %d lists: got %q, want %q", step+1, got, want)
 			}
@@ -44,14 +38,8 @@
 func TestAnnouncedAgainChangesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		list := drawAnnounced(t)
-		s, err := NewState().WithEndpoints(1, list)
-		if err != nil {
-			t.Fatal(err)
-		}
-		again, err := s.WithEndpoints(1, list)
-		if err != nil {
-			t.Fatal(err)
-		}
+		s := NewState().WithEndpoints(1, list)
+		again := s.WithEndpoints(1, list)
 		if got, want := again, s; got != want {
 			t.Errorf("state: got a new one, want the same")
 		}
--- a/table/apply.go
+++ b/table/apply.go
@@ -26,12 +26,12 @@
 	Rows []Row
 }
 
-// With returns the state after a delta. A delta that would not lead forward leaves the state as it is;
-// one that starts past the state's revision, or holds a row that cannot be read, is refused whole.
+// With returns the state after a delta. A delta that would not lead forward leaves the state as it is; one that starts past the state's
+// revision is refused. A row that cannot be read costs itself and no other: see Unread.
 //
 // Invariant: no plane's revision of the result is below that of s, and no row goes back to an older revision.
 func (s *State) With(d Delta) (*State, error) {
-	if d.Plane >= planeCount {
+	if !d.Plane.Known() {
 		return s, fault.New(fault.Protocol, "delta", "no such plane")
 	}
 	revision := s.revisions[d.Plane]
@@ -48,9 +48,7 @@
 		d.Rows = s.fullChanges(d)
 	}
 	next := *s
-	if err := next.applyRows(d); err != nil {
-		return s, err
-	}
+	next.applyRows(d)
 	next.revisions[d.Plane] = d.To
 	next.extendTail(s, d)
 	return &next, nil
@@ -67,7 +65,7 @@
 //
 // Only what differs is written as rows: each line of a host brings the whole list here, in every node, and to write and read
 // hundreds of rows anew for one of them was a hundred times the work (BenchmarkCapacityAnnounced).
-func (s *State) WithEndpoints(revision uint64, announced []Announced) (*State, error) {
+func (s *State) WithEndpoints(revision uint64, announced []Announced) *State {
 	next := *s
 	next.announcements++
 	meta := Meta{Revision: next.announcements, Plane: PlaneHosts}
@@ -87,25 +85,20 @@
 		}
 	}
 	if revision <= s.revisions[PlaneHosts] && len(rows) == 0 {
-		return s, nil
-	}
-	if err := next.applyRows(Delta{Plane: PlaneHosts, Rows: rows}); err != nil {
-		return s, err
+		return s
 	}
+	next.applyRows(Delta{Plane: PlaneHosts, Rows: rows})
 	next.revisions[PlaneHosts] = max(revision, s.revisions[PlaneHosts])
-	return &next, nil
+	return &next
 }
 
-// applyRows applies a delta's rows to a state that nobody else sees yet; after an error the state is of no use.
-func (s *State) applyRows(d Delta) error {
+// applyRows applies a delta's rows to a state that nobody else sees yet.
+func (s *State) applyRows(d Delta) {
 	b := newBuilder(s, d.Plane)
 	for _, row := range d.Rows {
-		if err := b.apply(row); err != nil {
-			return err
-		}
+		b.apply(row)
 	}
 	b.finish()
-	return nil
 }
 
 // fullChanges turns a whole plane into what it changes: the rows that it holds, and deletions of those that it lacks. Of a
@@ -188,8 +181,19 @@
 	return &builder{state: s, plane: p, views: make(map[string]*ServiceView), routes: make(map[string][]Entry[Route])}
 }
 
-func (b *builder) apply(row Row) (err error) {
+// apply takes a row in, or sets it aside if it cannot be read.
+func (b *builder) apply(row Row) {
 	row.Plane = b.plane
+	if !b.overtakes(row) {
+		return
+	}
+	b.forget(row.ID())
+	if err := b.applyKind(row); err != nil && !row.Deleted {
+		b.setAside(row, err)
+	}
+}
+
+func (b *builder) applyKind(row Row) (err error) {
 	switch row.Kind {
 	case KindService:
 		return b.applyService(row)
--- a/table/capacity_test.go
+++ b/table/capacity_test.go
@@ -130,9 +130,7 @@
 			}
 			for i := 0; b.Loop(); i++ {
 				lines[i%n].Value.Slots++
-				if s, err = s.WithEndpoints(uint64(i)+1, lines); err != nil {
-					b.Fatal(err)
-				}
+				s = s.WithEndpoints(uint64(i)+1, lines)
 			}
 		})
 	}
--- a/table/columns.go
+++ b/table/columns.go
@@ -4,6 +4,7 @@
 	"encoding"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/lynxplank/lynxplank/fault"
@@ -22,6 +23,8 @@
 	// Secret marks a column whose text is never shown as it was given.
 	Secret bool
 	index  int
+	// empty is the canonical text of an empty cell.
+	empty string
 }
 
 // Sheet describes one kind of row.
@@ -62,6 +65,10 @@
 			index:    i,
 		})
 	}
+	for i := range s.Columns {
+		// A column that wants a value has no empty cell; its text is never that of one.
+		s.Columns[i].empty, _ = setCell(reflect.New(typ).Elem().Field(i), s.Columns[i], "")
+	}
 	return s
 }
 
@@ -107,6 +114,9 @@
 	return s.Name
 }
 
+// unreadableSecret stands for a secret that cannot be read, in a row that is refused or set aside.
+const unreadableSecret = "?"
+
 // NewRow returns a row with every cell in its canonical text, or all that is wrong with it.
 // An empty cell takes the column's default; cells may be fewer than the columns.
 func NewRow(kind Kind, key string, cells []string) (Row, error) {
@@ -134,6 +144,9 @@
 		}
 		if cellErr != nil {
 			bad = append(bad, fault.New(fault.BadRow, sheet.Name+" "+key+" "+c.Name, cellErr.Detail+c.got(text)))
+			if c.Secret {
+				canonical = unreadableSecret
+			}
 		}
 		row.Cells = append(row.Cells, canonical)
 	}
@@ -159,14 +172,22 @@
 
 // Decode returns the typed value of a row that NewRow or a peer made, BadRow if a cell cannot be read.
 func Decode[T any](r Row) (T, error) {
-	var value T
+	value, bad := decodeCells[T](r)
+	if len(bad) > 0 {
+		return value, bad[0]
+	}
+	return value, nil
+}
+
+// decodeCells returns what can be read of a row, and what cannot, the first cell first.
+func decodeCells[T any](r Row) (value T, bad fault.ListError) {
 	sheet, err := SheetOf(r.Kind)
 	if err != nil {
-		return value, err
+		return value, fault.ListError{fault.New(fault.BadRow, r.Key, "no such kind of row")}
 	}
 	v := reflect.ValueOf(&value).Elem()
-	if v.Type() != sheet.typ || len(r.Cells) > len(sheet.Columns) {
-		return value, fault.New(fault.BadRow, sheet.Name+" "+r.Key, "row is of another kind or too long")
+	if v.Type() != sheet.typ {
+		return value, fault.ListError{fault.New(fault.BadRow, sheet.Name+" "+r.Key, "row is of another kind")}
 	}
 	for i, c := range sheet.Columns {
 		text := ""
@@ -174,10 +195,13 @@
 			text = r.Cells[i]
 		}
 		if _, cellErr := setCell(v.Field(c.index), c, text); cellErr != nil {
-			return value, fault.New(fault.BadRow, sheet.Name+" "+r.Key+" "+c.Name, cellErr.Detail)
+			bad = append(bad, fault.New(fault.BadRow, sheet.Name+" "+r.Key+" "+c.Name, cellErr.Detail))
 		}
 	}
-	return value, nil
+	if beyond := len(sheet.Columns); len(r.Cells) > beyond && slices.ContainsFunc(r.Cells[beyond:], func(cell string) bool { return cell != "" }) {
+		bad = append(bad, fault.New(fault.BadRow, sheet.Name+" "+r.Key, "more cells than columns"))
+	}
+	return value, bad
 }
 
 // Encode returns the row of a typed value; it is the reverse of Decode.
--- a/table/plane.go
+++ b/table/plane.go
@@ -28,6 +28,9 @@
 	return planeNames[p]
 }
 
+// Known tells whether the plane is one of this program's.
+func (p Plane) Known() bool { return p < planeCount }
+
 // sparse tells whether a reader of the plane may miss revisions: it sees whole configurations, of which the store keeps the
 // newest alone, while the rows of the other planes carry the revisions of their own changes.
 func (p Plane) sparse() bool { return p == PlaneConfig }
--- a/table/rows.go
+++ b/table/rows.go
@@ -41,6 +41,8 @@
 	ProbePath string `col:"probe_path" help:"path that tells an endpoint's instance, empty for none"`
 	// Conns is how many connections an endpoint takes from its node; 0 stands for no limit.
 	Conns Count `col:"conns" default:"0" help:"connections that an endpoint takes, 0 for no limit"`
+	// ColdRate is how many requests a second an endpoint bears while it is cold; 0 while nobody says.
+	ColdRate Rate `col:"cold_rate" default:"0" help:"requests a second that a cold endpoint bears, 0 if nobody says"`
 }
 
 // Endpoint is one target of a service, beside one host's node.
@@ -83,6 +85,10 @@
 	Split Split `col:"split" help:"services by weight, such as a=90,b=10, empty for one service"`
 	// Open lets in callers that bear no customer's key, where the others must bear one.
 	Open YesNo `col:"open" default:"no" help:"whether callers need no customer's key: no or yes"`
+	// Closed has every request of the route refused.
+	Closed YesNo `col:"closed" default:"no" help:"whether its requests are refused: no or yes"`
+	// Regions are the only ones in which its requests may be served and anything of them kept; empty for any.
+	Regions Names `col:"regions" help:"regions that its data may be in, with commas, empty for any"`
 }
 
 // Listener bounds what the callers' listeners take; its row has the key CallersListener and goes before the settings.
@@ -114,6 +120,10 @@
 	Priority Count `col:"priority" default:"0" help:"rank among waiting requests before their routes', 0 first"`
 	// Keys are the digests of the keys by which its requests are known.
 	Keys Keys `col:"keys" secret:"yes" help:"digests of its keys; a key written as plain:KEY becomes one at once"`
+	// Closed has every request of the customer refused.
+	Closed YesNo `col:"closed" default:"no" help:"whether its requests are refused: no or yes"`
+	// Regions are the only ones in which its requests may be served and anything of them kept; empty for any.
+	Regions Names `col:"regions" help:"regions that its data may be in, with commas, empty for any"`
 }
 
 // BurstSize returns how many requests of the customer may come at once.
@@ -166,5 +176,20 @@
 	Cells []string
 }
 
+// Trimmed returns the row without the cells at its end that say what an empty one would. A program that does not know the newest
+// columns can read it as long as it makes no use of them.
+func (r Row) Trimmed() Row {
+	sheet, err := SheetOf(r.Kind)
+	if err != nil {
+		return r
+	}
+	n := len(r.Cells)
+	for n > 0 && n <= len(sheet.Columns) && r.Cells[n-1] == sheet.Columns[n-1].empty {
+		n--
+	}
+	r.Cells = r.Cells[:n:n]
+	return r
+}
+
 // ID returns the row's name among those of every kind.
 func (r Row) ID() RowID { return RowID{Kind: r.Kind, Key: r.Key} }
--- a/table/state.go
+++ b/table/state.go
@@ -104,7 +104,9 @@
 	hosts     *immutable.Map[string, Entry[Host]]
 	listeners *immutable.Map[string, Entry[Listener]]
 	fatals    *immutable.Map[string, Entry[Fatal]]
-	tails     [planeCount]tail
+	// unread are the rows that this program cannot read, as they came.
+	unread *immutable.Map[string, Unread]
+	tails  [planeCount]tail
 	// announcements counts the changes of announced endpoints that this node has put together.
 	announcements uint64
 }
@@ -121,6 +123,7 @@
 		hosts:     immutable.NewMap[string, Entry[Host]](nil),
 		listeners: immutable.NewMap[string, Entry[Listener]](nil),
 		fatals:    immutable.NewMap[string, Entry[Fatal]](nil),
+		unread:    immutable.NewMap[string, Unread](nil),
 	}
 }
 
@@ -246,8 +249,11 @@
 	return false
 }
 
-// Row returns a row of any kind in its text form.
+// Row returns a row of any kind in its text form, one that cannot be read as it came.
 func (s *State) Row(kind Kind, key string) (Row, bool) {
+	if u, ok := s.unread.Get(unreadKey(RowID{Kind: kind, Key: key})); ok {
+		return u.Row, true
+	}
 	switch kind {
 	case KindService:
 		v, ok := s.Service(key)
@@ -273,8 +279,13 @@
 	return Encode(kind, key, e.Meta, e.Value), ok
 }
 
-// Rows calls visit for every row of the table, sheet by sheet.
-func (s *State) Rows(visit func(Row)) {
+// Rows calls visit for every row of the table, sheet by sheet, then for those that cannot be read.
+func (s *State) Rows(visitAny func(Row)) {
+	visit := func(r Row) {
+		if _, aside := s.unread.Get(unreadKey(r.ID())); !aside {
+			visitAny(r)
+		}
+	}
 	s.Services(func(v ServiceView) { visit(Encode(KindService, v.Key, v.Meta, v.Value)) })
 	visitRows(s.endpoints, KindEndpoint, visit)
 	visitRows(s.routes, KindRoute, visit)
@@ -282,6 +293,7 @@
 	visitRows(s.hosts, KindHost, visit)
 	visitRows(s.listeners, KindListener, visit)
 	visitRows(s.fatals, KindFatal, visit)
+	s.Unread(func(u Unread) { visitAny(u.Row) })
 }
 
 func visitRows[T any](m *immutable.Map[string, Entry[T]], kind Kind, visit func(Row)) {
--- a/table/state_test.go
+++ b/table/state_test.go
@@ -15,10 +15,13 @@
 
 // TestScripts runs the scenarios of testdata. Commands:
 //
-//	apply from=N to=N [full]      rows as "KIND KEY CELL..." or "KIND KEY -" for a deleted one, "_" for an empty cell
+//	apply from=N to=N [full]      rows as "KIND KEY CELL..." or "KIND KEY -" for a deleted one, "_" for an empty cell; the kind
+//	                              "later" is one that this program does not know
 //	match host=H path=P
 //	since from=N
 //	service key=K
+//	unread                        the rows that cannot be read
+//	row KIND KEY
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := NewState()
@@ -30,12 +33,22 @@
 					return fmt.Sprintf("%s, still at %d\n", err, s.Revision())
 				}
 				s = next
-				return fmt.Sprintf("revision %d\n", s.Revision())
+				return fmt.Sprintf("revision %d\n", s.Revision()) + showUnread(s)
+			case "row":
+				sheet, err := SheetNamed(d.CmdArgs[0].Key)
+				if err != nil {
+					d.Fatalf(t, "%v", err)
+				}
+				r, ok := s.Row(sheet.Kind, d.CmdArgs[1].Key)
+				return fmt.Sprintf("%v revision %d %q\n", ok, r.Revision, r.Cells)
 			case "match":
 				var host, path string
 				d.ScanArgs(t, "host", &host)
 				d.ScanArgs(t, "path", &path)
 				r, ok := s.Match(host, path)
+				if r.Value.Closed {
+					return fmt.Sprintln(ok, r.Key, "closed")
+				}
 				return fmt.Sprintln(ok, r.Key)
 			case "since":
 				return showSince(s, readNumber(t, d, "from"))
@@ -50,6 +63,15 @@
 	})
 }
 
+func showUnread(s *State) string {
+	var lines []string
+	s.Unread(func(u Unread) {
+		lines = append(lines, fmt.Sprintf("unread %s %s %q: %s\n", u.Kind, u.Key, u.Cells, u.Detail))
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
 func readNumber(t *testing.T, d *datadriven.TestData, name string) uint64 {
 	t.Helper()
 	var n uint64
@@ -57,16 +79,23 @@
 	return n
 }
 
+// laterKind is a kind of row that only a later program knows.
+var laterKind = Kind(200)
+
 func readDelta(t *testing.T, d *datadriven.TestData) Delta {
 	t.Helper()
 	out := Delta{From: readNumber(t, d, "from"), To: readNumber(t, d, "to"), Full: d.HasArg("full")}
 	for line := range strings.Lines(d.Input) {
 		words := strings.Fields(line)
-		sheet, err := SheetNamed(words[0])
-		if err != nil {
-			d.Fatalf(t, "%v", err)
+		kind := laterKind
+		if words[0] != "later" {
+			sheet, err := SheetNamed(words[0])
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			kind = sheet.Kind
 		}
-		row := Row{Kind: sheet.Kind, Key: words[1], Meta: Meta{Revision: out.To}, Deleted: len(words) == 3 && words[2] == "-"}
+		row := Row{Kind: kind, Key: words[1], Meta: Meta{Revision: out.To}, Deleted: len(words) == 3 && words[2] == "-"}
 		for _, cell := range words[2:] {
 			if !row.Deleted {
 				row.Cells = append(row.Cells, strings.Trim(cell, "_"))
@@ -149,17 +178,21 @@
 }
 
 func drawRow(t *rapid.T, revision uint64) Row {
-	kind := rapid.SampledFrom([]Kind{KindService, KindEndpoint, KindRoute, KindHost}).Draw(t, "kind")
+	kind := rapid.SampledFrom([]Kind{KindService, KindEndpoint, KindRoute, KindHost, KindCustomer, laterKind}).Draw(t, "kind")
 	key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 	if rapid.Bool().Draw(t, "delete") {
 		return Row{Kind: kind, Key: key, Deleted: true, Meta: Meta{Revision: revision}}
 	}
+	if kind == laterKind || rapid.IntRange(0, 3).Draw(t, "readable") == 0 {
+		return unreadableRow(t, kind, key, revision)
+	}
 	word := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "word")
 	cells := map[Kind][]string{
 		KindService:  {"60%"},
 		KindEndpoint: {word, word, word, "127.0.0.1:1"},
 		KindRoute:    {word, "/" + word, word},
 		KindHost:     {rapid.SampledFrom(phaseNames).Draw(t, "phase")},
+		KindCustomer: {"2", "5"},
 	}
 	row, err := NewRow(kind, key, cells[kind])
 	if err != nil {
@@ -169,14 +202,32 @@
 	return row
 }
 
+// unreadableRow draws a row with a cell that cannot be read, or more cells than this program knows columns.
+func unreadableRow(t *rapid.T, kind Kind, key string, revision uint64) Row {
+	cells := map[Kind][]string{
+		KindService: {"odd", "0.5"}, KindEndpoint: {"a", "b", "c", "127.0.0.1:1", "odd"}, KindRoute: {"a", "/a", "a", "odd"},
+		KindHost: {"odd"}, KindCustomer: {"odd"}, laterKind: {"x"},
+	}[kind]
+	if rapid.Bool().Draw(t, "long") {
+		cells = append(append(slices.Clone(cells), make([]string, 20)...), "later")
+	}
+	return Row{Kind: kind, Key: key, Meta: Meta{Revision: revision}, Cells: cells}
+}
+
 func dump(s *State) map[string]string {
 	out := make(map[string]string)
 	s.Rows(func(r Row) { out[r.Kind.String()+" "+r.Key] = strings.Join(r.Cells, " ") })
+	s.Unread(func(u Unread) { out["unread "+u.Kind.String()+" "+u.Key] = u.Detail })
+	for _, key := range []string{"a", "b", "c"} {
+		c, ok := s.Customer(key)
+		out["customer "+key] = fmt.Sprint(ok, c.Value)
+		out["host "+key] = s.HostPhase(key).String()
+	}
 	for _, key := range []string{"a", "b"} {
 		v, _ := s.Service(key)
 		out["endpoints of "+key] = fmt.Sprint(v.Endpoints)
 		r, ok := s.Match("a", "/"+key)
-		out["route "+key] = fmt.Sprint(ok, r.Key)
+		out["route "+key] = fmt.Sprint(ok, r.Key, r.Value.Closed)
 	}
 	return out
 }
