Evacuated halls: kept by those who choose and at the door beside the endpoint

Done: a sheet hall (evacuated, since, by, region) with lynxplankctl evacuate and return; the platform's rows are a plane of their own, read with the configuration, told between nodes, never hiding an operator's own word. An endpoint of an evacuated hall counts as draining for whoever chooses and for the floor; the node beside it refuses what comes all the same, at the moment of the hand-over too. explain names who and since when; events 211 and 212; a row of a hall that does not exist is refused by name.

Tests: demo scenario evacuated_hall (real processes: asleep, platform down, both halls, a start in the midst of it), TestPlatformEvacuatesHalls, TestLaterReadEndsAPeersWord, TestEvacuationsAgree, TestEvacuatedDoor, TestEvacuatedHomeKeepsItsKeys, TestEvacuatedHallsGetNothing, TestExplainNamesTheEvacuation, cli/testdata/halls, platform/testdata/node.

--- a/cli/app.go
+++ b/cli/app.go
@@ -62,7 +62,7 @@
 }
 
 func commands() []command {
-	return slices.Concat(rowCommands(), fileCommands(), intentCommands(), reportCommands(), fatalCommands(), traceCommands())
+	return slices.Concat(rowCommands(), fileCommands(), intentCommands(), hallCommands(), reportCommands(), fatalCommands(), traceCommands())
 }
 
 // Main runs the tool with its arguments and returns the exit code.
@@ -181,6 +181,9 @@
 	if op == "" {
 		op = uuid.NewString()
 	}
+	if err := a.checkPlaces(edits); err != nil {
+		return err
+	}
 	revision, err := a.writer.Accept(a.ctx, changes.Change{Op: op, Author: a.cfg.Author, Source: source, Edits: edits})
 	if err != nil {
 		return err
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -125,14 +126,26 @@
 			lines = append(lines, []string{
 				node.String(), e.Endpoint, e.Phase, strconv.FormatBool(e.Open), e.Test,
 				strconv.FormatFloat(e.Score, 'f', 1, 64), strconv.FormatFloat(e.Threshold, 'f', 1, 64),
-				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections),
+				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e),
 			})
 		}
 	}
-	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS"}
+	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED"}
 	return a.printReport(values, head, lines)
 }
 
+// evacuation says since when and by whom an endpoint's hall is evacuated.
+func evacuation(e director.Explanation) string {
+	if !e.Evacuated {
+		return "-"
+	}
+	since, by := "?", cmp.Or(e.EvacuatedBy, "?")
+	if !e.EvacuatedSince.IsZero() {
+		since = e.EvacuatedSince.UTC().Format(time.RFC3339)
+	}
+	return "since " + since + " by " + by
+}
+
 // runCustomers adds up what the nodes say of each customer with a limit; with a customer's name it shows each node.
 func runCustomers(a *app, f *flag.FlagSet) error {
 	if f.NArg() > 1 {
--- a/cli/rows.go
+++ b/cli/rows.go
@@ -12,7 +12,7 @@
 
 func rowCommands() []command {
 	return []command{
-		{name: "list", args: "KIND", help: "list the rows of a sheet: service, endpoint, route, customer or host", run: runList},
+		{name: "list", args: "KIND", help: "list the rows of a sheet: service, endpoint, route, customer, host, listener or hall", run: runList},
 		{name: "get", args: "KIND KEY", help: "show one row", run: runGet},
 		{name: "set", args: "KIND KEY [COLUMN=VALUE...]", help: "change cells of a row, or make a new one", run: runSet, flags: editFlags},
 		{name: "delete", args: "KIND KEY", help: "take a row out", run: runDelete, flags: editFlags},
--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/lynxplank/lynxplank/cli"
 	"github.com/lynxplank/lynxplank/demo"
 	"github.com/lynxplank/lynxplank/fatal"
+	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/outbound"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/standin/store"
@@ -37,6 +39,7 @@
 //
 //	platform up|down|lose N     switch the stand-in
 //	exits N lynxplankctl ...    run the tool and want this exit code
+//	announced HOST HALL         write, as its node does, that a host stands in a hall
 //	ended CONTENT SERVICE E...  write, as nodes do, that these endpoints ended under a content
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -47,9 +50,10 @@
 			return startPlatform(env, s)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"platform": switchPlatform,
-			"exits":    exits,
-			"ended":    ended,
+			"platform":  switchPlatform,
+			"exits":     exits,
+			"ended":     ended,
+			"announced": announced,
 		},
 	})
 }
@@ -95,6 +99,16 @@
 	ts.Check(err)
 }
 
+func announced(ts *testscript.TestScript, _ bool, args []string) {
+	s, _ := ts.Value(storeKey{}).(*store.Store)
+	value, err := json.Marshal(table.HostInfo{ID: args[0], Hall: args[1], Address: "127.0.0.1:1"})
+	ts.Check(err)
+	_, err = store.NewLocal(s).Commit(context.Background(), platform.Txn{
+		Writes: []platform.Write{{Key: follow.HostPrefix + args[0], Value: value}},
+	})
+	ts.Check(err)
+}
+
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	err := ts.Exec(args[1], args[2:]...)
 	got := "0"
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -55,6 +55,7 @@
 //	slow on=h1 ms=N                                                 delays every link dialed to the node, both ways
 //	platform up|down
 //	leaving on=h1                                                   the operator drains the host; waits until all know
+//	hall name=hall-1 evacuated=yes|no [but=h1]                      waits until every running node, but for one, knows so
 //	ctl ARGS...                                                     the operators' tool; prints "ok" or the exit
 //	inforce                                                         waits until every running node holds the same revision
 //	inforce after=down                                              the same, without asking the platform
@@ -105,7 +106,8 @@
 		"fleet": s.start, "send": s.send, "hold": s.hold, "held": s.wait, "endpoint": s.endpoint,
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
-		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "inforce": s.inForce, "fatal": s.fatal, "lift": s.lift, "check": s.check,
+		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
+		"inforce": s.inForce, "fatal": s.fatal, "lift": s.lift, "check": s.check,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -346,6 +348,22 @@
 	return ""
 }
 
+func (s *scenario) hall(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	name, want, but := word(t, d, "name", ""), word(t, d, "evacuated", "yes"), word(t, d, "but", "")
+	must(t, d, waitFor("hall known", func() bool {
+		for _, m := range s.fleet.Members {
+			var row operator.Row
+			if m.Running() && m.Host != but &&
+				(get(m.Operators+operator.PathRow+"?kind=hall&key="+name, &row) != nil || row.Cells["evacuated"] != want) {
+				return false
+			}
+		}
+		return true
+	}))
+	return ""
+}
+
 func (s *scenario) openAnywhere(key string) bool {
 	for _, m := range s.fleet.Members {
 		var list []struct {
--- a/director/report.go
+++ b/director/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/lynxplank/lynxplank/eject"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 // Report is what one exchange showed of its endpoint.
@@ -152,11 +153,16 @@
 	InFlight int64 `json:"in_flight"`
 	// Open is false when the table, the host list, its own word or the link keep new work from it.
 	Open bool `json:"open"`
+	// Evacuated is set while its hall is, EvacuatedSince when that began and EvacuatedBy who said so, as far as is known.
+	Evacuated      bool      `json:"evacuated,omitempty"`
+	EvacuatedSince time.Time `json:"evacuated_since,omitzero"`
+	EvacuatedBy    string    `json:"evacuated_by,omitempty"`
 }
 
 // Explain returns why the endpoints of the services that this node met are treated as they are.
 func (d *Director) Explain(service string) []Explanation {
 	now := time.Now()
+	evacuated := d.state().EvacuatedHalls()
 	var out []Explanation
 	d.views.Range(func(key, value any) bool {
 		v, _ := value.(*view)
@@ -164,13 +170,26 @@
 			return true
 		}
 		for i := range v.entries {
-			out = append(out, d.explain(&v.entries[i], now))
+			out = append(out, d.explain(&v.entries[i], now).withHall(v.entries[i].endpoint.Value.Hall, evacuated))
 		}
 		return true
 	})
 	return out
 }
 
+// withHall adds what is known of the endpoint's hall.
+func (e Explanation) withHall(hall string, evacuated []table.EvacuatedHall) Explanation {
+	for _, h := range evacuated {
+		if h.Hall == hall {
+			e.Evacuated, e.EvacuatedBy = true, h.By
+			if h.Since != 0 {
+				e.EvacuatedSince = h.Since.Time()
+			}
+		}
+	}
+	return e
+}
+
 func (d *Director) explain(e *entry, now time.Time) Explanation {
 	return Explanation{
 		Endpoint: e.endpoint.Key, Phase: e.verdict.Phase.String(), Test: e.verdict.Test,
--- a/egress/find.go
+++ b/egress/find.go
@@ -34,14 +34,18 @@
 	if !e.here(d) {
 		return nil, e.notHere(d)
 	}
-	s := e.state()
-	row, _ := s.Endpoint(d.GetEndpoint())
-	return e.open(row, s.EndpointPhase(row) != table.Active)
+	row, _ := e.state().Endpoint(d.GetEndpoint())
+	return e.open(row, row.Value.Phase != table.Active)
 }
 
 // open returns the runtime of an endpoint beside this node unless it takes nothing new.
+//
+// Invariant: an endpoint of an evacuated hall is refused here whatever the ingress believes.
 func (e *Egress) open(row table.Entry[table.Endpoint], closed bool) (*local, *peerpb.End) {
 	s := e.state()
+	if s.Evacuated(row.Value.Hall) {
+		return nil, peer.NotRun(fault.Evacuated, drainRetryAfter)
+	}
 	if closed || s.HostPhase(e.cfg.Host) != table.Active {
 		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -35,6 +35,8 @@
 	HistoryGone     = Event{208, "platform dropped its history", zerolog.InfoLevel}
 	StoreCalls      = Event{209, "calls to the platform", zerolog.InfoLevel}
 	EntryLeftOut    = Event{210, "entry left out", zerolog.WarnLevel}
+	HallEvacuated   = Event{211, "hall evacuated", zerolog.WarnLevel}
+	HallReturned    = Event{212, "hall taken back", zerolog.InfoLevel}
 	LinkUp          = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect     = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed      = Event{302, "link closed", zerolog.InfoLevel}
@@ -72,7 +74,7 @@
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	LinesLeftOut,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
-	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut,
+	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, FurtherSends, OlderTaken, EndpointEnded,
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -67,6 +67,8 @@
 	FatalRequest Code = "fatal_request"
 	// Draining is a refusal by an endpoint or node that takes nothing new.
 	Draining Code = "draining"
+	// Evacuated is a refusal by an endpoint whose hall is evacuated.
+	Evacuated Code = "evacuated"
 	// NoEndpoint is a refusal because a service has no endpoint to try.
 	NoEndpoint Code = "no_endpoint"
 	// WrongHost is a refusal by a node that does not stand beside the endpoint.
--- a/follow/badrows_test.go
+++ b/follow/badrows_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/lynxplank/lynxplank/changes"
+	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/platform"
@@ -82,7 +83,9 @@
 	}
 	applied := make(chan error, 1)
 	f.deliver(applyNow{parts: parts, done: applied})
-	<-applied
+	if err := <-applied; fault.CodeOf(err) != fault.Protocol {
+		t.Errorf("a delta past what is in force: got %v, want a protocol error", err)
+	}
 	snap := f.Snapshot()
 	if _, ok := snap.State.Match("x", "/b/1"); !ok {
 		t.Error("route beside the others: got none, want it in force")
@@ -113,3 +116,11 @@
 }
 
 func (m applyNow) apply(_ context.Context, f *Follower) { m.done <- f.applyParts(m.parts) }
+
+// applyDelta puts a delta in force.
+type applyDelta struct {
+	delta table.Delta
+	done  chan error
+}
+
+func (m applyDelta) apply(_ context.Context, f *Follower) { m.done <- f.apply(m.delta) }
--- a/follow/fatals_test.go
+++ b/follow/fatals_test.go
@@ -54,20 +54,20 @@
 		w := fatalRow(t, c, "e1@1")
 		return platform.Record{Key: w.Key, Value: w.Value, Version: version}
 	}
-	r := &ownReader{fatals: table.NewState()}
+	r := &ownReader{fatals: newRowPlane(table.PlaneFatal)}
 	if err := r.noteFatals([]platform.Record{rec(one, 5), rec(two, 7)}, 9); err != nil {
 		t.Fatal(err)
 	}
 	if err := r.noteFatals([]platform.Record{rec(one, 5)}, 20); err != nil {
 		t.Fatal(err)
 	}
-	if _, got := r.fatals.Fatal(two.String()); got {
+	if _, got := r.fatals.state.Fatal(two.String()); got {
 		t.Error("row that is gone: got it, want none")
 	}
-	if _, got := r.fatals.Fatal(one.String()); !got {
+	if _, got := r.fatals.state.Fatal(one.String()); !got {
 		t.Error("row that stands: got none, want it")
 	}
-	if got, want := r.fatals.Revisions()[table.PlaneFatal], uint64(20); got != want {
+	if got, want := r.fatals.state.Revisions()[table.PlaneFatal], uint64(20); got != want {
 		t.Errorf("revision: got %d, want %d", got, want)
 	}
 }
--- a/follow/inforce.go
+++ b/follow/inforce.go
@@ -25,7 +25,7 @@
 	r := s.Revisions()
 	events.RevisionInForce.Log(f.log).Uint64("revision", r[table.PlaneRows]).
 		Uint64("config", r[table.PlaneConfig]).Uint64("hosts", r[table.PlaneHosts]).
-		Uint64("fatal", r[table.PlaneFatal]).Send()
+		Uint64("fatal", r[table.PlaneFatal]).Uint64("halls", r[table.PlaneHalls]).Send()
 }
 
 // apply puts a delta in force on top of what is there by now.
@@ -56,6 +56,42 @@
 	return f.apply(s.Between(p, from))
 }
 
+// adoptRead brings a plane of single rows to what a look has shown, which shows the store at a version. What was in force may have
+// come from a peer that knew of a row which this look, a later one, does not show.
+func (f *Follower) adoptRead(p table.Plane, s *table.State, at uint64) error {
+	if d, ok := f.readDelta(p, s, at); ok {
+		return f.apply(d)
+	}
+	return nil
+}
+
+// readDelta returns what leads from the state in force to what a look has shown; false for nothing.
+func (f *Follower) readDelta(p table.Plane, s *table.State, at uint64) (table.Delta, bool) {
+	held := f.State()
+	switch from := held.Revisions()[p]; {
+	case s.Revisions()[p] > from:
+		return s.Between(p, from), true
+	case at > from && !sameRows(p, held, s):
+		d := table.Delta{Plane: p, To: at, Full: true}
+		s.PlaneRows(p, func(r table.Row) { d.Rows = append(d.Rows, r) })
+		return d, true
+	}
+	return table.Delta{}, false
+}
+
+// sameRows tells whether two states hold the same rows of a plane, each as written by the same transaction.
+func sameRows(p table.Plane, a, b *table.State) bool {
+	written := make(map[table.RowID]uint64)
+	a.PlaneRows(p, func(r table.Row) { written[r.ID()] = r.Revision })
+	same := true
+	b.PlaneRows(p, func(r table.Row) {
+		revision, ok := written[r.ID()]
+		same = same && ok && revision == r.Revision
+		delete(written, r.ID())
+	})
+	return same && len(written) == 0
+}
+
 // adoptReadHosts takes the list of hosts as the store showed it. A read of the whole table tells of hosts that are gone only
 // by not showing them, and so counts whatever the newest line's version; one that is older than what a peer has told is
 // followed by another.
@@ -135,10 +171,11 @@
 
 // publish puts a snapshot in force and tells the hooks and the peers.
 func (f *Follower) publish(snap *Snapshot) {
-	f.current.Store(snap)
+	old := f.current.Swap(snap)
 	unread := make(map[string]string)
 	snap.State.Unread(func(u table.Unread) { unread[u.Kind.String()+" "+u.Key] = u.Detail })
 	f.leftOut.Replace(leftout.Table, unread)
+	f.tellHalls(old, snap)
 	for _, hook := range f.onChange {
 		hook(snap)
 	}
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -30,7 +30,7 @@
 		err = f.adoptPlane(table.PlaneRows, m.state)
 	}
 	if err == nil {
-		err = f.adoptPlane(table.PlaneFatal, m.fatals)
+		err = f.adoptRead(table.PlaneFatal, m.fatals, m.at)
 	}
 	f.notePlatform(table.PlaneRows, err)
 	f.checkReady()
@@ -45,8 +45,11 @@
 
 // configRead is the result of one look at the platform's configuration.
 type configRead struct {
-	// config is the newest usable one, nil for none.
+	// config is the newest usable one, nil for none; halls holds what the platform's operators say of halls.
 	config *platform.Config
+	halls  *table.State
+	// at is the store's version that the read shows.
+	at uint64
 	// bad is what is wrong with one that cannot be used, err why the platform could not be read.
 	bad error
 	err error
@@ -57,6 +60,9 @@
 	if m.config != nil {
 		err = f.adoptConfig(*m.config)
 	}
+	if m.halls != nil && err == nil {
+		err = f.adoptRead(table.PlaneHalls, m.halls, m.at)
+	}
 	f.notePlatform(table.PlaneConfig, err)
 	if m.bad != nil {
 		f.notePlatform(table.PlaneConfig, m.bad)
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -98,7 +98,7 @@
 	held := f.State().Revisions()
 	reads := map[table.Plane]bool{
 		table.PlaneRows: f.reading.Load(), table.PlaneHosts: f.reading.Load(), table.PlaneConfig: f.readingConfig.Load(),
-		table.PlaneFatal: f.reading.Load(),
+		table.PlaneFatal: f.reading.Load(), table.PlaneHalls: f.readingConfig.Load(),
 	}
 	wait := pullHostsAfter
 	for plane, here := range reads {
--- a/follow/read.go
+++ b/follow/read.go
@@ -63,10 +63,9 @@
 	f    *Follower
 	rows *changes.Reader
 	// state holds the operators' rows only, hosts the announcements by the hosts' names.
-	state *table.State
-	hosts map[string]table.HostInfo
-	// fatals holds what is known of requests under which endpoints ended, only.
-	fatals *table.State
+	state  *table.State
+	hosts  map[string]table.HostInfo
+	fatals *rowPlane
 	// cursor is the store's version up to which the table was read, loaded is false until it was read whole.
 	cursor uint64
 	loaded bool
@@ -84,7 +83,7 @@
 // readOwn keeps reading the product's own table until the node stops.
 func (f *Follower) readOwn(ctx context.Context) {
 	r := &ownReader{
-		f: f, rows: changes.NewReader(f.platform, changes.WithBad(f.leaveOut)), state: table.NewState(), fatals: table.NewState(),
+		f: f, rows: changes.NewReader(f.platform, changes.WithBad(f.leaveOut)), state: table.NewState(), fatals: newRowPlane(table.PlaneFatal),
 		failing: retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost},
 	}
 	for {
@@ -118,7 +117,7 @@
 		return ownRead{err: err}, r.failing.Next()
 	}
 	r.failing.Reset()
-	m := ownRead{state: r.state, fatals: r.fatals, at: r.cursor, hosts: hostList{
+	m := ownRead{state: r.state, fatals: r.fatals.state, at: r.cursor, hosts: hostList{
 		hosts: byName(slices.Collect(maps.Values(r.hosts))), revision: r.revision, base: r.base, gone: slices.Clone(r.gone),
 	}.trimmed()}
 	// The reader forgets what the list does, and has each removal once.
--- a/follow/readconfig.go
+++ b/follow/readconfig.go
@@ -8,29 +8,40 @@
 	"github.com/lynxplank/lynxplank/leftout"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/table"
 )
 
-// readConfig keeps reading the configuration of the platform's operators until the node stops.
+// configReader reads what the platform's operators write: the configuration and the halls that they evacuate. One goroutine owns it.
+type configReader struct {
+	f     *Follower
+	halls *rowPlane
+	// cursor is the store's version up to which the table was read, loaded is false until it was read whole.
+	cursor uint64
+	loaded bool
+	// failing spaces the looks while the platform fails.
+	failing retry.Backoff
+}
+
+// readConfig keeps reading the platform's operators' table until the node stops.
 func (f *Follower) readConfig(ctx context.Context) {
-	var cursor uint64
-	loaded := false
-	failing := retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost}
+	r := &configReader{
+		f: f, halls: newRowPlane(table.PlaneHalls), failing: retry.Backoff{First: f.cfg.Retry, Most: f.cfg.RetryMost},
+	}
 	for {
 		wait := f.cfg.Retry
 		if f.readingConfig.Load() {
-			version, m := f.lookConfig(ctx, loaded, cursor)
+			m := r.look(ctx)
 			f.deliver(m)
 			switch {
 			case m.err == nil:
-				cursor, loaded = version, true
-				f.configCursor.Store(version)
-				failing.Reset()
+				f.configCursor.Store(r.cursor)
+				r.failing.Reset()
 				wait = 0
 			case fault.CodeOf(m.err) == fault.Gone:
-				loaded = false
+				r.loaded = false
 				wait = 0
 			default:
-				wait = failing.Next()
+				wait = r.failing.Next()
 			}
 		}
 		if !f.pause(ctx, wait) {
@@ -39,22 +50,27 @@
 	}
 }
 
-// lookConfig reads the operators' table once; the number is the store's version that the read shows.
-func (f *Follower) lookConfig(ctx context.Context, loaded bool, cursor uint64) (uint64, configRead) {
-	recs, err := f.records(ctx, platform.TableOperators, loaded, cursor)
+// look reads the operators' table once.
+func (r *configReader) look(ctx context.Context) configRead {
+	recs, err := r.f.records(ctx, platform.TableOperators, r.loaded, r.cursor)
 	if err != nil {
-		return 0, configRead{err: err}
+		return configRead{err: err}
 	}
 	// The version is taken even of a configuration that cannot be used: the next one may be good, and this one will not
 	// get better.
-	configs, bad := f.decodeConfigs(recs)
+	configs, bad := r.f.decodeConfigs(recs)
 	m := configRead{bad: bad}
 	if len(configs) > 0 {
 		m.config = &configs[len(configs)-1]
-		f.seeConfig(m.config.Version)
+		r.f.seeConfig(m.config.Version)
+	}
+	r.f.noteLeftOut(m)
+	if err := r.noteHalls(recs); err != nil {
+		return configRead{err: err}
 	}
-	f.noteLeftOut(m)
-	return recs.Version, m
+	m.halls, m.at = r.halls.state, recs.Version
+	r.cursor, r.loaded = recs.Version, true
+	return m
 }
 
 // noteLeftOut notes what of the newest configuration could not be understood.
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -16,7 +16,7 @@
 func Deltas(snap *Snapshot, from table.Revisions, changesOnly bool) []*peerpb.Delta {
 	var parts []*peerpb.Delta
 	to := snap.State.Revisions()
-	for _, p := range []table.Plane{table.PlaneRows, table.PlaneConfig, table.PlaneFatal} {
+	for _, p := range []table.Plane{table.PlaneRows, table.PlaneConfig, table.PlaneFatal, table.PlaneHalls} {
 		if to[p] > from[p] {
 			parts = append(parts, planeDeltas(snap.State.Between(p, from[p]))...)
 		}
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -154,8 +154,8 @@
 // refusedForLoad tells that the home granted the key but its endpoint did not take the work.
 func refusedForLoad(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.EndpointShed, fault.EndpointUnreachable,
-		fault.Busy, fault.Suspect:
+	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.Evacuated, fault.EndpointShed,
+		fault.EndpointUnreachable, fault.Busy, fault.Suspect:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -123,6 +123,7 @@
 	fault.Overloaded:          "the endpoints' slots and queues are full",
 	fault.DeadlineTooShort:    "the work could not end before the deadline",
 	fault.Draining:            "the endpoint takes nothing new",
+	fault.Evacuated:           "the endpoint's hall is evacuated",
 	fault.NoEndpoint:          "no endpoint takes new work",
 	fault.LinkDown:            "the endpoint's node cannot be reached",
 	fault.LinkLost:            "the link broke after the hand-over",
--- a/peer/news.go
+++ b/peer/news.go
@@ -92,11 +92,13 @@
 	out[table.PlaneConfig] = r.GetConfig()
 	out[table.PlaneHosts] = r.GetHosts()
 	out[table.PlaneFatal] = r.GetFatal()
+	out[table.PlaneHalls] = r.GetHalls()
 	return out
 }
 
 func revisionsToWire(r table.Revisions) *peerpb.Revisions {
 	return &peerpb.Revisions{
 		Rows: r[table.PlaneRows], Config: r[table.PlaneConfig], Hosts: r[table.PlaneHosts], Fatal: r[table.PlaneFatal],
+		Halls: r[table.PlaneHalls],
 	}
 }
--- a/peer/pull_test.go
+++ b/peer/pull_test.go
@@ -21,6 +21,24 @@
 	return nil
 }
 
+// TestAskersGetThePartsThatTheyKnow has nodes of older, this and later programs ask for changes: of parts that one does not know it gets
+// nothing.
+func TestAskersGetThePartsThatTheyKnow(t *testing.T) {
+	for _, c := range []struct {
+		pull *peerpb.Pull
+		want int
+	}{
+		{&peerpb.Pull{}, int(table.PlaneHosts) + 1},
+		{&peerpb.Pull{Fatal: true}, int(table.PlaneFatal) + 1},
+		{&peerpb.Pull{Fatal: true, Planes: uint32(table.PlaneCount)}, table.PlaneCount},
+		{&peerpb.Pull{Fatal: true, Planes: 99}, table.PlaneCount},
+	} {
+		if got := knownPlanes(c.pull); got != c.want {
+			t.Errorf("parts known to %v: got %d, want %d", c.pull, got, c.want)
+		}
+	}
+}
+
 // TestOlderAskersGetNoFatalRows has a node of an older program ask for changes: rows of a kind that it does not know would make the whole
 // answer unreadable to it, its hosts included.
 func TestOlderAskersGetNoFatalRows(t *testing.T) {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -110,10 +110,21 @@
 	_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Confirmed{Confirmed: answer}})
 }
 
+// knownPlanes is how many planes the asker of a pull knows; of others it could read nothing.
+func knownPlanes(p *peerpb.Pull) int {
+	switch {
+	case p.GetPlanes() > 0:
+		return int(min(p.GetPlanes(), uint32(table.PlaneCount)))
+	case p.GetFatal():
+		return int(table.PlaneFatal) + 1
+	}
+	return int(table.PlaneHosts) + 1
+}
+
 func (m *Manager) servePull(stream net.Conn, p *peerpb.Pull) {
 	from := revisionsOf(p.GetFrom())
-	if !p.GetFatal() {
-		from[table.PlaneFatal] = math.MaxUint64
+	for plane := knownPlanes(p); plane < table.PlaneCount; plane++ {
+		from[plane] = math.MaxUint64
 	}
 	for _, d := range m.handler.Deltas(from, p.GetHostChanges()) {
 		if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Delta{Delta: d}}); err != nil {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -190,8 +190,7 @@
 		s.put(platform.WireRow{Table: w.Table, Part: w.Part, Key: w.Key, Value: w.Value, Version: s.version})
 	}
 	for _, k := range txn.Remove {
-		delete(s.rows, rowKey{k.Table, k.Part, k.Key})
-		s.note(platform.WireRow{Table: k.Table, Part: k.Part, Key: k.Key, Version: s.version, Removed: true})
+		s.take(rowKey{k.Table, k.Part, k.Key})
 	}
 	s.wake()
 	return s.reply(), true
@@ -203,6 +202,12 @@
 	s.note(row)
 }
 
+// take takes a row out; the lock is held.
+func (s *Store) take(k rowKey) {
+	delete(s.rows, k)
+	s.note(platform.WireRow{Table: k.table, Part: k.part, Key: k.key, Version: s.version, Removed: true})
+}
+
 // note adds a change to the history; the lock is held.
 func (s *Store) note(row platform.WireRow) {
 	s.history = append(s.history, change{row: row, version: s.version})
@@ -228,6 +233,16 @@
 	return s.version
 }
 
+// RemoveOperatorRow takes a row of the platform's operators out.
+func (s *Store) RemoveOperatorRow(table, key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.take(rowKey{table: table, key: key})
+	s.wake()
+	return s.version
+}
+
 func (s *Store) object(name string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/table/apply.go
+++ b/table/apply.go
@@ -212,6 +212,12 @@
 	case KindFatal:
 		b.state.fatals, err = applyRow(b.state.fatals, row)
 		return err
+	case KindHall:
+		b.state.halls, err = applyRow(b.state.halls, row)
+		return err
+	case KindEvacuation:
+		b.state.evacuations, err = applyRow(b.state.evacuations, row)
+		return err
 	}
 	return fault.New(fault.BadRow, row.Key, "no such kind of row")
 }
--- a/table/columns.go
+++ b/table/columns.go
@@ -46,10 +46,20 @@
 	newSheet[Customer](KindCustomer, "customer"),
 	newSheet[Host](KindHost, "host"),
 	newSheet[Listener](KindListener, "listener"),
+	newSheet[Hall](KindHall, "hall"),
 }
 
-// fatalSheet is the one sheet that operators write no rows of.
-var fatalSheet = newSheet[Fatal](KindFatal, "fatal")
+// sheetsByKind are those, and the sheets that operators write no rows of.
+var sheetsByKind = func() map[Kind]Sheet {
+	all := map[Kind]Sheet{
+		KindFatal:      newSheet[Fatal](KindFatal, "fatal"),
+		KindEvacuation: newSheet[Evacuation](KindEvacuation, "evacuation"),
+	}
+	for _, s := range Sheets {
+		all[s.Kind] = s
+	}
+	return all
+}()
 
 func newSheet[T any](kind Kind, name string) Sheet {
 	typ := reflect.TypeFor[T]()
@@ -74,13 +84,10 @@
 
 // SheetOf returns the sheet of a kind, BadRow if there is none.
 func SheetOf(kind Kind) (Sheet, error) {
-	if kind == KindFatal {
-		return fatalSheet, nil
-	}
-	if kind < KindService || int(kind) > len(Sheets) {
-		return Sheet{}, fault.New(fault.BadRow, "", "no such kind of row")
+	if s, ok := sheetsByKind[kind]; ok {
+		return s, nil
 	}
-	return Sheets[kind-1], nil
+	return Sheet{}, fault.New(fault.BadRow, "", "no such kind of row")
 }
 
 // SheetNamed returns the sheet of a name, singular or plural, BadRow if there is none.
--- a/table/plane.go
+++ b/table/plane.go
@@ -14,11 +14,13 @@
 	PlaneHosts
 	// PlaneFatal is what nodes tell of requests under which endpoints ended.
 	PlaneFatal
+	// PlaneHalls is what the platform's operators say of halls.
+	PlaneHalls
 	// planeCount is the number of planes.
 	planeCount
 )
 
-var planeNames = []string{"rows", "config", "hosts", "fatal"}
+var planeNames = []string{"rows", "config", "hosts", "fatal", "halls"}
 
 // String returns the plane's name.
 func (p Plane) String() string {
@@ -28,6 +30,9 @@
 	return planeNames[p]
 }
 
+// PlaneCount is the number of planes that this program knows.
+const PlaneCount = int(planeCount)
+
 // Known tells whether the plane is one of this program's.
 func (p Plane) Known() bool { return p < planeCount }
 
--- a/table/rows.go
+++ b/table/rows.go
@@ -21,6 +21,10 @@
 	KindListener
 	// KindFatal is a row of type Fatal, which nodes write and operators only take out.
 	KindFatal
+	// KindHall is a row of type Hall.
+	KindHall
+	// KindEvacuation is a row of type Evacuation, which the platform's operators write.
+	KindEvacuation
 )
 
 // Service is a named group of endpoints with its policy.
@@ -145,6 +149,23 @@
 	Phase Phase `col:"phase" default:"active" help:"active, draining or retired"`
 }
 
+// Hall is what operators say of one hall; its row has the hall's name as the key.
+type Hall struct {
+	// Evacuated keeps all new work from the hall's endpoints.
+	Evacuated YesNo `col:"evacuated" default:"no" help:"whether the hall's endpoints get no new work: no or yes"`
+	// Since is when that began, By who said so; both may be empty.
+	Since Moment `col:"since" help:"when it was evacuated"`
+	By    string `col:"by" help:"who evacuated it"`
+	// Region is where the hall is, as far as it concerns the data of routes and customers.
+	Region string `col:"region" help:"region of the hall, for routes and customers whose data may be in some alone"`
+}
+
+// Evacuation is the word of the platform's operators that a hall's endpoints get no new work; its key is the hall.
+type Evacuation struct {
+	// At is when a reader first met it.
+	At Moment `col:"at" help:"when it was read"`
+}
+
 // Meta is what every row carries besides its cells.
 type Meta struct {
 	// Version is the platform's count of writes to the row, 0 before the first.
--- a/table/state.go
+++ b/table/state.go
@@ -104,6 +104,9 @@
 	hosts     *immutable.Map[string, Entry[Host]]
 	listeners *immutable.Map[string, Entry[Listener]]
 	fatals    *immutable.Map[string, Entry[Fatal]]
+	halls     *immutable.Map[string, Entry[Hall]]
+	// evacuations are those of the platform's operators, by hall.
+	evacuations *immutable.Map[string, Entry[Evacuation]]
 	// unread are the rows that this program cannot read, as they came.
 	unread *immutable.Map[string, Unread]
 	tails  [planeCount]tail
@@ -123,7 +126,10 @@
 		hosts:     immutable.NewMap[string, Entry[Host]](nil),
 		listeners: immutable.NewMap[string, Entry[Listener]](nil),
 		fatals:    immutable.NewMap[string, Entry[Fatal]](nil),
+		halls:     immutable.NewMap[string, Entry[Hall]](nil),
 		unread:    immutable.NewMap[string, Unread](nil),
+
+		evacuations: immutable.NewMap[string, Entry[Evacuation]](nil),
 	}
 }
 
@@ -192,9 +198,13 @@
 	return h.Value.Phase
 }
 
-// EndpointPhase returns the later of the endpoint's own phase and its host's.
+// EndpointPhase returns the latest of the endpoint's own phase, its host's and its hall's: one in an evacuated hall is draining.
 func (s *State) EndpointPhase(e Entry[Endpoint]) Phase {
-	return max(e.Value.Phase, s.HostPhase(e.Value.Host))
+	phase := max(e.Value.Phase, s.HostPhase(e.Value.Host))
+	if s.Evacuated(e.Value.Hall) {
+		phase = max(phase, Draining)
+	}
+	return phase
 }
 
 // anyHost is the host of routes that take requests for any.
@@ -270,6 +280,10 @@
 		return rowOf(s.listeners, kind, key)
 	case KindFatal:
 		return rowOf(s.fatals, kind, key)
+	case KindHall:
+		return rowOf(s.halls, kind, key)
+	case KindEvacuation:
+		return rowOf(s.evacuations, kind, key)
 	}
 	return Row{}, false
 }
@@ -293,6 +307,8 @@
 	visitRows(s.hosts, KindHost, visit)
 	visitRows(s.listeners, KindListener, visit)
 	visitRows(s.fatals, KindFatal, visit)
+	visitRows(s.halls, KindHall, visit)
+	visitRows(s.evacuations, KindEvacuation, visit)
 	s.Unread(func(u Unread) { visitAny(u.Row) })
 }
 
--- a/table/unread.go
+++ b/table/unread.go
@@ -64,6 +64,10 @@
 		return readableAs(row, func(h *Host) { h.Phase = Draining })
 	case KindListener:
 		return readableAs(row, func(*Listener) {})
+	case KindHall:
+		return readableAs(row, func(h *Hall) { h.Evacuated = true })
+	case KindEvacuation:
+		return readableAs(row, func(*Evacuation) {})
 	case KindFatal:
 	}
 	return row
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -20,7 +20,8 @@
 	fault.Busy:       "no endpoint that was asked had a free slot",
 	fault.NoEndpoint: "the ingress knew no endpoint that takes new work: all draining, ejected, out of reach or tried before; " +
 		"see its links (301, 302) and phases (400)",
-	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
+	fault.Draining:  "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
+	fault.Evacuated: "the endpoint's hall was evacuated, and the ingress did not know yet; see 211 at both nodes",
 	fault.WrongHost: "the endpoint no longer stands beside that node, and the ingress went by an older list of hosts; compare " +
 		"`hosts` with the revision in force there (200)",
 	fault.EndpointMoved: "another endpoint stands at the address by now and refused the request; compare `hosts` with 404 at its node",
