Cold endpoints: the door beside them keeps what they bear, choosers go by one model of warmth

Done: package coldstart, a door at the endpoint's node: what it bears for long while it says that it is cold; all that the bound allows while it is in doubt (no word for 5 s, hall evacuated since, took no connection, a node that has just started); everything while it says that it is warm. An admission counts for 200 ms, so that the bound holds in each sliding second of what is sent. Those that may wait get their turn, the rest is told not run, 'cold', and when to come back. Answers and refusals carry the rest of the cold time; choosers go by that, by the service's time for endpoints that join, and so for the endpoints of a hall that is taken back. ColdUntil by the host's clock; the director's addedAt is gone. The platform's coldStartS and coldPerS are the service's warmup and cold_rate.

Ruled out: the time of cold in the announced line (a write a heartbeat, and older nodes leave out an endpoint with a column that they do not know); doubt at a door's making (its endpoint's word may be older than its first request).

--- a/director/director.go
+++ b/director/director.go
@@ -61,11 +61,12 @@
 	key        string
 	detector   *eject.Service
 	targets    map[string]*target
-	added      map[string]time.Time
 	phases     map[string]eject.Phase
 	revision   table.Revisions
 	usedAt     time.Time
 	membership *membership
+	// evacuated are the halls that were evacuated at the last look.
+	evacuated map[string]bool
 	// need is how many endpoints of the own hall this node's requests take, as of late.
 	need float64
 	// unsettled is set while some endpoint is not simply serving.
@@ -163,8 +164,7 @@
 		}
 		rt = &runtime{
 			key: key, detector: eject.NewService(d.cfg.Ejection),
-			targets: make(map[string]*target), added: make(map[string]time.Time),
-			phases: make(map[string]eject.Phase),
+			targets: make(map[string]*target), phases: make(map[string]eject.Phase), evacuated: make(map[string]bool),
 		}
 		d.services[key] = rt
 	}
--- a/director/pick.go
+++ b/director/pick.go
@@ -142,7 +142,7 @@
 	}
 	return balance.Candidate{
 		Key:          e.endpoint.Key,
-		Weight:       float64(row.Weight) * float64(row.Slots) * e.verdict.Share * warmth(v, e, now),
+		Weight:       float64(row.Weight) * float64(row.Slots) * e.verdict.Share * e.target.warmth(now, time.Duration(v.service.Value.Warmup)),
 		Slots:        int(row.Slots),
 		Outstanding:  e.target.outstanding(now),
 		Latency:      time.Duration(math.Float64frombits(e.target.latency.Load())),
@@ -154,25 +154,6 @@
 	}
 }
 
-// warmth is the growing share of an endpoint that came while the service was being served.
-func warmth(v *view, e *entry, now time.Time) float64 {
-	warmup := time.Duration(v.service.Value.Warmup)
-	age := now.Sub(e.addedAt)
-	if age >= warmup || !v.someOlder(e.addedAt) {
-		return 1
-	}
-	return max(leastShare, float64(age)/float64(warmup))
-}
-
-func (v *view) someOlder(than time.Time) bool {
-	for i := range v.entries {
-		if v.entries[i].addedAt.Before(than) {
-			return true
-		}
-	}
-	return false
-}
-
 func (v *view) pick(i int, trial bool) Pick { return v.pickEntry(&v.entries[i], trial) }
 
 func (v *view) pickEntry(e *entry, trial bool) Pick {
--- a/director/target.go
+++ b/director/target.go
@@ -23,6 +23,8 @@
 	trialAt    atomic.Int64
 	// spentAt is when it last had no retry left.
 	spentAt atomic.Int64
+	// coldUntil is when it stops being cold, by its own word or as far as can be told without.
+	coldUntil atomic.Int64
 
 	// The control goroutine alone uses these: the egress's totals at the last report, and our own share since.
 	incarnation   uint64
@@ -119,11 +121,26 @@
 	} else {
 		t.trialAt.Store(0)
 	}
+	if load.ColdMicros != nil {
+		t.coldFor(now, time.Duration(load.GetColdMicros())*time.Microsecond)
+	}
 	if load.GetLeaving() {
 		t.leavingAt.Store(now.UnixNano())
 	}
 }
 
+// coldFor takes it that the endpoint is cold for some time from now on.
+func (t *target) coldFor(now time.Time, d time.Duration) { t.coldUntil.Store(now.Add(d).UnixNano()) }
+
+// warmth is the share of its work that an endpoint gets while it is cold, growing to all of it over a time.
+func (t *target) warmth(now time.Time, over time.Duration) float64 {
+	left := t.coldUntil.Load() - now.UnixNano()
+	if left <= 0 || over <= 0 {
+		return 1
+	}
+	return max(leastShare, 1-float64(left)/float64(over))
+}
+
 // leaving believes an endpoint's word for a while, then lets one request find out.
 func (t *target) leaving(now time.Time) bool {
 	return now.UnixNano()-t.leavingAt.Load() < int64(leavingLife)
--- a/director/view.go
+++ b/director/view.go
@@ -23,7 +23,6 @@
 	phase    table.Phase
 	verdict  eject.Verdict
 	target   *target
-	addedAt  time.Time
 }
 
 // refresh brings the detector to the table in force and publishes the view.
@@ -41,6 +40,7 @@
 		rt.revision = s.Revisions()
 	}
 	d.rejoin(now, rt, sv)
+	rt.noteHalls(now, s, sv)
 	members := d.membersOf(now, rt, s, sv)
 	list := make([]eject.Endpoint, 0, len(members))
 	for _, i := range members {
@@ -63,22 +63,39 @@
 	}
 	rt.membership = newMembership(d.cfg.Host, d.cfg.Hall, choosers, sv.Endpoints)
 	known := make(map[string]bool, len(sv.Endpoints))
+	joins := len(rt.targets) > 0
 	for _, e := range sv.Endpoints {
 		known[e.Key] = true
-		if rt.targets[e.Key] == nil {
-			rt.targets[e.Key] = newTarget()
-			rt.added[e.Key] = now
+		if rt.targets[e.Key] != nil {
+			continue
+		}
+		rt.targets[e.Key] = newTarget()
+		if joins {
+			rt.targets[e.Key].coldFor(now, time.Duration(sv.Value.Warmup))
 		}
 	}
 	for key := range rt.targets {
 		if !known[key] {
 			delete(rt.targets, key)
-			delete(rt.added, key)
 			delete(rt.phases, key)
 		}
 	}
 }
 
+// noteHalls takes it that the endpoints of a hall that is taken back have turned cold, until they say otherwise.
+func (rt *runtime) noteHalls(now time.Time, s *table.State, sv table.ServiceView) {
+	for _, e := range sv.Endpoints {
+		hall := e.Value.Hall
+		if rt.evacuated[hall] && !s.Evacuated(hall) {
+			rt.targets[e.Key].coldFor(now, time.Duration(sv.Value.Warmup))
+		}
+	}
+	clear(rt.evacuated)
+	for _, h := range s.EvacuatedHalls() {
+		rt.evacuated[h.Hall] = true
+	}
+}
+
 // membersOf returns the places of the endpoints that this node sends to now.
 func (d *Director) membersOf(now time.Time, rt *runtime, s *table.State, sv table.ServiceView) []int {
 	rt.need = max(rt.need*workMemory, needOf(rt, sv))
@@ -112,7 +129,7 @@
 		d.notePhase(rt, e.Key, verdict)
 		rt.unsettled = rt.unsettled || verdict.Phase != eject.Serving
 		v.entries = append(v.entries, entry{
-			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: rt.targets[e.Key], addedAt: rt.added[e.Key],
+			endpoint: e, phase: s.EndpointPhase(e), verdict: verdict, target: rt.targets[e.Key],
 		})
 	}
 	d.restless = d.restless || rt.unsettled
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -11,6 +11,7 @@
 
 	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/clock"
+	"github.com/lynxplank/lynxplank/coldstart"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/dedupe"
 	"github.com/lynxplank/lynxplank/fatal"
@@ -27,8 +28,8 @@
 
 // Config is the egress's section of the settings.
 type Config struct {
-	// Host is this node's host.
-	Host string
+	// Host is this node's host, Hall its hall.
+	Host, Hall string
 	// Incarnation tells this process from earlier ones.
 	Incarnation uint64
 	// ProbePath is asked of an endpoint that said it is leaving.
@@ -48,6 +49,8 @@
 	Breaker breaker.Config
 	// Retries is the slack of retries that the fleet's endpoints share.
 	Retries retry.Share
+	// Cold is by how much a second of a cold endpoint may go beyond what its service says that it bears; its Rate is not used.
+	Cold coldstart.Bound
 }
 
 // Egress serves the endpoints beside this node; it is a kernel component.
@@ -63,6 +66,9 @@
 	announced *registry.Registry
 	endings   Endings
 	clock     clock.Clock
+	// evacuated is set while this node knows its hall to be, hallDoubt is when it last was, by clock; nil for never.
+	evacuated atomic.Bool
+	hallDoubt atomic.Pointer[time.Time]
 	nextID    atomic.Uint64
 	closing   atomic.Bool
 	// working is the work under way.
@@ -155,6 +161,7 @@
 // node what their part of the retries is. These count from when the endpoint is in the table, not from its first request.
 func (e *Egress) Observe(now time.Time, snap *follow.Snapshot) {
 	e.keys.observe(now, snap, e.cfg.Host)
+	e.observeHall(snap.State)
 	snap.State.Services(func(v table.ServiceView) {
 		for _, row := range v.Endpoints {
 			if row.Value.Host == e.cfg.Host {
--- a/egress/find.go
+++ b/egress/find.go
@@ -91,9 +91,12 @@
 	defer e.mu.Unlock()
 	l := e.locals[row.Key]
 	if l == nil {
-		l = newLocal(row, e.cfg, e.pool, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
+		l = newLocal(row, e.cfg, e.clock, e.pool, rand.New(rand.NewPCG(e.cfg.Incarnation, uint64(len(e.locals))))) //nolint:gosec // no secret
+		if at := e.hallDoubt.Load(); at != nil {
+			l.cold.Doubt(*at)
+		}
 		e.locals[row.Key] = l
 	}
-	l.configure(row, view, e.cfg.Retries)
+	l.configure(row, view, e.cfg)
 	return l
 }
--- a/egress/local.go
+++ b/egress/local.go
@@ -11,6 +11,8 @@
 
 	"github.com/lynxplank/lynxplank/admit"
 	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/clock"
+	"github.com/lynxplank/lynxplank/coldstart"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -56,6 +58,14 @@
 	// retries is the endpoint's part of the fleet's budget, share what a request's first arrival earns of it.
 	retries *retry.Budget
 	share   float64
+	// cold keeps the endpoint to what it bears while it is cold, or may be, by clock.
+	cold  *coldstart.Door
+	clock clock.Clock
+	// spoke is set once the endpoint has said how long it is cold; warmup is how long it is after a start if it does not say, coldTill
+	// until when that is.
+	spoke    bool
+	warmup   time.Duration
+	coldTill time.Time
 	// service is the endpoint's service, part its part of that service's slack.
 	service  string
 	part     float64
@@ -67,19 +77,19 @@
 	waiters map[uint64]chan admit.Decision
 }
 
-func newLocal(row table.Entry[table.Endpoint], cfg Config, pool *upstream.Pool, random *rand.Rand) *local {
+func newLocal(row table.Entry[table.Endpoint], cfg Config, c clock.Clock, pool *upstream.Pool, random *rand.Rand) *local {
 	return &local{
 		key: row.Key, contract: cfg.Contract, pool: pool, breaker: breaker.New(cfg.Breaker),
 		queue:   admit.NewQueue(int(row.Value.Slots), 0, random),
 		waiters: make(map[uint64]chan admit.Decision),
 		asking:  make(map[uint64]peer.Sink),
 		times:   latency.NewKinds(), retries: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.KeySettle),
-		arrivals: arrivals{toldAt: time.Now()},
+		arrivals: arrivals{toldAt: time.Now()}, cold: coldstart.NewDoor(c(), cfg.Cold), clock: c,
 	}
 }
 
 // configure takes the endpoint's address and limits as they are in force now.
-func (l *local) configure(row table.Entry[table.Endpoint], service table.ServiceView, slack retry.Share) {
+func (l *local) configure(row table.Entry[table.Endpoint], service table.ServiceView, cfg Config) {
 	address := row.Value.Address
 	if old := l.address.Load(); old == nil || *old != address {
 		l.address.Store(&address)
@@ -89,8 +99,16 @@
 	l.slots = int(row.Value.Slots)
 	l.queue.SetLimits(l.slots, int(service.Value.Queue))
 	l.share = float64(service.Value.RetryBudget)
-	l.service, l.part = row.Value.Service, partOf(row.Key, service, slack)
+	l.service, l.part = row.Value.Service, partOf(row.Key, service, cfg.Retries)
 	l.retries.SetSlack(time.Now(), l.part)
+	bound := cfg.Cold
+	bound.Rate = float64(service.Value.ColdRate)
+	now := l.clock()
+	l.cold.SetBound(now, bound)
+	l.warmup = time.Duration(service.Value.Warmup)
+	if l.coldTill.IsZero() {
+		l.coldTill = now.Add(l.warmup)
+	}
 }
 
 // partOf returns an endpoint's part of its service's slack of retries.
@@ -233,6 +251,6 @@
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.leaving.Load(),
-		Trial: l.breaker.State() == breaker.Trial,
+		Trial: l.breaker.State() == breaker.Trial, ColdMicros: l.coldMicros(),
 	}
 }
--- a/egress/nothere_test.go
+++ b/egress/nothere_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -28,7 +27,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			log := zerolog.Nop()
 			r := registry.New("h1", "hall-1", &log, func([]table.Announced) {})
-			if err := r.Beat(time.Now(), c.beat); err != nil {
+			if err := r.Beat(c.beat); err != nil {
 				t.Fatal(err)
 			}
 			e := at(t, "127.0.0.1:1", table.Active)
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/clock"
+	"github.com/lynxplank/lynxplank/coldstart"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -20,6 +21,7 @@
 		e.logRefusal(nil, d, end)
 		return end
 	}
+	e.hear(l)
 	watch := e.clock.Begin()
 	trial, end := e.take(ctx, l, d, sink)
 	if end != nil {
@@ -59,8 +61,15 @@
 		l.free(0)
 		return false, end
 	}
-	trial, end = e.permit(ctx, l, d, sink)
+	admitted, end := e.admitCold(ctx, l, d)
 	if end != nil {
+		l.unspend(d)
+		l.free(0)
+		return false, end
+	}
+	trial, end = e.permit(ctx, l, d, sink, admitted)
+	if end != nil {
+		l.notSent()
 		l.unspend(d)
 		l.free(0)
 		return trial, end
@@ -82,8 +91,11 @@
 	line.Send()
 }
 
-// permit looks once more, at the moment of the hand-over, whether the request may run, and asks whoever sent it.
-func (e *Egress) permit(ctx context.Context, l *local, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+// permit looks once more, at the moment of the hand-over, whether the request may run, and asks whoever sent it; admitted is when the
+// endpoint's door let it pass.
+func (e *Egress) permit(
+	ctx context.Context, l *local, d *peerpb.Dispatch, sink peer.Sink, admitted time.Time,
+) (trial bool, end *peerpb.End) {
 	if _, end := e.find(d); end != nil {
 		return false, end
 	}
@@ -109,7 +121,8 @@
 	if p.Permit(ctx, l.load(0, e.cfg.Incarnation), due) {
 		// The word may have taken a while, in which the configuration, or the endpoint, can have moved on.
 		_, moved := e.find(d)
-		if moved == nil && e.records.hand(id) {
+		inTime := e.clock.Since(admitted) <= coldstart.SendWithin
+		if moved == nil && inTime && e.records.hand(id) {
 			return trial, nil
 		}
 		if moved != nil {
--- a/egress/run.go
+++ b/egress/run.go
@@ -29,6 +29,8 @@
 	broken bool
 	// silent is set when no answer had begun when the time ran out or the caller left.
 	silent bool
+	// unreachable is set when it took no connection.
+	unreachable bool
 	// leaving is set when the endpoint's answer said that it is leaving.
 	leaving bool
 	// cause is why there was no whole answer, nil if there was one.
@@ -138,7 +140,9 @@
 			return result{end: peer.NotRun(fault.Canceled, shortRetryAfter)}
 		}
 		// An endpoint that takes no connection has failed at its work, though the request was not run.
-		return result{end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true, cause: err}
+		return result{
+			end: peer.NotRun(code, shortRetryAfter), worked: true, failed: true, broken: true, unreachable: true, cause: err,
+		}
 	}
 	return result{
 		end: peer.Unknown(code), worked: !canceled, failed: !canceled, broken: code == fault.EndpointCut,
--- a/egress/work.go
+++ b/egress/work.go
@@ -34,6 +34,10 @@
 	}
 	e.noteState(l)
 	e.noteLeaving(l, result.leaving)
+	if result.unreachable {
+		// What stands there next has just started.
+		l.mayBeCold()
+	}
 	if result.ranWell() {
 		e.endings.Ran(contentOf(d))
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -65,6 +65,8 @@
 	CustomerLimit Code = "customer_limit"
 	// FatalRequest is a refusal because endpoints have ended while they ran the same request.
 	FatalRequest Code = "fatal_request"
+	// Cold is a refusal because the endpoint is cold, or may be, and bears no more just now.
+	Cold Code = "cold"
 	// Draining is a refusal by an endpoint or node that takes nothing new.
 	Draining Code = "draining"
 	// Evacuated is a refusal by an endpoint whose hall is evacuated.
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -35,7 +35,7 @@
 // declined tells that an endpoint turned the request away for want of a slot or of trust, before anything was sent.
 func declined(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Busy, fault.Suspect, fault.OfferLapsed:
+	case fault.Busy, fault.Suspect, fault.Cold, fault.OfferLapsed:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -155,7 +155,7 @@
 func refusedForLoad(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
 	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.Evacuated, fault.EndpointShed,
-		fault.EndpointUnreachable, fault.Busy, fault.Suspect:
+		fault.EndpointUnreachable, fault.Busy, fault.Suspect, fault.Cold:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/node/restore.go
+++ b/node/restore.go
@@ -69,27 +69,28 @@
 		if !ok || service.Value.ProbePath == "" || a.Value.Phase != table.Active || a.Value.Address != r.address {
 			continue
 		}
-		if name, _ := registry.Instance(a.Key); r.instance(ctx, service.Value.ProbePath) == name {
-			r.registry.Restore(a)
+		name, _ := registry.Instance(a.Key)
+		if instance, cold := r.probe(ctx, service.Value.ProbePath); instance == name {
+			r.registry.Restore(a, cold)
 		}
 	}
 }
 
-// instance returns the instance that answers a probe as well and not leaving, "" if none does.
-func (r *restorer) instance(ctx context.Context, path string) string {
+// probe returns the instance that answers a probe as well and not leaving, "" if none does, and how much longer it is cold.
+func (r *restorer) probe(ctx context.Context, path string) (instance string, cold time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, restoreEvery)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address+path, nil)
 	if err != nil {
-		return ""
+		return "", 0
 	}
 	resp, err := httpc.DoRequest(req)
 	if err != nil {
-		return ""
+		return "", 0
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return ""
+		return "", 0
 	}
-	return platform.InstanceOf(resp.Header)
+	return platform.ProbeOf(resp.Header)
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -65,6 +65,12 @@
 	return granted
 }
 
+// Return takes back a request that was granted and not used.
+func (b *Bucket) Return(now time.Time) {
+	b.fill(now)
+	b.saved = min(b.saved+1, b.most())
+}
+
 // Wait returns when one that was refused should come back. Each is told a time of its own, as far apart as requests may pass, so
 // that those who wait do not come together.
 func (b *Bucket) Wait(now time.Time) time.Duration {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/table"
@@ -52,8 +53,9 @@
 	table.Entry[table.Endpoint]
 	// Leaving is set for good once it has said that it drains or leaves.
 	Leaving bool
-	// ColdUntil is when it stops being slow from its start.
-	ColdUntil time.Time
+	// ToldAt is when it last said how long it is cold, the zero time if it never did, and ColdUntil until when that is, both by
+	// clock.Boot.
+	ToldAt, ColdUntil time.Time
 	// sequence is the highest that was heard.
 	sequence uint64
 }
@@ -62,6 +64,7 @@
 type Registry struct {
 	host, hall string
 	log        *zerolog.Logger
+	clock      clock.Clock
 	onChange   func([]table.Announced)
 
 	mu sync.Mutex
@@ -76,14 +79,16 @@
 
 // New returns an empty registry of a host; onChange is called with every endpoint after each change, and must not block.
 func New(host, hall string, log *zerolog.Logger, onChange func([]table.Announced)) *Registry {
-	return &Registry{host: host, hall: hall, log: log, onChange: onChange, live: make(map[string]Endpoint), left: make(map[string]int64)}
+	return &Registry{
+		host: host, hall: hall, log: log, clock: clock.Boot, onChange: onChange, live: make(map[string]Endpoint), left: make(map[string]int64),
+	}
 }
 
 // Beat takes a heartbeat, BadRequest for one that makes no sense. Once it returns, a draining endpoint gets nothing new.
 //
 // Invariant: a life that was ever draining or leaving never takes new work again, and none that another has followed, under its name
 // or at its address, comes back, whatever comes later.
-func (r *Registry) Beat(now time.Time, b Beat) error {
+func (r *Registry) Beat(b Beat) error {
 	if err := b.Check(); err != nil {
 		return err
 	}
@@ -92,7 +97,7 @@
 	if r.past(b) {
 		return nil
 	}
-	key := b.Key()
+	key, now := b.Key(), r.clock()
 	old, known := r.live[key]
 	if known && b.Sequence <= old.sequence {
 		// An old heartbeat that says it drains is believed in that alone: draining is for good.
@@ -106,7 +111,7 @@
 			Service: b.Service, Host: r.host, Hall: r.hall, Address: b.Address,
 			Slots: table.Count(b.Slots), Weight: 1, //nolint:gosec // checked
 		}},
-		Leaving: old.Leaving || b.Draining, ColdUntil: now.Add(b.Cold), sequence: max(old.sequence, b.Sequence),
+		Leaving: old.Leaving || b.Draining, ToldAt: now, ColdUntil: now.Add(b.Cold), sequence: max(old.sequence, b.Sequence),
 	}
 	if next.Leaving {
 		next.Value.Phase = table.Draining
@@ -137,14 +142,15 @@
 }
 
 // Restore takes back an endpoint that an earlier life of the node knew and that has just said that it is still the same
-// and not leaving; one that has spoken to this life goes by its own word.
-func (r *Registry) Restore(a table.Announced) {
+// and not leaving, and how long it is cold; one that has spoken to this life goes by its own word.
+func (r *Registry) Restore(a table.Announced, cold time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.live) > 0 || slices.Contains(r.ended, a.Key) || a.Value.Phase != table.Active {
 		return
 	}
-	e := Endpoint{Entry: table.Entry[table.Endpoint]{Key: a.Key, Value: a.Value}}
+	now := r.clock()
+	e := Endpoint{Entry: table.Entry[table.Endpoint]{Key: a.Key, Value: a.Value}, ToldAt: now, ColdUntil: now.Add(cold)}
 	r.live[a.Key] = e
 	r.changed(e)
 }
--- a/registry/script_test.go
+++ b/registry/script_test.go
@@ -47,7 +47,7 @@
 			}
 			switch d.Cmd {
 			case "beat":
-				if err := r.Beat(time.Unix(1000, 0), b); err != nil {
+				if err := r.Beat(b); err != nil {
 					return err.Error() + "\n"
 				}
 			case "leave":
@@ -59,7 +59,7 @@
 				if b.Draining {
 					a.Value.Phase = table.Draining
 				}
-				r.Restore(a)
+				r.Restore(a, 0)
 			case "serving":
 				return fmt.Sprintln(r.Serving())
 			default:
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -32,6 +32,8 @@
 	Retries Retries `yaml:"retries"`
 	// Limits is how customers are kept to their limits.
 	Limits Limits `yaml:"limits"`
+	// Cold is what cold endpoints bear besides what their service says.
+	Cold Cold `yaml:"cold"`
 	// Ejection is how long endpoints are taken out and how they come back.
 	Ejection Ejection `yaml:"ejection"`
 	// Stop is the planned stop.
@@ -129,6 +131,14 @@
 	Settle Duration `yaml:"settle"`
 }
 
+// Cold is what an endpoint bears while it is cold: in no second more than its service's cold rate times Over and Slack requests.
+type Cold struct {
+	// Over is how many times the cold rate one second may bring.
+	Over float64 `yaml:"over" validate:"min=1"`
+	// Slack is how many requests may come on top.
+	Slack float64 `yaml:"slack" validate:"min=2"`
+}
+
 // Peers is the listener and the links between nodes.
 type Peers struct {
 	// Listen is the IP and port.
@@ -263,6 +273,7 @@
 		},
 		Retries: Retries{Slack: 1000, Use: 1, Window: Duration(10 * time.Second), MostBurst: 10},
 		Limits:  Limits{Policy: "lent", Window: Duration(5 * time.Second), Settle: Duration(2 * time.Second)},
+		Cold:    Cold{Over: 1.2, Slack: 4},
 		Ejection: Ejection{
 			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
 			Successes: 8, RampStep: Duration(2 * time.Second),
