Homes of data: regions of routes and customers bind each hop of a request

Cause: the regions that the platform's pages name for a route or a customer were not read; our own product had none.

Whoever chooses leaves out what stands elsewhere, for first, second and last sends and keyed ones; where none of a node's members stands there, any open endpoint that does is taken. The node beside an endpoint refuses before a body is asked for. Keys have homes within the regions alone, and a home whose regions have changed, or whose sender goes by others, does not say for a window that it knows of no run. Answers are asked for again by hosts of these regions, or of the caller's. Whom nobody there serves is told at once: 503 out_of_region, not run.

Ruled out: the sender's regions as the home's own (a key's first run may have been by other regions); regions by the line of each host (a hall that nobody has announced yet would have none, and the settings name them all).

--- a/demo/load.go
+++ b/demo/load.go
@@ -62,6 +62,8 @@
 type Load struct {
 	// Deadline is what each request names, "3s" at first.
 	Deadline string
+	// Prefix comes before each request's path, and Mark before its name, which its body holds too; Customer pays.
+	Prefix, Mark, Customer string
 
 	client  *http.Client
 	targets []string
@@ -135,7 +137,7 @@
 // one sends one request, again while a caller would.
 func (l *Load) one(n int) Result {
 	r := Result{Kind: Kind(n % int(kinds))} //nolint:gosec // three kinds
-	r.Call = kindNames[r.Kind] + "-" + strconv.Itoa(n)
+	r.Call = l.Mark + kindNames[r.Kind] + "-" + strconv.Itoa(n)
 	attempt := 1
 	for r.Sends = 1; ; r.Sends++ {
 		reached := l.send(&r, attempt, l.targets[(n/int(kinds)+r.Sends)%len(l.targets)])
@@ -156,12 +158,15 @@
 
 // send makes one send; reached is false when no node took the connection.
 func (l *Load) send(r *Result, attempt int, target string) (reached bool) {
-	req, err := http.NewRequest(r.Kind.method(), "http://"+target+r.path(), r.body()) //nolint:noctx // the client's limit
+	req, err := http.NewRequest(r.Kind.method(), "http://"+target+l.Prefix+r.path(), r.body()) //nolint:noctx // the client's limit
 	if err != nil {
 		return false
 	}
 	req.Header.Set(backend.CallHeader, r.Call)
 	req.Header.Set(header.Deadline, l.Deadline)
+	if l.Customer != "" {
+		req.Header.Set(header.Customer, l.Customer)
+	}
 	if r.Kind == Booking {
 		req.Header.Set(header.IdempotencyKey, r.Call)
 		req.Header.Set(header.Attempt, strconv.Itoa(attempt))
@@ -249,5 +254,5 @@
 	if r.Kind == Lookup {
 		return nil
 	}
-	return io.NopCloser(strings.NewReader(strings.Repeat("x", bodyLength)))
+	return io.NopCloser(strings.NewReader(strings.Repeat("x", bodyLength) + r.Call))
 }
--- a/demo/proxy.go
+++ b/demo/proxy.go
@@ -30,6 +30,7 @@
 	held     [directions]bool
 	delay    time.Duration
 	conns    []*net.TCPConn
+	tap      func(bytes []byte)
 }
 
 // NewProxy returns a proxy on a port of loopback; Unavailable when there is none.
@@ -80,6 +81,7 @@
 	for {
 		n, err := src.Read(buf)
 		p.wait(direction)
+		p.tapped(buf[:n])
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
@@ -102,6 +104,22 @@
 	time.Sleep(delay)
 }
 
+// Tap shows f all bytes that pass, piece by piece.
+func (p *Proxy) Tap(f func(bytes []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tap = f
+}
+
+func (p *Proxy) tapped(bytes []byte) {
+	p.mu.Lock()
+	tap := p.tap
+	p.mu.Unlock()
+	if tap != nil {
+		tap(bytes)
+	}
+}
+
 // Slow delays what comes from now on, in both directions.
 func (p *Proxy) Slow(delay time.Duration) {
 	p.mu.Lock()
--- a/director/director.go
+++ b/director/director.go
@@ -22,6 +22,8 @@
 	Hall string
 	// Choosers returns the hosts of the hall in order, the same list until they are others; nil stands for none.
 	Choosers func() []string
+	// RegionOf returns the region of a hall, "" for none that is known; nil stands for that.
+	RegionOf func(hall string) string
 	// Distance is the time there and back to another hall.
 	Distance time.Duration
 	// Ejection is the policy of ejections but for what a service's row says; the zero value stands for the default.
@@ -79,6 +81,9 @@
 	if cfg.Ejection == (eject.Config{}) {
 		cfg.Ejection = eject.DefaultConfig()
 	}
+	if cfg.RegionOf == nil {
+		cfg.RegionOf = func(string) string { return "" }
+	}
 	if cfg.Choosers == nil {
 		cfg.Choosers = func() []string { return nil }
 	}
--- a/director/pick.go
+++ b/director/pick.go
@@ -11,6 +11,7 @@
 	"github.com/lynxplank/lynxplank/balance"
 	"github.com/lynxplank/lynxplank/eject"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/region"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -30,6 +31,8 @@
 	Again bool
 	// Near restricts the choice to the own hall.
 	Near bool
+	// Regions are those in which the request's data may be.
+	Regions region.Set
 	// Least asks for the endpoint with the shortest wait instead of a draw.
 	Least bool
 }
@@ -50,7 +53,7 @@
 	f := field{candidates: make([]balance.Candidate, 0, len(v.entries)), from: make([]int, 0, len(v.entries))}
 	for i := range v.entries {
 		e := &v.entries[i]
-		if w.Near && e.endpoint.Value.Hall != d.cfg.Hall || !d.open(e, now) {
+		if w.Near && e.endpoint.Value.Hall != d.cfg.Hall || !d.open(e, now) || !d.allowed(e, w) {
 			continue
 		}
 		if w.allows(e.endpoint.Key) && e.verdict.Phase == eject.Trickle && e.trickles(w) {
@@ -62,13 +65,57 @@
 	if i < 0 {
 		i = w.choose(f.candidates)
 	}
-	if i < 0 && f.busy {
-		return Pick{}, fault.New(fault.Busy, w.Service, "no endpoint has a free slot")
+	if i >= 0 {
+		return v.pick(f.from[i], false), nil
 	}
-	if i < 0 {
-		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
+	if pick, ok := d.pickAllowed(v, w, now); ok {
+		return pick, nil
+	}
+	return Pick{}, w.refusal(f.busy)
+}
+
+// refusal is why no endpoint was chosen, some of them being without a free slot alone.
+func (w Wish) refusal(busy bool) error {
+	switch {
+	case busy:
+		return fault.New(fault.Busy, w.Service, "no endpoint has a free slot")
+	case w.Regions.Bound():
+		return fault.New(fault.OutOfRegion, w.Service, "no endpoint of a region where the data may be takes new work")
+	}
+	return fault.New(fault.NoEndpoint, w.Service, "no endpoint takes new work")
+}
+
+// allowed tells whether the request's data may be where an endpoint stands.
+func (d *Director) allowed(e *entry, w Wish) bool {
+	return !w.Regions.Bound() || w.Regions.Allows(d.cfg.RegionOf(e.endpoint.Value.Hall))
+}
+
+// pickAllowed picks any open endpoint in a region where the request's data may be, if it may not be in all, among those that this node does
+// not send to otherwise: few of its members, or none, may stand there.
+func (d *Director) pickAllowed(v *view, w Wish, now time.Time) (Pick, bool) {
+	if !w.Regions.Bound() || w.Near {
+		return Pick{}, false
+	}
+	var picked entry
+	found := 0
+	for i := range v.service.Endpoints {
+		row := &v.service.Endpoints[i]
+		if !w.allows(row.Key) || v.find(row.Key) >= 0 {
+			continue
+		}
+		e := entry{endpoint: *row, phase: d.state().EndpointPhase(*row), target: newTarget()}
+		if !d.allowed(&e, w) || !d.open(&e, now) {
+			continue
+		}
+		// Each of those found so far stays with the same chance.
+		if found++; rand.IntN(found) == 0 { //nolint:gosec // a draw, no secret
+			picked = e
+		}
+	}
+	if found == 0 {
+		return Pick{}, false
 	}
-	return v.pick(f.from[i], false), nil
+	return v.pickEntry(&picked, false), true
 }
 
 // field is what a choice is made from.
@@ -188,7 +235,7 @@
 // pickOutside picks the one endpoint that is asked for and that this node does not send to of its own choice.
 func (d *Director) pickOutside(v *view, w Wish, now time.Time) (Pick, error) {
 	e, ok := d.outside(v, w.Only)
-	if !ok || !w.allows(w.Only) || !d.open(&e, now) {
+	if !ok || !w.allows(w.Only) || !d.open(&e, now) || !d.allowed(&e, w) {
 		return Pick{}, fault.New(fault.NoEndpoint, w.Service, "the endpoint takes no new work")
 	}
 	return v.pickEntry(&e, false), nil
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -69,8 +69,10 @@
 	// evacuated is set while this node knows its hall to be, hallDoubt is when it last was, by clock; nil for never.
 	evacuated atomic.Bool
 	hallDoubt atomic.Pointer[time.Time]
-	nextID    atomic.Uint64
-	closing   atomic.Bool
+	// region is that of this node's hall, nil before the first snapshot.
+	region  atomic.Pointer[string]
+	nextID  atomic.Uint64
+	closing atomic.Bool
 	// working is the work under way.
 	working flight.Requests
 	flight  flight.Counter
@@ -162,6 +164,8 @@
 func (e *Egress) Observe(now time.Time, snap *follow.Snapshot) {
 	e.keys.observe(now, snap, e.cfg.Host)
 	e.observeHall(snap.State)
+	where := snap.RegionOf(e.cfg.Hall)
+	e.region.Store(&where)
 	snap.State.Services(func(v table.ServiceView) {
 		for _, row := range v.Endpoints {
 			if row.Value.Host == e.cfg.Host {
@@ -195,7 +199,10 @@
 	if !e.here(d) {
 		return peer.NotRun(fault.WrongHost, shortRetryAfter)
 	}
-	verdict, answer := e.keys.claim(time.Now(), d)
+	if !e.mayBeHere(d) {
+		return peer.NotRun(fault.OutOfRegion, shortRetryAfter)
+	}
+	verdict, answer := e.keys.claim(time.Now(), d, e.regionsOf(d))
 	if verdict != dedupe.Grant {
 		return verdictEnd(verdict, answer, sink)
 	}
--- a/egress/find.go
+++ b/egress/find.go
@@ -7,6 +7,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/region"
 	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -25,6 +26,9 @@
 	if e.configs.stale(e.state(), d) {
 		return nil, peer.NotRun(fault.Stale, shortRetryAfter)
 	}
+	if !e.mayBeHere(d) {
+		return nil, peer.NotRun(fault.OutOfRegion, shortRetryAfter)
+	}
 	if r, ok := e.announcedHere(d); ok {
 		if r.Leaving {
 			return nil, peer.NotRun(fault.Draining, drainRetryAfter)
@@ -38,6 +42,25 @@
 	return e.open(row, row.Value.Phase != table.Active)
 }
 
+// regionsOf returns the regions in which a request's data may be, as far as this node knows.
+func (e *Egress) regionsOf(d *peerpb.Dispatch) region.Set {
+	s := e.state()
+	r, _ := s.Route(d.GetRoute())
+	return s.RegionsFor(r.Value, d.GetCustomer())
+}
+
+// mayBeHere tells whether a request's data may be in this node's region.
+//
+// Invariant: whatever its sender believes, the body of a request is asked for, and handed to an endpoint, only where its data may be.
+func (e *Egress) mayBeHere(d *peerpb.Dispatch) bool {
+	regions := e.regionsOf(d)
+	if !regions.Bound() {
+		return true
+	}
+	where := e.region.Load()
+	return where != nil && regions.Allows(*where)
+}
+
 // open returns the runtime of an endpoint beside this node unless it takes nothing new.
 //
 // Invariant: an endpoint of an evacuated hall is refused here whatever the ingress believes.
--- a/egress/keys.go
+++ b/egress/keys.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/keyhome"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/region"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -26,11 +28,24 @@
 	lists map[string][]keyList
 	// ready is set once the node has held a configuration in force, and so knows which services there were.
 	ready bool
+	// seen are the revisions in force at the last look, bounds the fingerprint of where data may be.
+	seen   table.Revisions
+	bounds uint64
 }
 
+// keyList is the endpoints that may be homes from a time on, with the regions in which they stand.
 type keyList struct {
 	from      time.Time
 	endpoints []string
+	regions   map[string]string
+}
+
+// within returns the endpoints in regions where a key's data may be.
+func (l keyList) within(regions region.Set) []string {
+	if !regions.Bound() {
+		return l.endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(l.endpoints), func(name string) bool { return !regions.Allows(l.regions[name]) })
 }
 
 func newKeys(home *dedupe.Home, window, slack time.Duration) *keys {
@@ -41,6 +56,7 @@
 func (k *keys) observe(now time.Time, snap *follow.Snapshot, host string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.noteBounds(snap.State)
 	snap.State.Services(func(v table.ServiceView) {
 		here := slices.ContainsFunc(v.Endpoints, func(e table.Entry[table.Endpoint]) bool { return e.Value.Host == host })
 		if !here && k.lists[v.Key] == nil {
@@ -51,22 +67,42 @@
 			// The service is new: nothing can have run before its first list, which is this one.
 			from = time.Time{}
 		}
-		k.noteList(from, v.Key, keyhome.Names(v, snap.Listed))
+		list := keyList{from: from, regions: make(map[string]string, len(v.Endpoints))}
+		list.endpoints = keyhome.Names(v, func(e table.Endpoint) bool { return snap.Listed(e.Host) })
+		for _, e := range v.Endpoints {
+			list.regions[e.Key] = snap.RegionOf(e.Value.Hall)
+		}
+		k.noteList(list, v.Key)
 	})
 	k.ready = snap.Ready
 }
 
+// noteBounds forgets since when this node is a home once other regions are bound to some data: a key may have had other homes before.
+func (k *keys) noteBounds(s *table.State) {
+	if k.seen == s.Revisions() {
+		return
+	}
+	k.seen = s.Revisions()
+	bounds := s.RegionBounds()
+	if bounds != k.bounds && k.ready {
+		clear(k.lists)
+		k.ready = false
+	}
+	k.bounds = bounds
+}
+
 // unchangedSinceMade tells whether the service and all its endpoints still stand as one change made them.
 func unchangedSinceMade(v table.ServiceView) bool {
 	return !slices.ContainsFunc(v.Endpoints, func(e table.Entry[table.Endpoint]) bool { return e.Revision != v.Revision })
 }
 
-func (k *keys) noteList(now time.Time, service string, names []string) {
+func (k *keys) noteList(list keyList, service string) {
 	lists := k.lists[service]
-	if n := len(lists); n > 0 && slices.Equal(lists[n-1].endpoints, names) {
+	if n := len(lists); n > 0 && slices.Equal(lists[n-1].endpoints, list.endpoints) && maps.Equal(lists[n-1].regions, list.regions) {
 		return
 	}
-	lists = append(lists, keyList{from: now, endpoints: names})
+	now := list.from
+	lists = append(lists, list)
 	for len(lists) > 1 && now.Sub(lists[1].from) > k.window+k.slack {
 		lists = lists[1:]
 	}
@@ -74,9 +110,9 @@
 }
 
 // homeSince tells whether every list in force from a time on is known and fits.
-func (k *keys) homeSince(from time.Time, service string, fits func(endpoints []string) bool) bool {
+func (k *keys) homeSince(from time.Time, service string, fits func(l keyList) bool) bool {
 	for _, l := range slices.Backward(k.lists[service]) {
-		if !fits(l.endpoints) {
+		if !fits(l) {
 			return false
 		}
 		if !l.from.After(from) {
@@ -86,27 +122,32 @@
 	return false
 }
 
-// claim decides about a key.
+// claim decides about a key, whose data may be in some regions by this node's state.
 //
 // Invariant: a request without a record runs only where a home that any list of the window named, and that remembers
 // the whole window, was asked; for a re-send, both of them.
-func (k *keys) claim(now time.Time, d *peerpb.Dispatch) (dedupe.Verdict, dedupe.Answer) {
+func (k *keys) claim(now time.Time, d *peerpb.Dispatch, regions region.Set) (dedupe.Verdict, dedupe.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c := d.GetClaim()
 	id := dedupe.ID{Scope: c.GetScope(), Key: c.GetKey()}
-	fits := func(endpoints []string) bool {
-		place := slices.Index(keyhome.Homes(endpoints, id), d.GetEndpoint())
+	fits := func(l keyList) bool {
+		place := slices.Index(keyhome.Homes(l.within(regions), id), d.GetEndpoint())
 		// A caller that marks no attempts has the first home only, so it must have been the same one all along.
 		return place == 0 || place > 0 && c.GetAttempt() > 0
 	}
 	return k.home.Claim(now, dedupe.Claim{
 		ID: id, Attempt: c.GetAttempt(), Fingerprint: c.GetFingerprint(), Fence: c.GetFence(), Vouched: c.GetVouched(),
-		Covered:  k.homeSince(now.Add(-k.window-k.slack), d.GetService(), fits),
+		Covered:  sameRegions(c, regions) && k.homeSince(now.Add(-k.window-k.slack), d.GetService(), fits),
 		Deadline: now.Add(time.Duration(d.GetBudgetMicros()) * time.Microsecond),
 	})
 }
 
+// sameRegions tells whether a claim goes by the regions that this node knows of: by others its key has other homes.
+func sameRegions(c *peerpb.Claim, regions region.Set) bool {
+	return c.GetBound() == regions.Bound() && slices.Equal(c.GetRegions(), regions.Names())
+}
+
 func (k *keys) settle(now time.Time, scope, key string, outcome peerpb.Outcome, a dedupe.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/egress/keys_test.go
+++ b/egress/keys_test.go
@@ -10,6 +10,7 @@
 	"github.com/lynxplank/lynxplank/dedupe"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/keyhome"
+	"github.com/lynxplank/lynxplank/region"
 )
 
 // The model: endpoints a to d, each with its keys; lists of endpoints that every home and every ingress adopts some
@@ -65,14 +66,14 @@
 func (m *model) restart(name string) {
 	h := m.homes[name]
 	h.keys = newKeys(dedupe.NewHome(m.window, 1<<20), m.window, m.slack)
-	h.keys.noteList(m.now, "desk", m.lists[h.list])
+	h.keys.noteList(keyList{from: m.now, endpoints: m.lists[h.list]}, "desk")
 }
 
 // adopt lets a home take the newest list.
 func (m *model) adopt(name string) {
 	h := m.homes[name]
 	h.list = len(m.lists) - 1
-	h.keys.noteList(m.now, "desk", m.lists[h.list])
+	h.keys.noteList(keyList{from: m.now, endpoints: m.lists[h.list]}, "desk")
 }
 
 // catchUp makes every home adopt what has been in force for longer than a change takes to spread.
@@ -153,7 +154,7 @@
 	}
 	c.Scope, c.Key, c.Attempt = m.id.Scope, m.id.Key, s.attempt
 	d := &peerpb.Dispatch{Endpoint: name, Service: "desk", BudgetMicros: time.Second.Microseconds(), Claim: c}
-	v, _ := h.keys.claim(m.now, d)
+	v, _ := h.keys.claim(m.now, d, region.Any)
 	return v, true
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -73,6 +73,8 @@
 	Evacuated Code = "evacuated"
 	// NoEndpoint is a refusal because a service has no endpoint to try.
 	NoEndpoint Code = "no_endpoint"
+	// OutOfRegion is a refusal because no endpoint stands where the request's data may be that takes new work.
+	OutOfRegion Code = "out_of_region"
 	// WrongHost is a refusal by a node that does not stand beside the endpoint.
 	WrongHost Code = "wrong_host"
 	// EndpointMoved is an endpoint that refused a request meant for another one at its address, and did not run it.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	WithConfig bool
 	// Policy is what that configuration leaves open of a service.
 	Policy table.Service
+	// Regions are those of the halls of which operators' rows name none.
+	Regions map[string]string
 }
 
 const (
@@ -83,6 +86,8 @@
 	SelfLine table.HostInfo
 	// Ready is false until the node may serve.
 	Ready bool
+	// regions are those of the halls by the settings.
+	regions map[string]string
 	// list is the hosts as the store or a peer told them, ranked those in force by rank.
 	list   hostList
 	ranked ranking
@@ -94,6 +99,11 @@
 	return ok || len(s.ByID) == 0
 }
 
+// RegionOf returns the region of a hall, "" where neither the table nor the settings name one.
+func (s *Snapshot) RegionOf(hall string) string {
+	return cmp.Or(s.State.RegionOf(hall), s.regions[hall])
+}
+
 // Follower keeps the state in force; it is a kernel component.
 type Follower struct {
 	cfg      Config
@@ -166,7 +176,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.current.Store(&Snapshot{State: table.NewState()})
+	f.current.Store(&Snapshot{State: table.NewState(), regions: cfg.Regions})
 	return f
 }
 
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -15,6 +15,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/region"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -30,6 +31,8 @@
 	route    route
 	service  table.ServiceView
 	customer string
+	// regions are those in which the request's data may be.
+	regions region.Set
 	// token is what the caller bears of its customer's key, keyed is set where that is the customer's.
 	token      contract.Token
 	keyed      bool
@@ -72,6 +75,7 @@
 	if c.customer, c.keyed, bad = c.holder(snap.State); bad != nil {
 		return c, bad
 	}
+	c.regions = snap.State.RegionsFor(c.route.Value, c.customer)
 	c.timeout = c.route.timeout(c.service, say.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, say.Repeatable)
 	g.findOrigin(&c)
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -53,7 +53,7 @@
 // misplaced tells that the sender's view was old, or its link down.
 func misplaced(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Draining, fault.Evacuated, fault.WrongHost, fault.EndpointMoved, fault.LinkDown, fault.Stale:
+	case fault.Draining, fault.Evacuated, fault.OutOfRegion, fault.WrongHost, fault.EndpointMoved, fault.LinkDown, fault.Stale:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -193,6 +193,7 @@
 func (x *exchange) wish() director.Wish {
 	return director.Wish{
 		Service: x.call.service.Key, Repeatable: x.call.repeatable && x.sends == 0, Tried: x.tried, Again: x.further(),
+		Regions: x.call.regions,
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -28,8 +28,8 @@
 
 // Config is the ingress's section of the settings.
 type Config struct {
-	// Host is this node's host.
-	Host string
+	// Host is this node's host, Hall its hall.
+	Host, Hall string
 	// Service is the service of the endpoint beside this node, which endpoints are told as a request's caller.
 	Service string
 	// Incarnation tells this process from earlier ones.
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -64,7 +64,9 @@
 func (x *exchange) homes(id dedupe.ID) []table.Entry[table.Endpoint] {
 	snap := x.g.snapshot()
 	view, _ := snap.State.Service(x.call.service.Key)
-	names := keyhome.Homes(keyhome.Names(view, snap.Listed), id)
+	names := keyhome.Homes(keyhome.Names(view, func(e table.Endpoint) bool {
+		return snap.Listed(e.Host) && x.call.regions.Allows(snap.RegionOf(e.Hall))
+	}), id)
 	out := make([]table.Entry[table.Endpoint], 0, len(names))
 	for _, name := range names {
 		i := slices.IndexFunc(view.Endpoints, func(e table.Entry[table.Endpoint]) bool { return e.Key == name })
@@ -99,6 +101,7 @@
 	return &peerpb.Claim{
 		Scope: x.call.scope(), Key: x.call.key, Attempt: x.call.attempt,
 		Fingerprint: x.call.fingerprint(x.body), ClaimOnly: claimOnly, Fence: fence,
+		Regions: x.call.regions.Names(), Bound: x.call.regions.Bound(),
 	}
 }
 
--- a/ingress/recover.go
+++ b/ingress/recover.go
@@ -65,11 +65,19 @@
 	return end
 }
 
+// mayPass tells whether the request's data may pass through a host of a hall: in a region where it may be, or in this one, from where its
+// caller came.
+func (x *exchange) mayPass(hall string) bool {
+	snap := x.g.snapshot()
+	where := snap.RegionOf(hall)
+	return x.call.regions.Allows(where) || where != "" && where == snap.RegionOf(x.g.cfg.Hall)
+}
+
 // relays returns some nodes that this one reaches, those of the endpoint's hall first.
 func (x *exchange) relays(host table.HostInfo) []table.HostInfo {
 	var near, far []table.HostInfo
 	for _, h := range x.g.snapshot().Hosts {
-		if h.ID == host.ID || h.ID == x.g.cfg.Host || !x.g.links.Linked(h.Address) || !x.g.links.Usable(h.Address) {
+		if h.ID == host.ID || h.ID == x.g.cfg.Host || !x.mayPass(h.Hall) || !x.g.links.Linked(h.Address) || !x.g.links.Usable(h.Address) {
 			continue
 		}
 		if h.Hall == host.Hall {
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -126,6 +126,7 @@
 	fault.Draining:            "the endpoint takes nothing new",
 	fault.Evacuated:           "the endpoint's hall is evacuated",
 	fault.NoEndpoint:          "no endpoint takes new work",
+	fault.OutOfRegion:         "no endpoint of a region where the data may be takes new work",
 	fault.LinkDown:            "the endpoint's node cannot be reached",
 	fault.LinkLost:            "the link broke after the hand-over",
 	fault.EndpointUnreachable: "the endpoint takes no connection",
--- a/ingress/stale.go
+++ b/ingress/stale.go
@@ -56,6 +56,7 @@
 	if bad != nil || customer != x.call.customer || keyed != x.call.keyed {
 		return false
 	}
+	x.call.regions = snap.State.RegionsFor(next.Value, customer)
 	held := snap.State.Revisions()
 	x.call.config, x.call.revision = held[table.PlaneConfig], held[table.PlaneRows]
 	return true
--- a/keyhome/keyhome.go
+++ b/keyhome/keyhome.go
@@ -13,13 +13,13 @@
 // Count is how many homes a key has: the first, and the one that takes first attempts while that cannot be reached.
 const Count = 2
 
-// Names returns the endpoints that can be homes, in key order: those in the table whose hosts the platform's list
-// shows. Draining ones stay homes until they are retired. A host that the list no longer shows is gone and grants
+// Names returns the endpoints that can be homes, in key order: those in the table that fit, because the platform's list shows their hosts
+// and the key's data may be there. Draining ones stay homes until they are retired. A host that the list no longer shows is gone and grants
 // nothing more, so that nodes whose lists differ for a while still meet in a home that both name.
-func Names(v table.ServiceView, listed func(host string) bool) []string {
+func Names(v table.ServiceView, fits func(table.Endpoint) bool) []string {
 	names := make([]string, 0, len(v.Endpoints))
 	for _, e := range v.Endpoints {
-		if listed(e.Value.Host) {
+		if fits(e.Value) {
 			names = append(names, e.Key)
 		}
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -83,7 +83,7 @@
 		Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(),
 		Wait: n.cfg.Platform.Wait.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
 		Readers: n.cfg.Platform.Readers, ConfigReaders: n.cfg.Platform.ConfigReaders,
-		WithConfig: n.cfg.Platform.Config, Policy: n.policy(),
+		WithConfig: n.cfg.Platform.Config, Policy: n.policy(), Regions: n.cfg.Node.Regions,
 	}
 	for _, seed := range n.cfg.Peers.Seeds {
 		address := seed.AddrPort
@@ -163,7 +163,7 @@
 
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
-		Host: n.cfg.Node.ID, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
+		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 	}
 	d := director.New(director.Config{
 		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Choosers: func() []string { return follower.Snapshot().HallHosts },
+		RegionOf: func(hall string) string { return follower.Snapshot().RegionOf(hall) },
 		Distance: hallDistance, Ejection: n.ejection(),
 	}, n.log, follower.State, view.leaving, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -48,6 +48,9 @@
 	ID string `yaml:"id" validate:"required"`
 	// Hall is where the host stands.
 	Hall string `yaml:"hall" validate:"required"`
+	// Regions are the regions of the halls of which the table names none; data of some routes and customers may be in some regions
+	// alone.
+	Regions map[string]string `yaml:"regions"`
 }
 
 // Listener bounds what an HTTP listener takes.
--- a/table/halls.go
+++ b/table/halls.go
@@ -3,6 +3,10 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lynxplank/lynxplank/region"
 )
 
 // EvacuatedHall is a hall whose endpoints get no new work.
@@ -52,3 +56,34 @@
 	h, _ := s.halls.Get(hall)
 	return h.Value.Region
 }
+
+// RegionBounds is a fingerprint of all routes and customers whose data may be in some regions alone, with these: it differs where one of
+// them does.
+func (s *State) RegionBounds() uint64 {
+	var sum uint64
+	note := func(kind Kind, key string, regions Names) {
+		if regions != "" {
+			// The order in which a map is gone through says nothing.
+			sum ^= xxhash.Sum64String(kind.String() + "\x00" + key + "\x00" + string(regions))
+		}
+	}
+	for it := s.routes.Iterator(); !it.Done(); {
+		key, r, _ := it.Next()
+		note(KindRoute, key, r.Value.Regions)
+	}
+	for it := s.customers.Iterator(); !it.Done(); {
+		key, c, _ := it.Next()
+		note(KindCustomer, key, c.Value.Regions)
+	}
+	for it := s.halls.Iterator(); !it.Done(); {
+		key, h, _ := it.Next()
+		note(KindHall, key, Names(h.Value.Region))
+	}
+	return sum
+}
+
+// RegionsFor returns the regions in which the data of a customer's requests of a route may be; both bind.
+func (s *State) RegionsFor(r Route, customer string) region.Set {
+	c, _ := s.Customer(customer)
+	return region.Any.With(r.Regions.List()).With(c.Value.Regions.List())
+}
