--- a/breaker/watch.go
+++ b/breaker/watch.go
@@ -50,6 +50,19 @@
 	ended    bool
 	answered bool
 	age      time.Duration
+	// held is since when the endpoint waits for somebody else, zero if it does not.
+	held time.Time
+}
+
+// agedAt is for how long the endpoint has been at the work.
+func (r piece) agedAt(now time.Time) time.Duration {
+	switch {
+	case r.ended:
+		return r.age
+	case !r.held.IsZero():
+		return r.held.Sub(r.start)
+	}
+	return now.Sub(r.start)
 }
 
 // Begin notes work that was handed over.
@@ -57,14 +70,44 @@
 	w.runs = append(w.runs, piece{id: id, work: work, start: now})
 }
 
+// Alive notes that the endpoint has shown a sign of a piece of work, such as a part of its answer: only its silence since then counts.
+func (w *Watch) Alive(now time.Time, id uint64) {
+	if r := w.find(id); r != nil {
+		r.start = now
+	}
+}
+
+// Hold notes that the endpoint waits for somebody else with a piece of work, until Resume: that time says nothing of it.
+func (w *Watch) Hold(now time.Time, id uint64) {
+	if r := w.find(id); r != nil && r.held.IsZero() {
+		r.held = now
+	}
+}
+
+// Resume ends a Hold.
+func (w *Watch) Resume(now time.Time, id uint64) {
+	if r := w.find(id); r != nil && !r.held.IsZero() {
+		r.start = r.start.Add(now.Sub(r.held))
+		r.held = time.Time{}
+	}
+}
+
+// find returns a piece of work that is under way, nil if it is not.
+func (w *Watch) find(id uint64) *piece {
+	i := slices.IndexFunc(w.runs, func(r piece) bool { return r.id == id && !r.ended })
+	if i < 0 {
+		return nil
+	}
+	return &w.runs[i]
+}
+
 // End notes that work has ended, and whether the endpoint answered.
 func (w *Watch) End(now time.Time, id uint64, answered bool) {
-	i := slices.IndexFunc(w.runs, func(r piece) bool { return r.id == id })
-	if i < 0 {
+	r := w.find(id)
+	if r == nil {
 		return
 	}
-	r := &w.runs[i]
-	r.ended, r.answered, r.age = true, answered, now.Sub(r.start)
+	r.ended, r.answered, r.age = true, answered, r.agedAt(now)
 	if w.ended++; w.ended > mostEnded {
 		w.ended--
 		oldest := slices.IndexFunc(w.runs, func(r piece) bool { return r.ended })
@@ -87,11 +130,7 @@
 	if r.answered {
 		return answeredEvidence
 	}
-	age := r.age
-	if !r.ended {
-		age = now.Sub(r.start)
-	}
-	s := survival(r.work, age)
+	s := survival(r.work, r.agedAt(now))
 	return min(math.Log((hangShare+(1-hangShare)*s)/s), mostEvidence)
 }
 
@@ -100,11 +139,11 @@
 
 // Age returns how long a piece of work is under way; false if it is not.
 func (w *Watch) Age(now time.Time, id uint64) (work Work, age time.Duration, ok bool) {
-	i := slices.IndexFunc(w.runs, func(r piece) bool { return r.id == id && !r.ended })
-	if i < 0 {
+	r := w.find(id)
+	if r == nil {
 		return Work{}, 0, false
 	}
-	return w.runs[i].work, now.Sub(w.runs[i].start), true
+	return r.work, r.agedAt(now), true
 }
 
 // Idle tells whether no work is under way.
--- a/breaker/watch_test.go
+++ b/breaker/watch_test.go
@@ -27,6 +27,8 @@
 //
 //	begin id=N kind=lookup|booking   work is handed over: lookups take 100 ms, bookings 500 ms
 //	end id=N [silent]                it ends, with an answer unless silent
+//	alive id=N                       a part of its answer comes
+//	hold id=N, resume id=N           it waits for somebody else, and goes on
 //	wait for=40ms
 //	reset
 //
@@ -45,6 +47,12 @@
 			w.Begin(now, id, Work{Kind: text, Usual: usual[text]})
 		case "end":
 			w.End(now, id, !d.HasArg("silent"))
+		case "alive":
+			w.Alive(now, id)
+		case "hold":
+			w.Hold(now, id)
+		case "resume":
+			w.Resume(now, id)
 		case "reset":
 			w.Reset()
 		case "wait":
--- a/cmd/lynxplank-bench/main.go
+++ b/cmd/lynxplank-bench/main.go
@@ -23,7 +23,7 @@
 func main() {
 	outbound.Tune()
 	bin := flag.String("bin", "bin", "directory of the programs")
-	only := flag.String("only", "", `"path", "fatal", "decisions", "healthy", "hanging", "curve", "overload" or "scale"; all but the last without it`)
+	only := flag.String("only", "", `"path", "fatal", "slow", "decisions", "healthy", "hanging", "curve", "overload" or "scale"; all but the last without it`)
 	hours := flag.Float64("hours", defaultHours, "endpoint-hours of the healthy runs")
 	flag.Parse()
 	for _, p := range parts(*bin, *hours) {
@@ -58,6 +58,7 @@
 		{"path", func(out io.Writer) error { return bench.Path(bin, out) }},
 		{scalePart, func(out io.Writer) error { return bench.Scale(bin, out, scaleSizes) }},
 		{"fatal", func(out io.Writer) error { return bench.Fatal(bin, out) }},
+		{"slow", func(out io.Writer) error { return bench.Slow(bin, out) }},
 		{"decisions", sure(bench.Decisions)},
 		{"healthy", sure(func(out io.Writer) { bench.Healthy(out, hours) })},
 		{"hanging", sure(func(out io.Writer) { bench.Hanging(out, hours/hangingPart) })},
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/settings"
 	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
@@ -46,7 +47,9 @@
 //	send kind=lookup|booking|payment n=N [to=h1] [deadline=3s]      waits for the answers and prints them counted
 //	hold (as send)                                                  sends in the background
 //	held                                                            waits for what hold sent and prints it
-//	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving]
+//	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving] [large=BYTES] [pause=N]    pause is after each 16 KiB of a body
+//	slowly n=N to=h1 path=/large|/upload [body=BYTES] told=N       callers who read 2,000 bytes a second; waits until N have begun to be told
+//	memory on=h1                                                    whether the node's live heap is under half of its host's memory
 //	ejected on=h1                                                   waits until every node that serves keeps work from it
 //	begun on=h1 n=N                                                 waits until the endpoint has begun N requests in all
 //	mark on=h1, new on=h1                                           work begun since the mark
@@ -107,7 +110,7 @@
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
 		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
-		"inforce": s.inForce, "fatal": s.fatal, "lift": s.lift, "check": s.check,
+		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "lift": s.lift, "check": s.check,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -245,6 +248,8 @@
 	how.SlowFactor = float64(number(t, d, "slow", 0))
 	how.ShedAbove = number(t, d, "shed", 0)
 	how.Leaving = d.HasArg("leaving")
+	how.LargeBytes = number(t, d, "large", 0)
+	how.ReadPauseMillis = number(t, d, "pause", 0)
 	must(t, d, s.member(t, d).Behave(how))
 	return ""
 }
@@ -333,6 +338,37 @@
 	return ""
 }
 
+// slowRate is how many bytes a second a slow caller reads.
+const slowRate = 2000
+
+func (s *scenario) slowly(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	i := slices.IndexFunc(s.fleet.Members, func(m *Member) bool { return m.Host == word(t, d, "to", "") })
+	calls := SlowCalls{Path: word(t, d, "path", ""), Body: number(t, d, "body", 0), Rate: slowRate}
+	slow := NewSlowCallers(s.fleet.Members[i].Callers, calls)
+	t.Cleanup(slow.Close)
+	must(t, d, slow.Start(number(t, d, "n", 1)))
+	want := number(t, d, "told", 1)
+	must(t, d, waitFor("slow callers told", func() bool {
+		told := 0
+		for _, n := range slow.Statuses() {
+			told += n
+		}
+		return told >= want
+	}))
+	return ""
+}
+
+func (s *scenario) memory(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	status, err := s.member(t, d).Status()
+	must(t, d, err)
+	if half := uint64(settings.DefaultDaemon().Memory.Host) / 2; status.Process.HeapBytes > half {
+		return fmt.Sprintf("%d bytes\n", status.Process.HeapBytes)
+	}
+	return "under half\n"
+}
+
 func (s *scenario) platform(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	must(t, d, s.fleet.SetFaults(store.Faults{Down: d.HasArg("down"), DelayMillis: number(t, d, "delay", 0)}))
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -19,6 +19,7 @@
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/retry"
@@ -66,6 +67,8 @@
 	announced *registry.Registry
 	endings   Endings
 	clock     clock.Clock
+	// budget is what this node may hold of answers whose callers read slowly, or may ask again.
+	budget *memory.Budget
 	// evacuated is set while this node knows its hall to be, hallDoubt is when it last was, by clock; nil for never.
 	evacuated atomic.Bool
 	hallDoubt atomic.Pointer[time.Time]
@@ -115,6 +118,12 @@
 // WithClock replaces the clock that counts the time in which the host is suspended.
 func WithClock(c clock.Clock) Option { return func(e *Egress) { e.clock = c } }
 
+// WithBudget has what is held of answers counted in b.
+func WithBudget(b *memory.Budget) Option { return func(e *Egress) { e.budget = b } }
+
+// defaultBudget is the budget of an egress that is given none, in bytes.
+const defaultBudget = 64 << 20
+
 // Option changes an egress under construction.
 type Option func(*Egress)
 
@@ -133,6 +142,7 @@
 		cfg: cfg, log: log, state: state,
 		keys:   newKeys(dedupe.NewHome(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.KeySettle),
 		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(), endings: noEndings{}, clock: clock.Boot,
+		budget: memory.New(defaultBudget),
 	}
 	for _, opt := range opts {
 		opt(e)
--- a/egress/kept.go
+++ b/egress/kept.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 )
 
@@ -42,6 +43,8 @@
 	body   []byte
 	end    *peerpb.End
 	tooBig bool
+	// hold is what the body holds of the budget.
+	hold *memory.Hold
 }
 
 // records holds the requests that were offered to this node, so that an ingress whose link breaks can ask for the
@@ -75,6 +78,7 @@
 		}
 		if r != nil {
 			k.bytes -= len(r.body)
+			r.hold.Free()
 			delete(k.byID, id)
 		}
 		k.order = k.order[1:]
@@ -110,10 +114,11 @@
 	defer k.mu.Unlock()
 	r := k.byID[id]
 	if r == nil || r.end != nil {
+		s.hold.Free()
 		return
 	}
 	own, _ := proto.Clone(end).(*peerpb.End)
-	r.head, r.body, r.end, r.tooBig = s.head, s.body, own, s.tooBig
+	r.head, r.body, r.end, r.tooBig, r.hold = s.head, s.body, own, s.tooBig, s.hold
 	k.bytes += len(r.body)
 	close(r.done)
 }
@@ -160,6 +165,7 @@
 // recordingSink keeps what it passes on. A link that breaks does not break off the endpoint's work.
 type recordingSink struct {
 	peer.Sink
+	hold   *memory.Hold
 	head   *peerpb.Head
 	body   []byte
 	tooBig bool
@@ -181,8 +187,9 @@
 
 // Data implements peer.Sink.
 func (s *recordingSink) Data(b []byte, last bool) error {
-	if len(s.body)+len(b) > keptAnswer {
+	if !s.tooBig && (len(s.body)+len(b) > keptAnswer || !s.hold.Grow(len(b))) {
 		s.tooBig, s.body = true, nil
+		s.hold.Free()
 	}
 	if !s.tooBig {
 		s.body = append(s.body, b...)
--- a/egress/local.go
+++ b/egress/local.go
@@ -53,6 +53,8 @@
 	shown breaker.State
 	queue *admit.Queue
 	slots int
+	// stalls are the runs that wait for their callers, since when they do.
+	stalls []stall
 	// times are those of the endpoint's work that ended well.
 	times *latency.Kinds
 	// retries is the endpoint's part of the fleet's budget, share what a request's first arrival earns of it.
@@ -174,6 +176,9 @@
 	defer l.mu.Unlock()
 	decision, evicted := l.queue.Offer(time.Now(), r)
 	l.deliver(evicted)
+	if decision.Action != admit.Run {
+		l.press()
+	}
 	if decision.Action != admit.Wait {
 		return nil, time.Time{}, refusal(decision)
 	}
--- a/egress/run.go
+++ b/egress/run.go
@@ -14,6 +14,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -33,6 +34,8 @@
 	unreachable bool
 	// leaving is set when the endpoint's answer said that it is leaving.
 	leaving bool
+	// held is how long the endpoint had to wait for the caller to read.
+	held time.Duration
 	// cause is why there was no whole answer, nil if there was one.
 	cause error
 }
@@ -59,29 +62,49 @@
 	return &b
 }}
 
-// run hands the request to the endpoint and passes its answer to sink.
-func (l *local) run(ctx context.Context, d *peerpb.Dispatch, body io.Reader, sink peer.Sink) result {
-	stopLate := watchLate(d, sink)
+// handling is how one run's answer is passed on.
+type handling struct {
+	sink peer.Sink
+	// hold is what may be kept of the answer while its caller reads slower than the endpoint answers.
+	hold *memory.Hold
+	// alive notes that a part of the answer has come.
+	alive func()
+	// holdUp notes that the endpoint waits for the caller; see local.holdUp.
+	holdUp func() (wanted <-chan struct{}, over func())
+	// ended is told once how the run went, as soon as the endpoint is done with it; its caller may still be reading.
+	ended func(result)
+}
+
+// run hands the request to the endpoint and passes its answer on.
+func (l *local) run(ctx context.Context, d *peerpb.Dispatch, body io.Reader, h handling) result {
+	stopLate := watchLate(d, h.sink)
 	resp, err := l.pool.Do(ctx, l.request(ctx, d, body))
 	stopLate()
 	if err != nil {
-		return brokenOff(ctx, err)
+		r := brokenOff(ctx, err)
+		h.ended(r)
+		return r
 	}
-	defer resp.Close()
 	answer := l.contract.Answer(resp.StatusCode, resp.Header)
 	l.said.Store(&answer.Load)
-	switch {
-	case answer.NotRun:
+	if answer.NotRun || answer.Foreign {
+		r := unpassed(resp, answer)
+		resp.Close()
+		h.ended(r)
+		return r
+	}
+	return l.pass(ctx, resp, answer.Leaving, h)
+}
+
+// unpassed is how a run went whose answer is not passed on.
+func unpassed(resp *upstream.Response, answer contract.Answer) result {
+	if answer.NotRun {
 		return notRun(resp, answer)
-	case answer.Foreign:
-		return result{
-			end: peer.Unknown(fault.EndpointCut), worked: true, failed: true, broken: true,
-			cause: fault.New(fault.EndpointCut, strconv.Itoa(resp.StatusCode), "answer is not the endpoint's own"),
-		}
 	}
-	r := l.pass(ctx, resp, sink)
-	r.leaving = answer.Leaving
-	return r
+	return result{
+		end: peer.Unknown(fault.EndpointCut), worked: true, failed: true, broken: true,
+		cause: fault.New(fault.EndpointCut, strconv.Itoa(resp.StatusCode), "answer is not the endpoint's own"),
+	}
 }
 
 // notRun passes on the endpoint's word that it did not run the request.
@@ -151,30 +174,72 @@
 }
 
 // pass copies the answer. An answer that breaks off ends as RAN but not complete.
-func (l *local) pass(ctx context.Context, resp *upstream.Response, sink peer.Sink) result {
-	ran := &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN}
+func (l *local) pass(ctx context.Context, resp *upstream.Response, leaving bool, h handling) result {
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	head := &peerpb.Head{Status: uint32(resp.StatusCode), Headers: l.contract.Return(resp.Header)} //nolint:gosec // 3 digits
 	soon := resp.ContentLength >= 0 && resp.ContentLength <= answerBuffer
-	if sink.Head(head, soon) != nil {
-		return result{end: ran, worked: true, failed: failed}
+	ended := func(r result) result {
+		resp.Close()
+		r.failed, r.leaving = r.failed || failed, leaving
+		h.ended(r)
+		return r
+	}
+	if h.sink.Head(head, soon) != nil {
+		return ended(ranSoFar())
+	}
+	if soon {
+		return ended(copyAnswer(ctx, resp, h.sink.Data))
+	}
+	s := newSpool(h.hold, h.holdUp)
+	done := make(chan result, 1)
+	go func() {
+		r := copyAnswer(ctx, resp, func(b []byte, _ bool) error {
+			h.alive()
+			return s.put(ctx, b)
+		})
+		r.held = s.held
+		r = ended(r)
+		s.close()
+		done <- r
+	}()
+	if s.drain(h.sink) != nil {
+		r := <-done
+		r.end = ranSoFar().end
+		return r
 	}
+	return <-done
+}
+
+// ranSoFar is how a run went whose answer nobody takes to its end.
+func ranSoFar() result {
+	return result{end: &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN}, worked: true}
+}
+
+// copyAnswer reads the body of an answer to its end, and has each piece taken.
+func copyAnswer(ctx context.Context, resp *upstream.Response, take func(b []byte, last bool) error) result {
+	r := ranSoFar()
 	p, _ := answerBuffers.Get().(*[]byte)
 	defer answerBuffers.Put(p)
 	buf := *p
 	for {
 		n, err := resp.Read(buf)
-		if n > 0 && sink.Data(buf[:n], errors.Is(err, io.EOF)) != nil {
-			return result{end: ran, worked: true, failed: failed}
+		if n > 0 {
+			if taken := take(buf[:n], errors.Is(err, io.EOF)); taken != nil {
+				if fault.CodeOf(taken) == fault.CallerSlow {
+					r.end.Code, r.cause = string(fault.CallerSlow), taken
+				}
+				return r
+			}
 		}
 		if errors.Is(err, io.EOF) {
-			ran.Complete = true
-			return result{end: ran, worked: true, failed: failed}
+			r.end.Complete = true
+			return r
 		}
 		if err != nil {
-			ran.Code = string(fault.EndpointCut)
+			r.end.Code = string(fault.EndpointCut)
 			canceled := ctx.Err() == context.Canceled
-			return result{end: ran, worked: !canceled, failed: true, broken: !canceled, cause: err}
+			r.worked, r.failed, r.broken, r.cause = !canceled, true, !canceled, err
+			return r
 		}
 	}
 }
--- a/egress/work.go
+++ b/egress/work.go
@@ -19,44 +19,63 @@
 		ctx, cancel = detach(ctx)
 		defer cancel()
 	}
-	recording := &recordingSink{Sink: sink}
+	recording := &recordingSink{Sink: sink, hold: e.budget.Hold(d.GetCustomer())}
 	_, kept := sink.(peer.Permitter)
 	if kept {
 		sink = recording
 	}
-	start, id := time.Now(), e.nextID.Add(1)
-	e.begin(l, start, id, d, sink, trial)
-	result := e.counted(d, func() result { return l.run(ctx, d, body, sink) })
-	service := time.Since(start)
-	l.release(id, service, result, d, trial)
-	if result.cause != nil {
-		e.logFailure(l, d, result, service, trial)
+	w := &work{e: e, l: l, d: d, trial: trial, start: time.Now(), id: e.nextID.Add(1)}
+	e.begin(l, w.start, w.id, d, sink, trial)
+	e.working.Begin(d.GetRequestId(), d.GetRepeat())
+	hold := e.budget.Hold(d.GetCustomer())
+	defer hold.Free()
+	result := l.run(ctx, d, body, handling{sink: sink, hold: hold, alive: w.alive, holdUp: w.holdUp, ended: w.ended})
+	result.end.Load = l.load(w.service, e.cfg.Incarnation)
+	if kept {
+		result.end.Revision = e.state().Revision()
+		e.records.finish(d.GetExchange(), recording, result.end)
+	}
+	return result.end
+}
+
+// work is one run at an endpoint.
+type work struct {
+	e     *Egress
+	l     *local
+	d     *peerpb.Dispatch
+	trial bool
+	// start is when it began, id names it to the watch.
+	start time.Time
+	id    uint64
+	// service is how long the endpoint took, once that is known.
+	service time.Duration
+}
+
+func (w *work) alive() { w.l.alive(w.id) }
+
+func (w *work) holdUp() (wanted <-chan struct{}, over func()) { return w.l.holdUp(w.id) }
+
+// ended frees the slot and tells everybody how the run went, once the endpoint is done with it.
+func (w *work) ended(r result) {
+	e, l, d := w.e, w.l, w.d
+	e.working.End(d.GetRequestId(), d.GetRepeat())
+	w.service = time.Since(w.start) - r.held
+	l.release(w.id, w.service, r, d, w.trial)
+	if r.cause != nil {
+		e.logFailure(l, d, r, w.service, w.trial)
 	}
 	e.noteState(l)
-	e.noteLeaving(l, result.leaving)
-	if result.unreachable {
+	e.noteLeaving(l, r.leaving)
+	if r.unreachable {
 		// What stands there next has just started.
 		l.mayBeCold()
 	}
-	if result.ranWell() {
+	if r.ranWell() {
 		e.endings.Ran(contentOf(d))
 	}
-	if result.brokenAtWork() {
-		e.noteBroken(l, brokenWork{request: d.GetRequestId(), content: contentOf(d), began: start, at: start.Add(service)})
-	}
-	result.end.Load = l.load(service, e.cfg.Incarnation)
-	if kept {
-		result.end.Revision = e.state().Revision()
-		e.records.finish(d.GetExchange(), recording, result.end)
+	if r.brokenAtWork() {
+		e.noteBroken(l, brokenWork{request: d.GetRequestId(), content: contentOf(d), began: w.start, at: w.start.Add(w.service)})
 	}
-	return result.end
-}
-
-// counted counts a run while it lasts.
-func (e *Egress) counted(d *peerpb.Dispatch, run func() result) result {
-	e.working.Begin(d.GetRequestId(), d.GetRepeat())
-	defer e.working.End(d.GetRequestId(), d.GetRepeat())
-	return run()
 }
 
 // logFailure tells why the endpoint's work has no whole answer.
--- a/events/events.go
+++ b/events/events.go
@@ -24,6 +24,7 @@
 	LinesDropped    = Event{107, "log lines dropped", zerolog.WarnLevel}
 	HandlerPanicked = Event{108, "request handler panicked", zerolog.ErrorLevel}
 	LinesLeftOut    = Event{109, "log lines left out", zerolog.InfoLevel}
+	MemorySpent     = Event{110, "no room for bodies", zerolog.WarnLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -72,7 +73,7 @@
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
-	LinesLeftOut,
+	LinesLeftOut, MemorySpent,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -85,6 +85,10 @@
 	LinkLost Code = "link_lost"
 	// EndpointUnreachable is an endpoint that takes no connection.
 	EndpointUnreachable Code = "endpoint_unreachable"
+	// CallerSlow is an answer that was given up because its caller read too slowly.
+	CallerSlow Code = "caller_slow"
+	// MemorySpent is a request whose body was not read because the node holds as much as it may.
+	MemorySpent Code = "memory_spent"
 	// EndpointShed is an endpoint that refused the work and said it did not run.
 	EndpointShed Code = "endpoint_shed"
 	// EndpointCut is an endpoint that broke off in its answer.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -10,6 +10,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // heldBody is the largest body that is held until the answer is whole, in bytes: one that breaks off before it was passed
@@ -37,6 +38,8 @@
 	// head is the latest endpoint's head, kept as much of its body as is recorded for the key's home.
 	head *peerpb.Head
 	kept []byte
+	// hold is what the held bytes hold of the node's budget.
+	hold *memory.Hold
 	// size is how many bytes of the body have come.
 	size int
 	late lateWatch
@@ -51,6 +54,7 @@
 
 // reset forgets a held answer before the next exchange.
 func (a *answer) reset() {
+	a.hold.Shrink(len(a.body))
 	a.held, a.head = nil, nil
 	a.body, a.kept = nil, nil
 }
@@ -106,7 +110,7 @@
 	if a.keep && len(a.kept) <= dedupe.KeptBody {
 		a.kept = append(a.kept, b...)
 	}
-	if a.held != nil && len(a.body)+len(b) <= heldBody {
+	if a.held != nil && len(a.body)+len(b) <= heldBody && a.hold.Grow(len(b)) {
 		a.body = append(a.body, b...)
 		return nil
 	}
@@ -132,6 +136,7 @@
 	}
 	a.held = nil
 	_, err := a.w.Write(a.body)
+	a.hold.Shrink(len(a.body))
 	a.body = nil
 	return err
 }
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -230,6 +230,9 @@
 	if r.Body == nil || r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
+	if whole, ok := r.Body.(interface{ Whole() []byte }); ok {
+		return &requestBody{head: whole.Whole()}, nil
+	}
 	head, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "", "the body broke off")
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -13,10 +13,10 @@
 }
 
 // worked tells whether an end is evidence about the endpoint. A lost link is evidence about the link, and a refusal
-// about load; what timed out counts against the endpoint, which had the request.
+// about load, an answer that its caller read too slowly about the caller; what timed out counts against the endpoint, which had the request.
 func worked(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.Protocol, fault.OfferLapsed:
+	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.CallerSlow, fault.Protocol, fault.OfferLapsed:
 		return false
 	case fault.EndpointUnreachable, fault.DeadlineExceeded, fault.EndpointCut:
 		return true
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/lynxplank/lynxplank/fatal"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
 )
@@ -42,6 +43,8 @@
 	// winner is the send whose answer goes to the caller.
 	winner   *winner
 	refusals *refusals
+	// holds are what the answers of the sends hold of the node's budget.
+	holds []*memory.Hold
 	// tried are the endpoints that have had the request or have turned it away for a reason that lasts.
 	tried []string
 	// declined are those of this round that had no free slot, or took only trials, when they were asked.
@@ -224,7 +227,29 @@
 
 // newAnswer returns the sink of one more send.
 func (x *exchange) newAnswer() *answer {
-	return newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
+	a := newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
+	x.holdFor(a)
+	return a
+}
+
+// holdFor has what an answer holds counted in the node's budget.
+func (x *exchange) holdFor(a *answer) {
+	a.hold = x.g.budget.Hold(x.call.customer)
+	x.holds = append(x.holds, a.hold)
+}
+
+// leave has sends that outlive the request give back themselves what their answers hold.
+func (x *exchange) leave(running []*attempt) {
+	for _, a := range running {
+		x.holds = slices.DeleteFunc(x.holds, func(h *memory.Hold) bool { return h == a.answer.hold })
+	}
+}
+
+// free gives back what the answers of the sends that have ended hold.
+func (x *exchange) free() {
+	for _, h := range x.holds {
+		h.Free()
+	}
 }
 
 // count shows in the metrics what came of asking an endpoint.
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -183,9 +183,12 @@
 		x.tried = append(x.tried, a.pick.Endpoint.Key)
 	}
 	if rest := len(h.running); rest > 0 {
+		x.leave(h.running)
 		go func() {
 			for range rest {
-				x.report(<-h.ended)
+				a := <-h.ended
+				x.report(a)
+				a.answer.hold.Free()
 			}
 		}()
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/lynxplank/lynxplank/flight"
 	"github.com/lynxplank/lynxplank/follow"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/table"
@@ -66,6 +67,8 @@
 	confirm func(ctx context.Context) bool
 	fatal   Fatal
 	clock   clock.Clock
+	// budget is what this node may hold of answers.
+	budget *memory.Budget
 
 	mu      sync.Mutex
 	refused map[string]*refusals
@@ -107,6 +110,12 @@
 // WithClock replaces the clock that counts the time in which the host is suspended.
 func WithClock(c clock.Clock) Option { return func(g *Ingress) { g.clock = c } }
 
+// WithBudget has what is held of answers counted in b.
+func WithBudget(b *memory.Budget) Option { return func(g *Ingress) { g.budget = b } }
+
+// defaultBudget is the budget of an ingress that is given none, in bytes.
+const defaultBudget = 64 << 20
+
 // Option changes an ingress under construction.
 type Option func(*Ingress)
 
@@ -124,7 +133,7 @@
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
 		limits: unlimited{}, fatal: harmless{}, clock: clock.Boot, splits: newSplits(), refused: make(map[string]*refusals), routes: newRoutes(),
-		confirm: func(context.Context) bool { return true },
+		confirm: func(context.Context) bool { return true }, budget: memory.New(defaultBudget),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -140,6 +149,17 @@
 	return g.settling.Wait(ctx, "ingress")
 }
 
+// Payer returns the customer of a request by what its header says, "" for none that is known.
+func (g *Ingress) Payer(h http.Header) string {
+	s := g.snapshot().State
+	if !s.KeysWanted() {
+		say, _ := g.cfg.Contract.Call(h)
+		return say.Customer
+	}
+	holder, _ := s.Holder(table.DigestKey(contract.TokenOf(h).Key))
+	return holder.Key
+}
+
 // ServeHTTP serves one caller's request.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
@@ -222,6 +242,8 @@
 	defer cancel()
 	x := &exchange{g: g, start: time.Now(), watch: g.clock.Begin(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
+	x.holdFor(x.answer)
+	defer x.free()
 	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
 	if x.paid {
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/kernel"
 	"github.com/lynxplank/lynxplank/leftout"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/peer"
@@ -83,6 +84,8 @@
 	stopping atomic.Bool
 	// announced holds the endpoints that announce themselves, nil where they are rows of the table.
 	announced *registry.Registry
+	// budget is what the node may hold of bodies.
+	budget *memory.Budget
 	// leftOut are the entries that could not be understood.
 	leftOut *leftout.List
 }
@@ -111,6 +114,7 @@
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
 	n.leftOut = leftout.New(n.log)
+	n.budget = memory.New(cfg.Memory.Bodies())
 	if err := n.build(); err != nil {
 		return nil, err
 	}
@@ -138,7 +142,6 @@
 	var e *egress.Egress
 	var limits *allowance.Allowance
 	var keeper *barring.Keeper
-	var egressOptions []egress.Option
 	a := announce.New(n.announceConfig(incarnation), n.log, client)
 	follower = follow.New(n.followConfig(), n.log, client, links, follow.WithChangeHook(func(s *follow.Snapshot) {
 		e.Observe(time.Now(), s)
@@ -149,7 +152,7 @@
 	keeper = barring.New(barring.Config{
 		Host: n.cfg.Node.ID, Retry: n.cfg.Platform.Retry.Std(), RetryMost: n.cfg.Platform.RetryMost.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
 	}, n.log, client, links, follower.Snapshot)
-	egressOptions = append(egressOptions, egress.WithEndings(keeper))
+	egressOptions := []egress.Option{egress.WithEndings(keeper), egress.WithBudget(n.budget)}
 	limits = allowance.New(n.allowanceConfig(), n.log, follower.Snapshot, links, m)
 	follower.ShowSelf(n.announceConfig(incarnation).Host)
 	view := hostView{self: n.cfg.Node.ID, snapshot: follower.Snapshot, links: links}
@@ -164,7 +167,7 @@
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, follower: follower, limits: limits, keeper: keeper})
 	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithConfirm(follower.Confirm),
-		ingress.WithLimits(limits), ingress.WithFatal(keeper))
+		ingress.WithLimits(limits), ingress.WithFatal(keeper), ingress.WithBudget(n.budget))
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Keeper, keeper)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
@@ -183,7 +186,7 @@
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
 	n.kernel.Register(Sampler, &sampler{
-		metrics: m, follower: f, egress: e, links: links, events: counter, calls: calls, keeper: keeper, log: n.log,
+		metrics: m, follower: f, egress: e, links: links, events: counter, calls: calls, keeper: keeper, budget: n.budget, log: n.log,
 	})
 	n.kernel.Register(Links, links)
 	n.kernel.Register(Follower, f)
@@ -199,6 +202,7 @@
 	n.kernel.Register(Ingress, g)
 	callers := pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
 		ingress.RefuseUnread(n.contract()))
+	callers.HoldBodies(func(h http.Header) *memory.Hold { return n.budget.Hold(g.Payer(h)) })
 	callers.OnPanic(func(value any, stack []byte) {
 		events.HandlerPanicked.Log(n.log).Any("value", value).Bytes("stack", stack).Send()
 	})
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -11,6 +11,7 @@
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/follow"
+	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/table"
@@ -34,10 +35,13 @@
 	events eventCounter
 	calls  *storeCalls
 	keeper *barring.Keeper
+	budget *memory.Budget
 	log    *zerolog.Logger
 
 	// counted is how many lines of each event the metrics show.
 	counted map[int]uint64
+	// refused is how often there was no room in the memory, as was told last.
+	refused uint64
 	// revision and since are the configuration in force and when it was first seen.
 	revision table.Revisions
 	since    time.Time
@@ -78,10 +82,24 @@
 func (s *sampler) sample(now time.Time) {
 	s.sampleConfig(now)
 	s.sampleWork()
+	s.sampleMemory()
 	s.sampleEvents()
 	s.tellCalls()
 }
 
+// sampleMemory shows what is held of bodies, and tells when there was no room for some.
+func (s *sampler) sampleMemory() {
+	use := s.budget.Use()
+	s.metrics.Gauge("bodies_bytes", float64(use.Used))
+	s.metrics.Gauge("bodies_most_bytes", float64(use.Most))
+	s.metrics.Gauge("bodies_refused", float64(use.Refused))
+	if use.Refused == s.refused {
+		return
+	}
+	events.MemorySpent.Log(s.log).Uint64("refused", use.Refused-s.refused).Int64("held", use.Used).Int64("size", use.Size).Send()
+	s.refused = use.Refused
+}
+
 // tellCalls logs the calls to the platform's store since the last look, if there were any.
 func (s *sampler) tellCalls() {
 	names, counts := s.calls.take()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -62,6 +62,7 @@
 	defer x.close()
 	first := d
 	if x.offered {
+		d.Credit = answerWindow
 		first = offerOf(d)
 	}
 	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Dispatch{Dispatch: first}}); err != nil {
@@ -83,7 +84,7 @@
 		Priority: d.GetPriority(), Caller: d.GetCaller(), AimMicros: d.GetAimMicros(),
 		LastResort: d.GetLastResort(), Canary: d.GetCanary(), Route: d.GetRoute(), Config: d.GetConfig(),
 		LikelyOnly: d.GetLikelyOnly(), Repeat: d.GetRepeat(), TellDue: d.GetTellDue(),
-		UsualMicros: d.GetUsualMicros(), OfRepeat: d.GetOfRepeat(), Keyed: d.GetKeyed(), Content: d.GetContent(),
+		UsualMicros: d.GetUsualMicros(), OfRepeat: d.GetOfRepeat(), Keyed: d.GetKeyed(), Content: d.GetContent(), Credit: d.GetCredit(),
 	}
 }
 
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -48,8 +48,9 @@
 	writeTimeout = 2 * time.Second
 	// acceptBacklog is how many streams of one link may wait to be served.
 	acceptBacklog = 1024
-	// streamWindow is how much of a stream may be on its way unread, in bytes.
-	streamWindow = 512 << 10
+	// streamWindow is how much of a stream may be on its way unread, in bytes: the least that yamux takes. An answer's own window is
+	// smaller.
+	streamWindow = 256 << 10
 	// streamOpenLimit is long: the heartbeat judges a silent peer, and this must not cut what a frozen one may still
 	// answer.
 	streamOpenLimit = 30 * time.Second
--- a/peer/offer_test.go
+++ b/peer/offer_test.go
@@ -90,13 +90,24 @@
 
 // startLogged starts a node that logs to w.
 func startLogged(t *testing.T, o *offers, w io.Writer) (*Manager, string) {
+	t.Helper()
+	return startLoggedHandler(t, o, w)
+}
+
+// startHandler starts a node whose peers are served by h.
+func startHandler(t *testing.T, h Handler) (*Manager, string) {
+	t.Helper()
+	return startLoggedHandler(t, h, io.Discard)
+}
+
+func startLoggedHandler(t *testing.T, h Handler, w io.Writer) (*Manager, string) {
 	t.Helper()
 	log := zerolog.New(w)
 	m := NewManager(Config{
 		Node: "n", Listen: "127.0.0.1:0", Heartbeat: 20 * time.Millisecond, CutAfter: time.Second,
 		IdleClose: time.Minute, Conns: 10,
 	}, &log)
-	m.Handle(o)
+	m.Handle(h)
 	if err := m.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -24,6 +24,31 @@
 	// offered is set for an exchange that waits for a grant, handed once the request may run.
 	offered bool
 	handed  bool
+	// credits is set where the peer waits to be told what the caller has read; read counts the bytes of which it was not told yet.
+	credits bool
+	read    int
+}
+
+const (
+	// answerWindow is how much of an answer's body may be on its way unread, in bytes: with the delay between regions it lets a caller read
+	// 1.6 MB a second, and hundreds of callers that do not read cost a node little.
+	answerWindow = 64 << 10
+	// creditStep is how much is read before the peer is told.
+	creditStep = answerWindow / 2
+)
+
+// passOn hands a piece of the answer to the caller, and lets the peer send as much more.
+func (x *sending) passOn(sink Sink, b []byte) error {
+	if err := sink.Data(b, false); err != nil {
+		return err
+	}
+	if x.read += len(b); x.credits && x.read >= creditStep {
+		credit := &peerpb.Credit{Bytes: uint32(x.read)} //nolint:gosec // at most the window and a piece
+		x.read = 0
+		// Where the word cannot be written the answer breaks off by itself.
+		_ = WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Credit{Credit: credit}})
+	}
+	return nil
 }
 
 // open opens a stream; an offer must be answered soon, if only by a word that it waits.
@@ -105,6 +130,7 @@
 			if handOver == nil || x.handed {
 				return Unknown(fault.Protocol)
 			}
+			x.credits = k.Grant.GetCredits()
 			if handOver() != nil {
 				return x.broken()
 			}
@@ -116,7 +142,7 @@
 		case *peerpb.Frame_Head:
 			err = sink.Head(k.Head, false)
 		case *peerpb.Frame_Data:
-			err = sink.Data(k.Data.GetBytes(), false)
+			err = x.passOn(sink, k.Data.GetBytes())
 		case *peerpb.Frame_End:
 			return k.End
 		default:
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -142,6 +142,58 @@
 	goes     chan *peerpb.Go
 	gone     chan struct{}
 	canceled atomic.Bool
+	// ctx is the exchange's; credit is how much more of the answer's body may be sent, or unlimited; more wakes who waits for it.
+	ctx    context.Context //nolint:containedctx // one exchange's life
+	credit atomic.Int64
+	more   chan struct{}
+}
+
+// Data implements Sink: it waits until the caller has read enough of what was sent before.
+func (v *serving) Data(b []byte, last bool) error {
+	for len(b) > 0 {
+		n, err := v.awaitCredit(len(b))
+		if err != nil {
+			return err
+		}
+		if err := v.streamSink.Data(b[:n], last && n == len(b)); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// awaitCredit returns how much of so many bytes may be sent, at least one.
+func (v *serving) awaitCredit(want int) (int, error) {
+	for {
+		credit := v.credit.Load()
+		if credit == unlimited {
+			return want, nil
+		}
+		if n := min(int64(want), credit); n > 0 {
+			v.credit.Add(-n)
+			return int(n), nil
+		}
+		select {
+		case <-v.more:
+		case <-v.gone:
+			return 0, fault.New(fault.LinkLost, "answer", "link broke before its caller read it")
+		case <-v.ctx.Done():
+			return 0, fault.Wrap(v.ctx.Err(), ctxCode(v.ctx), "answer", "caller has not read it in time")
+		}
+	}
+}
+
+// grant lets more of the answer be sent.
+func (v *serving) grant(bytes uint32) {
+	if v.credit.Load() == unlimited {
+		return
+	}
+	v.credit.Add(int64(bytes))
+	select {
+	case v.more <- struct{}{}:
+	default:
+	}
 }
 
 func (m *Manager) serveDispatch(stream net.Conn, r FrameReader, d *peerpb.Dispatch) {
@@ -151,6 +203,11 @@
 	defer func() { _ = pr.Close() }()
 	v := &serving{
 		streamSink: newStreamSink(stream), offer: d, goes: make(chan *peerpb.Go, 1), gone: make(chan struct{}),
+		ctx: ctx, more: make(chan struct{}, 1),
+	}
+	v.credit.Store(unlimited)
+	if credit := d.GetCredit(); credit > 0 {
+		v.credit.Store(int64(credit))
 	}
 	go func() {
 		// The ingress closes its side when it gives up; its body ends with a last piece before that.
@@ -161,7 +218,7 @@
 			cancel()
 		}
 	}()
-	var sink Sink = v.streamSink
+	var sink Sink = unasked{v}
 	if d.GetExchange() != 0 {
 		sink = v
 	}
@@ -169,6 +226,14 @@
 	v.end(end)
 }
 
+// unlimited is the credit of an exchange whose ingress grants none.
+const unlimited = -1
+
+// unasked is the sink of an exchange whose ingress is not asked once more before the request runs.
+type unasked struct {
+	Sink
+}
+
 // Waiting implements Permitter.
 func (v *serving) Waiting() {
 	_ = v.put(&peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}}, false)
@@ -178,7 +243,7 @@
 //
 // Invariant: it returns true only after the ingress's word, and once it has returned false that word changes nothing.
 func (v *serving) Permit(ctx context.Context, load *peerpb.Load, due time.Duration) bool {
-	grant := &peerpb.Grant{Load: load, DueMicros: due.Microseconds()}
+	grant := &peerpb.Grant{Load: load, DueMicros: due.Microseconds(), Credits: v.credit.Load() != unlimited}
 	if v.put(&peerpb.Frame{Kind: &peerpb.Frame_Grant{Grant: grant}}, false) != nil {
 		return false
 	}
@@ -210,6 +275,8 @@
 			default:
 				return fault.New(fault.Protocol, "stream", "handed over twice")
 			}
+		case *peerpb.Frame_Credit:
+			v.grant(k.Credit.GetBytes())
 		case *peerpb.Frame_Cancel:
 			v.canceled.Store(true)
 			return fault.New(fault.Canceled, "stream", "caller went away")
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 const (
@@ -69,16 +70,21 @@
 	if !c.awaitRequest(limits) {
 		return false
 	}
-	req, status, bad := c.readRequest(limits)
+	req, hold, status, bad := c.readRequest(limits)
 	if bad != nil {
-		c.refuse(nil, status, bad)
+		var h http.Header
+		if bad.Code == fault.MemorySpent {
+			h = req.Header
+		}
+		c.refuse(h, status, bad)
 		return false
 	}
 	if c.s.refusing.Load() {
+		hold.Free()
 		c.refuse(req.Header, http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping"))
 		return false
 	}
-	return c.take(req)
+	return c.take(req, hold)
 }
 
 // awaitRequest waits for the first byte of the next request; false when there is none to come.
@@ -141,10 +147,12 @@
 	x.finish()
 }
 
-// take queues a request and starts what may start; false when the connection takes no more.
-func (c *conn) take(req *http.Request) bool {
+// take queues a request, whose body holds some memory, and starts what may start; false when the connection takes no more.
+func (c *conn) take(req *http.Request, hold *memory.Hold) bool {
 	x := c.newExchange(req)
+	x.hold = hold
 	if !c.queue(x) {
+		hold.Free()
 		return false
 	}
 	c.pump()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // heldAnswer is how much of an answer is put together before it is written, in bytes: a short one goes out in one write.
@@ -18,6 +19,8 @@
 	c      *conn
 	req    *http.Request
 	header http.Header
+	// hold is what the request's body holds of the node's memory, nil for nothing.
+	hold *memory.Hold
 	// started is set once the request runs; the connection's lock guards it.
 	started bool
 	// turn is closed when the answer may be written.
@@ -52,6 +55,7 @@
 // run has the handler answer the request.
 func (x *exchange) run() {
 	defer x.c.s.flight.Done()
+	defer x.hold.Free()
 	defer func() {
 		r := recover()
 		if r == nil {
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -11,13 +11,12 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 const (
 	// readBuffer is what a connection reads ahead, in bytes: as much as net/http's server does.
 	readBuffer = 4 << 10
-	// mostPrepared bounds the room made for a body before any of it has come, in bytes: a caller may state any length.
-	mostPrepared = 1 << 20
 )
 
 // limitedReader fails once a request's header has taken too much.
@@ -41,35 +40,65 @@
 	return n, err
 }
 
-// readRequest reads one request with its whole body. Of a failure it returns the status that HTTP gives it, 0 when
-// nobody is there to read an answer.
-func (c *conn) readRequest(limits Limits) (*http.Request, int, *fault.Error) {
+// readRequest reads one request with its whole body, and returns what that holds of the node's memory. Of a failure it returns the status
+// that HTTP gives it, 0 when nobody is there to read an answer.
+func (c *conn) readRequest(limits Limits) (*http.Request, *memory.Hold, int, *fault.Error) {
 	c.readUntil(time.Now().Add(limits.HeaderTimeout))
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
-		return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
+		return nil, nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
 	}
 	if bad := checkRequest(req); bad != nil {
-		return nil, http.StatusBadRequest, bad
+		return req, nil, http.StatusBadRequest, bad
 	}
 	if req.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge, tooLarge()
+		return req, nil, http.StatusRequestEntityTooLarge, tooLarge()
+	}
+	hold := c.s.hold(req.Header)
+	status, bad := c.takeBody(req, hold, limits)
+	if bad != nil {
+		hold.Free()
+		return req, nil, status, bad
+	}
+	c.readUntil(time.Time{})
+	req.TransferEncoding = nil
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	return req, hold, 0, nil
+}
+
+// takeBody reads a request's body once there is room for it; a failure is as that of readRequest.
+func (c *conn) takeBody(req *http.Request, hold *memory.Hold, limits Limits) (int, *fault.Error) {
+	if req.ContentLength > 0 && !hold.Grow(int(req.ContentLength)) {
+		return http.StatusServiceUnavailable, memorySpent()
 	}
 	if httpguts.HeaderValuesContainsToken(req.Header["Expect"], "100-continue") && !c.working() {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0, errGone
+			return 0, errGone
 		}
 	}
-	body, status, bad := c.readBody(req, limits)
+	body, status, bad := c.readBody(req, hold, limits)
 	if bad != nil {
-		return nil, status, bad
+		return status, bad
 	}
-	c.readUntil(time.Time{})
-	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.Body = &Body{Reader: bytes.NewReader(body), whole: body}
 	req.ContentLength = int64(len(body))
-	req.TransferEncoding = nil
-	req.RemoteAddr = c.raw.RemoteAddr().String()
-	return req, 0, nil
+	return 0, nil
+}
+
+// Body is a request's body, which has been read whole.
+type Body struct {
+	*bytes.Reader
+	whole []byte
+}
+
+// Close implements io.Closer.
+func (*Body) Close() error { return nil }
+
+// Whole returns all of it, which stays the body's own.
+func (b *Body) Whole() []byte { return b.whole }
+
+func memorySpent() *fault.Error {
+	return fault.New(fault.MemorySpent, "body", "the node holds as much as it may for its callers")
 }
 
 func tooLarge() *fault.Error { return fault.New(fault.BodyTooLarge, "body", "the body is too large") }
@@ -109,14 +138,14 @@
 	return nil
 }
 
-// readBody reads the whole body; each part must come within the header's time.
-func (c *conn) readBody(req *http.Request, limits Limits) ([]byte, int, *fault.Error) {
+// readBody reads the whole body; each part must come within the header's time. Room for a body that states no length is taken as it comes.
+func (c *conn) readBody(req *http.Request, hold *memory.Hold, limits Limits) ([]byte, int, *fault.Error) {
 	if req.ContentLength == 0 {
 		return nil, 0, nil
 	}
 	var body []byte
 	if req.ContentLength > 0 {
-		body = make([]byte, 0, min(req.ContentLength, mostPrepared))
+		body = make([]byte, 0, req.ContentLength)
 	}
 	buf := make([]byte, readBuffer)
 	for {
@@ -127,6 +156,9 @@
 		if int64(len(body)) > limits.BodyBytes {
 			return nil, http.StatusRequestEntityTooLarge, tooLarge()
 		}
+		if req.ContentLength < 0 && !hold.Grow(n) {
+			return nil, http.StatusServiceUnavailable, memorySpent()
+		}
 		if err == io.EOF {
 			return body, 0, nil
 		}
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // fixture is a server whose handler is steered by paths, and one caller's connection.
@@ -27,6 +28,7 @@
 	gates  map[string]chan struct{}
 	began  chan string
 	left   chan string
+	budget *memory.Budget
 }
 
 func (f *fixture) gate(name string) chan struct{} {
@@ -78,6 +80,12 @@
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, string(err.Code))
 	})
+	f.budget = memory.New(1 << 20)
+	f.server.HoldBodies(func(h http.Header) *memory.Hold {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.budget.Hold(h.Get("Payer"))
+	})
 	if err := f.server.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -107,6 +115,8 @@
 //	ahead n=N       waits until N requests have been read and not answered
 //	conns n=N       waits until the server holds N connections
 //	drain           begins the planned stop
+//	room n=N        lets bodies hold N bytes, those of a Payer as much as it leaves free
+//	held            prints how many bytes they hold
 //	refuse          has every request refused that is read from now on
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -149,6 +159,14 @@
 		return f.await(n, func() int { return int(f.server.open.Load()) })
 	case "ahead":
 		return f.await(n, f.ahead)
+	case "room":
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.budget = memory.New(int64(n))
+	case "held":
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return fmt.Sprintf("%d\n", f.budget.Use().Used)
 	case "refuse":
 		f.server.Refuse()
 	case "drain":
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/flight"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // Limits bound what the listener takes from its callers; they may change while it runs.
@@ -39,6 +40,8 @@
 	handler http.Handler
 	onError ErrorHandler
 	onPanic func(value any, stack []byte)
+	// hold takes room for a request's body, by its header.
+	hold func(h http.Header) *memory.Hold
 
 	listener net.Listener
 	closing  atomic.Bool
@@ -55,13 +58,17 @@
 func New(name, address string, limits func() Limits, handler http.Handler, onError ErrorHandler) *Server {
 	return &Server{
 		name: name, address: address, limits: limits, handler: handler, onError: onError,
-		conns: make(map[*conn]struct{}), onPanic: func(any, []byte) {},
+		conns: make(map[*conn]struct{}), onPanic: func(any, []byte) {}, hold: func(http.Header) *memory.Hold { return nil },
 	}
 }
 
 // OnPanic has f told of a handler that panicked; call it before Start.
 func (s *Server) OnPanic(f func(value any, stack []byte)) { s.onPanic = f }
 
+// HoldBodies has f give the room for a request's body, by its header; a request without room is refused before its body is read. Call it
+// before Start.
+func (s *Server) HoldBodies(f func(h http.Header) *memory.Hold) { s.hold = f }
+
 // Start listens, Unavailable when the address cannot be had.
 func (s *Server) Start(ctx context.Context) error {
 	var lc net.ListenConfig
@@ -98,6 +105,7 @@
 
 func (s *Server) serve(raw net.Conn) {
 	defer s.open.Add(-1)
+	memory.BoundSocket(raw)
 	c := newConn(s, raw)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -34,6 +34,8 @@
 	Limits Limits `yaml:"limits"`
 	// Cold is what cold endpoints bear besides what their service says.
 	Cold Cold `yaml:"cold"`
+	// Memory is what the node may hold of bodies.
+	Memory Memory `yaml:"memory"`
 	// Ejection is how long endpoints are taken out and how they come back.
 	Ejection Ejection `yaml:"ejection"`
 	// Stop is the planned stop.
@@ -142,6 +144,18 @@
 	Slack float64 `yaml:"slack" validate:"min=2"`
 }
 
+// Memory is what the node may hold of requests' and answers' bodies for those who are slow to take them.
+type Memory struct {
+	// Host is the memory that the node's process may use.
+	Host Size `yaml:"host" validate:"min=33554432"`
+	// Share is the part of it that bodies may take, 0.01 to 0.3: besides them a process needs room for its own work, and as much again
+	// for what it no longer uses and has not given back.
+	Share float64 `yaml:"share" validate:"min=0.01,max=0.3"`
+}
+
+// Bodies is what bodies may take, in bytes.
+func (m Memory) Bodies() int64 { return int64(float64(m.Host) * m.Share) }
+
 // Peers is the listener and the links between nodes.
 type Peers struct {
 	// Listen is the IP and port.
@@ -277,6 +291,7 @@
 		Retries: Retries{Slack: 1000, Use: 1, Window: Duration(10 * time.Second), MostBurst: 10},
 		Limits:  Limits{Policy: "lent", Window: Duration(5 * time.Second), Settle: Duration(2 * time.Second)},
 		Cold:    Cold{Over: 1.2, Slack: 4},
+		Memory:  Memory{Host: 256 << 20, Share: 0.15},
 		Ejection: Ejection{
 			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
 			Successes: 8, RampStep: Duration(2 * time.Second),
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 	HalfLength int `json:"half_length"`
 	// HalfChunked has such an answer state no length.
 	HalfChunked bool `json:"half_chunked"`
+	// LargeBytes is the length of answers on paths that begin with PathLarge.
+	LargeBytes int `json:"large_bytes"`
+	// ReadPauseMillis is how long it waits after each 16 KiB of a request's body.
+	ReadPauseMillis int `json:"read_pause_millis"`
 	// FlapMillis switches the faults on and off with this period.
 	FlapMillis int `json:"flap_millis"`
 	// ShedAbove refuses, unrun, what would be more than this at once; 0 for never, below 0 for always.
@@ -101,6 +106,8 @@
 
 // plan is what becomes of one request.
 type plan struct {
+	// large is the length that the answer is filled up to, 0 for as it is.
+	large                     int
 	shed, fail, half, leaving bool
 	work                      time.Duration
 	report                    int
@@ -108,7 +115,7 @@
 	down time.Duration
 }
 
-func (b *Backend) begin(call string, fatal bool) plan {
+func (b *Backend) begin(call, path string) plan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := plan{leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report()}
@@ -127,7 +134,10 @@
 			p.work = time.Duration(float64(p.work) * b.how.SlowFactor)
 		}
 	}
-	if fatal {
+	if strings.HasPrefix(path, PathLarge) {
+		p.large = b.how.LargeBytes
+	}
+	if strings.HasPrefix(path, PathFatal) {
 		p.down = time.Duration(b.how.DownMillis) * time.Millisecond
 	}
 	b.busy++
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lynxplank/lynxplank/header"
 )
@@ -18,6 +19,8 @@
 	PathRuns = "/admin/runs"
 	// PathFatal begins the paths of requests that end the endpoint.
 	PathFatal = "/fatal"
+	// PathLarge begins the paths of requests with large answers.
+	PathLarge = "/large"
 	// PathHealth is the probe; it lies: it succeeds whatever the faults are.
 	PathHealth = "/healthz"
 )
@@ -54,12 +57,12 @@
 }
 
 func (b *Backend) handleWork(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(b.slowly(r.Body))
 	if err != nil {
 		return
 	}
 	call := r.Header.Get(CallHeader)
-	p := b.begin(call, strings.HasPrefix(r.URL.Path, PathFatal))
+	p := b.begin(call, r.URL.Path)
 	w.Header().Set(reportHeader, strconv.Itoa(p.report))
 	if p.leaving {
 		w.Header().Set(header.Leaving, "yes")
@@ -85,13 +88,41 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	b.answer(w, call, string(body), p.half)
+	b.answer(w, call, string(body), p)
+}
+
+// slowReader waits after each piece that it reads.
+type slowReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+// slowPiece is the most that a slow reader reads at once, in bytes.
+const slowPiece = 16 << 10
+
+// Read implements io.Reader.
+func (r slowReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p[:min(len(p), slowPiece)])
+	if n > 0 {
+		time.Sleep(r.pause)
+	}
+	return n, err
+}
+
+// slowly reads a body at the pace that the endpoint has now.
+func (b *Backend) slowly(body io.Reader) io.Reader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slowReader{Reader: body, pause: time.Duration(b.how.ReadPauseMillis) * time.Millisecond}
 }
 
 // answer names the request that it answers, so that a caller can tell its own answer from another's.
-func (b *Backend) answer(w http.ResponseWriter, call, body string, half bool) {
+func (b *Backend) answer(w http.ResponseWriter, call, body string, p plan) {
 	text := "answer from " + b.name + " to " + call + " body " + body + "\n"
-	if !half {
+	if !p.half {
+		if p.large > len(text) {
+			text += strings.Repeat(".", p.large-len(text))
+		}
 		_, _ = io.WriteString(w, text)
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // Limits of the connections to endpoints.
@@ -81,6 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
+	memory.BoundSocket(raw)
 	return newConn(raw, r.Address), nil
 }
 
