Requests that end endpoints: one arrival ends two at most

Cause: work that is shorter than the 55 ms which a word of an end takes broke off at three endpoints in a row, before anybody had told of the first (docs/design/0013's open end).

Done: the node beside an endpoint asks it for a connection before it answers for work that broke off, and its answer says that the endpoint has ended; a request at whose own sends two endpoints have ended goes to no third. Sound work beside a crash keeps its further try.

Ruled out: a wait of 55 ms before each further send (every answer that breaks off would pay it, and gray endpoints break off many).

--- a/demo/fatal_test.go
+++ b/demo/fatal_test.go
@@ -47,6 +47,24 @@
 	return ""
 }
 
+// arrival has a fatal request come once: its own sends must not end as many endpoints as bar it.
+func (s *scenario) arrival(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	const allowed = 2
+	name := word(t, d, "name", "")
+	how := s.how
+	how.DownMillis = number(t, d, "down", 500)
+	for _, m := range s.fleet.Members {
+		must(t, d, m.Behave(how))
+	}
+	NewFatalLoad(s.targets()).SendFatal(name, s.sent)
+	s.sent++
+	if got := s.fatalRuns(t, d, name); got > allowed {
+		return fmt.Sprintf("begun %d times, want %d at most\n", got, allowed)
+	}
+	return ""
+}
+
 func (s *scenario) lift(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	text, err := s.fleet.Ctl("fatal", "-o", "json")
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -65,6 +65,8 @@
 //	fatal name=N [down=500] [ends=N] [for=3s] [n=N]                 a request that ends the endpoints that run it comes again and again, at each
 //	                                                                node in turn: until endpoints have ended N times, then for some time, then
 //	                                                                N times, of which it prints how many began to run, if more than three
+//	arrival name=N                                                  such a request comes once; prints how many endpoints have begun to run it,
+//	                                                                if more than two
 //	lift                                                            the operator lets every request that is kept from all run again
 //	check                                                           holds answers against the endpoints' records
 func TestScenarios(t *testing.T) {
@@ -110,7 +112,7 @@
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
 		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
-		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "lift": s.lift, "check": s.check,
+		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "arrival": s.arrival, "lift": s.lift, "check": s.check,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
--- a/egress/ended.go
+++ b/egress/ended.go
@@ -18,6 +18,8 @@
 	mostBroken = 64
 	// checkLimit bounds the question whether an endpoint still takes connections, which takes about a millisecond.
 	checkLimit = 500 * time.Millisecond
+	// verdictLimit is how long broken work waits to hear whether its endpoint lives before it is answered for.
+	verdictLimit = 20 * time.Millisecond
 	// endSettle is how long work that an ended endpoint had may take to be seen as broken off: its connections break at once, and a
 	// node with a third of a core has told of all of them within 2 ms.
 	endSettle = 50 * time.Millisecond
@@ -29,6 +31,8 @@
 	content fatal.Content
 	// began is when it was handed over, at when it broke off.
 	began, at time.Time
+	// verdict is told once whether the endpoint has ended.
+	verdict chan bool
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -43,23 +47,31 @@
 }
 
 // noteBroken notes work that broke off and has the endpoint asked whether it lives: one that let go of a connection does, one that
-// has ended takes no connection.
-func (e *Egress) noteBroken(l *local, work brokenWork) {
-	if !l.addBroken(work) {
-		return
+// has ended takes no connection. It returns whether it has ended, false if that is not known soon.
+func (e *Egress) noteBroken(l *local, work brokenWork) (ended bool) {
+	work.verdict = make(chan bool, 1)
+	if l.addBroken(work) {
+		e.flight.Add()
+		go func() {
+			defer e.flight.Done()
+			e.checkEnded(l)
+		}()
+	}
+	select {
+	case ended = <-work.verdict:
+		return ended
+	case <-time.After(verdictLimit):
+		return false
 	}
-	e.flight.Add()
-	go func() {
-		defer e.flight.Done()
-		e.checkEnded(l)
-	}()
 }
 
 // addBroken notes work that broke off and tells whether the endpoint is to be asked; it is asked by one goroutine at a time.
 func (l *local) addBroken(work brokenWork) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.broken) < mostBroken {
+	if len(l.broken) == mostBroken {
+		work.verdict <- false
+	} else {
 		l.broken = append(l.broken, work)
 	}
 	if l.checking {
@@ -76,6 +88,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
 		refused := upstream.Refuses(ctx, *l.address.Load())
 		cancel()
+		l.tellVerdict(began, refused)
 		if refused {
 			time.Sleep(endSettle)
 			e.tellEnded(l, l.takeBroken(time.Now()))
@@ -88,6 +101,18 @@
 	}
 }
 
+// tellVerdict tells the work that broke off by a time whether the endpoint has ended by now; what broke off since is told the same if it has.
+func (l *local) tellVerdict(by time.Time, ended bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, b := range l.broken {
+		if b.verdict != nil && (ended || !b.at.After(by)) {
+			b.verdict <- ended
+			l.broken[i].verdict = nil
+		}
+	}
+}
+
 // takeBroken takes out the work that broke off by a time.
 func (l *local) takeBroken(by time.Time) []brokenWork {
 	l.mu.Lock()
--- a/egress/ended_test.go
+++ b/egress/ended_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// TestVerdictOfBrokenWork checks which of the work that broke off is answered for by a look at the endpoint: an endpoint that refused a
+// connection has ended at all of it, one that took it has not at what broke off before.
+func TestVerdictOfBrokenWork(t *testing.T) {
+	looked := time.Now()
+	for _, ended := range []bool{true, false} {
+		l := new(local)
+		before := brokenWork{at: looked.Add(-time.Millisecond), verdict: make(chan bool, 1)}
+		after := brokenWork{at: looked.Add(time.Millisecond), verdict: make(chan bool, 1)}
+		l.broken = []brokenWork{before, after}
+		l.tellVerdict(looked, ended)
+		if got := <-before.verdict; got != ended {
+			t.Errorf("broke off before the look: got ended=%v, want %v", got, ended)
+		}
+		if got := len(after.verdict) > 0; got != ended {
+			t.Errorf("broke off after the look: got told=%v, want %v", got, ended)
+		}
+	}
+}
+
 // TestWorkThatBeganLaterIsNotTold checks that only what was under way at the end is told: a kept connection takes a request for a moment
 // after its endpoint has ended.
 func TestWorkThatBeganLaterIsNotTold(t *testing.T) {
--- a/egress/work.go
+++ b/egress/work.go
@@ -74,7 +74,7 @@
 		e.endings.Ran(contentOf(d))
 	}
 	if r.brokenAtWork() {
-		e.noteBroken(l, brokenWork{request: d.GetRequestId(), content: contentOf(d), began: w.start, at: w.start.Add(w.service)})
+		r.end.Ended = e.noteBroken(l, brokenWork{request: d.GetRequestId(), content: contentOf(d), began: w.start, at: w.start.Add(w.service)})
 	}
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -75,6 +75,8 @@
 	trail trail
 	// arrived is set once an endpoint may have had the request.
 	arrived bool
+	// ended counts the endpoints that have ended at the request.
+	ended int
 	// ran is set once a send ran, unknown once one may have run.
 	ran     bool
 	unknown bool
@@ -266,6 +268,9 @@
 	if reached(end) {
 		x.arrived, x.paid = true, false
 	}
+	if end.GetEnded() {
+		x.ended++
+	}
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.unknown = x.unknown || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
 }
@@ -351,10 +356,13 @@
 	return true
 }
 
+// mostOwnEnds is how many endpoints may end at one request's own sends: with one more it would be barred before it comes again.
+const mostOwnEnds = fatal.BarAfter - 1
+
 // mayEnd tells whether a further send is not to be made because an endpoint has ended under the same request before, and one may have
 // had this one: with a second send each arrival of such a request ends two.
 func (x *exchange) mayEnd() bool {
-	return x.arrived && x.g.fatal.Ends(x.call.content) >= fatal.SendOnce
+	return x.arrived && x.g.fatal.Ends(x.call.content) >= fatal.SendOnce || x.ended >= mostOwnEnds
 }
 
 // afterDeclined notes an endpoint that turned the request away before anything was sent, and tells whether to ask another.
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -113,7 +113,7 @@
 func (h *hedge) startSecond(ctx context.Context) {
 	x := h.x
 	if x.sends+len(h.running)+len(h.done)+len(h.beaten) >= x.mostSends() || x.refusals.refusing() || !x.adopt() ||
-		x.g.fatal.Ends(x.call.content) >= fatal.SendOnce {
+		x.ended >= mostOwnEnds || x.g.fatal.Ends(x.call.content) >= fatal.SendOnce {
 		return
 	}
 	if len(h.declined) >= mostSeconds {
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fatal"
@@ -65,7 +66,19 @@
 	return strings.TrimSpace(strings.ToLower(strings.TrimPrefix(end.GetOutcome().String(), "OUTCOME_")) + " " + end.GetCode())
 }
 
+// plainEnds are the words of sends that end at once, without an answer.
+var plainEnds = map[string]*peerpb.End{
+	"spent":   peer.NotRun(fault.RetryBudget, 0),
+	"refuses": peer.NotRun(fault.Busy, 0),
+	"ends":    peer.Unknown(fault.EndpointCut),
+	"gone":    {Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Code: string(fault.EndpointCut), Ended: true},
+	"barred":  peer.NotRun(fault.FatalRequest, 0),
+}
+
 func serveAs(ctx context.Context, word string, sink peer.Sink) *peerpb.End {
+	if end := plainEnds[word]; end != nil {
+		return proto.CloneOf(end)
+	}
 	switch word {
 	case "nags":
 		// The endpoint's node says once more that the answer is due, as it does when all that it has there is silent.
@@ -75,14 +88,6 @@
 	case "hangs":
 		<-ctx.Done()
 		return peer.Unknown(fault.Canceled)
-	case "spent":
-		return peer.NotRun(fault.RetryBudget, 0)
-	case "refuses":
-		return peer.NotRun(fault.Busy, 0)
-	case "ends":
-		return peer.Unknown(fault.EndpointCut)
-	case "barred":
-		return peer.NotRun(fault.FatalRequest, 0)
 	case "sheds":
 		time.Sleep(100 * time.Millisecond)
 		return peer.NotRun(fault.EndpointShed, 0)
