Stops: what a planned stop cuts is told by stage, further signals are logged

Callers saw connections close without an answer, and the log said of each such request only that it was canceled: waiting for a slot, at an endpoint and being answered looked alike, and a second SIGTERM left no trace. The ingress keeps what is under way with its stage; the node logs and counts it when the time for a stop is over.

--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -97,7 +97,21 @@
 				reload(n, path)
 			}
 		case <-stops:
-			if n.Stop() != nil {
+			return stop(n, stops)
+		}
+	}
+}
+
+// stop is the planned stop; the node is told of further signals.
+func stop(n *node.Node, stops <-chan os.Signal) int {
+	ended := make(chan error, 1)
+	go func() { ended <- n.Stop() }()
+	for {
+		select {
+		case <-stops:
+			n.StopAgain()
+		case err := <-ended:
+			if err != nil {
 				return exitFailed
 			}
 			return exitOK
--- a/egress/keys.go
+++ b/egress/keys.go
@@ -208,6 +208,9 @@
 	lost bool
 }
 
+// HandOver implements peer.HandOver.
+func (s *keepingSink) HandOver() bool { return peer.MayHandOver(s.Sink) }
+
 // Head implements peer.Sink.
 func (s *keepingSink) Head(h *peerpb.Head, soon bool) error {
 	s.head = h
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -109,6 +109,10 @@
 	due := l.due(d)
 	p, asks := sink.(peer.Permitter)
 	if !asks {
+		if !peer.MayHandOver(sink) {
+			l.untry(trial)
+			return false, peer.NotRun(fault.Stopping, 0)
+		}
 		if due > 0 {
 			sink.Due(due)
 		}
--- a/events/events.go
+++ b/events/events.go
@@ -25,6 +25,8 @@
 	HandlerPanicked = Event{108, "request handler panicked", zerolog.ErrorLevel}
 	LinesLeftOut    = Event{109, "log lines left out", zerolog.InfoLevel}
 	MemorySpent     = Event{110, "no room for bodies", zerolog.WarnLevel}
+	RequestCut      = Event{111, "request cut by planned stop", zerolog.WarnLevel}
+	StopRepeated    = Event{112, "stop signal repeated", zerolog.InfoLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack    = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -73,7 +75,7 @@
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
-	LinesLeftOut, MemorySpent,
+	LinesLeftOut, MemorySpent, RequestCut, StopRepeated,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -85,6 +85,8 @@
 	LinkLost Code = "link_lost"
 	// EndpointUnreachable is an endpoint that takes no connection.
 	EndpointUnreachable Code = "endpoint_unreachable"
+	// Stopping is a request that its node could not hand over before it had to stop.
+	Stopping Code = "stopping"
 	// CallerSlow is an answer that was given up because its caller read too slowly.
 	CallerSlow Code = "caller_slow"
 	// MemorySpent is a request whose body was not read because the node holds as much as it may.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -46,10 +46,28 @@
 	due  *dueWatch
 	// winner decides which of several sends speaks to the caller.
 	winner *winner
+	// progress is the request's, endpoint the one that is asked, handed is set while it may be working on this send.
+	progress *progress
+	endpoint string
+	handed   bool
 }
 
 func newAnswer(w http.ResponseWriter, c call, say contract.Contract, s *winner) *answer {
-	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.claims(), due: newDueWatch(), winner: s}
+	return &answer{w: w, call: c, say: say, mayHold: c.repeatable, keep: c.claims(), due: newDueWatch(), winner: s, progress: new(progress)}
+}
+
+// HandOver implements peer.HandOver.
+func (a *answer) HandOver() bool {
+	a.handed = a.progress.handOver(a.endpoint)
+	return a.handed
+}
+
+// returned notes that the send has ended.
+func (a *answer) returned() {
+	if a.handed {
+		a.handed = false
+		a.progress.returned()
+	}
 }
 
 // reset forgets a held answer before the next exchange.
@@ -94,6 +112,7 @@
 		return fault.New(fault.Canceled, "answer", "another send has answered")
 	}
 	a.started = true
+	a.progress.begin()
 	out := a.w.Header()
 	header.ToHTTP(h.GetHeaders(), out)
 	a.say.Outcome(out, contract.Outcome{
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -18,6 +18,8 @@
 func (x *exchange) deliver(
 	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
 ) *peerpb.End {
+	sink.endpoint = e.Key
+	defer sink.returned()
 	end := x.deliverTo(ctx, e, d, sink)
 	if next := x.inPlace(d, end); next != nil {
 		return x.deliverTo(ctx, e, next, sink)
@@ -42,6 +44,7 @@
 func (x *exchange) deliverTo(
 	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
 ) *peerpb.End {
+	sink.returned()
 	if e.Value.Host == x.g.cfg.Host {
 		return x.g.local.Serve(ctx, d, x.body.reader(), sink)
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -69,8 +69,9 @@
 	// sends counts the answers, refusals by full queues among them, that the retry policy had to judge.
 	sends int
 	// paid is set while the customer's limit has let a send pass that has reached no endpoint yet, pass is that.
-	paid bool
-	pass allowance.Pass
+	paid     bool
+	pass     allowance.Pass
+	progress progress
 	// trail is who was asked and what came of it, for the log.
 	trail trail
 	// arrived is set once an endpoint may have had the request.
@@ -230,6 +231,7 @@
 // newAnswer returns the sink of one more send.
 func (x *exchange) newAnswer() *answer {
 	a := newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
+	a.progress = &x.progress
 	x.holdFor(a)
 	return a
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -68,7 +68,8 @@
 	fatal   Fatal
 	clock   clock.Clock
 	// budget is what this node may hold of answers.
-	budget *memory.Budget
+	budget   *memory.Budget
+	underWay underWay
 
 	mu      sync.Mutex
 	refused map[string]*refusals
@@ -242,8 +243,11 @@
 	defer cancel()
 	x := &exchange{g: g, start: time.Now(), watch: g.clock.Begin(), call: c, body: body, winner: new(winner), pass: pass, paid: true}
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
+	x.answer.progress = &x.progress
 	x.holdFor(x.answer)
 	defer x.free()
+	g.underWay.add(x)
+	defer g.underWay.remove(x)
 	x.refusals = g.refusals(c.service.Key)
 	end := x.run(ctx)
 	if x.paid {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -140,6 +140,11 @@
 	l.refused.Inc(1)
 }
 
+// StopCut counts requests that a planned stop cut, by how far they had come.
+func (m *Metrics) StopCut(stage string, count int64) {
+	m.root.Tagged(map[string]string{"stage": stage}).Counter("stop_cut").Inc(count)
+}
+
 // Gauge sets a node-wide gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.root.Gauge(name).Update(value) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,8 @@
 	level     levelHook
 	// stopping is set once the planned stop has begun.
 	stopping atomic.Bool
+	// stopBegan is when it did, nil before.
+	stopBegan atomic.Pointer[time.Time]
 	// announced holds the endpoints that announce themselves, nil where they are rows of the table.
 	announced *registry.Registry
 	// budget is what the node may hold of bodies.
@@ -132,6 +134,9 @@
 	if err != nil {
 		return err
 	}
+	for _, stage := range []string{string(ingress.StageWaiting), string(ingress.StageRunning), string(ingress.StageAnswering), stageBehind} {
+		m.StopCut(stage, 0)
+	}
 	var follower *follow.Follower
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
 		peer.WithBeatHook(func(name string, revisions table.Revisions) { follower.Hint(name, revisions) }))
@@ -256,6 +261,7 @@
 // 4 of 10 sound endpoints out of use for two seconds.
 func (n *Node) Stop() error {
 	start := time.Now()
+	n.stopBegan.Store(&start)
 	events.NodeStopping.Log(n.log).Send()
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std()-n.cfg.Stop.Margin.Std())
@@ -273,6 +279,9 @@
 		return err
 	}
 	n.awaitCallers(ctx, callers)
+	if err := n.tellCut(callers); err != nil {
+		return err
+	}
 	if err := n.kernel.Stop(ctx); err != nil {
 		events.StopCut.Log(n.log).Err(err).Send()
 		return err
@@ -281,6 +290,13 @@
 	return nil
 }
 
+// StopAgain notes a further signal to stop.
+func (n *Node) StopAgain() {
+	if began := n.stopBegan.Load(); began != nil {
+		events.StopRepeated.Log(n.log).Dur("after", time.Since(*began)).Send()
+	}
+}
+
 // withdrawWithEndpoint takes the host's line out of the table if the endpoint beside it has left for good, and the host with it.
 func (n *Node) withdrawWithEndpoint() error {
 	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
@@ -331,6 +347,34 @@
 	}
 }
 
+// stageBehind is a request that has not begun because another one on its connection has no answer yet.
+const stageBehind = "behind"
+
+// tellCut logs and counts the callers' requests that are still under way.
+func (n *Node) tellCut(callers *pipeline.Server) error {
+	if callers.Working() == 0 {
+		return nil
+	}
+	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
+	if err != nil {
+		return err
+	}
+	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
+	if err != nil {
+		return err
+	}
+	for _, r := range g.UnderWay() {
+		m.StopCut(string(r.Stage), 1)
+		events.RequestCut.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
+			Dur("after", r.After).Send()
+	}
+	if behind := callers.Behind(); behind > 0 {
+		m.StopCut(stageBehind, int64(behind))
+		events.RequestCut.Log(n.log).Str("stage", stageBehind).Int("count", behind).Send()
+	}
+	return nil
+}
+
 // handler answers peers.
 type handler struct {
 	*egress.Egress
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -31,6 +31,19 @@
 	Permit(ctx context.Context, load *peerpb.Load, due time.Duration) bool
 }
 
+// HandOver is a Sink whose owner is asked right before the request is handed to an endpoint.
+type HandOver interface {
+	Sink
+	// HandOver returns whether the request may be handed over; once it has returned true an endpoint may have it.
+	HandOver() bool
+}
+
+// MayHandOver asks a sink that wants to be asked.
+func MayHandOver(sink Sink) bool {
+	h, asks := sink.(HandOver)
+	return !asks || h.HandOver()
+}
+
 // NotRun returns the end of an exchange whose request was provably not handed to the endpoint.
 func NotRun(code fault.Code, retryAfter time.Duration) *peerpb.End {
 	return &peerpb.End{
@@ -60,6 +73,9 @@
 		return end
 	}
 	defer x.close()
+	if x.handed && !d.GetClaim().GetClaimOnly() && !MayHandOver(sink) {
+		return NotRun(fault.Stopping, 0)
+	}
 	first := d
 	if x.offered {
 		d.Credit = answerWindow
@@ -71,7 +87,7 @@
 	if x.handed {
 		x.sendBody(d, body)
 	}
-	return x.receive(sink, func() error { return x.handOver(d, body) })
+	return x.receive(sink, func() error { return x.handOver(d, body, sink) })
 }
 
 // offerOf is a dispatch without what only the endpoint needs: most offers to a busy fleet are turned away, and the links
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -90,10 +90,13 @@
 }
 
 // handOver gives the word that the request may run.
-func (x *sending) handOver(d *peerpb.Dispatch, body io.Reader) error {
+func (x *sending) handOver(d *peerpb.Dispatch, body io.Reader, sink Sink) error {
 	if x.ctx.Err() != nil {
 		return fault.Wrap(x.ctx.Err(), ctxCode(x.ctx), "exchange", "caller went away")
 	}
+	if !MayHandOver(sink) {
+		return fault.New(fault.Stopping, "exchange", "the node is stopping")
+	}
 	x.handed = true
 	if err := WriteFrame(x.stream, &peerpb.Frame{Kind: &peerpb.Frame_Go{Go: goOf(d)}}); err != nil {
 		return err
@@ -131,7 +134,9 @@
 				return Unknown(fault.Protocol)
 			}
 			x.credits = k.Grant.GetCredits()
-			if handOver() != nil {
+			if err := handOver(); err != nil && fault.CodeOf(err) == fault.Stopping {
+				return NotRun(fault.Stopping, 0)
+			} else if err != nil {
 				return x.broken()
 			}
 			tellDue(sink, k.Grant)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -129,6 +129,19 @@
 	return len(c.ahead) > 0
 }
 
+// behind counts the requests that were read and have not begun.
+func (c *conn) behind() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, x := range c.ahead {
+		if !x.started {
+			n++
+		}
+	}
+	return n
+}
+
 // refuse answers what could not be read or is not taken, after the answers before it, and closes the connection; h is the
 // request's header, nil where it could not be read.
 func (c *conn) refuse(h http.Header, status int, bad *fault.Error) {
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -129,6 +129,17 @@
 // Working returns the number of requests under way.
 func (s *Server) Working() int64 { return s.flight.Load() }
 
+// Behind returns the number of requests that were read and have not begun, as another one on their connection has no answer yet.
+func (s *Server) Behind() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		n += c.behind()
+	}
+	return n
+}
+
 // Stop takes no new connections, waits for the requests in flight as long as ctx allows, then closes what is left.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
