--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -293,6 +293,9 @@
 // StopNode is the planned stop of a member's node; it fails unless the node exits with 0.
 func (m *Member) StopNode() error { return m.endNode(syscall.SIGTERM) }
 
+// SignalStop has a member's node begin its planned stop, or grants it the grace once more, and does not wait for its end.
+func (m *Member) SignalStop() error { return m.node.cmd.Process.Signal(syscall.SIGTERM) }
+
 // KillNode ends a member's node without notice.
 func (m *Member) KillNode() error {
 	_ = m.endNode(syscall.SIGKILL)
--- a/demo/load.go
+++ b/demo/load.go
@@ -64,6 +64,8 @@
 	Deadline string
 	// Prefix comes before each request's path, and Mark before its name, which its body holds too; Customer pays.
 	Prefix, Mark, Customer string
+	// Sends is how often each request is sent at most.
+	Sends int
 
 	client  *http.Client
 	targets []string
@@ -87,7 +89,7 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Load{
 		client:  &http.Client{Timeout: clientLimit, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}},
-		targets: targets, Deadline: "3s",
+		targets: targets, Deadline: "3s", Sends: mostSends,
 	}
 }
 
@@ -146,7 +148,7 @@
 			r.Told = "unknown"
 		}
 		again := !reached || r.Told == "not-run" || r.Told == "unknown" && r.Kind != Payment
-		if !again || r.Sends == mostSends {
+		if !again || r.Sends >= l.Sends {
 			return r
 		}
 		if r.Told == "unknown" {
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -44,7 +44,7 @@
 // TestScenarios runs the scenarios of testdata/scenarios, each with a fleet of real processes of its own. Commands:
 //
 //	fleet nodes=N [halls=N] [work=4] [service=(CELL: VALUE, ...)] [settings=(...)]
-//	send kind=lookup|booking|payment n=N [to=h1] [deadline=3s]      waits for the answers and prints them counted
+//	send kind=lookup|booking|payment n=N [to=h1] [deadline=3s] [sends=N]      waits for the answers and prints them counted
 //	hold (as send)                                                  sends in the background
 //	held                                                            waits for what hold sent and prints it
 //	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving] [large=BYTES] [pause=N]    pause is after each 16 KiB of a body
@@ -53,7 +53,8 @@
 //	ejected on=h1                                                   waits until every node that serves keeps work from it
 //	begun on=h1 n=N                                                 waits until the endpoint has begun N requests in all
 //	mark on=h1, new on=h1                                           work begun since the mark
-//	kill, start, stop, freeze, thaw on=h1
+//	kill, start, freeze, thaw on=h1
+//	stop on=h1 [signals=N] [gap=4s]                                 signals to stop in series; waits for the exit and prints its code
 //	cut, heal on=h1 way=to|from                                     one direction of every link dialed to the node
 //	slow on=h1 ms=N                                                 delays every link dialed to the node, both ways
 //	platform up|down
@@ -73,6 +74,11 @@
 	runScenarios(t, "testdata/scenarios/*")
 }
 
+// TestPlannedStops runs the scenarios of testdata/stops: nodes that are stopped under work which lasts.
+func TestPlannedStops(t *testing.T) {
+	runScenarios(t, "testdata/stops/*")
+}
+
 // TestFatalRequests runs the scenarios of testdata/fatal: requests that end the endpoints that run them.
 func TestFatalRequests(t *testing.T) {
 	runScenarios(t, "testdata/fatal/*")
@@ -185,6 +191,7 @@
 	kind := slices.Index(kindNames[:], word(t, d, "kind", "lookup"))
 	l := NewLoad(targets)
 	l.Deadline = word(t, d, "deadline", "3s")
+	l.Sends = number(t, d, "sends", l.Sends)
 	n := number(t, d, "n", 1)
 	first := s.sent
 	s.sent += n
@@ -313,8 +320,7 @@
 	case "kill":
 		must(t, d, m.KillNode())
 	case "stop":
-		must(t, d, m.StopNode())
-		return "exit 0\n"
+		return s.stop(t, d, m)
 	case "start":
 		must(t, d, s.fleet.StartNode(m))
 		must(t, d, s.fleet.WaitReady())
@@ -327,6 +333,20 @@
 	return ""
 }
 
+func (s *scenario) stop(t *testing.T, d *datadriven.TestData, m *Member) string {
+	t.Helper()
+	gap, err := time.ParseDuration(word(t, d, "gap", "0s"))
+	must(t, d, err)
+	for range number(t, d, "signals", 1) - 1 {
+		must(t, d, m.SignalStop())
+		time.Sleep(gap)
+	}
+	if err := m.StopNode(); err != nil {
+		return "exit 1\n"
+	}
+	return "exit 0\n"
+}
+
 func (s *scenario) link(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	way := map[string]Direction{"to": To, "from": From}[word(t, d, "way", "to")]
