Stops: a further signal grants the whole grace once more

Callers of a node that was stopped for a release and, 0.8 s earlier, for the loss of its endpoint had connections closed without an answer while endpoints worked on their requests. The node counted its grace from the first signal and read no other; whoever sends a signal waits for the whole grace after it. Now each signal moves the end. It holds in either case: where the process is killed by the first signal's time, it is killed with the work that the kill would have met before, and where by the last one's, that work ends. A series of signals cannot hold the node up: it takes nothing new and exits once its work is done, which every route's time limit bounds. Ruled out: requests that came late, and answers lost on their way, by the times of the reported case.

--- a/node/node.go
+++ b/node/node.go
@@ -82,8 +82,8 @@
 	level     levelHook
 	// stopping is set once the planned stop has begun.
 	stopping atomic.Bool
-	// stopBegan is when it did, nil before.
-	stopBegan atomic.Pointer[time.Time]
+	// grace is the time that the planned stop may take.
+	grace *grace
 	// announced holds the endpoints that announce themselves, nil where they are rows of the table.
 	announced *registry.Registry
 	// budget is what the node may hold of bodies.
@@ -111,7 +111,7 @@
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	n := &Node{cfg: cfg, seen: cfg, out: out, kernel: kernel.New()}
+	n := &Node{cfg: cfg, seen: cfg, out: out, kernel: kernel.New(), grace: newGrace(cfg.Stop.Grace.Std() - cfg.Stop.Margin.Std())}
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
@@ -253,128 +253,6 @@
 	return nil
 }
 
-// Stop is the planned stop: the node makes each caller's next answer the connection's last and goes on with everything for the
-// notice, in which callers and peers find their way elsewhere; then it tells its peers, takes nothing new for the endpoint beside
-// it, ends what it has and stops. It fails when the grace time cut something.
-//
-// The endpoint lives on without its node. When its door was shut from the first moment on, a roll through a third of a fleet took
-// 4 of 10 sound endpoints out of use for two seconds.
-func (n *Node) Stop() error {
-	start := time.Now()
-	n.stopBegan.Store(&start)
-	events.NodeStopping.Log(n.log).Send()
-	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Stop.Grace.Std()-n.cfg.Stop.Margin.Std())
-	defer cancel()
-	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
-	if err != nil {
-		return err
-	}
-	callers.Drain()
-	if err := n.withdrawWithEndpoint(); err != nil {
-		return err
-	}
-	n.awaitNotice(ctx, start)
-	if err := n.announceStop(); err != nil {
-		return err
-	}
-	n.awaitCallers(ctx, callers)
-	if err := n.tellCut(callers); err != nil {
-		return err
-	}
-	if err := n.kernel.Stop(ctx); err != nil {
-		events.StopCut.Log(n.log).Err(err).Send()
-		return err
-	}
-	events.NodeStopped.Log(n.log).Dur("after", time.Since(start)).Send()
-	return nil
-}
-
-// StopAgain notes a further signal to stop.
-func (n *Node) StopAgain() {
-	if began := n.stopBegan.Load(); began != nil {
-		events.StopRepeated.Log(n.log).Dur("after", time.Since(*began)).Send()
-	}
-}
-
-// withdrawWithEndpoint takes the host's line out of the table if the endpoint beside it has left for good, and the host with it.
-func (n *Node) withdrawWithEndpoint() error {
-	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
-		return nil
-	}
-	a, err := kernel.Lookup[*announce.Announcer](n.kernel, Announcer)
-	if err == nil {
-		a.Withdraw()
-	}
-	return err
-}
-
-// announceStop tells the peers that the node takes nothing new for its endpoint, and takes nothing.
-func (n *Node) announceStop() error {
-	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
-	if err != nil {
-		return err
-	}
-	e, err := kernel.Lookup[*egress.Egress](n.kernel, Egress)
-	if err != nil {
-		return err
-	}
-	links.Leave()
-	e.Close()
-	return nil
-}
-
-// stopLook is the time between two looks at whether callers still have requests here.
-const stopLook = 20 * time.Millisecond
-
-// awaitNotice serves on until the notice is over: callers learn only after some seconds that the node is going, and their
-// connections may carry new requests until then.
-func (n *Node) awaitNotice(ctx context.Context, start time.Time) {
-	notice := time.NewTimer(n.cfg.Stop.Notice.Std() - time.Since(start))
-	defer notice.Stop()
-	select {
-	case <-ctx.Done():
-	case <-notice.C:
-	}
-}
-
-// awaitCallers refuses new requests, so that what was taken has the rest of the grace to end in; callers may have nowhere else to
-// go and never stop sending.
-func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server) {
-	callers.Refuse()
-	for ctx.Err() == nil && callers.Working() > 0 {
-		time.Sleep(stopLook)
-	}
-}
-
-// stageBehind is a request that has not begun because another one on its connection has no answer yet.
-const stageBehind = "behind"
-
-// tellCut logs and counts the callers' requests that are still under way.
-func (n *Node) tellCut(callers *pipeline.Server) error {
-	if callers.Working() == 0 {
-		return nil
-	}
-	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
-	if err != nil {
-		return err
-	}
-	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
-	if err != nil {
-		return err
-	}
-	for _, r := range g.UnderWay() {
-		m.StopCut(string(r.Stage), 1)
-		events.RequestCut.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
-			Dur("after", r.After).Send()
-	}
-	if behind := callers.Behind(); behind > 0 {
-		m.StopCut(stageBehind, int64(behind))
-		events.RequestCut.Log(n.log).Str("stage", stageBehind).Int("count", behind).Send()
-	}
-	return nil
-}
-
 // handler answers peers.
 type handler struct {
 	*egress.Egress
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lynxplank/lynxplank/announce"
+	"github.com/lynxplank/lynxplank/egress"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/ingress"
+	"github.com/lynxplank/lynxplank/kernel"
+	"github.com/lynxplank/lynxplank/metrics"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/pipeline"
+)
+
+// grace is the time that a planned stop may take.
+type grace struct {
+	length time.Duration
+
+	mu    sync.Mutex
+	began time.Time
+	timer *time.Timer
+}
+
+func newGrace(length time.Duration) *grace { return &grace{length: length} }
+
+// begin counts the grace from now on and returns a context that ends with it.
+func (g *grace) begin() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.began = time.Now()
+	g.timer = time.AfterFunc(g.length, cancel)
+	return ctx, cancel
+}
+
+// renew counts the grace anew and returns how long ago it was first begun; false if it has not been.
+//
+// Whoever sends the signal waits for the whole grace after it. A stop that went by the first signal alone would cut requests for which there
+// is time.
+func (g *grace) renew() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timer == nil {
+		return 0, false
+	}
+	g.timer.Reset(g.length)
+	return time.Since(g.began), true
+}
+
+// Stop is the planned stop: the node makes each caller's next answer the connection's last and goes on with everything for the
+// notice, in which callers and peers find their way elsewhere; then it tells its peers, takes nothing new for the endpoint beside
+// it, ends what it has and stops. It fails when the grace time cut something.
+//
+// The endpoint lives on without its node. When its door was shut from the first moment on, a roll through a third of a fleet took
+// 4 of 10 sound endpoints out of use for two seconds.
+func (n *Node) Stop() error {
+	start := time.Now()
+	events.NodeStopping.Log(n.log).Send()
+	n.stopping.Store(true)
+	ctx, cancel := n.grace.begin()
+	defer cancel()
+	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
+	if err != nil {
+		return err
+	}
+	callers.Drain()
+	if err := n.withdrawWithEndpoint(); err != nil {
+		return err
+	}
+	n.awaitNotice(ctx, start)
+	if err := n.announceStop(); err != nil {
+		return err
+	}
+	n.awaitCallers(ctx, callers)
+	if err := n.tellCut(callers); err != nil {
+		return err
+	}
+	if err := n.kernel.Stop(ctx); err != nil {
+		events.StopCut.Log(n.log).Err(err).Send()
+		return err
+	}
+	events.NodeStopped.Log(n.log).Dur("after", time.Since(start)).Send()
+	return nil
+}
+
+// StopAgain grants a planned stop that has begun the whole grace once more; what has ended stays so.
+func (n *Node) StopAgain() {
+	if after, begun := n.grace.renew(); begun {
+		events.StopRepeated.Log(n.log).Dur("after", after).Send()
+	}
+}
+
+// withdrawWithEndpoint takes the host's line out of the table if the endpoint beside it has left for good, and the host with it.
+func (n *Node) withdrawWithEndpoint() error {
+	if n.announced == nil || n.announced.Known() == 0 || n.announced.Serving() {
+		return nil
+	}
+	a, err := kernel.Lookup[*announce.Announcer](n.kernel, Announcer)
+	if err == nil {
+		a.Withdraw()
+	}
+	return err
+}
+
+// announceStop tells the peers that the node takes nothing new for its endpoint, and takes nothing.
+func (n *Node) announceStop() error {
+	links, err := kernel.Lookup[*peer.Manager](n.kernel, Links)
+	if err != nil {
+		return err
+	}
+	e, err := kernel.Lookup[*egress.Egress](n.kernel, Egress)
+	if err != nil {
+		return err
+	}
+	links.Leave()
+	e.Close()
+	return nil
+}
+
+// stopLook is the time between two looks at whether callers still have requests here.
+const stopLook = 20 * time.Millisecond
+
+// awaitNotice serves on until the notice is over: callers learn only after some seconds that the node is going, and their
+// connections may carry new requests until then.
+func (n *Node) awaitNotice(ctx context.Context, start time.Time) {
+	notice := time.NewTimer(n.cfg.Stop.Notice.Std() - time.Since(start))
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+	case <-notice.C:
+	}
+}
+
+// awaitCallers refuses new requests, so that what was taken has the rest of the grace to end in; callers may have nowhere else to
+// go and never stop sending.
+func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server) {
+	callers.Refuse()
+	for ctx.Err() == nil && callers.Working() > 0 {
+		time.Sleep(stopLook)
+	}
+}
+
+// stageBehind is a request that has not begun because another one on its connection has no answer yet.
+const stageBehind = "behind"
+
+// tellCut logs and counts the callers' requests that are still under way.
+func (n *Node) tellCut(callers *pipeline.Server) error {
+	if callers.Working() == 0 {
+		return nil
+	}
+	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
+	if err != nil {
+		return err
+	}
+	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
+	if err != nil {
+		return err
+	}
+	for _, r := range g.UnderWay() {
+		m.StopCut(string(r.Stage), 1)
+		events.RequestCut.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
+			Dur("after", r.After).Send()
+	}
+	if behind := callers.Behind(); behind > 0 {
+		m.StopCut(stageBehind, int64(behind))
+		events.RequestCut.Log(n.log).Str("stage", stageBehind).Int("count", behind).Send()
+	}
+	return nil
+}
