--- a/peer/sending.go
+++ b/peer/sending.go
@@ -24,6 +24,8 @@
 	// offered is set for an exchange that waits for a grant, handed once the request may run.
 	offered bool
 	handed  bool
+	// withheld is set when the sink did not let the request be handed over.
+	withheld bool
 	// credits is set where the peer waits to be told what the caller has read; read counts the bytes of which it was not told yet.
 	credits bool
 	read    int
@@ -81,6 +83,8 @@
 // broken is how the exchange ends when the stream says no more.
 func (x *sending) broken() *peerpb.End {
 	switch {
+	case x.withheld:
+		return NotRun(fault.Stopping, 0)
 	case !x.handed && x.ctx.Err() != nil:
 		return NotRun(ctxCode(x.ctx), 0)
 	case !x.handed:
@@ -94,7 +98,7 @@
 	if x.ctx.Err() != nil {
 		return fault.Wrap(x.ctx.Err(), ctxCode(x.ctx), "exchange", "caller went away")
 	}
-	if !MayHandOver(sink) {
+	if x.withheld = !MayHandOver(sink); x.withheld {
 		return fault.New(fault.Stopping, "exchange", "the node is stopping")
 	}
 	x.handed = true
@@ -134,9 +138,7 @@
 				return Unknown(fault.Protocol)
 			}
 			x.credits = k.Grant.GetCredits()
-			if err := handOver(); err != nil && fault.CodeOf(err) == fault.Stopping {
-				return NotRun(fault.Stopping, 0)
-			} else if err != nil {
+			if handOver() != nil {
 				return x.broken()
 			}
 			tellDue(sink, k.Grant)
