Stops: requests that no endpoint has are refused before the node ends

Callers whose requests waited for a slot at the end of a planned stop had their connections closed without an answer: one end held for all that was under way, whatever its state, and a request may wait until its aim is over, which can be later than the end of the grace. Now the ingress knows which requests an endpoint may have, and keeps the others from endpoints once their ordinary work could no longer end in time: they are told not run, with when to come back. A send asks at its hand-over, under the same lock that closes the request, so none is both refused and handed over. What counts is the first signal's grace, as the process may be killed by it. Answers that are asked for again because a link broke are given up just before the end, as unknown. Ruled out: a refusal in place of work that an endpoint has; that stays open until the end.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -58,7 +58,7 @@
 
 // HandOver implements peer.HandOver.
 func (a *answer) HandOver() bool {
-	a.handed = a.progress.handOver(a.endpoint)
+	a.handed = a.progress.handOver(a)
 	return a.handed
 }
 
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -45,6 +45,22 @@
 	ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer,
 ) *peerpb.End {
 	sink.returned()
+	ctx, done := x.progress.wait(ctx, sink)
+	defer done()
+	return x.stopped(x.bring(ctx, e, d, sink))
+}
+
+// stopped tells of a send that was given up because the node stops that another node takes it at once.
+func (x *exchange) stopped(end *peerpb.End) *peerpb.End {
+	code := fault.Code(end.GetCode())
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN && (code == fault.Stopping || code == fault.Canceled && x.progress.isClosed()) {
+		return peer.NotRun(fault.Stopping, elsewhereRetryAfter)
+	}
+	return end
+}
+
+// bring hands a dispatch to the egress of an endpoint's host, and asks again for an answer whose link broke.
+func (x *exchange) bring(ctx context.Context, e table.Entry[table.Endpoint], d *peerpb.Dispatch, sink *answer) *peerpb.End {
 	if e.Value.Host == x.g.cfg.Host {
 		return x.g.local.Serve(ctx, d, x.body.reader(), sink)
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -72,6 +72,8 @@
 	paid     bool
 	pass     allowance.Pass
 	progress progress
+	// closing closes progress when the node stops, nil before.
+	closing *time.Timer
 	// trail is who was asked and what came of it, for the log.
 	trail trail
 	// arrived is set once an endpoint may have had the request.
@@ -95,12 +97,12 @@
 func (x *exchange) runAnywhere(ctx context.Context) *peerpb.End {
 	var last *peerpb.End
 	for {
-		pick, wait, err := x.pick(ctx)
+		pick, wait, err := x.choose(ctx)
 		if err != nil {
 			if last != nil {
 				return x.truth(last)
 			}
-			return x.truth(peer.NotRun(fault.CodeOf(err), 0))
+			return x.truth(x.unsent(ctx, peer.NotRun(fault.CodeOf(err), 0)))
 		}
 		end := x.sendTo(ctx, &pick, wait)
 		again := x.again(ctx, pick, end)
@@ -109,7 +111,7 @@
 			end = last
 		}
 		if !again || !x.pay(ctx) {
-			return x.truth(end)
+			return x.truth(x.unsent(ctx, end))
 		}
 		last = end
 	}
@@ -139,6 +141,17 @@
 	return end
 }
 
+// choose is pick, given up when the node stops.
+func (x *exchange) choose(ctx context.Context) (director.Pick, bool, error) {
+	waiting, done := x.progress.wait(ctx, nil)
+	defer done()
+	pick, wait, err := x.pick(waiting)
+	if ctx.Err() == nil && waiting.Err() != nil {
+		err = fault.New(fault.Canceled, x.call.service.Key, "no endpoint was chosen in time")
+	}
+	return pick, wait, err
+}
+
 // pick chooses the next endpoint: first those with a free slot, which are asked and not waited for, then the one where
 // the wait is shortest, and when every endpoint is under suspicion one of these all the same.
 func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
@@ -323,9 +336,18 @@
 	return aim > 0 && time.Since(x.start) > aim
 }
 
+// unsent tells of a request that no endpoint has had, and that gets to none because the node stops, that another node takes it at once.
+func (x *exchange) unsent(ctx context.Context, end *peerpb.End) *peerpb.End {
+	if end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN || ctx.Err() != nil || !x.progress.isClosed() ||
+		fault.Code(end.GetCode()) == fault.FatalRequest {
+		return end
+	}
+	return peer.NotRun(fault.Stopping, elsewhereRetryAfter)
+}
+
 // again decides on a further send.
 func (x *exchange) again(ctx context.Context, pick director.Pick, end *peerpb.End) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || x.progress.isClosed() {
 		return false
 	}
 	if fault.Code(end.GetCode()) == fault.FatalRequest || x.mayEnd() {
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -88,7 +88,11 @@
 
 // refusedSecond tells that an endpoint did not take a second send, which says nothing of the request.
 func refusedSecond(end *peerpb.End) bool {
-	return declined(end) || misplaced(end) || crowded(end) || fault.Code(end.GetCode()) == fault.RetryBudget
+	switch fault.Code(end.GetCode()) {
+	case fault.RetryBudget, fault.Stopping:
+		return true
+	}
+	return declined(end) || misplaced(end) || crowded(end)
 }
 
 // start begins a send.
@@ -113,7 +117,7 @@
 func (h *hedge) startSecond(ctx context.Context) {
 	x := h.x
 	if x.sends+len(h.running)+len(h.done)+len(h.beaten) >= x.mostSends() || x.refusals.refusing() || !x.adopt() ||
-		x.ended >= mostOwnEnds || x.g.fatal.Ends(x.call.content) >= fatal.SendOnce {
+		x.progress.isClosed() || x.ended >= mostOwnEnds || x.g.fatal.Ends(x.call.content) >= fatal.SendOnce {
 		return
 	}
 	if len(h.declined) >= mostSeconds {
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -86,7 +86,8 @@
 // unasked tells that the request's time ran out, or its caller left, before a home was asked.
 func unasked(end *peerpb.End) bool {
 	code := fault.Code(end.GetCode())
-	return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN && (code == fault.DeadlineExceeded || code == fault.Canceled)
+	return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN &&
+		(code == fault.DeadlineExceeded || code == fault.Canceled || code == fault.Stopping)
 }
 
 // keyedTruth never tells of a request that may be a re-send that it was not run, unless a home knows.
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -32,20 +33,69 @@
 }
 
 // progress is how far one request has come, for whoever stops the node.
+//
+// Invariant: once it is closed, no endpoint gets the request.
 type progress struct {
 	mu sync.Mutex
 	// running counts the sends that endpoints may be working on.
 	running  int
 	begun    bool
 	endpoint string
+	closed   bool
+	// waits are what of the request waits and may end early: by its send, nil for the choice of an endpoint.
+	waits map[*answer]context.CancelFunc
+	// lost are the sends whose answers are asked for again because their links broke.
+	lost map[*answer]context.CancelFunc
 }
 
-// handOver notes that an endpoint is about to get the request, and tells whether it may.
-func (p *progress) handOver(endpoint string) bool {
+// wait returns a context for a part of the request that ends with its close, until an endpoint gets it; done has to be called.
+func (p *progress) wait(ctx context.Context, send *answer) (waiting context.Context, done func()) {
+	waiting, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		cancel()
+	}
+	hold(&p.waits, send, cancel)
+	return waiting, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		cancel()
+		delete(p.waits, send)
+	}
+}
+
+// ask returns a context for asking again for a send's answer; done has to be called.
+func (p *progress) ask(ctx context.Context, send *answer) (asking context.Context, done func()) {
+	asking, cancel := context.WithCancel(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hold(&p.lost, send, cancel)
+	return asking, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		cancel()
+		delete(p.lost, send)
+	}
+}
+
+func hold(m *map[*answer]context.CancelFunc, send *answer, cancel context.CancelFunc) {
+	if *m == nil {
+		*m = make(map[*answer]context.CancelFunc)
+	}
+	(*m)[send] = cancel
+}
+
+// handOver notes that an endpoint is about to get a send, and tells whether it may.
+func (p *progress) handOver(send *answer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	delete(p.waits, send)
 	p.running++
-	p.endpoint = endpoint
+	p.endpoint = send.endpoint
 	return true
 }
 
@@ -63,6 +113,31 @@
 	p.begun = true
 }
 
+// close keeps the request from endpoints from now on; what of it waits ends.
+func (p *progress) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, cancel := range p.waits {
+		cancel()
+	}
+}
+
+func (p *progress) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// giveUpLost ends the asking for answers whose links broke.
+func (p *progress) giveUpLost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, cancel := range p.lost {
+		cancel()
+	}
+}
+
 // stage returns how far the request has come and the endpoint that had it last.
 func (p *progress) stage() (Stage, string) {
 	p.mu.Lock()
@@ -76,10 +151,15 @@
 	return StageWaiting, p.endpoint
 }
 
+// leastWork is the least time that a hand-over leaves for the work and its answer before the node has to end.
+const leastWork = 100 * time.Millisecond
+
 // underWay holds the requests that are under way.
 type underWay struct {
 	mu  sync.Mutex
 	all map[*exchange]struct{}
+	// until is when the node may end, the zero time while it is not stopping.
+	until time.Time
 }
 
 func (u *underWay) add(x *exchange) {
@@ -89,12 +169,50 @@
 		u.all = make(map[*exchange]struct{})
 	}
 	u.all[x] = struct{}{}
+	if !u.until.IsZero() {
+		x.closeFor(u.until)
+	}
 }
 
 func (u *underWay) remove(x *exchange) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.all, x)
+	if x.closing != nil {
+		x.closing.Stop()
+	}
+}
+
+// closeFor keeps the request from endpoints once ordinary work could no longer end before the node may.
+func (x *exchange) closeFor(end time.Time) {
+	work := x.g.routes.ordinary(x.call.route.Key, x.aim())
+	left := time.Until(end) - max(work, leastWork)
+	if left <= 0 {
+		x.progress.close()
+		return
+	}
+	x.closing = time.AfterFunc(left, x.progress.close)
+}
+
+// HandOverUntil has each request that no endpoint has refused as not run while that can still be told, given when the node may end at the
+// earliest. An endpoint that got it later would mostly see it cut, and another node can still serve it.
+func (g *Ingress) HandOverUntil(end time.Time) {
+	g.underWay.mu.Lock()
+	defer g.underWay.mu.Unlock()
+	g.underWay.until = end
+	for x := range g.underWay.all {
+		x.closeFor(end)
+	}
+}
+
+// GiveUpLost has callers told at once that the fate of their requests is unknown where a link broke after the hand-over and no other way has
+// brought the answer so far.
+func (g *Ingress) GiveUpLost() {
+	g.underWay.mu.Lock()
+	defer g.underWay.mu.Unlock()
+	for x := range g.underWay.all {
+		x.progress.giveUpLost()
+	}
 }
 
 // UnderWay returns the requests that are under way, the oldest first.
--- a/ingress/recover.go
+++ b/ingress/recover.go
@@ -24,6 +24,8 @@
 		return end
 	}
 	start := time.Now()
+	ctx, done := x.progress.ask(ctx, x.answer)
+	defer done()
 	for lost(end) && ctx.Err() == nil && !x.answer.started {
 		if end = x.fetchOnce(ctx, host, exchange, end); !lost(end) {
 			break
--- a/ingress/routes.go
+++ b/ingress/routes.go
@@ -72,6 +72,13 @@
 	return r.times.Of(route, aim/aimPart).Quantile(half)
 }
 
+// ordinary returns the time that suffices for most of a route's work, a part of its aim while that is not known.
+func (r *routes) ordinary(route string, aim time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.times.Of(route, aim/aimPart).Quantile(usualShare)
+}
+
 // patience returns how long a request with so much time left to its aim waits for a slot in its own hall, so that its
 // bytes need not go to another: longer the more bytes it moves, and never so long that its work could not be in time.
 func (r *routes) patience(route string, left time.Duration) time.Duration {
--- a/node/stop.go
+++ b/node/stop.go
@@ -21,6 +21,7 @@
 
 	mu    sync.Mutex
 	began time.Time
+	end   time.Time
 	timer *time.Timer
 }
 
@@ -32,6 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.began = time.Now()
+	g.end = g.began.Add(g.length)
 	g.timer = time.AfterFunc(g.length, cancel)
 	return ctx, cancel
 }
@@ -47,9 +49,17 @@
 		return 0, false
 	}
 	g.timer.Reset(g.length)
+	g.end = time.Now().Add(g.length)
 	return time.Since(g.began), true
 }
 
+// left returns what is left of the grace.
+func (g *grace) left() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Until(g.end)
+}
+
 // Stop is the planned stop: the node makes each caller's next answer the connection's last and goes on with everything for the
 // notice, in which callers and peers find their way elsewhere; then it tells its peers, takes nothing new for the endpoint beside
 // it, ends what it has and stops. It fails when the grace time cut something.
@@ -66,6 +76,12 @@
 	if err != nil {
 		return err
 	}
+	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
+	if err != nil {
+		return err
+	}
+	// Further signals may move the end, or not where the process is killed by the first one's time.
+	g.HandOverUntil(start.Add(n.grace.length))
 	callers.Drain()
 	if err := n.withdrawWithEndpoint(); err != nil {
 		return err
@@ -74,8 +90,8 @@
 	if err := n.announceStop(); err != nil {
 		return err
 	}
-	n.awaitCallers(ctx, callers)
-	if err := n.tellCut(callers); err != nil {
+	n.awaitCallers(ctx, callers, g)
+	if err := n.tellCut(callers, g); err != nil {
 		return err
 	}
 	if err := n.kernel.Stop(ctx); err != nil {
@@ -134,11 +150,17 @@
 	}
 }
 
+// lastWords is the time before the end of the grace in which callers are told what cannot be learned any more.
+const lastWords = 100 * time.Millisecond
+
 // awaitCallers refuses new requests, so that what was taken has the rest of the grace to end in; callers may have nowhere else to
 // go and never stop sending.
-func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server) {
+func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server, g *ingress.Ingress) {
 	callers.Refuse()
 	for ctx.Err() == nil && callers.Working() > 0 {
+		if n.grace.left() < lastWords {
+			g.GiveUpLost()
+		}
 		time.Sleep(stopLook)
 	}
 }
@@ -147,14 +169,10 @@
 const stageBehind = "behind"
 
 // tellCut logs and counts the callers' requests that are still under way.
-func (n *Node) tellCut(callers *pipeline.Server) error {
+func (n *Node) tellCut(callers *pipeline.Server, g *ingress.Ingress) error {
 	if callers.Working() == 0 {
 		return nil
 	}
-	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
-	if err != nil {
-		return err
-	}
 	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
 	if err != nil {
 		return err
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -20,8 +20,10 @@
 	fault.Busy:       "no endpoint that was asked had a free slot",
 	fault.NoEndpoint: "the ingress knew no endpoint that takes new work: all draining, ejected, out of reach or tried before; " +
 		"see its links (301, 302) and phases (400)",
-	fault.Draining:    "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
-	fault.Cold:        "the endpoints that were asked were cold, or may have been, and took no more; see 404 for when they began",
+	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
+	fault.Cold:     "the endpoints that were asked were cold, or may have been, and took no more; see 404 for when they began",
+	fault.Stopping: "the node that took the request was stopping, and no endpoint had taken it while its work could still have ended there; " +
+		"see 101 there",
 	fault.CallerSlow:  "the caller read too slowly, and the endpoint's node had no room to keep the rest of the answer (110)",
 	fault.MemorySpent: "the node held as many bodies as it may and did not read this one; see 110 for how much it held",
 	fault.OutOfRegion: "the data of the route or the customer may be in some regions alone, and no endpoint there takes new work, or the " +
