Stops: a node ends nothing that an endpoint works on before it is killed

Callers of a stopping node had connections closed without an answer while endpoints worked on their requests. The node ended all work by a clock that it started at the first signal it saw, 0.6 s before its grace was over; the moment from which its end really counted was 0.8 s later, and nothing that the process can see tells of it. Only whoever stops the node knows when its time is over, and kills it then. Now the node goes on with what endpoints work on until that is done or it is killed; every route's time limit bounds that, and stop.overrun besides. What no endpoint has is refused within the time that is sure, as before. Event 111 and its counter tell of what outlasts the grace, as a process that is killed cannot. Ruled out: the second signal of the record, which never came to the process (no event 112); requests that waited (all were running). Test: work_past_the_grace failed with exit 1 and six requests cut, passes now. The two earlier scenarios keep their ends with overrun 0.

--- a/events/events.go
+++ b/events/events.go
@@ -25,7 +25,7 @@
 	HandlerPanicked = Event{108, "request handler panicked", zerolog.ErrorLevel}
 	LinesLeftOut    = Event{109, "log lines left out", zerolog.InfoLevel}
 	MemorySpent     = Event{110, "no room for bodies", zerolog.WarnLevel}
-	RequestCut      = Event{111, "request cut by planned stop", zerolog.WarnLevel}
+	RequestOutlasts = Event{111, "request outlasts planned stop", zerolog.WarnLevel}
 	StopRepeated    = Event{112, "stop signal repeated", zerolog.InfoLevel}
 	RevisionInForce = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost    = Event{201, "platform does not answer", zerolog.WarnLevel}
@@ -75,7 +75,7 @@
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
-	LinesLeftOut, MemorySpent, RequestCut, StopRepeated,
+	LinesLeftOut, MemorySpent, RequestOutlasts, StopRepeated,
 	RevisionInForce, PlatformLost, PlatformBack, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntryLeftOut, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -140,9 +140,9 @@
 	l.refused.Inc(1)
 }
 
-// StopCut counts requests that a planned stop cut, by how far they had come.
-func (m *Metrics) StopCut(stage string, count int64) {
-	m.root.Tagged(map[string]string{"stage": stage}).Counter("stop_cut").Inc(count)
+// StopOutlasted counts requests that outlast the grace of a planned stop, by how far they have come.
+func (m *Metrics) StopOutlasted(stage string, count int64) {
+	m.root.Tagged(map[string]string{"stage": stage}).Counter("stop_outlasted").Inc(count)
 }
 
 // Gauge sets a node-wide gauge.
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "no such level")
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	n := &Node{cfg: cfg, seen: cfg, out: out, kernel: kernel.New(), grace: newGrace(cfg.Stop.Grace.Std() - cfg.Stop.Margin.Std())}
+	n := &Node{cfg: cfg, seen: cfg, out: out, kernel: kernel.New(), grace: newGrace(cfg.Stop)}
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
@@ -135,7 +135,7 @@
 		return err
 	}
 	for _, stage := range []string{string(ingress.StageWaiting), string(ingress.StageRunning), string(ingress.StageAnswering), stageBehind} {
-		m.StopCut(stage, 0)
+		m.StopOutlasted(stage, 0)
 	}
 	var follower *follow.Follower
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
--- a/node/stop.go
+++ b/node/stop.go
@@ -13,32 +13,34 @@
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/pipeline"
+	"github.com/lynxplank/lynxplank/settings"
 )
 
 // grace is the time that a planned stop may take.
 type grace struct {
-	length time.Duration
+	// sure is how long after a signal the node surely lives, most how long it goes on with work at the most.
+	sure, most time.Duration
 
 	mu    sync.Mutex
 	began time.Time
-	end   time.Time
 	timer *time.Timer
 }
 
-func newGrace(length time.Duration) *grace { return &grace{length: length} }
+func newGrace(cfg settings.Stop) *grace {
+	return &grace{sure: cfg.Grace.Std() - cfg.Margin.Std(), most: cfg.Grace.Std() + cfg.Overrun.Std()}
+}
 
-// begin counts the grace from now on and returns a context that ends with it.
+// begin counts the time from now on and returns a context that ends with the most of it.
 func (g *grace) begin() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.began = time.Now()
-	g.end = g.began.Add(g.length)
-	g.timer = time.AfterFunc(g.length, cancel)
+	g.timer = time.AfterFunc(g.most, cancel)
 	return ctx, cancel
 }
 
-// renew counts the grace anew and returns how long ago it was first begun; false if it has not been.
+// renew counts the most anew and returns how long ago the stop began; false if it has not.
 //
 // Whoever sends the signal waits for the whole grace after it. A stop that went by the first signal alone would cut requests for which there
 // is time.
@@ -48,21 +50,23 @@
 	if g.timer == nil {
 		return 0, false
 	}
-	g.timer.Reset(g.length)
-	g.end = time.Now().Add(g.length)
+	g.timer.Reset(g.most)
 	return time.Since(g.began), true
 }
 
-// left returns what is left of the grace.
-func (g *grace) left() time.Duration {
+// until returns the end of the time that is sure. It counts from the first signal, as the node may be killed by that one.
+func (g *grace) until() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Until(g.end)
+	return g.began.Add(g.sure)
 }
 
 // Stop is the planned stop: the node makes each caller's next answer the connection's last and goes on with everything for the
 // notice, in which callers and peers find their way elsewhere; then it tells its peers, takes nothing new for the endpoint beside
-// it, ends what it has and stops. It fails when the grace time cut something.
+// it, refuses what no endpoint has and stops once the rest has ended. It fails when something did not end within grace and overrun.
+//
+// Invariant: within that time the node ends nothing that an endpoint works on. When its time is really over only whoever stops it knows, and
+// kills it then; a node that ends work by a clock of its own may be too early.
 //
 // The endpoint lives on without its node. When its door was shut from the first moment on, a roll through a third of a fleet took
 // 4 of 10 sound endpoints out of use for two seconds.
@@ -80,8 +84,7 @@
 	if err != nil {
 		return err
 	}
-	// Further signals may move the end, or not where the process is killed by the first one's time.
-	g.HandOverUntil(start.Add(n.grace.length))
+	g.HandOverUntil(n.grace.until())
 	callers.Drain()
 	if err := n.withdrawWithEndpoint(); err != nil {
 		return err
@@ -90,8 +93,7 @@
 	if err := n.announceStop(); err != nil {
 		return err
 	}
-	n.awaitCallers(ctx, callers, g)
-	if err := n.tellCut(callers, g); err != nil {
+	if err := n.awaitCallers(ctx, callers, g); err != nil {
 		return err
 	}
 	if err := n.kernel.Stop(ctx); err != nil {
@@ -150,41 +152,44 @@
 	}
 }
 
-// lastWords is the time before the end of the grace in which callers are told what cannot be learned any more.
+// lastWords is the time before the end of what is sure in which callers are told what cannot be learned any more.
 const lastWords = 100 * time.Millisecond
 
-// awaitCallers refuses new requests, so that what was taken has the rest of the grace to end in; callers may have nowhere else to
+// awaitCallers refuses new requests, so that what was taken has the rest of the time to end in; callers may have nowhere else to
 // go and never stop sending.
-func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server, g *ingress.Ingress) {
+func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server, g *ingress.Ingress) error {
 	callers.Refuse()
-	for ctx.Err() == nil && callers.Working() > 0 {
-		if n.grace.left() < lastWords {
-			g.GiveUpLost()
+	lost := time.AfterFunc(time.Until(n.grace.until().Add(-lastWords)), g.GiveUpLost)
+	defer lost.Stop()
+	for told := false; ctx.Err() == nil && callers.Working() > 0; time.Sleep(stopLook) {
+		if told || time.Now().Before(n.grace.until()) {
+			continue
+		}
+		told = true
+		if err := n.tellOutlasting(callers, g); err != nil {
+			return err
 		}
-		time.Sleep(stopLook)
 	}
+	return nil
 }
 
 // stageBehind is a request that has not begun because another one on its connection has no answer yet.
 const stageBehind = "behind"
 
-// tellCut logs and counts the callers' requests that are still under way.
-func (n *Node) tellCut(callers *pipeline.Server, g *ingress.Ingress) error {
-	if callers.Working() == 0 {
-		return nil
-	}
+// tellOutlasting logs and counts the callers' requests that are still under way.
+func (n *Node) tellOutlasting(callers *pipeline.Server, g *ingress.Ingress) error {
 	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
 	if err != nil {
 		return err
 	}
 	for _, r := range g.UnderWay() {
-		m.StopCut(string(r.Stage), 1)
-		events.RequestCut.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
+		m.StopOutlasted(string(r.Stage), 1)
+		events.RequestOutlasts.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
 			Dur("after", r.After).Send()
 	}
 	if behind := callers.Behind(); behind > 0 {
-		m.StopCut(stageBehind, int64(behind))
-		events.RequestCut.Log(n.log).Str("stage", stageBehind).Int("count", behind).Send()
+		m.StopOutlasted(stageBehind, int64(behind))
+		events.RequestOutlasts.Log(n.log).Str("stage", stageBehind).Int("count", behind).Send()
 	}
 	return nil
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -236,10 +236,12 @@
 
 // Stop is the planned stop.
 type Stop struct {
-	// Grace is how long requests in flight may take to end.
+	// Grace is how long after a signal to stop the node is killed at the earliest.
 	Grace Duration `yaml:"grace"`
-	// Margin is the part of the grace that the node leaves unused: its own end takes time too.
+	// Margin is how much earlier callers have been told all that the node can tell without an endpoint's answer.
 	Margin Duration `yaml:"margin"`
+	// Overrun is how long after the grace the node goes on with what endpoints work on, unless it is killed.
+	Overrun Duration `yaml:"overrun"`
 	// Notice is how long a stopping node goes on as before, so that callers and peers find their way elsewhere.
 	Notice Duration `yaml:"notice"`
 }
@@ -296,7 +298,7 @@
 			First: Duration(5 * time.Second), Longest: Duration(5 * time.Minute), Forgive: Duration(2 * time.Minute),
 			Successes: 8, RampStep: Duration(2 * time.Second),
 		},
-		Stop: Stop{Grace: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
+		Stop: Stop{Grace: Duration(time.Minute), Overrun: Duration(time.Minute), Notice: Duration(200 * time.Millisecond)},
 		Log:  Log{Level: "info"},
 	}
 }
