Pipeline's tests: what bodies hold is looked at once no request is under way

TestScripts/room failed in 6 of 15 runs on the landed code, under the race detector: it looked right after the gate was opened, while the request might still be answering. It waits for the request's end now and expects the same figure.

--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -113,6 +113,7 @@
 //	gone            waits for a request whose caller has left
 //	dial            opens another connection
 //	ahead n=N       waits until N requests have been read and not answered
+//	working n=N     waits until N requests are under way
 //	conns n=N       waits until the server holds N connections
 //	drain           begins the planned stop
 //	room n=N        lets bodies hold N bytes, those of a Payer as much as it leaves free
@@ -159,6 +160,8 @@
 		return f.await(n, func() int { return int(f.server.open.Load()) })
 	case "ahead":
 		return f.await(n, f.ahead)
+	case "working":
+		return f.await(n, func() int { return int(f.server.Working()) })
 	case "room":
 		f.mu.Lock()
 		defer f.mu.Unlock()
