Pipeline: a stop leaves last answers whole

Callers that had sent their next request before they had read the whole of a connection's last answer got it reset in its middle when the node stopped right then: no request was under way any more, so the stop closed the connection, and a close under unread bytes resets it. Connections whose last answer is on its way now go on discarding what comes until their caller closes, or for the half second that they always had; the stop waits for them within its time. It holds because nothing is unread when such a connection closes.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -245,6 +245,13 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerLimit))
 }
 
+// lingering tells whether the connection only waits for its caller to close.
+func (c *conn) lingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingers
+}
+
 // readUntil bounds the reading of what comes next, unless the connection is being closed already.
 func (c *conn) readUntil(at time.Time) {
 	c.mu.Lock()
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,6 +143,9 @@
 }
 
 // Stop takes no new connections, waits for the requests in flight as long as ctx allows, then closes what is left.
+//
+// Connections whose last answers are on their way go on discarding what their callers send: closed under unread bytes they would be reset, and
+// the answers lost.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	if s.listener == nil {
@@ -148,10 +153,37 @@
 	}
 	err := s.flight.Wait(ctx, s.name)
 	_ = s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
+	for _, c := range s.all() {
+		if !c.lingering() {
+			c.end(nil)
+		}
+	}
+	s.awaitClosed(ctx)
+	for _, c := range s.all() {
 		c.end(nil)
 	}
 	return err
 }
+
+// all returns the connections that are open.
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// awaitClosed waits for the last connections, each of which closes by itself after lingerLimit.
+func (s *Server) awaitClosed(ctx context.Context) {
+	tick := time.NewTicker(closedLook)
+	defer tick.Stop()
+	for len(s.all()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// closedLook is the time between two looks at whether connections are still open.
+const closedLook = 5 * time.Millisecond
--- /dev/null
+++ b/pipeline/stop_test.go
@@ -0,0 +1,87 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+)
+
+// largeBody is more than the sockets between a caller and the server hold, in bytes.
+const largeBody = 4 << 20
+
+// serveLarge starts a server whose answers have largeBody bytes, and a caller that holds little unread.
+func serveLarge(t *testing.T) (*Server, *net.TCPConn) {
+	t.Helper()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
+		_, _ = w.Write(make([]byte, largeBody))
+	})
+	limits := func() Limits {
+		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	}
+	s := New("test", "127.0.0.1:0", limits, handler, func(w http.ResponseWriter, _ http.Header, status int, _ *fault.Error) { w.WriteHeader(status) })
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	c, err := d.DialContext(t.Context(), "tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return s, c.(*net.TCPConn)
+}
+
+// TestStopLeavesLastAnswersWhole tells of answers that were reset in their middle although their endpoints had ended well. A caller had sent
+// the next request before it had read the whole answer; the stop found no request under way, closed the connection under the unread bytes, and
+// that resets it.
+//
+// The caller here reads all but the end of its answer, sends once more after the stop has closed the listener, and then reads on.
+func TestStopLeavesLastAnswersWhole(t *testing.T) {
+	s, c := serveLarge(t)
+	s.Drain()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReaderSize(c, 1024)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read := 0
+	for s.Working() > 0 {
+		n, err := io.CopyN(io.Discard, resp.Body, 512)
+		if read += int(n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for closed := false; !closed; {
+		other, err := net.Dial("tcp", s.listener.Addr().String())
+		if closed = err != nil; !closed {
+			_ = other.Close()
+		}
+	}
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.Copy(io.Discard, resp.Body)
+	if got, want := read+int(rest), largeBody; got != want || err != nil {
+		t.Errorf("answer: got %d bytes and %v, want %d and none", got, err, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
