--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -137,6 +137,13 @@
 	t.Helper()
 	n := 1
 	d.MaybeScanArgs(t, "n", &n)
+	counts := map[string]func() int{
+		"conns": func() int { return int(f.server.open.Load()) }, "ahead": f.ahead,
+		"working": func() int { return int(f.server.Working()) },
+	}
+	if count := counts[d.Cmd]; count != nil {
+		return f.await(n, count)
+	}
 	switch d.Cmd {
 	case "send":
 		text := strings.ReplaceAll(d.Input, "\n", "\r\n")
@@ -156,12 +163,6 @@
 		return receive(t, f.left, n)
 	case "dial":
 		f.dial(t)
-	case "conns":
-		return f.await(n, func() int { return int(f.server.open.Load()) })
-	case "ahead":
-		return f.await(n, f.ahead)
-	case "working":
-		return f.await(n, func() int { return int(f.server.Working()) })
 	case "room":
 		f.mu.Lock()
 		defer f.mu.Unlock()
