Pipeline: an answer's limit is no longer the idle time of connections

Slow callers had answers cut in their middle after an operator had shortened the idle time: each write of an answer had that time as its limit, by the limits in force at that moment. A caller now has to read something within 15 s, whatever the operators' limits are.

--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -217,13 +219,18 @@
 	}
 }
 
+// stallLimit is how long a caller may read nothing of its answer: one that is gone must not hold its request for ever.
+const stallLimit = 15 * time.Second
+
 // write sends bytes to the caller; after a failure it sends nothing more.
+//
+// Its limit is none of the operators' limits: these bound a connection that waits for a request, and may be shortened under answers.
 func (x *exchange) write(b []byte) error {
-	if x.err == nil {
-		// A caller that does not read must not hold its request, and a planned stop, for ever.
-		_ = x.c.raw.SetWriteDeadline(time.Now().Add(x.c.s.limits().IdleTimeout))
-		_, err := x.c.raw.Write(b)
-		if err != nil {
+	for x.err == nil && len(b) > 0 {
+		_ = x.c.raw.SetWriteDeadline(time.Now().Add(stallLimit))
+		n, err := x.c.raw.Write(b)
+		b = b[n:]
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
 			x.err = fault.Wrap(err, fault.Canceled, "connection", "answer cannot be written")
 		}
 	}
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,15 +18,11 @@
 // largeBody is more than the sockets between a caller and the server hold, in bytes.
 const largeBody = 4 << 20
 
-// serveLarge starts a server whose answers have largeBody bytes, and a caller that holds little unread.
-func serveLarge(t *testing.T) (*Server, *net.TCPConn) {
+// serveSlow starts a server with some idle time, and a caller that holds little unread.
+func serveSlow(t *testing.T, handler http.HandlerFunc, idle func() time.Duration) (*Server, net.Conn) {
 	t.Helper()
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
-		_, _ = w.Write(make([]byte, largeBody))
-	})
 	limits := func() Limits {
-		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: 10, HeaderTimeout: time.Second, IdleTimeout: idle()}
 	}
 	s := New("test", "127.0.0.1:0", limits, handler, func(w http.ResponseWriter, _ http.Header, status int, _ *fault.Error) { w.WriteHeader(status) })
 	if err := s.Start(t.Context()); err != nil {
@@ -39,7 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	return s, c.(*net.TCPConn)
+	return s, c
 }
 
 // TestStopLeavesLastAnswersWhole tells of answers that were reset in their middle although their endpoints had ended well. A caller had sent
@@ -48,7 +45,10 @@
 //
 // The caller here reads all but the end of its answer, sends once more after the stop has closed the listener, and then reads on.
 func TestStopLeavesLastAnswersWhole(t *testing.T) {
-	s, c := serveLarge(t)
+	s, c := serveSlow(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
+		_, _ = w.Write(make([]byte, largeBody))
+	}, func() time.Duration { return time.Minute })
 	s.Drain()
 	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -85,3 +85,36 @@
 		t.Errorf("stop: got %v, want none", err)
 	}
 }
+
+// TestShorterIdleTimeKeepsAnswers tells of slow callers whose answers were reset in their middle after an operator had shortened the idle time of
+// callers' connections: each write of an answer had that time as its limit.
+//
+// The caller here reads nothing for longer than the new idle time, and then the whole answer.
+func TestShorterIdleTimeKeepsAnswers(t *testing.T) {
+	var idle atomic.Int64
+	idle.Store(int64(time.Minute))
+	begun := make(chan struct{})
+	_, c := serveSlow(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		for range largeBody / heldAnswer {
+			_, _ = w.Write(make([]byte, heldAnswer))
+		}
+	}, func() time.Duration { return time.Duration(idle.Load()) })
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	idle.Store(int64(time.Millisecond))
+	time.Sleep(100 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.Copy(io.Discard, resp.Body)
+	if got, want := read, int64(largeBody); got != want || err != nil {
+		t.Errorf("answer: got %d bytes and %v, want %d and none", got, err, want)
+	}
+}
