Pipeline: the idle time of a connection begins with its last answer

Callers on kept connections met a close right after an answer, under requests that crossed it: the idle time was counted from the moment the node began to wait for the next request, so the time of the work in between counted as rest. It counts from the last answer now, by the limit in force. Test: TestIdleTimeBeginsWithTheLastAnswer failed (the second request of the connection met its close), passes now.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -35,6 +35,8 @@
 	mu sync.Mutex
 	// ahead are the requests not answered yet, in order.
 	ahead []*exchange
+	// answered is when the last request was, or when the connection began.
+	answered time.Time
 	// last is set once an answer that closes the connection has been begun, or the connection has ended.
 	last bool
 	// lingers is set once it only waits for its caller to close.
@@ -44,7 +46,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{s: s, raw: raw, limit: &limitedReader{r: raw}}
+	c := &conn{s: s, raw: raw, answered: time.Now(), limit: &limitedReader{r: raw}}
 	c.r = bufio.NewReaderSize(c.limit, readBuffer)
 	c.room = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
@@ -89,9 +91,9 @@
 
 // awaitRequest waits for the first byte of the next request; false when there is none to come.
 func (c *conn) awaitRequest(limits Limits) bool {
-	for {
+	for until := time.Now().Add(limits.IdleTimeout); ; until = c.idleUntil(c.s.limits()) {
 		c.limit.left = int64(limits.HeaderBytes) + readBuffer
-		c.readUntil(time.Now().Add(limits.IdleTimeout))
+		c.readUntil(until)
 		_, err := c.r.Peek(1)
 		if err == nil {
 			return true
@@ -101,9 +103,7 @@
 		if timeout && c.closed() {
 			return false
 		}
-		if timeout && c.working() {
-			// A connection that waits for an answer is not idle.
-			limits = c.s.limits()
+		if timeout && time.Now().Before(c.idleUntil(c.s.limits())) {
 			continue
 		}
 		if timeout {
@@ -129,6 +129,16 @@
 	return len(c.ahead) > 0
 }
 
+// idleUntil is when the connection has been idle for too long. One that waits for an answer is not idle.
+func (c *conn) idleUntil(limits Limits) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ahead) > 0 {
+		return time.Now().Add(limits.IdleTimeout)
+	}
+	return c.answered.Add(limits.IdleTimeout)
+}
+
 // behind counts the requests that were read and have not begun.
 func (c *conn) behind() int {
 	c.mu.Lock()
@@ -210,6 +220,7 @@
 func (c *conn) next(closes bool) {
 	c.mu.Lock()
 	c.ahead = c.ahead[1:]
+	c.answered = time.Now()
 	if len(c.ahead) > 0 && !closes {
 		close(c.ahead[0].turn)
 	}
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -118,3 +118,29 @@
 		t.Errorf("answer: got %d bytes and %v, want %d and none", got, err, want)
 	}
 }
+
+// TestIdleTimeBeginsWithTheLastAnswer tells of kept connections that were closed right after an answer, under requests that crossed the close:
+// their idle time was counted from the request on, the time of its work included.
+//
+// The first request here takes most of the idle time, and the caller rests for less than it afterwards.
+func TestIdleTimeBeginsWithTheLastAnswer(t *testing.T) {
+	t.Parallel()
+	const idle = 4 * time.Second
+	work := idle - idle/8
+	_, c := serveSlow(t, func(http.ResponseWriter, *http.Request) {
+		time.Sleep(work)
+		work = 0
+	}, func() time.Duration { return idle })
+	in := bufio.NewReader(c)
+	for i := range 2 {
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: got %v, want one", i+1, err)
+		}
+		_ = resp.Body.Close()
+		time.Sleep(idle / 4)
+	}
+}
