Soak: nodes are stopped by series of signals, under work that outlasts their grace

The soak had not found requests cut by planned stops: it sent a node one signal and waited for its end, with a grace of 20 s over requests of 3 s at most, so no stop ever came to its end with work under way, and nothing was held against a connection closed without an answer. It now draws series of SIGTERM and SIGHUP, kills a node once the grace after the first or the last of them is over, stops some again right after their start, and lets work last about as long as the callers wait. A node that was not killed may close no connection without an answer, and one that was only those of requests that an endpoint had.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -24,13 +24,14 @@
 	length := flag.Duration("length", 15*time.Second, "how long faults begin in each run")
 	rate := flag.Int("rate", 150, "requests a second")
 	fatal := flag.Int("fatal", 0, "requests that end the endpoints that run them")
+	stops := flag.Int("stops", 0, "series of signals that stop nodes, under work that may outlast their grace")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
 	flag.Parse()
 	broken := 0
 	for i := range *seeds {
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
-			Fatal: *fatal,
+			Fatal: *fatal, Stops: *stops,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -293,8 +293,22 @@
 // StopNode is the planned stop of a member's node; it fails unless the node exits with 0.
 func (m *Member) StopNode() error { return m.endNode(syscall.SIGTERM) }
 
-// SignalStop has a member's node begin its planned stop, or grants it the grace once more, and does not wait for its end.
-func (m *Member) SignalStop() error { return m.node.cmd.Process.Signal(syscall.SIGTERM) }
+// Signal sends a signal to a member's node and does not wait for its end.
+func (m *Member) Signal(sig syscall.Signal) error { return m.node.cmd.Process.Signal(sig) }
+
+// Ended waits for the end of a member's node and tells whether it came within a limit, with an error unless the node exited with 0.
+func (m *Member) Ended(limit time.Duration) (bool, error) {
+	select {
+	case err := <-m.node.done:
+		m.node = nil
+		if err != nil {
+			return true, fault.Wrap(err, fault.Internal, m.Host, "did not exit with 0")
+		}
+		return true, nil
+	case <-time.After(limit):
+		return false, nil
+	}
+}
 
 // KillNode ends a member's node without notice.
 func (m *Member) KillNode() error {
--- a/demo/load.go
+++ b/demo/load.go
@@ -56,6 +56,15 @@
 	Fatal string
 	// ComesBack is set when a refusal said when to come back.
 	ComesBack bool
+	// Closes are the connections that were closed without an answer.
+	Closes []Close
+}
+
+// Close is a connection that a node closed without an answer.
+type Close struct {
+	// Node is the callers' address, Sent when the request was sent, At when the close was seen.
+	Node     string
+	Sent, At time.Time
 }
 
 // Load sends requests of all kinds to the fleet's nodes.
@@ -174,6 +183,7 @@
 		req.Header.Set(header.Attempt, strconv.Itoa(attempt))
 	}
 	r.Whole, r.Own, r.Status, r.Code, r.ComesBack = false, false, 0, "", false
+	sent := time.Now()
 	resp, err := l.client.Do(req)
 	if err != nil {
 		var op *net.OpError
@@ -182,6 +192,7 @@
 			return false
 		}
 		r.Told = "unknown"
+		r.Closes = append(r.Closes, Close{Node: target, Sent: sent, At: time.Now()})
 		return true
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -338,7 +339,7 @@
 	gap, err := time.ParseDuration(word(t, d, "gap", "0s"))
 	must(t, d, err)
 	for range number(t, d, "signals", 1) - 1 {
-		must(t, d, m.SignalStop())
+		must(t, d, m.Signal(syscall.SIGTERM))
 		time.Sleep(gap)
 	}
 	if err := m.StopNode(); err != nil {
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -32,6 +32,8 @@
 		r.weight(a)
 	case Drain:
 		r.drain(a)
+	case StopSeries:
+		r.stopSeries(a)
 	}
 }
 
@@ -59,6 +61,11 @@
 	r.must(string(a.Kind), end())
 	r.watch.ended(a.On)
 	time.Sleep(a.For)
+	r.startAgain(m)
+}
+
+// startAgain starts a node and waits until it listens.
+func (r *run) startAgain(m *demo.Member) {
 	r.must("start", r.fleet.StartNode(m))
 	if !waitFor(func() bool { _, err := m.Status(); return err == nil }) {
 		r.breaks("start: node %s does not listen", m.Host)
@@ -179,7 +186,7 @@
 			if a.On == on {
 				return true
 			}
-		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain:
+		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries:
 		}
 	}
 	return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -66,6 +66,8 @@
 	Behaviour backend.Behaviour
 	// Weight is the value that operators write.
 	Weight string
+	// Series is how a node is stopped.
+	Series Series
 }
 
 // String tells the action in one line.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	Rate int
 	// Fatal is how many requests that end the endpoints that run them come again and again.
 	Fatal int
+	// Stops is how many series of signals stop nodes besides, under work that may outlast their grace.
+	Stops int
 }
 
 // Report is what a run showed.
@@ -71,11 +73,20 @@
 	// weights are the values that were accepted last, unknown those whose fate is not known.
 	weights map[string]string
 	unknown map[string]bool
+	// stops are the planned stops by series of signals.
+	stops []stopped
+}
+
+func settingsOf(cfg Config) string {
+	if cfg.Stops > 0 {
+		return stopSettings
+	}
+	return nodeSettings
 }
 
 // Run does one run; it fails only when the run itself could not be done.
 func Run(cfg Config) (Report, error) {
-	fleet, err := demo.NewFleet(cfg.Bin, cfg.Dir, cfg.Members, cfg.Halls, nodeSettings)
+	fleet, err := demo.NewFleet(cfg.Bin, cfg.Dir, cfg.Members, cfg.Halls, settingsOf(cfg))
 	if err != nil {
 		return Report{}, err
 	}
@@ -85,6 +96,7 @@
 		procs: make([]sync.Mutex, cfg.Members), ends: make([]sync.Mutex, cfg.Members), rows: make([]sync.Mutex, cfg.Members),
 		weights: make(map[string]string), unknown: make(map[string]bool),
 	}
+	r.plan = append(r.plan, PlanStops(cfg.Seed, cfg.Members, cfg.Stops, cfg.Length)...)
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
@@ -143,6 +155,9 @@
 		targets = append(targets, m.Callers)
 	}
 	load := demo.NewLoad(targets)
+	if r.cfg.Stops > 0 {
+		load.Deadline = stopDeadline
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers, actions sync.WaitGroup
 	r.start = time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,14 +49,14 @@
 			continue
 		}
 		var seed uint64
-		var members, seconds, rate, fatal int
-		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal); n < 4 {
+		var members, seconds, rate, fatal, stops int
+		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal, &stops); n < 4 {
 			t.Fatalf("%q: %v", text, err)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(Config{
 				Bin: binaries, Dir: t.TempDir(), Seed: seed, Members: members, Halls: 2,
-				Length: time.Duration(seconds) * time.Second, Rate: rate, Fatal: fatal,
+				Length: time.Duration(seconds) * time.Second, Rate: rate, Fatal: fatal, Stops: stops,
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -73,7 +73,7 @@
 
 // TestPlanRepeats checks that a seed draws the same plan each time, another seed another one, and that every kind comes.
 func TestPlanRepeats(t *testing.T) {
-	line := func(seed uint64) string { return fmt.Sprint(Plan(seed, 5, time.Minute)) }
+	line := func(seed uint64) string { return fmt.Sprint(Plan(seed, 5, time.Minute), PlanStops(seed, 5, 10, time.Minute)) }
 	first := line(1)
 	if got, want := line(1), first; got != want {
 		t.Errorf("the same seed again: got %s, want %s", got, want)
--- /dev/null
+++ b/soak/stops.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+// StopSeries sends a node signals in series, among them some to stop it, and kills it once the grace is over.
+const StopSeries Kind = "stop-series"
+
+const (
+	// stopGrace is how long after a signal a node is killed, stopSettings what the nodes know of it.
+	stopGrace    = 3 * time.Second
+	stopSettings = "stop: {grace: 3s, margin: 300ms, notice: 500ms}\n"
+	// stopDeadline is that of the callers' requests: some outlast the grace.
+	stopDeadline = "8s"
+	// mostSignals bounds the signals of a series, mostGap the time between two.
+	mostSignals, mostGap = 5, time.Second
+	// lateStart is how long after its start a node may be stopped again at the most.
+	lateStart = 400 * time.Millisecond
+	// slowest bounds how many times as long as usual the work of slow endpoints takes: with normalWork about the deadline.
+	slowest = 180
+	// crossing is how long before a close a request may have been sent without having been read.
+	crossing = time.Second
+	// stopsSeed keeps these draws apart from those of Plan.
+	stopsSeed = 1 << 41
+)
+
+// Signal is one of a series.
+type Signal struct {
+	// After is how long after the one before it is sent.
+	After time.Duration
+	// Number is which.
+	Number syscall.Signal
+}
+
+// Series is how a node is stopped.
+type Series struct {
+	// Signals are sent in their order; the first one that stops the node begins the grace.
+	Signals []Signal
+	// FromLast has the grace counted from the last signal to stop, in place of the first.
+	FromLast bool
+	// Again is how long after its start the node is stopped once more, 0 for never; it may not listen yet.
+	Again time.Duration
+}
+
+// PlanStops draws n series of signals and as many spells of slow work, without changing what Plan draws.
+func PlanStops(seed uint64, members, n int, length time.Duration) []Action {
+	r := rand.New(rand.NewPCG(seed, stopsSeed+uint64(members))) //nolint:gosec // seeded on purpose
+	plan := make([]Action, 0, 2*n)
+	for range n {
+		slow := draw(r, members, length)
+		slow.Kind, slow.For = Endpoint, slow.For+stopGrace
+		slow.Behaviour = backend.Behaviour{WorkMillis: normalWork, SlowFactor: float64(r.IntN(slowest))}
+		stop := draw(r, members, length)
+		stop.Kind, stop.Series = StopSeries, drawSeries(r)
+		plan = append(plan, slow, stop)
+	}
+	return plan
+}
+
+// drawSeries draws a series with at least one signal to stop.
+func drawSeries(r *rand.Rand) Series {
+	s := Series{FromLast: r.IntN(2) == 0}
+	for range 1 + r.IntN(mostSignals) {
+		number := []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP}[r.IntN(3)]
+		s.Signals = append(s.Signals, Signal{After: time.Duration(r.Int64N(int64(mostGap))), Number: number})
+	}
+	s.Signals[r.IntN(len(s.Signals))].Number = syscall.SIGTERM
+	if again := r.IntN(3) == 0; again {
+		s.Again = time.Duration(1 + r.Int64N(int64(lateStart)))
+	}
+	return s
+}
+
+// stopped is one planned stop of a member's node.
+type stopped struct {
+	on          int
+	from, until time.Time
+	killed      bool
+}
+
+// stopSeries stops a node by a series of signals and starts it again.
+func (r *run) stopSeries(a Action) {
+	r.procs[a.On].Lock()
+	defer r.procs[a.On].Unlock()
+	m := r.fleet.Members[a.On]
+	r.signalAndWait(a)
+	r.watch.ended(a.On)
+	if a.Series.Again > 0 {
+		r.must("start", r.fleet.StartNode(m))
+		time.Sleep(a.Series.Again)
+		// A node that does not listen yet may end by the signal.
+		_ = m.Signal(syscall.SIGTERM)
+		if ended, _ := m.Ended(stopGrace); !ended {
+			r.must("kill", m.KillNode())
+		}
+		r.watch.ended(a.On)
+	}
+	r.startAgain(m)
+}
+
+// signalAndWait sends a series and waits for the node's end; the node is killed once the grace is over.
+func (r *run) signalAndWait(a Action) {
+	m := r.fleet.Members[a.On]
+	var from, kill time.Time
+	ended := false
+	for _, s := range a.Series.Signals {
+		pause := s.After
+		if !kill.IsZero() {
+			pause = min(pause, time.Until(kill))
+		}
+		if ended = r.ended(m, pause); ended || !kill.IsZero() && time.Now().After(kill) {
+			break
+		}
+		if err := m.Signal(s.Number); err != nil {
+			// It has ended since.
+			ended = r.ended(m, stopGrace)
+			break
+		}
+		if s.Number != syscall.SIGTERM {
+			continue
+		}
+		if from.IsZero() {
+			from = time.Now()
+		}
+		if kill.IsZero() || a.Series.FromLast {
+			kill = time.Now().Add(stopGrace)
+		}
+	}
+	killed := !ended && !r.ended(m, time.Until(kill))
+	if killed {
+		r.must("kill", m.KillNode())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops = append(r.stops, stopped{on: a.On, from: from, until: time.Now(), killed: killed})
+}
+
+// ended waits for a node's end, which has to be with 0, and tells whether it came within a limit.
+func (r *run) ended(m *demo.Member, limit time.Duration) bool {
+	ended, err := m.Ended(limit)
+	r.must("planned stop", err)
+	return ended
+}
+
+// judgeStops looks for connections that a stopping node closed without an answer: one that was not killed may close none, and one that was only
+// those of requests that an endpoint had.
+func (r *run) judgeStops() {
+	for _, result := range r.report.Results {
+		for _, c := range result.Closes {
+			i := slices.IndexFunc(r.stops, func(s stopped) bool {
+				return r.fleet.Members[s.on].Callers == c.Node && c.At.After(s.from) && c.At.Before(s.until.Add(crossing))
+			})
+			if i < 0 || c.At.Sub(c.Sent) < crossing {
+				continue
+			}
+			started := 0
+			for _, record := range r.report.Records {
+				started += record[result.Call].Started
+			}
+			switch s := r.stops[i]; {
+			case !s.killed:
+				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself", result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
+			case started == 0:
+				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it", result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
+			}
+		}
+	}
+}
