--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -73,7 +73,9 @@
 
 // TestPlanRepeats checks that a seed draws the same plan each time, another seed another one, and that every kind comes.
 func TestPlanRepeats(t *testing.T) {
-	line := func(seed uint64) string { return fmt.Sprint(Plan(seed, 5, time.Minute), PlanStops(seed, 5, 10, time.Minute)) }
+	line := func(seed uint64) string {
+		return fmt.Sprint(Plan(seed, 5, time.Minute), PlanStops(seed, 5, 10, time.Minute))
+	}
 	first := line(1)
 	if got, want := line(1), first; got != want {
 		t.Errorf("the same seed again: got %s, want %s", got, want)
