Egress: a door that closes turns away what waits behind it

Requests of other nodes that waited for a slot beside a stopping node went on waiting until a slot came free or the node was gone: the door was closed to new requests alone. It is the same cause as with the callers' own: a stop that treats what waits like what runs. They are refused at once now, as not run, and their ingress asks another endpoint. Test: TestClosedDoorTurnsWaitingAway failed (refused after 5 s, when its time was over), passes now.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -76,6 +76,9 @@
 	region  atomic.Pointer[string]
 	nextID  atomic.Uint64
 	closing atomic.Bool
+	// closed ends with Close.
+	closed context.Context //nolint:containedctx // the door's life
+	shut   context.CancelFunc
 	// working is the work under way.
 	working flight.Requests
 	flight  flight.Counter
@@ -144,6 +147,7 @@
 		locals: make(map[string]*local), records: newRecords(), pool: upstream.NewPool(), endings: noEndings{}, clock: clock.Boot,
 		budget: memory.New(defaultBudget),
 	}
+	e.closed, e.shut = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -158,8 +162,11 @@
 	return nil
 }
 
-// Close takes nothing new from now on.
-func (e *Egress) Close() { e.closing.Store(true) }
+// Close takes nothing new from now on, and turns away what waits for a slot: other endpoints may have one.
+func (e *Egress) Close() {
+	e.closing.Store(true)
+	e.shut()
+}
 
 // Stop waits for the requests in flight as long as ctx allows.
 func (e *Egress) Stop(ctx context.Context) error {
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -53,7 +53,7 @@
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Waiting()
 	}
-	if end := l.admit(ctx, e.nextID.Add(1), d, e.state()); end != nil {
+	if end := e.admit(ctx, l, d); end != nil {
 		return false, end
 	}
 	defer func() { l.tellArrivals(time.Now(), e.log) }()
@@ -79,6 +79,18 @@
 	return trial, nil
 }
 
+// admit waits for a slot of the endpoint until the door is closed, and returns the refusal.
+func (e *Egress) admit(ctx context.Context, l *local, d *peerpb.Dispatch) *peerpb.End {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(e.closed, cancel)()
+	end := l.admit(ctx, e.nextID.Add(1), d, e.state())
+	if end != nil && e.closed.Err() != nil {
+		return peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	return end
+}
+
 // logRefusal tells why a request was turned away before the hand-over; l is nil where the endpoint is not here.
 func (e *Egress) logRefusal(l *local, d *peerpb.Dispatch, end *peerpb.End) {
 	line := events.OfferRefused.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", d.GetEndpoint()).
