--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -28,6 +28,8 @@
 	// begun takes each send that has come as far as its word says, closed ends once nothing may be handed over any more.
 	begun  chan struct{}
 	closed chan struct{}
+	// ended counts the sends with a word that are under way.
+	ended sync.WaitGroup
 }
 
 // Serve implements Local: the sends take the words in their order, whichever endpoint they go to; those beyond are refused.
@@ -40,6 +42,7 @@
 	word := s.words[0]
 	s.words = s.words[1:]
 	s.mu.Unlock()
+	defer s.ended.Done()
 	if d.GetTellDue() {
 		sink.Due(0)
 	}
@@ -97,6 +100,7 @@
 	datadriven.RunTest(t, "testdata/stop", func(t *testing.T, d *datadriven.TestData) string {
 		words := strings.Fields(d.Input)
 		local := &doors{words: slices.Clone(words), begun: make(chan struct{}, len(words)), closed: make(chan struct{})}
+		local.ended.Add(len(words))
 		g := ingressWith(t, fleet(t, 3, 2), local)
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(strings.ToUpper(d.Cmd), "http://desk.example/x", nil)
@@ -114,7 +118,12 @@
 		}
 		g.HandOverUntil(time.Now())
 		close(local.closed)
-		<-done
+		select {
+		case <-done:
+		case <-time.After(20 * time.Second):
+			d.Fatalf(t, "the caller has no answer")
+		}
+		local.ended.Wait()
 		out := fmt.Sprintf("%d %q", w.Code, bodyOf(w))
 		var p Problem
 		if json.Unmarshal(w.Body.Bytes(), &p) == nil {
