Signals: a node can be stopped during its start

Nodes that were stopped again right after their start went on: the listeners' library registers its own handler as the process starts, which keeps the signal from ending the process, and the node's own channel came later. A little later still, that handler would have acted by what the start had not set yet, and shut listeners down after a second. The node's channel is registered before any library's now, and the node takes the signals from other handlers before it starts; a node that was stopped before that has taken nothing and exits. Ruled out: a stop that hangs (the node stood in its main loop, the signal never came).

--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -14,6 +14,7 @@
 	"github.com/lynxplank/lynxplank/node"
 	"github.com/lynxplank/lynxplank/outbound"
 	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/signals"
 )
 
 const (
@@ -70,8 +71,11 @@
 const reloadEvery = 2 * time.Second
 
 func serve(path string, cfg settings.Daemon) int {
-	stops := make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	stops := signals.Stops()
+	if len(stops) > 0 {
+		// Nothing has been taken yet.
+		return exitOK
+	}
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	outbound.Tune()
