Soak: a killed node's connections count as closed at the kill

What was sent less than a second before a close may not have been read, and the close is the kill. A request that was sent earlier counts as before.

--- a/soak/stops.go
+++ b/soak/stops.go
@@ -82,7 +82,18 @@
 type stopped struct {
 	on          int
 	from, until time.Time
-	killed      bool
+	// kill is when the node was killed, the zero time if it ended by itself.
+	kill time.Time
+}
+
+func (s stopped) killed() bool { return !s.kill.IsZero() }
+
+// closedAt is when a connection was closed: at the kill, however long the system takes to end the process.
+func (s stopped) closedAt(c demo.Close) time.Time {
+	if s.killed() && s.kill.Before(c.At) {
+		return s.kill
+	}
+	return c.At
 }
 
 // stopSeries stops a node by a series of signals and starts it again.
@@ -133,13 +144,15 @@
 			kill = time.Now().Add(stopGrace)
 		}
 	}
-	killed := !ended && !r.ended(m, time.Until(kill))
-	if killed {
+	stop := stopped{on: a.On, from: from}
+	if !ended && !r.ended(m, time.Until(kill)) {
+		stop.kill = time.Now()
 		r.must("kill", m.KillNode())
 	}
+	stop.until = time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stops = append(r.stops, stopped{on: a.On, from: from, until: time.Now(), killed: killed})
+	r.stops = append(r.stops, stop)
 }
 
 // ended waits for a node's end, which has to be with 0, and tells whether it came within a limit.
@@ -157,7 +170,7 @@
 			i := slices.IndexFunc(r.stops, func(s stopped) bool {
 				return r.fleet.Members[s.on].Callers == c.Node && c.At.After(s.from) && c.At.Before(s.until.Add(crossing))
 			})
-			if i < 0 || c.At.Sub(c.Sent) < crossing {
+			if i < 0 || r.stops[i].closedAt(c).Sub(c.Sent) < crossing {
 				continue
 			}
 			started := 0
@@ -165,10 +178,11 @@
 				started += record[result.Call].Started
 			}
 			switch s := r.stops[i]; {
-			case !s.killed:
+			case !s.killed():
 				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself", result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
 			case started == 0:
-				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it", result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
+				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it",
+					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
 			}
 		}
 	}
