Stops: callers of keyed requests are told unknown before the node ends

What runs under a key runs on without its caller, and a re-send is told how it ended; the caller is told so (stopping, unknown) just before the time that is sure ends, unless its answer has begun.

--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -47,15 +47,25 @@
 	sink.returned()
 	ctx, done := x.progress.wait(ctx, sink)
 	defer done()
+	if d.GetClaim() != nil {
+		// What an endpoint has under a key runs on without its caller, who can ask for its answer by the key.
+		asking, unasked := x.progress.ask(ctx, sink)
+		defer unasked()
+		ctx = asking
+	}
 	return x.stopped(x.bring(ctx, e, d, sink))
 }
 
 // stopped tells of a send that was given up because the node stops that another node takes it at once.
 func (x *exchange) stopped(end *peerpb.End) *peerpb.End {
 	code := fault.Code(end.GetCode())
-	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN && (code == fault.Stopping || code == fault.Canceled && x.progress.isClosed()) {
+	if code != fault.Stopping && (code != fault.Canceled || !x.progress.isClosed()) {
+		return end
+	}
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
 		return peer.NotRun(fault.Stopping, elsewhereRetryAfter)
 	}
+	end.Code = string(fault.Stopping)
 	return end
 }
 
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -44,7 +44,7 @@
 	closed   bool
 	// waits are what of the request waits and may end early: by its send, nil for the choice of an endpoint.
 	waits map[*answer]context.CancelFunc
-	// lost are the sends whose answers are asked for again because their links broke.
+	// lost are the sends whose answers can be asked for again: those under a key, and those whose links broke.
 	lost map[*answer]context.CancelFunc
 }
 
@@ -65,7 +65,7 @@
 	}
 }
 
-// ask returns a context for asking again for a send's answer; done has to be called.
+// ask returns a context for a send whose answer can be asked for again; done has to be called.
 func (p *progress) ask(ctx context.Context, send *answer) (asking context.Context, done func()) {
 	asking, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
@@ -129,10 +129,13 @@
 	return p.closed
 }
 
-// giveUpLost ends the asking for answers whose links broke.
+// giveUpLost ends the waiting for answers that callers can ask for again, or whose links broke, unless one has begun to go to the caller.
 func (p *progress) giveUpLost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.begun {
+		return
+	}
 	for _, cancel := range p.lost {
 		cancel()
 	}
@@ -205,8 +208,8 @@
 	}
 }
 
-// GiveUpLost has callers told at once that the fate of their requests is unknown where a link broke after the hand-over and no other way has
-// brought the answer so far.
+// GiveUpLost has callers told at once that the fate of their requests is unknown where no answer has come so far and the end of the node ends no
+// work: under a key, and where a link broke after the hand-over.
 func (g *Ingress) GiveUpLost() {
 	g.underWay.mu.Lock()
 	defer g.underWay.mu.Unlock()
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -126,7 +126,7 @@
 	fault.Draining:            "the endpoint takes nothing new",
 	fault.Evacuated:           "the endpoint's hall is evacuated",
 	fault.NoEndpoint:          "no endpoint takes new work",
-	fault.Stopping:            "the node is stopping and no endpoint has taken the request; another node takes it at once",
+	fault.Stopping:            "the node is stopping and has no answer for the request; another node takes it at once",
 	fault.MemorySpent:         "the node holds as many bodies as it may; another takes it at once",
 	fault.CallerSlow:          "the caller read its answer too slowly",
 	fault.OutOfRegion:         "no endpoint of a region where the data may be takes new work",
