Pipeline: a stop closes no connection on which a request lies unread

Cause: Stop waited for the requests in flight, and a request is in flight only once it has been read. What had arrived and was not read, on open connections or on connections in the listener's queue, was closed with them. After a time in which the process did not run, the timer of the notice and all readers become due at once, and the stop needs fewer steps than they do. The same in a second place: an idle timeout that had passed closed its connection although bytes had come.

Why this works: a connection is closed by the goroutine that reads it, once the kernel has nothing unread for it; the queue is accepted before the listener is closed. What is found is refused as not run. The handler of refusals now gets the header of any request whose header could be read, so that a re-send under a key whose body broke off is told unknown.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -25,13 +25,14 @@
 	rate := flag.Int("rate", 150, "requests a second")
 	fatal := flag.Int("fatal", 0, "requests that end the endpoints that run them")
 	stops := flag.Int("stops", 0, "series of signals that stop nodes, under work that may outlast their grace")
+	suspensions := flag.Int("suspensions", 0, "planned stops of nodes whose processes are suspended meanwhile")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
 	flag.Parse()
 	broken := 0
 	for i := range *seeds {
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
-			Fatal: *fatal, Stops: *stops,
+			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -48,6 +48,11 @@
 //	send kind=lookup|booking|payment n=N [to=h1] [deadline=3s] [sends=N]      waits for the answers and prints them counted
 //	hold (as send)                                                  sends in the background
 //	held                                                            waits for what hold sent and prints it
+//	warm n=N to=h1                                                  opens N connections and keeps them, for the next "hold kept=yes"
+//	closed                                                          waits as held does, and prints how many connections closed without an answer
+//	signal on=h1                                                    begins a planned stop and does not wait for its end
+//	ended on=h1                                                     waits for the end of the node's process
+//	pause for=500ms                                                 lets time pass
 //	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving] [large=BYTES] [pause=N]    pause is after each 16 KiB of a body
 //	slowly n=N to=h1 path=/large|/upload [body=BYTES] told=N       callers who read 2,000 bytes a second; waits until N have begun to be told
 //	memory on=h1                                                    whether the node's live heap is under half of its host's memory
@@ -110,6 +115,8 @@
 	mu      sync.Mutex
 	results []Result
 	marks   map[string]int
+	// warmed keeps the connections of the last "warm".
+	warmed *Load
 }
 
 func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
@@ -118,6 +125,7 @@
 		"fleet": s.start, "send": s.send, "hold": s.hold, "held": s.wait, "endpoint": s.endpoint,
 		"ejected": s.ejected, "begun": s.begun, "mark": s.mark, "new": s.newWork, "ctl": s.ctl,
 		"kill": s.process, "start": s.process, "stop": s.process, "freeze": s.process, "thaw": s.process,
+		"warm": s.warm, "closed": s.closed, "signal": s.signal, "ended": s.ended, "pause": s.pause,
 		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
 		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "arrival": s.arrival, "lift": s.lift, "check": s.check,
 	}
@@ -196,6 +204,9 @@
 	n := number(t, d, "n", 1)
 	first := s.sent
 	s.sent += n
+	if s.warmed != nil && d.HasArg("kept") {
+		l.client = s.warmed.client
+	}
 	s.loads = append(s.loads, l)
 	return l, Kind(kind), first, n
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -104,7 +104,7 @@
 		events.StopCut.Log(n.log).Err(err).Send()
 		return err
 	}
-	events.NodeStopped.Log(n.log).Dur("after", time.Since(start)).Send()
+	events.NodeStopped.Log(n.log).Dur("after", time.Since(start)).Int64("late_requests", callers.LateRequests()).Send()
 	return nil
 }
 
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -42,6 +42,10 @@
 	closing bool
 	// lingers is set once the connection only waits for its caller to close it.
 	lingers bool
+	// reading is set while a request is being read.
+	reading bool
+	// finishBy is the time by which the request that is being read must be whole, zero while the server does not stop.
+	finishBy time.Time
 	// pendingFreed is signaled when an answered request is removed from pending, or the connection is closed.
 	pendingFreed *sync.Cond
 }
@@ -75,46 +79,61 @@
 		return false
 	}
 	req, reservation, status, bad := c.readRequest(limits)
+	c.endReading()
+	if bad == nil && c.s.refusing.Load() || status == http.StatusRequestTimeout && c.finishing() {
+		reservation.Release()
+		status, bad = http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping")
+	}
 	if bad != nil {
 		var h http.Header
-		if bad.Code == fault.MemorySpent {
+		if req != nil {
 			h = req.Header
 		}
 		c.refuse(h, status, bad)
 		return false
 	}
-	if c.s.refusing.Load() {
-		reservation.Release()
-		c.refuse(req.Header, http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping"))
-		return false
-	}
 	return c.accept(req, reservation)
 }
 
 // awaitRequest waits for the first byte of the next request. It returns false when no further request will be read.
 func (c *conn) awaitRequest(limits Limits) bool {
-	for until := time.Now().Add(limits.IdleTimeout); ; until = c.idleUntil(c.s.limits()) {
+	until, open := time.Now().Add(limits.IdleTimeout), true
+	for open {
 		c.limit.remaining = int64(limits.HeaderBytes) + readBuffer
 		c.setReadDeadline(until)
 		_, err := c.r.Peek(1)
 		if err == nil {
+			c.beginReading()
 			return true
 		}
 		var netErr net.Error
-		timeout := errors.As(err, &netErr) && netErr.Timeout()
-		if timeout && c.closed() {
+		if !errors.As(err, &netErr) || !netErr.Timeout() {
+			c.shutdown(errCallerGone)
 			return false
 		}
-		if timeout && time.Now().Before(c.idleUntil(c.s.limits())) {
-			continue
-		}
-		if timeout {
-			c.shutdown(nil)
+		if c.closed() {
 			return false
 		}
-		c.shutdown(errCallerGone)
-		return false
+		until, open = c.awaitUntil(c.s.limits())
+	}
+	c.shutdown(nil)
+	return false
+}
+
+// awaitUntil returns, after a read deadline has passed, the time until which the connection waits for its next request, or
+// false if it is to be closed. Bytes may have arrived although the deadline has passed, for example when the process was
+// suspended: closing the connection would lose a request.
+func (c *conn) awaitUntil(limits Limits) (time.Time, bool) {
+	now := time.Now()
+	if hasUnread(c.raw) {
+		c.extendFinish(now)
+		return now.Add(limits.HeaderTimeout), true
+	}
+	if c.finishing() {
+		return c.extendFinish(now), c.hasPending()
 	}
+	until := c.idleUntil(limits)
+	return until, now.Before(until)
 }
 
 // closed reports whether the connection accepts no more requests.
@@ -264,20 +283,18 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// lingering reports whether the connection only waits for its caller to close it.
-func (c *conn) lingering() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lingers
-}
-
-// setReadDeadline sets the read deadline, unless the connection is lingering: it then has its final deadline.
+// setReadDeadline sets the read deadline, unless the connection is lingering: it then has its final deadline. While the
+// server stops, the deadline is finishBy at the latest.
 func (c *conn) setReadDeadline(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lingers {
-		_ = c.raw.SetReadDeadline(at)
+	if c.lingers {
+		return
+	}
+	if !c.finishBy.IsZero() && (at.IsZero() || at.After(c.finishBy)) {
+		at = c.finishBy
 	}
+	_ = c.raw.SetReadDeadline(at)
 }
 
 // shutdown closes the connection at once. A cause that is not nil cancels the connection's requests in flight.
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,12 +42,17 @@
 	// reserveBody returns the reservation from which the memory for a request's body is taken, given the request's header.
 	reserveBody func(h http.Header) *memory.Reservation
 
-	listener net.Listener
+	listener *net.TCPListener
 	draining atomic.Bool
 	refusing atomic.Bool
+	stopping atomic.Bool
+	// acceptDone is closed once the listener is closed and accepts nothing more.
+	acceptDone chan struct{}
 	// inFlight counts the requests in flight, open the connections.
 	inFlight inflight.Counter
 	open     atomic.Int64
+	// late counts what LateRequests returns.
+	late atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -61,7 +63,7 @@
 func New(name, address string, limits func() Limits, handler http.Handler, onError ErrorHandler) *Server {
 	return &Server{
 		name: name, address: address, limits: limits, handler: handler, onError: onError,
-		conns: make(map[*conn]struct{}), onPanic: func(any, []byte) {}, reserveBody: func(http.Header) *memory.Reservation { return nil },
+		conns: make(map[*conn]struct{}), acceptDone: make(chan struct{}), onPanic: func(any, []byte) {}, reserveBody: func(http.Header) *memory.Reservation { return nil },
 	}
 }
 
@@ -79,40 +81,54 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, s.address, s.name+" cannot listen")
 	}
-	s.listener = l
-	go s.accept(l)
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		_ = l.Close()
+		return fault.New(fault.Internal, s.address, s.name+" does not listen on TCP")
+	}
+	s.listener = tcp
+	go s.accept(tcp)
 	return nil
 }
 
 // acceptRetryDelay is the wait after a failed accept, for example when no file descriptor is free.
 const acceptRetryDelay = 10 * time.Millisecond
 
-func (s *Server) accept(l net.Listener) {
+// accept accepts connections until the server stops, then closes the listener.
+func (s *Server) accept(l *net.TCPListener) {
+	defer close(s.acceptDone)
 	for {
 		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.admit(c)
+		case s.stopping.Load():
+			s.acceptQueued(l)
+			_ = l.Close()
 			return
-		}
-		if err != nil {
+		default:
 			time.Sleep(acceptRetryDelay)
-			continue
 		}
-		if s.open.Add(1) > int64(s.limits().Conns) {
-			s.open.Add(-1)
-			_ = c.Close()
-			continue
-		}
-		go s.serve(c)
 	}
 }
 
-func (s *Server) serve(raw net.Conn) {
-	defer s.open.Add(-1)
+// admit serves an accepted connection, or closes it if too many are open.
+func (s *Server) admit(raw net.Conn) {
+	if s.open.Add(1) > int64(s.limits().Conns) {
+		s.open.Add(-1)
+		_ = raw.Close()
+		return
+	}
 	memory.LimitSocketBuffers(raw)
 	c := newConn(s, raw)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	go s.serve(c)
+}
+
+func (s *Server) serve(c *conn) {
+	defer s.open.Add(-1)
 	c.serve()
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -143,51 +159,3 @@
 	}
 	return n
 }
-
-// Stop drains the server, waits for the requests in flight as long as ctx allows, then closes the listener and the
-// remaining connections.
-//
-// Connections that linger, because their last answer may not have been read yet, continue to discard what their callers
-// send until they close by themselves or ctx ends: closing a socket that holds unread bytes resets the connection, and the
-// answer would be lost.
-func (s *Server) Stop(ctx context.Context) error {
-	s.Drain()
-	if s.listener == nil {
-		return nil
-	}
-	err := s.inFlight.Wait(ctx, s.name)
-	_ = s.listener.Close()
-	for _, c := range s.openConns() {
-		if !c.lingering() {
-			c.shutdown(nil)
-		}
-	}
-	s.awaitClosed(ctx)
-	for _, c := range s.openConns() {
-		c.shutdown(nil)
-	}
-	return err
-}
-
-// openConns returns the open connections.
-func (s *Server) openConns() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.conns))
-}
-
-// awaitClosed waits until the lingering connections are closed; each closes by itself after lingerTimeout at the latest.
-func (s *Server) awaitClosed(ctx context.Context) {
-	tick := time.NewTicker(closedPollInterval)
-	defer tick.Stop()
-	for len(s.openConns()) > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// closedPollInterval is the interval at which awaitClosed checks whether connections are still open.
-const closedPollInterval = 5 * time.Millisecond
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -150,3 +150,101 @@
 		time.Sleep(idle / 4)
 	}
 }
+
+// serveGated starts a server whose limits cannot be read while the returned gate is closed: it then neither accepts
+// connections nor reads requests, like a process that is suspended. Callers have sent a whole request each.
+func serveGated(t *testing.T, idle time.Duration, callers int) (s *Server, gate chan struct{}, conns []net.Conn) {
+	t.Helper()
+	gate = make(chan struct{})
+	limits := func() Limits {
+		<-gate
+		return Limits{HeaderBytes: 1024, BodyBytes: 64, Conns: callers, HeaderTimeout: time.Second, IdleTimeout: idle}
+	}
+	s = New("test", "127.0.0.1:0", limits, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		func(w http.ResponseWriter, _ http.Header, status int, _ *fault.Error) { w.WriteHeader(status) })
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		c, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	return s, gate, conns
+}
+
+// TestStopAnswersUnreadRequests guards against requests that are closed without an answer by a stop that finds none in
+// flight: they have arrived, but their connections wait in the listener's queue or have not been read.
+func TestStopAnswersUnreadRequests(t *testing.T) {
+	t.Parallel()
+	s, gate, conns := serveGated(t, time.Minute, 8)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(gate)
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("request %d: got %v, want an answer", i, err)
+			continue
+		}
+		_ = resp.Body.Close()
+		if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+			t.Errorf("request %d: got status %d, want %d", i, got, want)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
+
+// TestStopRefusesPartialRequests guards against a stop that waits for requests whose rest does not come, or closes their
+// connections without an answer.
+func TestStopRefusesPartialRequests(t *testing.T) {
+	t.Parallel()
+	s, c := serveSlow(t, func(http.ResponseWriter, *http.Request) {}, func() time.Duration { return time.Minute })
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo"); err != nil {
+		t.Fatal(err)
+	}
+	for len(s.openConns()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("answer: got %v, want one", err)
+	}
+	_ = resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
+
+// TestExpiredIdleTimeoutLosesNoRequest guards against requests that are closed without an answer because the idle timeout
+// passed before they were read, for example while the process was suspended.
+func TestExpiredIdleTimeoutLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	_, gate, conns := serveGated(t, time.Nanosecond, 8)
+	close(gate)
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("request %d: got %v, want an answer", i, err)
+			continue
+		}
+		_ = resp.Body.Close()
+		if got, want := resp.StatusCode, http.StatusOK; got != want {
+			t.Errorf("request %d: got status %d, want %d", i, got, want)
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,6 +27,8 @@
 	Fatal int
 	// Stops is how many series of signals stop nodes besides, under work that may outlast their grace.
 	Stops int
+	// Suspensions is how many planned stops besides have their node's process suspended meanwhile.
+	Suspensions int
 }
 
 // Report is what a run showed.
@@ -78,7 +80,7 @@
 }
 
 func settingsOf(cfg Config) string {
-	if cfg.Stops > 0 {
+	if cfg.Stops+cfg.Suspensions > 0 {
 		return stopSettings
 	}
 	return nodeSettings
@@ -97,6 +99,7 @@
 		weights: make(map[string]string), unknown: make(map[string]bool),
 	}
 	r.plan = append(r.plan, PlanStops(cfg.Seed, cfg.Members, cfg.Stops, cfg.Length)...)
+	r.plan = append(r.plan, PlanSuspensions(cfg.Seed, cfg.Members, cfg.Suspensions, cfg.Length)...)
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
@@ -155,7 +158,7 @@
 		targets = append(targets, m.Callers)
 	}
 	load := demo.NewLoad(targets)
-	if r.cfg.Stops > 0 {
+	if r.cfg.Stops+r.cfg.Suspensions > 0 {
 		load.Deadline = stopDeadline
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -27,8 +27,10 @@
 	slowest = 180
 	// crossing is how long before a close a request may have been sent without having been read.
 	crossing = time.Second
-	// stopsSeed keeps these draws apart from those of Plan.
-	stopsSeed = 1 << 41
+	// stopsSeed and suspensionsSeed keep these draws apart from those of Plan and from each other.
+	stopsSeed, suspensionsSeed = 1 << 41, 1 << 42
+	// latestSuspension is how long after its stop signal a node is suspended at the most, longestSuspension for how long.
+	latestSuspension, longestSuspension = 700 * time.Millisecond, 2 * time.Second
 )
 
 // Signal is one of a series.
@@ -64,6 +66,22 @@
 	return plan
 }
 
+// PlanSuspensions draws n planned stops of nodes whose processes are suspended meanwhile.
+func PlanSuspensions(seed uint64, members, n int, length time.Duration) []Action {
+	r := rand.New(rand.NewPCG(seed, suspensionsSeed+uint64(members))) //nolint:gosec // seeded on purpose
+	plan := make([]Action, 0, n)
+	for range n {
+		stop := draw(r, members, length)
+		stop.Kind, stop.Series = StopSeries, Series{Signals: []Signal{
+			{Number: syscall.SIGTERM},
+			{After: time.Duration(r.Int64N(int64(latestSuspension))), Number: syscall.SIGSTOP},
+			{After: time.Duration(r.Int64N(int64(longestSuspension))), Number: syscall.SIGCONT},
+		}}
+		plan = append(plan, stop)
+	}
+	return plan
+}
+
 // drawSeries draws a series with at least one signal to stop.
 func drawSeries(r *rand.Rand) Series {
 	s := Series{FromLast: r.IntN(2) == 0}
