Quarantine: a success names the crashes that it answers

Callers saw requests refused as fatal that had run well: an endpoint crashes under a request that many send, the same request succeeds elsewhere, and the crash stays counted against it at some nodes, by its row then at all.

Cause: the report of a success named the content alone, and its receiver took back what it knew by then. A crash report that was overtaken counted when it came. In the same class: a row that lists a cleared crash beside a new one stayed as it was, and a row that disappeared took reports with it that it had never listed.

Why this works: a view is two sets that only grow, learned and cleared crashes, and a report adds names to one of them. Rows are corrected crash by crash; what rows and reports disagree on for 5 s is told again, and whoever has cleared a reported crash names it in the reply. Older nodes ignore the names; their own reports are read as before.

The simulation clears by names as the product does.

--- a/node/node.go
+++ b/node/node.go
@@ -264,7 +264,9 @@
 }
 
 // HandlePoisonReport implements peer.Handler.
-func (h handler) HandlePoisonReport(report *peerpb.Ended) { h.tracker.HandleReport(report) }
+func (h handler) HandlePoisonReport(report *peerpb.Ended) *peerpb.Ended {
+	return h.tracker.HandleReport(report)
+}
 
 // GrantAllotment implements peer.Handler.
 func (h handler) GrantAllotment(customer string, want int) (granted int, wait time.Duration) {
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -42,7 +42,7 @@
 
 func (echoHandler) Settle(*peerpb.Settle) {}
 
-func (echoHandler) HandlePoisonReport(*peerpb.Ended) {}
+func (echoHandler) HandlePoisonReport(*peerpb.Ended) *peerpb.Ended { return nil }
 
 // GrantAllotment implements Handler.
 func (echoHandler) GrantAllotment(_ string, want int) (int, time.Duration) { return want - 1, 0 }
--- a/peer/news.go
+++ b/peer/news.go
@@ -56,7 +56,7 @@
 // SendPoisonReport sends a report to at most maxPeers connected peers, to all of them if maxPeers is negative; it does
 // not wait. The report names an endpoint that crashed and the requests that it was running, or requests that ran well
 // elsewhere. The peers are chosen at random: a report that is passed on from node to node must not circulate among
-// neighbours only.
+// neighbours only. The handler gets the peers' answers.
 func (m *Manager) SendPoisonReport(report *peerpb.Ended, maxPeers int) {
 	sessions := m.dialed()
 	rand.Shuffle(len(sessions), func(i, j int) { sessions[i], sessions[j] = sessions[j], sessions[i] }) //nolint:gosec // spreads reports, needs no secrecy
@@ -68,7 +68,10 @@
 			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 			defer cancel()
 			// A peer that misses the report learns its content from the rows of the poison requests.
-			_, _ = s.call(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Ended{Ended: report}})
+			reply, err := s.call(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Ended{Ended: report}})
+			if err == nil && reply.GetEnded() != nil {
+				m.handler.HandlePoisonReport(reply.GetEnded())
+			}
 		}()
 	}
 }
--- a/peer/offer_test.go
+++ b/peer/offer_test.go
@@ -75,7 +75,7 @@
 
 func (*offers) Settle(*peerpb.Settle) {}
 
-func (*offers) HandlePoisonReport(*peerpb.Ended) {}
+func (*offers) HandlePoisonReport(*peerpb.Ended) *peerpb.Ended { return nil }
 
 // GrantAllotment implements Handler.
 func (*offers) GrantAllotment(_ string, _ int) (int, time.Duration) { return 0, time.Second }
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -23,8 +23,9 @@
 	Fetch(ctx context.Context, exchange uint64, sink Sink) *peerpb.End
 	// Settle records, at an owner of an idempotency key, how the request that claimed the key ended on another node.
 	Settle(s *peerpb.Settle)
-	// HandlePoisonReport handles a report that an endpoint crashed while it ran some requests, or that requests ran well.
-	HandlePoisonReport(report *peerpb.Ended)
+	// HandlePoisonReport handles a report that an endpoint crashed while it ran some requests, or that requests ran well. It
+	// returns a report to answer with, nil for none.
+	HandlePoisonReport(report *peerpb.Ended) *peerpb.Ended
 	// Confirm returns the newest version of the platform's configuration, and false if it cannot be determined now.
 	Confirm(ctx context.Context) (config uint64, known bool)
 	// GrantAllotment grants up to want requests of a customer's rate limit; if it grants none, wait is the delay after
@@ -87,7 +88,10 @@
 		lent := &peerpb.Lent{Granted: uint32(granted), WaitMicros: wait.Microseconds()} //nolint:gosec // bounded above
 		_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Lent{Lent: lent}})
 	case *peerpb.Frame_Ended:
-		m.handler.HandlePoisonReport(k.Ended)
+		if answer := m.handler.HandlePoisonReport(k.Ended); answer != nil {
+			_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Ended{Ended: answer}})
+			return
+		}
 		_ = WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Ack{Ack: &peerpb.Ack{}}})
 	case *peerpb.Frame_Settle:
 		m.handler.Settle(k.Settle)
--- a/quarantine/innocent_test.go
+++ b/quarantine/innocent_test.go
@@ -128,10 +128,10 @@
 				return false
 			}
 			f.recent(n).Add(f.time(), w.fingerprint)
-			if n.view.get(w.fingerprint).Ends != "" {
-				f.cleared(n, w.fingerprint)
+			if ids := n.view.get(w.fingerprint).Ends.List(); len(ids) > 0 {
+				ids = f.cleared(n, w.fingerprint, ids)
 				if f.onReport != nil {
-					f.reportSuccess(n, w.fingerprint, min(simLinks, len(f.nodes)))
+					f.reportSuccess(n, w.fingerprint, ids, min(simLinks, len(f.nodes)))
 				}
 			}
 			return true
@@ -145,38 +145,50 @@
 	if !f.recent(n).SucceededWithin(f.time(), c, recentSuccessWindow) {
 		return false
 	}
-	f.cleared(n, c)
-	f.reportSuccess(n, c, min(simLinks, len(f.nodes)))
+	f.reportSuccess(n, c, f.cleared(n, c, n.view.get(c).Ends.List()), min(simLinks, len(f.nodes)))
 	return true
 }
 
-// reportSuccess reports the success of a request to random nodes, which forward the report if it is new to them.
-func (f *innocentFleet) reportSuccess(n *simNode, c poison.Fingerprint, receivers int) {
+// reportSuccess reports the crashes of which a request was cleared to random nodes, which forward the report if it is new
+// to them.
+func (f *innocentFleet) reportSuccess(n *simNode, c poison.Fingerprint, ids []string, receivers int) {
 	for range receivers {
 		to := f.nodes[f.random.IntN(len(f.nodes))]
 		if !f.reaches(n) || f.random.IntN(20) == 0 {
 			continue
 		}
 		f.after(time.Duration(1+f.random.IntN(40))*time.Millisecond, func() {
-			if f.reaches(to) && to.view.markCleared(c, to.view.get(c)) {
-				f.cleared(to, c)
-				f.reportSuccess(to, c, gossipFanout)
+			if !f.reaches(to) {
+				return
+			}
+			if cleared := f.cleared(to, c, ids); len(cleared) > 0 {
+				f.reportSuccess(to, c, cleared, gossipFanout)
 			}
 		})
 	}
 }
 
-// cleared makes a node remove the row of a request that succeeded, unless the row has changed by then.
-func (f *innocentFleet) cleared(n *simNode, c poison.Fingerprint) {
-	n.view.markCleared(c, n.view.get(c))
+// cleared clears a request of crashes at a node, which corrects its row unless that has changed by then. It returns the
+// crashes that the node had not cleared before.
+func (f *innocentFleet) cleared(n *simNode, c poison.Fingerprint, ids []string) []string {
+	isNew := n.view.clear(c, ids)
 	version := n.view.rows[c].Version
 	if version == 0 || f.storeDownUntil > f.now {
-		return
+		return isNew
 	}
 	f.after(time.Duration(5+f.random.IntN(40))*time.Millisecond, func() {
-		if f.store[c].Version == version {
+		row := f.store[c]
+		if row.Version != version {
+			return
+		}
+		if row.Value = n.view.withoutCleared(c, row.Value); row.Value.Ends == "" {
 			delete(f.store, c)
-			f.publish()
+		} else {
+			f.version++
+			row.Version = f.version
+			f.store[c] = row
 		}
+		f.publish()
 	})
+	return isNew
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -66,10 +66,17 @@
 	view *view
 	// succeeded has the fingerprints of requests that succeeded recently.
 	succeeded *poison.Recent
-	// toWrite has the fingerprints whose rows this node must write. toRemove has those whose rows it must remove, with
-	// the time of the decision: a row with a later crash stays.
-	toWrite  map[poison.Fingerprint]bool
-	toRemove map[poison.Fingerprint]time.Time
+	// toWrite has the fingerprints whose rows this node must bring to what its view says, expired those whose rows it
+	// must remove although their crashes were not cleared.
+	toWrite, expired map[poison.Fingerprint]bool
+	// clearedHere has the fingerprints that were cleared because a request succeeded beside this node, with the time. The
+	// node sees to their rows for as long as others may write them.
+	clearedHere map[poison.Fingerprint]time.Time
+	// unsettledSince has the fingerprints of which the row does not say what the view says, with the time since when, or
+	// of the last message about it.
+	unsettledSince map[poison.Fingerprint]time.Time
+	// now returns the current time.
+	now func() time.Time
 	// revision is the revision of the rows in view.
 	revision uint64
 }
@@ -78,7 +85,9 @@
 func New(cfg Config, log *zerolog.Logger, store changes.Table, links Links, snapshot func() *configsync.Snapshot) *Tracker {
 	t := &Tracker{
 		cfg: cfg, log: log, table: store, links: links, snapshot: snapshot, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		view: newView(), succeeded: poison.NewRecent(), toWrite: make(map[poison.Fingerprint]bool), toRemove: make(map[poison.Fingerprint]time.Time),
+		view: newView(), succeeded: poison.NewRecent(), now: time.Now,
+		toWrite: make(map[poison.Fingerprint]bool), expired: make(map[poison.Fingerprint]bool),
+		clearedHere: make(map[poison.Fingerprint]time.Time), unsettledSince: make(map[poison.Fingerprint]time.Time),
 	}
 	t.crashCounts.Store(&map[poison.Fingerprint]int{})
 	return t
@@ -125,54 +134,64 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	t.succeeded.Add(now, f)
+	t.succeeded.Add(t.now(), f)
 	if t.Ends(f) > 0 {
-		t.clearSuspicion(now, f)
+		t.clearSuspicion(f)
 	}
 }
 
-// clearSuspicion clears a fingerprint of its crashes because a request with it succeeded, and tells all peers. The
+// clearSuspicion clears a fingerprint of its crashes because a request with it succeeded, and tells all peers which. The
 // caller holds t.mu.
-func (t *Tracker) clearSuspicion(now time.Time, f poison.Fingerprint) {
-	if t.view.get(f).Ends == "" {
+func (t *Tracker) clearSuspicion(f poison.Fingerprint) {
+	cleared := t.view.clear(f, t.view.get(f).Ends.List())
+	if len(cleared) == 0 {
 		return
 	}
-	t.toRemove[f] = now
-	t.view.markCleared(f, t.view.get(f))
+	t.clearedHere[f] = t.now()
+	t.toWrite[f] = true
 	t.publish()
 	t.wakeWriter()
-	t.links.SendPoisonReport(&peerpb.Ended{Contents: [][]byte{f[:]}, Ran: true}, -1)
+	t.links.SendPoisonReport(successReport(f, cleared), -1)
+}
+
+// successReport returns the report that crashes no longer count against a fingerprint. It names them, because a report of
+// one of them may still be on its way to the receiver.
+func successReport(f poison.Fingerprint, cleared []string) *peerpb.Ended {
+	return &peerpb.Ended{Contents: [][]byte{f[:]}, Ran: true, Answered: cleared}
 }
 
 // handleSuccessReport processes a peer's report that requests succeeded, and forwards the part of it that is new to
-// this node.
+// this node. Nodes of an older version do not name the crashes that no longer count: those known here are meant.
 func (t *Tracker) handleSuccessReport(report *peerpb.Ended) {
-	now, hosts := time.Now(), t.snapshot().Hosts
-	forward := &peerpb.Ended{Ran: true}
+	hosts := t.snapshot().Hosts
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range report.GetContents() {
 		f, ok := poison.FingerprintFromBytes(b)
-		if !ok || !t.view.markCleared(f, t.view.get(f)) {
+		if !ok {
+			continue
+		}
+		ids := report.GetAnswered()
+		if len(ids) == 0 {
+			ids = t.view.get(f).Ends.List()
+		}
+		cleared := t.view.clear(f, ids)
+		if len(cleared) == 0 {
 			continue
 		}
-		forward.Contents = append(forward.Contents, b)
 		if t.rank(f, hosts) < maxWriters {
-			t.toRemove[f] = now
+			t.toWrite[f] = true
 		}
-	}
-	if len(forward.GetContents()) > 0 {
 		t.publish()
 		t.wakeWriter()
-		t.links.SendPoisonReport(forward, gossipFanout)
+		t.links.SendPoisonReport(successReport(f, cleared), gossipFanout)
 	}
 }
 
 // EndedHere records that an endpoint beside this node crashed while it ran requests with these fingerprints, and
 // reports that to all peers.
 func (t *Tracker) EndedHere(endpoint, service string, fingerprints []poison.Fingerprint) {
-	now := time.Now()
+	now := t.now()
 	id := poison.CrashID(endpoint, now)
 	report := &peerpb.Ended{End: id, Service: service, AtMillis: now.UnixMilli()}
 	t.mu.Lock()
@@ -192,41 +211,56 @@
 }
 
 // HandleReport processes a peer's report of a crash or of a success, and forwards the part of it that is new to this
-// node.
-func (t *Tracker) HandleReport(report *peerpb.Ended) {
-	if len(report.GetContents()) > maxFingerprints {
-		return
+// node. It returns the report of a success to answer with if the reported crash was cleared here, else nil.
+func (t *Tracker) HandleReport(report *peerpb.Ended) (answer *peerpb.Ended) {
+	if len(report.GetContents()) > maxFingerprints || len(report.GetAnswered()) > maxFingerprints {
+		return nil
 	}
 	if report.GetRan() {
 		t.handleSuccessReport(report)
-		return
+		return nil
 	}
 	if report.GetEnd() == "" || report.GetService() == "" {
-		return
+		return nil
 	}
-	now := time.Now()
+	now := t.now()
 	at := time.UnixMilli(min(report.GetAtMillis(), now.UnixMilli()))
 	forward := &peerpb.Ended{End: report.GetEnd(), Service: report.GetService(), AtMillis: report.GetAtMillis()}
 	t.mu.Lock()
 	for _, b := range report.GetContents() {
 		f, ok := poison.FingerprintFromBytes(b)
-		if !ok || !t.view.addReport(now, f, report.GetService(), report.GetEnd(), at) {
+		if !ok {
 			continue
 		}
-		if t.succeeded.SucceededWithin(now, f, recentSuccessWindow) {
+		if t.view.addReport(now, f, report.GetService(), report.GetEnd(), at) {
+			if !t.succeeded.SucceededWithin(now, f, recentSuccessWindow) {
+				forward.Contents = append(forward.Contents, b)
+				continue
+			}
 			// The request has just succeeded beside this node, so the crash is not its fault. Without the report of
 			// this to the peers, 143 in a million harmless requests were blocked in random fleets where now and then a
 			// third of the endpoints crash at once: requests that many callers make. With it, none in 1.3 million were.
-			t.clearSuspicion(now, f)
-			continue
+			t.clearSuspicion(f)
+		}
+		if t.view.isCleared(f, report.GetEnd()) {
+			answer = addCleared(answer, b, report.GetEnd())
 		}
-		forward.Contents = append(forward.Contents, b)
 	}
 	t.publish()
 	t.mu.Unlock()
 	if len(forward.GetContents()) > 0 {
 		t.links.SendPoisonReport(forward, gossipFanout)
 	}
+	return answer
+}
+
+// addCleared returns the answer to a report of a crash with one more fingerprint against which the crash does not count.
+func addCleared(answer *peerpb.Ended, fingerprint []byte, id string) *peerpb.Ended {
+	if answer == nil {
+		answer = &peerpb.Ended{Ran: true, Answered: []string{id}}
+	}
+	answer.Contents = append(answer.Contents, fingerprint)
+	return answer
 }
 
 // Observe replaces the rows in view by those of a snapshot that became active.
@@ -245,10 +279,25 @@
 		}
 	})
 	t.view.setRows(rows)
+	t.correctRows()
 	t.publish()
 	t.wakeWriter()
 }
 
+// correctRows has this node rewrite the rows that list cleared crashes, as far as it is responsible for them. Such a row
+// was written by a node that had not learned of the success. The caller holds t.mu.
+func (t *Tracker) correctRows() {
+	hosts := t.snapshot().Hosts
+	for f, row := range t.view.rows {
+		if len(t.view.clearedIn(f, row.Value.Ends.List())) == 0 {
+			continue
+		}
+		if _, here := t.clearedHere[f]; here || t.rank(f, hosts) < maxWriters {
+			t.toWrite[f] = true
+		}
+	}
+}
+
 // publish updates crashCounts. It logs each fingerprint that has become blocked, and each blocked one that was cleared.
 // The caller holds t.mu.
 func (t *Tracker) publish() {
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,10 @@
 	"github.com/lynxplank/lynxplank/table"
 )
 
+// maxClusterReports bounds the reports that a cluster delivers: without it, reports that spread without end would take all
+// memory before a test fails.
+const maxClusterReports = 10_000
+
 // cluster is a group of trackers on one store, each of which receives the reports of the others.
 type cluster struct {
 	store *store.Store
@@ -38,7 +43,9 @@
 func (l trackerLinks) SendPoisonReport(report *peerpb.Ended, maxPeers int) {
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
-	l.c.reports++
+	if l.c.reports++; l.c.reports > maxClusterReports {
+		return
+	}
 	for i, tracker := range l.c.all {
 		if tracker != *l.self && !l.c.deaf[tracker] && (maxPeers < 0 || i < maxPeers) {
 			go tracker.HandleReport(report)
@@ -282,3 +289,51 @@
 		}
 	}
 }
+
+// TestSuccessReportOfOlderVersion checks that a report of a success which names no crashes, as nodes of an older version
+// send it, clears the request of those known to the receiver, and that a named crash stays cleared when it is reported
+// later.
+func TestSuccessReportOfOlderVersion(t *testing.T) {
+	c := newCluster(t, 1)
+	tracker := c.all[0]
+	report := func(id string) *peerpb.Ended {
+		return &peerpb.Ended{End: id, Service: "docket-desk", Contents: [][]byte{deadly[:]}, AtMillis: 1}
+	}
+	tracker.HandleReport(report("a@1"))
+	tracker.HandleReport(&peerpb.Ended{Contents: [][]byte{deadly[:]}, Ran: true})
+	if got, want := tracker.Ends(deadly), 0; got != want {
+		t.Errorf("crashes after a success without names: got %d, want %d", got, want)
+	}
+	tracker.HandleReport(&peerpb.Ended{Contents: [][]byte{deadly[:]}, Ran: true, Answered: []string{"b@2"}})
+	answer := tracker.HandleReport(report("b@2"))
+	if got, want := tracker.Ends(deadly), 0; got != want {
+		t.Errorf("crashes after a late report: got %d, want %d", got, want)
+	}
+	if got, want := answer.GetAnswered(), []string{"b@2"}; !slices.Equal(got, want) {
+		t.Errorf("answer to the late report: got %v, want %v", got, want)
+	}
+	if tracker.HandleReport(report("c@3")) != nil || tracker.Ends(deadly) != 1 {
+		t.Errorf("crashes after a new one: got %d, want 1 and no answer", tracker.Ends(deadly))
+	}
+}
+
+// TestStaleRowIsCorrected guards against a row that keeps a request suspected after a node that had missed the success has
+// written it: a node that knows of the success takes the cleared crash out and leaves the other one.
+func TestStaleRowIsCorrected(t *testing.T) {
+	c := newCluster(t, 1)
+	tracker := c.all[0]
+	tracker.HandleReport(&peerpb.Ended{Contents: [][]byte{deadly[:]}, Ran: true, Answered: []string{"a@1"}})
+	value, err := poison.Encode(poison.WithCrashes(table.PoisonRequest{}, "docket-desk", []string{"a@1", "b@2"}, time.Now()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := platform.Txn{Writes: []platform.Write{{Key: poison.KeyOf(deadly), Value: value}}}
+	if _, err := store.NewLocal(c.store).Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+	c.show(t, tracker)
+	if got, want := tracker.Ends(deadly), 1; got != want {
+		t.Errorf("crashes: got %d, want %d", got, want)
+	}
+	c.waitForCrashesInStore(t, 1)
+}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -24,7 +24,11 @@
 // view is this node's view of the crashes that requests have caused, from the active rows and from reports. It does not
 // lock: the caller serializes access.
 //
-// Invariant: once a fingerprint is cleared or its row removed, no report of one of the same crashes counts again.
+// A view is a pair of sets, the crashes that it has learned of and those that were cleared, and what counts is the
+// difference. Both only grow, apart from the bounds on their size and age, so that views which have learned the same
+// agree, whatever the order, the number and the paths of the reports.
+//
+// Invariant: once a crash is cleared or missing from a row that listed it, no report of it counts again.
 type view struct {
 	// rows are the active rows, reports what has been reported besides.
 	rows    map[poison.Fingerprint]table.Entry[table.PoisonRequest]
@@ -80,26 +84,39 @@
 // get returns a fingerprint's crashes from its row and from reports, without cleared ones, which the row may still
 // list.
 func (v *view) get(f poison.Fingerprint) table.PoisonRequest {
-	row, report := v.rows[f].Value, v.reports[f].PoisonRequest
-	if ids := row.Ends.List(); slices.ContainsFunc(ids, func(id string) bool { return v.cleared[crash{f, id}] }) {
-		row.Ends = table.NamesOf(slices.DeleteFunc(ids, func(id string) bool { return v.cleared[crash{f, id}] }))
-	}
+	row, report := v.withoutCleared(f, v.rows[f].Value), v.reports[f].PoisonRequest
 	if report.Ends == "" {
 		return row
 	}
 	return poison.WithCrashes(row, report.Service, report.Ends.List(), report.At.Time())
 }
 
-// setRows replaces the active rows. It clears the crashes of rows that are gone and drops the reports that rows now
-// cover.
+// withoutCleared returns a fingerprint's row without the crashes that were cleared.
+func (v *view) withoutCleared(f poison.Fingerprint, row table.PoisonRequest) table.PoisonRequest {
+	if ids := row.Ends.List(); slices.ContainsFunc(ids, func(id string) bool { return v.isCleared(f, id) }) {
+		row.Ends = table.NamesOf(slices.DeleteFunc(ids, func(id string) bool { return v.isCleared(f, id) }))
+	}
+	return row
+}
+
+func (v *view) isCleared(f poison.Fingerprint, id string) bool { return v.cleared[crash{f, id}] }
+
+// clearedIn returns which of the crashes in a list were cleared.
+func (v *view) clearedIn(f poison.Fingerprint, ids []string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !v.isCleared(f, id) })
+}
+
+// setRows replaces the active rows. It clears the crashes that the previous rows list and these do not, and drops the
+// reports that rows now cover: those of crashes that they list, and all of a fingerprint that is blocked.
 func (v *view) setRows(rows map[poison.Fingerprint]table.Entry[table.PoisonRequest]) {
 	for f, row := range v.rows {
-		if _, ok := rows[f]; !ok {
-			v.markCleared(f, row.Value)
-		}
+		current := rows[f].Value.Ends.List()
+		v.clear(f, slices.DeleteFunc(row.Value.Ends.List(), func(id string) bool { return slices.Contains(current, id) }))
 	}
 	v.rows = rows
-	maps.DeleteFunc(v.reports, func(f poison.Fingerprint, r reported) bool { return covers(rows[f].Value, r) })
+	maps.DeleteFunc(v.reports, func(f poison.Fingerprint, r reported) bool {
+		return poison.Blocked(v.withoutCleared(f, rows[f].Value)) || covers(rows[f].Value, r)
+	})
 }
 
 // covers reports whether a row lists all crashes that were reported.
@@ -108,25 +125,36 @@
 	return !slices.ContainsFunc(r.Ends.List(), func(id string) bool { return !slices.Contains(ids, id) })
 }
 
-// markCleared clears a fingerprint of the crashes in row and of all reported ones, so that late reports of them change
-// nothing. It returns whether any of them was not cleared before.
-func (v *view) markCleared(f poison.Fingerprint, row table.PoisonRequest) (isNew bool) {
-	for _, id := range slices.Concat(row.Ends.List(), v.reports[f].Ends.List()) {
-		cr := crash{f, id}
-		if !v.cleared[cr] {
-			isNew = true
-			v.cleared[cr] = true
-			v.clearedOrder = append(v.clearedOrder, cr)
+// clear records that crashes no longer count against a fingerprint, whether or not reports of them have come, and returns
+// those that were not cleared before.
+func (v *view) clear(f poison.Fingerprint, ids []string) (cleared []string) {
+	for _, id := range ids {
+		if v.isCleared(f, id) {
+			continue
+		}
+		cleared = append(cleared, id)
+		v.cleared[crash{f, id}] = true
+		v.clearedOrder = append(v.clearedOrder, crash{f, id})
+	}
+	if r, ok := v.reports[f]; ok {
+		r.PoisonRequest = v.withoutCleared(f, r.PoisonRequest)
+		v.reports[f] = r
+		if r.Ends == "" {
+			delete(v.reports, f)
 		}
 	}
-	delete(v.reports, f)
 	if over := len(v.clearedOrder) - maxReported; over > 0 {
 		for _, cr := range v.clearedOrder[:over] {
 			delete(v.cleared, cr)
 		}
 		v.clearedOrder = slices.Clone(v.clearedOrder[over:])
 	}
-	return isNew
+	return cleared
+}
+
+// isSettled reports whether a fingerprint's row lists the crashes that count, and no others.
+func (v *view) isSettled(f poison.Fingerprint) bool {
+	return v.get(f).Ends == v.rows[f].Value.Ends
 }
 
 // isEmpty reports whether there are no crashes in view.
--- a/quarantine/write.go
+++ b/quarantine/write.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/poison"
 	"github.com/lynxplank/lynxplank/retry"
@@ -22,6 +24,8 @@
 	// maxWriters is how many nodes, one after the other, may take over a row that the node that observed the crash has
 	// not written.
 	maxWriters = 4
+	// resendInterval is the time between two reports of what a fingerprint's row does not say.
+	resendInterval = 5 * time.Second
 	// maxRows bounds the rows in one transaction, each of which takes a check and a write.
 	maxRows = platform.MostEntries / 2
 )
@@ -40,7 +44,7 @@
 		case <-t.wake:
 		case <-retryDue:
 		case <-tick.C:
-			t.maintain(time.Now())
+			t.maintain(t.now())
 		}
 		retryDue = nil
 		if err := t.write(ctx); err != nil {
@@ -52,21 +56,21 @@
 	}
 }
 
-// maintain drops what has expired, and takes over the writing of crashes that the node that observed them has not
-// written: that node may be down.
+// maintain drops what has expired, takes over the writing of crashes that the node that observed them has not written,
+// because that node may be down, and tells peers what the rows do not say.
 func (t *Tracker) maintain(now time.Time) {
 	hosts := t.snapshot().Hosts
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.view.isEmpty() && len(t.toRemove) == 0 {
+	maps.DeleteFunc(t.clearedHere, func(_ poison.Fingerprint, at time.Time) bool { return now.Sub(at) > poison.SuspicionDuration })
+	maps.DeleteFunc(t.unsettledSince, func(f poison.Fingerprint, _ time.Time) bool { return t.view.isSettled(f) })
+	if t.view.isEmpty() {
 		return
 	}
 	t.view.dropExpired(now)
-	maps.DeleteFunc(t.toWrite, func(f poison.Fingerprint, _ bool) bool { return t.view.reports[f].Ends == "" })
-	maps.DeleteFunc(t.toRemove, func(_ poison.Fingerprint, at time.Time) bool { return now.Sub(at) > recentSuccessWindow })
 	for f, row := range t.view.rows {
 		if poison.Expired(row.Value, now) && t.rank(f, hosts) == 0 {
-			t.toRemove[f] = now
+			t.expired[f] = true
 		}
 	}
 	for f, r := range t.view.reports {
@@ -74,9 +78,47 @@
 			t.toWrite[f] = true
 		}
 	}
+	t.correctRows()
+	t.resendUnsettled(now)
 	t.publish()
 }
 
+// resendUnsettled reports again what rows have not said for resendInterval: reports may have been lost, and a node that
+// cleared a crash answers the report of it.
+func (t *Tracker) resendUnsettled(now time.Time) {
+	resend := func(f poison.Fingerprint) {
+		if t.view.isSettled(f) {
+			return
+		}
+		if since, ok := t.unsettledSince[f]; ok && now.Sub(since) < resendInterval {
+			return
+		} else if ok {
+			t.sendUnsettled(f)
+		}
+		t.unsettledSince[f] = now
+	}
+	for f := range t.view.rows {
+		resend(f)
+	}
+	for f := range t.view.reports {
+		resend(f)
+	}
+}
+
+// sendUnsettled reports the crashes of a fingerprint that its row does not list, and those that it lists although they were
+// cleared.
+func (t *Tracker) sendUnsettled(f poison.Fingerprint) {
+	if cleared := t.view.clearedIn(f, t.view.rows[f].Value.Ends.List()); len(cleared) > 0 {
+		t.links.SendPoisonReport(successReport(f, cleared), gossipFanout)
+	}
+	r := t.view.reports[f]
+	for _, id := range r.Ends.List() {
+		t.links.SendPoisonReport(&peerpb.Ended{
+			End: id, Service: r.Service, AtMillis: int64(r.At), Contents: [][]byte{f[:]},
+		}, gossipFanout)
+	}
+}
+
 // rank returns this node's rank among the nodes that may take over a fingerprint's row, 0 for the first (rendezvous
 // hashing). The ranks keep the number of nodes that write the row small, whatever the size of the fleet. If two nodes
 // both take themselves for the first, that costs one more write.
@@ -91,9 +133,14 @@
 	return before
 }
 
-// edit is one row to be written or removed.
+// edit is a change of one row.
 type edit struct {
 	fingerprint poison.Fingerprint
+	// add has the crashes to be listed, cleared those that must not be.
+	add     table.PoisonRequest
+	cleared []string
+	// expired is set for a row that is to be removed unless it has changed.
+	expired bool
 	// value is the new content of the row; remove is set to remove the row instead.
 	value  table.PoisonRequest
 	remove bool
@@ -101,20 +148,37 @@
 	version uint64
 }
 
-// edits returns the rows to be written or removed now.
+// on returns the edit of a row that has this content and version, and whether it changes anything.
+func (e edit) on(current table.PoisonRequest, version uint64) (edit, bool) {
+	e.version = version
+	e.value = current
+	e.value.Ends = table.NamesOf(slices.DeleteFunc(current.Ends.List(), func(id string) bool { return slices.Contains(e.cleared, id) }))
+	if e.add.Ends != "" {
+		e.value = poison.WithCrashes(e.value, e.add.Service, e.add.Ends.List(), e.add.At.Time())
+	}
+	e.remove = e.expired || e.value.Ends == ""
+	return e, e.remove && version != 0 || !e.remove && e.value.Ends != current.Ends
+}
+
+// edits returns the rows to be written or removed now. What changes nothing is dropped.
 func (t *Tracker) edits() []edit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []edit
-	for f, at := range t.toRemove {
-		// A row that has not reached this node yet is handled once it does.
-		if row, ok := t.view.rows[f]; ok && !row.Value.At.Time().After(at) {
-			out = append(out, edit{fingerprint: f, remove: true, version: row.Version})
+	for f := range t.expired {
+		if e, changes := (edit{fingerprint: f, expired: true}).on(t.view.rows[f].Value, t.view.rows[f].Version); changes {
+			out = append(out, e)
+		} else {
+			delete(t.expired, f)
 		}
 	}
-	for f := range t.view.reports {
-		if t.toWrite[f] {
-			out = append(out, edit{fingerprint: f, value: t.view.get(f), version: t.view.rows[f].Version})
+	for f := range t.toWrite {
+		row := t.view.rows[f]
+		e := edit{fingerprint: f, add: t.view.reports[f].PoisonRequest, cleared: t.view.clearedIn(f, row.Value.Ends.List())}
+		if e, changes := e.on(row.Value, row.Version); changes {
+			out = append(out, e)
+		} else {
+			delete(t.toWrite, f)
 		}
 	}
 	return out[:min(len(out), maxRows)]
@@ -122,8 +186,8 @@
 
 // write writes and removes the rows that this node is responsible for.
 //
-// Invariant: each write checks the version of the row that it replaces, and lists every crash that the row listed. So
-// no crash is lost, and a write that the store carries out late undoes nothing.
+// Invariant: each write checks the version of the row that it replaces, and lists every crash that the row listed and that
+// was not cleared. So no crash is lost, and a write that the store carries out late undoes nothing.
 func (t *Tracker) write(ctx context.Context) error {
 	edits := t.edits()
 	for range maxMerges {
@@ -165,8 +229,8 @@
 	return t.table.Commit(ctx, txn)
 }
 
-// rebase returns the edits on top of the rows in the reply to a conflicting transaction. A row that has changed is not
-// removed, because it lists another crash by now.
+// rebase returns the edits on top of the rows in the reply to a conflicting transaction. An expired row that has changed
+// is not removed, because it lists another crash by now.
 func rebase(edits []edit, conflict platform.TxnReply) ([]edit, error) {
 	var out []edit
 	for _, e := range edits {
@@ -175,21 +239,19 @@
 			out = append(out, e)
 			continue
 		}
-		if e.remove {
+		if e.expired {
 			continue
 		}
+		var current table.PoisonRequest
 		if found.Version != 0 {
-			current, err := poison.Decode(found)
-			if err != nil {
+			var err error
+			if current, err = poison.Decode(found); err != nil {
 				return nil, err
 			}
-			e.value = poison.WithCrashes(current, e.value.Service, e.value.Ends.List(), e.value.At.Time())
-			if e.value == current {
-				continue
-			}
 		}
-		e.version = found.Version
-		out = append(out, e)
+		if e, changes := e.on(current, found.Version); changes {
+			out = append(out, e)
+		}
 	}
 	return out, nil
 }
@@ -199,7 +261,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range edits {
-		delete(t.toRemove, e.fingerprint)
+		delete(t.expired, e.fingerprint)
 		delete(t.toWrite, e.fingerprint)
 		events.CrashesWritten.Log(t.log).Stringer("content", e.fingerprint).Str("service", e.value.Service).
 			Strs("ends", e.value.Ends.List()).Bool("taken_out", e.remove).Send()
