Peer: a suspicion about a link cuts no answer that has begun

Cause: one offer without an answer in its time makes the link suspect, which interrupted every offered exchange on it, also those whose answers were already half at their callers; those can be fetched over no other link. In the same class: a link without an echo for ten echo timeouts, or whose control stream the peer had ended, was closed with the begun answers on it.

Why this works: the sink says when the caller has received a part, and such an exchange is not interrupted any more. A link that is given up takes no new exchange, is replaced, and is closed once its begun answers have ended, with the connection or at their deadlines at the latest. Requests without a begun answer are interrupted as before.

Before: TestSuspectLinkKeepsBegunAnswers and TestSilentLinkKeepsBegunAnswers fail 3 of 3 (the answer ends after its first half). After: the package 3 of 3 under the race detector.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -65,6 +65,9 @@
 	return a.dispatched
 }
 
+// Committed implements peer.CommittingSink.
+func (a *answer) Committed() bool { return a.started }
+
 // sendEnded reports to progress that the send has ended, if it was dispatched.
 func (a *answer) sendEnded() {
 	if a.dispatched {
--- a/peer/control.go
+++ b/peer/control.go
@@ -64,9 +64,9 @@
 	}()
 }
 
-// runControl runs the dialer's side of the control stream and closes the session when it returns.
+// runControl runs the dialer's side of the control stream and releases the session when it returns.
 func (s *Session) runControl(stream net.Conn) {
-	defer s.close()
+	defer s.release()
 	hello := &peerpb.Hello{Node: s.m.cfg.Node, Hall: s.m.cfg.Hall, Incarnation: s.m.cfg.Incarnation}
 	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Hello{Hello: hello}}); err != nil {
 		return
@@ -148,9 +148,9 @@
 	return max(closeFactor*c.EchoTimeout, 2*unpinnedIdleFactor*c.Heartbeat)
 }
 
-// listen reads the heartbeats of the acceptor until the control stream ends, then closes the session.
+// listen reads the heartbeats of the acceptor until the control stream ends, then releases the session.
 func (s *Session) listen(r FrameReader) {
-	defer s.close()
+	defer s.release()
 	for {
 		f, err := r.Read()
 		if err != nil {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -93,7 +93,7 @@
 	}
 	s := &Session{
 		m: m, address: address, mux: mux, conn: c,
-		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]struct{}),
+		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]bool),
 	}
 	s.usedAt.Store(time.Now().UnixNano())
 	// The kernel of a frozen peer still accepts connections: if the last link was suspect when it ended, the new one
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -41,6 +41,13 @@
 	AllowDispatch() bool
 }
 
+// CommittingSink is a Sink that may pass an answer on before it is complete.
+type CommittingSink interface {
+	Sink
+	// Committed returns whether the caller has received a part of the answer. No other answer can replace it then.
+	Committed() bool
+}
+
 // AllowsDispatch returns the consent of a sink that is a DispatchGate, and true for any other sink.
 func AllowsDispatch(sink Sink) bool {
 	gate, ok := sink.(DispatchGate)
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -26,6 +26,8 @@
 	dispatched bool
 	// withheld is set if the sink did not allow the dispatch.
 	withheld bool
+	// committed is set once the caller has received a part of the answer.
+	committed bool
 	// flowControl is set if the peer sends only as much of the answer as it has credit for; uncredited counts the bytes
 	// that the caller has read and that were not yet reported to the peer as credit.
 	flowControl bool
@@ -57,7 +59,7 @@
 // open opens a stream for an exchange. An offer must be answered within the offer timeout, at least by an Ack frame that
 // says that it waits.
 func (s *Session) open(ctx context.Context, offered bool) (*ingressExchange, *peerpb.End) {
-	stream, err := s.mux.OpenStream()
+	stream, err := s.openStream()
 	if err != nil {
 		return nil, NotRun(fault.LinkDown, linkRetryAfter)
 	}
@@ -161,9 +163,21 @@
 		if err != nil {
 			return x.sinkFailedEnd()
 		}
+		x.observeSink(sink)
 	}
 }
 
+// observeSink protects the exchange from interruption once the caller has received a part of the answer. An interruption
+// that came just before is undone.
+func (x *ingressExchange) observeSink(sink Sink) {
+	if c, ok := sink.(CommittingSink); !ok || x.committed || !c.Committed() {
+		return
+	}
+	x.committed = true
+	x.s.commit(x.stream)
+	x.clearReadDeadline()
+}
+
 // reportDue passes the time within which an answer is due to the sink, if the grant contains it.
 func reportDue(sink Sink, g *peerpb.Grant) {
 	if due := g.GetDueMicros(); due > 0 {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -337,7 +337,7 @@
 	if err != nil {
 		return
 	}
-	onward, err := s.mux.OpenStream()
+	onward, err := s.openStream()
 	if err != nil {
 		return
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -26,6 +26,8 @@
 	suspect  atomic.Bool
 	draining atomic.Bool
 	pinned   atomic.Bool
+	// released is set once the link begins no exchange any more.
+	released atomic.Bool
 	inFlight atomic.Int64
 	// usedAt is when the last exchange on the link began, in nanoseconds since 1970; roundTrip is the time from the last
 	// heartbeat to its echo, in nanoseconds.
@@ -46,8 +48,10 @@
 	// pending is the sequence number of the first heartbeat without an echo, 0 for none; pendingAt is when it was sent.
 	pending   uint64
 	pendingAt time.Time
-	// streams are the streams of offers in flight, which are interrupted when the link becomes suspect.
-	streams map[net.Conn]struct{}
+	// streams are the streams of the exchanges of whose answers no caller has received a part, with whether they are
+	// offers. committed counts the other exchanges.
+	streams   map[net.Conn]bool
+	committed int
 }
 
 // Bounds of the timeout for the first frame on an offer: a few round trips, and time for a node that is short of CPU.
@@ -63,9 +67,7 @@
 	return min(max(minOfferTimeout, offerRoundTrips*time.Duration(s.roundTrip.Load())), maxOfferTimeout)
 }
 
-// begin records the start of an exchange. Only the streams of offers are recorded for interruption, because only the
-// answer of an offer can be fetched over another link when this one becomes suspect. If the link was idle, the heartbeat
-// is woken to monitor it.
+// begin records the start of an exchange. If the link was idle, the heartbeat is woken to monitor it.
 func (s *Session) begin(stream net.Conn, offered bool) {
 	now := time.Now().UnixNano()
 	s.usedAt.Store(now)
@@ -73,11 +75,17 @@
 		s.busyAt.Store(now)
 		s.wakeBeat()
 	}
-	if offered {
-		s.mu.Lock()
-		s.streams[stream] = struct{}{}
-		s.mu.Unlock()
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[stream] = offered
+}
+
+// commit records that a caller has received a part of the exchange's answer: the answer can come over no other link.
+func (s *Session) commit(stream net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, stream)
+	s.committed++
 }
 
 // recordAnsweredOffer records that the peer has answered an offer made at the given time: the link works in both
@@ -95,8 +103,12 @@
 func (s *Session) finish(stream net.Conn) {
 	s.inFlight.Add(-1)
 	s.mu.Lock()
-	delete(s.streams, stream)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if _, ok := s.streams[stream]; ok {
+		delete(s.streams, stream)
+		return
+	}
+	s.committed--
 }
 
 // suspectUnanswered marks the link as suspect if an offer was not answered before its stream failed: the link gets no new
@@ -115,17 +127,27 @@
 	}
 	s.m.markUnreachable(s.address)
 	events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Str("reason", reason).Send()
-	s.interruptStreams()
+	s.interruptOffers()
 	s.beatNow()
 }
 
-// interruptStreams ends the offers in flight on a suspect link; the answers of dispatched requests are fetched over
-// another link.
-func (s *Session) interruptStreams() {
+// interruptOffers ends the offers in flight on a suspect link; the answers of dispatched requests are fetched over another
+// link.
+//
+// Invariant: no answer of which a caller has received a part is interrupted because of a belief about the link. It ends with
+// the link, the endpoint or its request's time.
+func (s *Session) interruptOffers() {
+	s.interrupt(func(offered bool) bool { return offered })
+}
+
+// interrupt ends the reading of the exchanges that are not committed and for which which returns true.
+func (s *Session) interrupt(which func(offered bool) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for stream := range s.streams {
-		_ = stream.SetReadDeadline(time.Now())
+	for stream, offered := range s.streams {
+		if which(offered) {
+			_ = stream.SetReadDeadline(time.Now())
+		}
 	}
 }
 
@@ -155,6 +177,33 @@
 	})
 }
 
+// release ends a link that seems to be of no use any more: it gets no new requests, its exchanges end, and it is closed once
+// those answers have ended of which callers have received a part. The peer may only have been suspended.
+func (s *Session) release() {
+	s.released.Store(true)
+	s.m.removeSession(s)
+	s.interrupt(func(bool) bool { return true })
+	defer s.close()
+	tick := time.NewTicker(s.m.cfg.Heartbeat)
+	defer tick.Stop()
+	for s.hasCommitted() {
+		select {
+		case <-s.done:
+			return
+		case <-s.mux.CloseChan():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// hasCommitted reports whether callers have received parts of answers that have not ended.
+func (s *Session) hasCommitted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.committed > 0
+}
+
 // closeMux closes a yamux session, its connection first: while a session is closed and its connection is not, yamux lets
 // the readers of the session's streams spin.
 func closeMux(c net.Conn, mux *yamux.Session) {
@@ -162,12 +211,24 @@
 	_ = mux.Close()
 }
 
-// Pull asks the peer for all changes after the given revisions.
-func (s *Session) Pull(ctx context.Context, from table.Revisions) ([]*peerpb.Delta, error) {
+// openStream opens a stream, unless the link was released.
+func (s *Session) openStream() (net.Conn, error) {
+	if s.released.Load() {
+		return nil, fault.New(fault.LinkDown, s.address, "the link is being closed")
+	}
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkDown, s.address, "cannot open a stream")
 	}
+	return stream, nil
+}
+
+// Pull asks the peer for all changes after the given revisions.
+func (s *Session) Pull(ctx context.Context, from table.Revisions) ([]*peerpb.Delta, error) {
+	stream, err := s.openStream()
+	if err != nil {
+		return nil, err
+	}
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
 	ask := &peerpb.Pull{From: revisionsToWire(from), HostChanges: true, Fatal: true, Planes: uint32(table.SourceCount)}
@@ -219,9 +280,9 @@
 
 // call sends one frame on a new stream and returns the frame with which the peer answers.
 func (s *Session) call(ctx context.Context, request *peerpb.Frame) (*peerpb.Frame, error) {
-	stream, err := s.mux.OpenStream()
+	stream, err := s.openStream()
 	if err != nil {
-		return nil, fault.Wrap(err, fault.LinkDown, s.address, "cannot open a stream")
+		return nil, err
 	}
 	defer abandon(stream)
 	defer context.AfterFunc(ctx, func() { abandon(stream) })()
