Peer: a peer whose dial has failed is unreachable once its callers know

Cause: Manager.dial closed the dial's channel before it marked the peer as unreachable. Who had waited for the dial could ask in between.

Evidence: on the code before, 10 of 600 runs of the test under the race detector, nine of them in the 150 beside eight busy processes; it always fails at its first look at Usable. The entry is made in the critical section that ends the dial now, so nobody sees one without the other. The test is unchanged.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -61,14 +61,17 @@
 	s, err := m.connect(address)
 	m.mu.Lock()
 	delete(m.dialing, address)
-	if err == nil && !m.closed.Load() {
+	switch {
+	case err != nil:
+		// Callers that wait for the dial must find the peer unreachable once it has failed.
+		m.markUnreachableLocked(address)
+	case !m.closed.Load():
 		m.sessions[address] = s
 	}
 	m.mu.Unlock()
 	d.session, d.err = s, err
 	close(d.done)
 	if err != nil {
-		m.markUnreachable(address)
 		return
 	}
 	events.LinkUp.Log(m.log).Str("peer", address).Send()
--- a/peer/reach.go
+++ b/peer/reach.go
@@ -46,6 +46,10 @@
 func (m *Manager) markUnreachable(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.markUnreachableLocked(address)
+}
+
+func (m *Manager) markUnreachableLocked(address string) {
 	now := time.Now()
 	if m.unreachable[address] == nil {
 		m.unreachable[address] = &outage{since: now, wantedAt: now, retryAt: now.Add(initialRedialDelay), interval: 2 * initialRedialDelay}
