Demo: a look at a free port excludes forks

Cause, traced earlier: a process that is started while the port is tried inherits the socket and holds the port until it executes its program. Test code alone; nothing of the product changes.

--- a/demo/ports.go
+++ b/demo/ports.go
@@ -43,16 +43,27 @@
 		}
 		address := "127.0.0.1:" + strconv.Itoa(ports.next)
 		ports.next++
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			out = append(out, address)
 		}
-		_ = l.Close()
-		out = append(out, address)
 	}
 	return out, nil
 }
 
+// isFree reports whether nobody listens on an address.
+//
+// A process that was forked while the socket is open would hold it, and with it the port, until it executes its program.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // claimBlock takes a block of ports that no other process holds; the lock is held.
 func claimBlock() error {
 	for i := range blocks {
