--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -179,15 +179,9 @@
 	return s, gate, conns
 }
 
-// TestStopAnswersUnreadRequests guards against requests that are closed without an answer by a stop that finds none in
-// flight: they have arrived, but their connections wait in the listener's queue or have not been read.
-func TestStopAnswersUnreadRequests(t *testing.T) {
-	t.Parallel()
-	s, gate, conns := serveGated(t, time.Minute, 8)
-	stopped := make(chan error, 1)
-	go func() { stopped <- s.Stop(context.Background()) }()
-	time.Sleep(50 * time.Millisecond)
-	close(gate)
+// checkAnswers checks that each caller receives an answer with the wanted status.
+func checkAnswers(t *testing.T, conns []net.Conn, want int) {
+	t.Helper()
 	for i, c := range conns {
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
@@ -195,10 +189,22 @@
 			continue
 		}
 		_ = resp.Body.Close()
-		if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		if got := resp.StatusCode; got != want {
 			t.Errorf("request %d: got status %d, want %d", i, got, want)
 		}
 	}
+}
+
+// TestStopAnswersUnreadRequests guards against requests that are closed without an answer by a stop that finds none in
+// flight: they have arrived, but their connections wait in the listener's queue or have not been read.
+func TestStopAnswersUnreadRequests(t *testing.T) {
+	t.Parallel()
+	s, gate, conns := serveGated(t, time.Minute, 8)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(gate)
+	checkAnswers(t, conns, http.StatusServiceUnavailable)
 	if err := <-stopped; err != nil {
 		t.Errorf("stop: got %v, want none", err)
 	}
@@ -236,15 +242,5 @@
 	t.Parallel()
 	_, gate, conns := serveGated(t, time.Nanosecond, 8)
 	close(gate)
-	for i, c := range conns {
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			t.Errorf("request %d: got %v, want an answer", i, err)
-			continue
-		}
-		_ = resp.Body.Close()
-		if got, want := resp.StatusCode, http.StatusOK; got != want {
-			t.Errorf("request %d: got status %d, want %d", i, got, want)
-		}
-	}
+	checkAnswers(t, conns, http.StatusOK)
 }
--- a/quarantine/order_test.go
+++ b/quarantine/order_test.go
@@ -110,19 +110,7 @@
 		t.Fatal(err)
 	}
 	f.reads++
-	d := table.Delta{Source: table.SourcePoison, Full: true, To: f.reads}
-	for _, rec := range recs.Records {
-		row, err := poison.RowOf(rec)
-		if err != nil {
-			t.Fatal(err)
-		}
-		d.Rows = append(d.Rows, row)
-	}
-	state, err := table.NewState().With(d)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.Observe(&configsync.Snapshot{State: state})
+	n.Observe(snapshotOf(t, recs.Records, f.reads))
 }
 
 // writeRows lets a node do what it does each second.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -86,8 +87,14 @@
 // show passes the rows in the store to a tracker, as an active snapshot does.
 func (c *cluster) show(t *testing.T, tracker *Tracker) {
 	t.Helper()
-	d := table.Delta{Source: table.SourcePoison, Full: true, To: uint64(time.Now().UnixNano())}
-	for _, rec := range c.rows(t) {
+	tracker.Observe(snapshotOf(t, c.rows(t), uint64(time.Now().UnixNano())))
+}
+
+// snapshotOf returns a snapshot that has rows of the store active, at a revision.
+func snapshotOf(t rapid.TB, recs []platform.Record, revision uint64) *configsync.Snapshot {
+	t.Helper()
+	d := table.Delta{Source: table.SourcePoison, Full: true, To: revision}
+	for _, rec := range recs {
 		row, err := poison.RowOf(rec)
 		if err != nil {
 			t.Fatal(err)
@@ -98,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracker.Observe(&configsync.Snapshot{State: state})
+	return &configsync.Snapshot{State: state}
 }
 
 // eventually waits until condition returns true.
