Egress: names of the fields of endpoints' answers that no code reads are logged

Event 416 names, once an endpoint and at most 16 of them, the fields of its answers that are neither standard nor read; values are not logged. What is handed to such an endpoint (409) is logged each second, not only where there are further sends.

No decision changes. TestUnreadFieldsAreLoggedOnce fails without it (no line).

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -18,6 +18,8 @@
 	Dispatch(h http.Header, d Dispatch)
 	// Answer reads the metadata of an endpoint's answer.
 	Answer(status int, h http.Header) Answer
+	// Unread returns the names of the fields of an endpoint's answer that the contract does not know.
+	Unread(h http.Header) []string
 	// Return returns the fields of an endpoint's answer that are passed on to the caller.
 	Return(h http.Header) []*peerpb.Header
 	// Outcome adds the fields that tell the caller how its request ended.
--- a/contract/own.go
+++ b/contract/own.go
@@ -96,6 +96,11 @@
 	}
 }
 
+// Unread implements Contract.
+func (Native) Unread(h http.Header) []string {
+	return UnreadFields(h, []string{header.RequestID, header.NotRun, header.Leaving})
+}
+
 // Return implements Contract.
 func (Native) Return(h http.Header) []*peerpb.Header { return header.FromHTTP(h) }
 
--- a/egress/arrivals.go
+++ b/egress/arrivals.go
@@ -87,14 +87,15 @@
 	return l.arrivals.Arrivals
 }
 
-// logArrivals logs what was dispatched to the endpoint since the last such event, if there are retries among it, and
-// how many retries are left. The event's fields have the names that Arrivals has in the JSON; "part" is the
+// logArrivals logs what was dispatched to the endpoint since the last such event, if there are retries among it or the
+// endpoint sends fields that are not read, and how many retries are left. The event's fields have the names that Arrivals has in the JSON; "part" is the
 // endpoint's share of the retry slack.
 func (l *localEndpoint) logArrivals(now time.Time, log *zerolog.Logger) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.arrivals.minus(l.arrivals.logged)
-	if now.Sub(l.arrivals.loggedAt) < arrivalsLogInterval || a.Retries+a.RetriesRefused == 0 && a.CallsOfRetries == 0 {
+	ordinary := a.Retries+a.RetriesRefused == 0 && a.CallsOfRetries == 0 && !l.unread.any()
+	if now.Sub(l.arrivals.loggedAt) < arrivalsLogInterval || ordinary {
 		return
 	}
 	events.RetryCounts.Log(log).Str("endpoint", l.key).Str("service", l.service).
--- a/egress/local.go
+++ b/egress/local.go
@@ -35,6 +35,9 @@
 	// reportedLoad is the load that the endpoint reported last.
 	reportedLoad atomic.Pointer[contract.Load]
 
+	// unread are the fields of its answers that no code reads.
+	unread unreadFields
+
 	contract contract.Contract
 	pool     *upstream.Pool
 
--- a/egress/work.go
+++ b/egress/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/lynxplank/lynxplank/events"
@@ -29,7 +30,9 @@
 	e.running.Begin(d.GetRequestId(), d.GetRepeat())
 	hold := e.budget.NewReservation(d.GetCustomer())
 	defer hold.Release()
-	result := l.run(ctx, d, body, answerHooks{sink: sink, hold: hold, onProgress: run.noteProgress, onStall: run.noteStall, onDone: run.done})
+	result := l.run(ctx, d, body, answerHooks{
+		sink: sink, onHead: run.noteHead, hold: hold, onProgress: run.noteProgress, onStall: run.noteStall, onDone: run.done,
+	})
 	result.end.Load = l.loadReport(run.serviceTime, e.cfg.Incarnation)
 	if stored {
 		result.end.Revision = e.state().Revision()
@@ -51,6 +54,10 @@
 	serviceTime time.Duration
 }
 
+func (run *endpointRun) noteHead(h http.Header) {
+	run.e.noteUnreadFields(run.l, run.l.contract.Unread(h))
+}
+
 func (run *endpointRun) noteProgress() { run.l.noteProgress(run.id) }
 
 func (run *endpointRun) noteStall() (wanted <-chan struct{}, over func()) {
--- a/events/events.go
+++ b/events/events.go
@@ -62,6 +62,7 @@
 	RequestUnblocked  = Event{413, "request no longer barred", zerolog.InfoLevel}
 	CrashesWritten    = Event{414, "ends of endpoints written", zerolog.InfoLevel}
 	CrashesNotWritten = Event{415, "ends of endpoints cannot be written", zerolog.WarnLevel}
+	FieldsUnread      = Event{416, "endpoint sends fields that are not read", zerolog.InfoLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -81,7 +82,7 @@
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
-	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten,
+	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
 }
 
