Demo: endpoints that state a rate, and that leave with a good probe; both scenarios fail

What callers and endpoints see on the code as it is: an endpoint that states 1 request a second gets 110 in 4 s (11 allowed), one that says in its answers that it leaves gets new work once its probe succeeds (1 in 7 s, 0 allowed). The bound is the users': one and a half times what the rate allows in 4 s and 5 more. The stand-in endpoint can state a rate, hide from its probe that it leaves, and tells when work arrived.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -250,6 +250,13 @@
 	return runs, err
 }
 
+// Arrivals returns when work arrived at the member's endpoint, in Unix milliseconds in order.
+func (m *Member) Arrivals() ([]int64, error) {
+	var out []int64
+	err := m.whenUp(func() error { return get(m.Endpoint+backend.PathArrivals, &out) })
+	return out, err
+}
+
 // upLimit is how long an endpoint that has ended may be gone.
 const upLimit = 5 * time.Second
 
--- /dev/null
+++ b/demo/rate_test.go
@@ -0,0 +1,77 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+const (
+	// rateWindow is the window over which requests to an endpoint that states a rate are counted; in it, the endpoint
+	// gets at most maxRateFactor times what its rate allows and maxRateSlack more.
+	rateWindow    = 4 * time.Second
+	maxRateFactor = 1.5
+	maxRateSlack  = 5
+	// rateBindsAfter is when a rate binds, counted from when the endpoint began to state it.
+	rateBindsAfter = 3 * time.Second
+	// servedShare is the share of a load that counts as all of it, in percent.
+	servedShare = 99
+)
+
+func (s *scenario) runLoad(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	lasts, err := time.ParseDuration(word(t, d, "for", "1s"))
+	must(t, d, err)
+	l, _, _, _ := s.load(t, d)
+	l.Mark = d.Pos + "-"
+	ctx, cancel := context.WithTimeout(t.Context(), lasts)
+	defer cancel()
+	l.Run(ctx, number(t, d, "rate", 1))
+	served := 0
+	for _, r := range l.Results() {
+		if r.Told == "ran" {
+			served++
+		}
+	}
+	if all := len(l.Results()); served*percent < all*servedShare {
+		return fmt.Sprintf("%d of %d served\n", served, all)
+	}
+	return "served\n"
+}
+
+// percent is a hundred of them.
+const percent = 100
+
+func (s *scenario) kept(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	m := s.member(t, d)
+	arrivals, err := m.Arrivals()
+	must(t, d, err)
+	rate, err := strconv.ParseFloat(word(t, d, "rate", ""), 64)
+	must(t, d, err)
+	from := s.ratesStatedAt[m.Host].Add(rateBindsAfter).UnixMilli()
+	allowed := int(maxRateFactor*rateWindow.Seconds()*rate + maxRateSlack)
+	if got := mostWithin(arrivals, from, rateWindow); got > allowed {
+		return fmt.Sprintf("%d in %v, %d allowed\n", got, rateWindow, allowed)
+	}
+	return "kept\n"
+}
+
+// mostWithin returns the largest number of times that lie within a window, of those that are not before from. The times
+// are Unix milliseconds in order.
+func mostWithin(times []int64, from int64, window time.Duration) int {
+	first, most := 0, 0
+	for i, at := range times {
+		for times[first] < from && first < i || at-times[first] > window.Milliseconds() {
+			first++
+		}
+		if at >= from {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -54,6 +54,9 @@
 //	ended on=h1                                                     waits for the end of the node's process
 //	pause for=500ms                                                 lets time pass
 //	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving] [large=BYTES] [pause=N]    pause is after each 16 KiB of a body
+//	         [max-rate=TEXT] [quiet-probe]                          states a rate; its probe does not say that it is leaving
+//	load rate=N for=6s                                              sends at a rate; prints whether 99 in 100 were served
+//	kept on=h1                                                      whether the endpoint got no more than it stated, from 3 s on
 //	slowly n=N to=h1 path=/large|/upload [body=BYTES] told=N       callers who read 2,000 bytes a second; waits until N have begun to be told
 //	memory on=h1                                                    whether the node's live heap is under half of its host's memory
 //	ejected on=h1                                                   waits until every node that serves keeps work from it
@@ -99,7 +102,7 @@
 	for _, path := range files {
 		t.Run(filepath.Base(path), func(t *testing.T) {
 			t.Parallel()
-			s := &scenario{proxies: make(map[string]*Proxy), marks: make(map[string]int)}
+			s := &scenario{proxies: make(map[string]*Proxy), marks: make(map[string]int), ratesStatedAt: make(map[string]time.Time)}
 			datadriven.RunTest(t, path, s.run)
 		})
 	}
@@ -117,6 +120,8 @@
 	marks   map[string]int
 	// warmed keeps the connections of the last "warm".
 	warmed *Load
+	// ratesStatedAt is when the endpoints of hosts began to state a rate.
+	ratesStatedAt map[string]time.Time
 }
 
 func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
@@ -128,6 +133,7 @@
 		"warm": s.warm, "closed": s.closed, "signal": s.signal, "ended": s.ended, "pause": s.pause,
 		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
 		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "arrival": s.arrival, "lift": s.lift, "check": s.check,
+		"load": s.runLoad, "kept": s.kept,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -271,6 +277,13 @@
 	how.Leaving = d.HasArg("leaving")
 	how.LargeBytes = number(t, d, "large", 0)
 	how.ReadPauseMillis = number(t, d, "pause", 0)
+	how.QuietProbe = d.HasArg("quiet-probe")
+	how.MaxRate = word(t, d, "max-rate", "")
+	if host := s.member(t, d).Host; how.MaxRate == "" {
+		delete(s.ratesStatedAt, host)
+	} else if s.ratesStatedAt[host].IsZero() {
+		s.ratesStatedAt[host] = time.Now()
+	}
 	must(t, d, s.member(t, d).Behave(how))
 	return ""
 }
--- a/header/header.go
+++ b/header/header.go
@@ -32,6 +32,8 @@
 	NotRun = "Lynxplank-Not-Run"
 	// Leaving is set by an endpoint that is about to stop.
 	Leaving = "Lynxplank-Leaving"
+	// MaxRate is the number of requests a second that an endpoint takes from all nodes together, by endpoints.
+	MaxRate = "Lynxplank-Max-Rate"
 )
 
 // hopByHop are the fields that concern one connection only.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,10 @@
 	ColdMillis int `json:"cold_millis"`
 	// Leaving marks every answer as that of an endpoint about to stop.
 	Leaving bool `json:"leaving"`
+	// MaxRate is the text in which every answer states the rate that the endpoint takes from all nodes; "" for none.
+	MaxRate string `json:"max_rate"`
+	// QuietProbe has the probe not say that the endpoint is leaving.
+	QuietProbe bool `json:"quiet_probe"`
 	// DownMillis is how long the endpoint is gone once it has worked at a fatal request; 0 has it live on and answer.
 	DownMillis int `json:"down_millis"`
 	// ReportLoad is what it says of its load: "" for the truth, "stuck" for the first value, "idle" for none.
@@ -70,7 +75,9 @@
 	set    time.Time
 	how    Behaviour
 	runs   map[string]Run
-	busy   int
+	// arrivals are the times at which work arrived, in Unix milliseconds.
+	arrivals []int64
+	busy     int
 	stuck  int
 	random *rand.Rand
 	// ends takes, at its end, for how long the endpoint is gone.
@@ -104,6 +111,13 @@
 	return out
 }
 
+// Arrivals returns when work arrived, refused work included, in Unix milliseconds in order.
+func (b *Backend) Arrivals() []int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.arrivals)
+}
+
 // plan is what becomes of one request.
 type plan struct {
 	// large is the length that the answer is filled up to, 0 for as it is.
@@ -111,6 +125,7 @@
 	shed, fail, half, leaving bool
 	work                      time.Duration
 	report                    int
+	maxRate                   string
 	// down is how long the endpoint is gone after the work, 0 for not at all.
 	down time.Duration
 }
@@ -118,7 +133,11 @@
 func (b *Backend) begin(call, path string) plan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := plan{leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report()}
+	b.arrivals = append(b.arrivals, time.Now().UnixMilli())
+	p := plan{
+		leaving: b.how.Leaving, work: time.Duration(b.how.WorkMillis * float64(time.Millisecond)), report: b.report(),
+		maxRate: b.how.MaxRate,
+	}
 	if b.how.ShedAbove != 0 && b.busy >= b.how.ShedAbove {
 		p.shed = true
 		return p
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -17,6 +17,8 @@
 	PathBehaviour = "/admin/behaviour"
 	// PathRuns answers the record, a Run by call.
 	PathRuns = "/admin/runs"
+	// PathArrivals answers when work arrived, in Unix milliseconds.
+	PathArrivals = "/admin/arrivals"
 	// PathFatal begins the paths of requests that end the endpoint.
 	PathFatal = "/fatal"
 	// PathLarge begins the paths of requests with large answers.
@@ -32,6 +34,8 @@
 		b.handleBehaviour(w, r)
 	case PathRuns:
 		_ = json.NewEncoder(w).Encode(b.Runs())
+	case PathArrivals:
+		_ = json.NewEncoder(w).Encode(b.Arrivals())
 	case PathHealth:
 		b.handleHealth(w)
 	default:
@@ -51,7 +55,7 @@
 func (b *Backend) handleHealth(w http.ResponseWriter) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.how.Leaving {
+	if b.how.Leaving && !b.how.QuietProbe {
 		w.Header().Set(header.Leaving, "yes")
 	}
 }
@@ -67,6 +71,9 @@
 	if p.leaving {
 		w.Header().Set(header.Leaving, "yes")
 	}
+	if p.maxRate != "" {
+		w.Header().Set(header.MaxRate, p.maxRate)
+	}
 	if p.shed {
 		w.Header().Set(header.NotRun, "yes")
 		w.Header().Set("Retry-After", "1")
