Endpoints' stated rates are kept, over all nodes together

What callers saw: requests to an endpoint in need, slow or failed; it got 27 requests in 4 s where it had stated one a second (11 allowed). Cause: an endpoint could state nothing that the fleet acts on but its load. No code read the field; the node beside the endpoint bounded slots, never a rate, and to the choosers an endpoint that sheds looks free.

Now the node beside the endpoint, through which all its requests go, reads the rate in each answer's head before the answer is passed on (package maxrate) and admits that many requests a second with a small burst: first sends, retries, trials, last resorts, keys, offers, and what waits, each after its slot and before the last look at drains and configuration. A process that starts knows nothing: senders say in their offers what they were told, so the first of them brings the rate. Answers may overtake: only the answer to a request that was sent after the last statement raises or ends a limit. Load reports carry the rate and the wait, and choosers weigh by them instead of being refused one endpoint after the other. Refusals are not run, with times to come back that are spaced by the rate. The bound of cold endpoints and this one share the wait in egress/rate.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,8 @@
 	OtherHall bool
 	// RTT is the round-trip time to the endpoint.
 	RTT time.Duration
+	// RateWait is how long the rate that the endpoint states would keep a request from it.
+	RateWait time.Duration
 	// SuccessRate is the recent share of good answers, 0 to 1.
 	SuccessRate float64
 	// Suspect candidates are compared by their load alone: steering requests away from one would starve the detector of
@@ -41,8 +43,8 @@
 	samples = 2
 )
 
-// Cost returns the expected time to a good answer in seconds: the round trip, the wait for outstanding requests and the
-// service time, divided by the success rate to allow for retries.
+// Cost returns the expected time to a good answer in seconds: the round trip, the waits for outstanding requests and for
+// the endpoint's stated rate, and the service time, divided by the success rate to allow for retries.
 func Cost(c Candidate) float64 {
 	latency := c.Latency
 	if latency == 0 {
@@ -53,7 +55,7 @@
 	waiting := max(0, float64(c.Outstanding)+1-slots) / slots
 	busy := float64(c.Outstanding) / slots
 	work := latency.Seconds() * (1 + waiting + busy/2)
-	return (work + c.RTT.Seconds()) / success
+	return (work + c.RTT.Seconds() + c.RateWait.Seconds()) / success
 }
 
 // neutralizeSuspects gives suspect candidates the best latency of the others and a success rate of 1.
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -126,14 +126,23 @@
 			lines = append(lines, []string{
 				node.String(), e.Endpoint, e.Phase, strconv.FormatBool(e.Open), e.Test,
 				strconv.FormatFloat(e.Score, 'f', 1, 64), strconv.FormatFloat(e.Threshold, 'f', 1, 64),
-				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e),
+				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e), statedRate(e),
 			})
 		}
 	}
-	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED"}
+	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE"}
 	return a.printReport(values, head, lines)
 }
 
+// statedRate says which rate an endpoint states, since when, and what that has cost.
+func statedRate(e director.Explanation) string {
+	r := e.MaxRate
+	if r == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g/s since %s (%d refused, %d delayed)", r.PerSecond, r.Since.UTC().Format(time.TimeOnly), r.Refused, r.Delayed)
+}
+
 // evacuation says since when and by whom an endpoint's hall is evacuated.
 func evacuation(e director.Explanation) string {
 	if !e.Evacuated {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -6,6 +6,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/maxrate"
 )
 
 // Contract reads and writes one set of header fields. Its methods are safe for concurrent use.
@@ -86,6 +87,8 @@
 	Leaving bool
 	// Load is the load that the endpoint reports.
 	Load Load
+	// MaxRate is what the endpoint states of the rate that it takes.
+	MaxRate maxrate.Statement
 	// Foreign is set when the answer cannot come from the endpoint itself, or would tell the caller something untrue. It is
 	// not passed on.
 	Foreign bool
--- a/contract/own.go
+++ b/contract/own.go
@@ -12,6 +12,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/maxrate"
 )
 
 const (
@@ -93,12 +94,13 @@
 func (Native) Answer(_ int, h http.Header) Answer {
 	return Answer{
 		ID: h.Get(header.RequestID), NotRun: h.Get(header.NotRun) != "", Leaving: h.Get(header.Leaving) != "",
+		MaxRate: maxrate.Parse(h[header.MaxRate]),
 	}
 }
 
 // Unread implements Contract.
 func (Native) Unread(h http.Header) []string {
-	return UnreadFields(h, []string{header.RequestID, header.NotRun, header.Leaving})
+	return UnreadFields(h, []string{header.RequestID, header.NotRun, header.Leaving, header.MaxRate})
 }
 
 // Return implements Contract.
--- a/director/pick.go
+++ b/director/pick.go
@@ -143,6 +143,9 @@
 		return
 	}
 	c := d.candidate(v, e, now)
+	if opts.RequireFreeSlot && c.RateWait > 0 {
+		return
+	}
 	if opts.RequireFreeSlot && (c.Outstanding >= c.Slots || e.target.refusing(now, opts, c.OtherHall)) {
 		set.busy = set.busy || c.Outstanding >= c.Slots || e.target.busy(now)
 		return
@@ -195,13 +198,16 @@
 	if row.Hall == d.cfg.Hall {
 		rtt = 0
 	}
+	latency := time.Duration(math.Float64frombits(e.target.latency.Load()))
+	share := e.verdict.Share * e.target.warmupShare(now, time.Duration(v.service.Value.Warmup)) * e.target.rateShare(now, int(row.Slots), latency)
 	return balance.Candidate{
 		Key:         e.endpoint.Key,
-		Weight:      float64(row.Weight) * float64(row.Slots) * e.verdict.Share * e.target.warmupShare(now, time.Duration(v.service.Value.Warmup)),
+		Weight:      float64(row.Weight) * float64(row.Slots) * share,
 		Slots:       int(row.Slots),
 		Outstanding: e.target.outstanding(now),
-		Latency:     time.Duration(math.Float64frombits(e.target.latency.Load())),
+		Latency:     latency,
 		RTT:         rtt,
+		RateWait:    e.target.rateWait(now),
 		OtherHall:   row.Hall != d.cfg.Hall,
 		SuccessRate: math.Float64frombits(e.target.success.Load()),
 		LastChoice:  e.verdict.Phase == eject.LastChoice,
@@ -216,6 +222,10 @@
 	e.target.inFlight.Add(1)
 	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target, ReportAgeMillis: e.target.reportAgeMillis(time.Now())}
 	p.TypicalLatency = time.Duration(math.Float64frombits(e.target.latency.Load()))
+	if m := e.target.statedRate(time.Now(), maxRateMemory); m != nil {
+		rate := m.GetRate()
+		p.MaxRate = &rate
+	}
 	if v.baselines.Known {
 		p.OverdueAfter = v.baselines.Late
 	}
--- a/director/report.go
+++ b/director/report.go
@@ -157,6 +157,8 @@
 	// Open is false while the table, the host list, the endpoint's own reports or the link to its node keep new
 	// requests from it.
 	Open bool `json:"open"`
+	// MaxRate is the rate that the endpoint states that it takes from all nodes, as this node was last told, nil for none.
+	MaxRate *StatedRate `json:"max_rate,omitempty"`
 	// Evacuated is set while the endpoint's hall is evacuated. EvacuatedSince is when the evacuation began and
 	// EvacuatedBy who ordered it, as far as is known.
 	Evacuated      bool      `json:"evacuated,omitempty"`
@@ -164,6 +166,31 @@
 	EvacuatedBy    string    `json:"evacuated_by,omitempty"`
 }
 
+// StatedRate is the rate that an endpoint states in its answers. Its JSON names are part of the operators' interface.
+type StatedRate struct {
+	// PerSecond is the rate, in requests a second.
+	PerSecond float64 `json:"per_second"`
+	// Since is when the endpoint began to state a rate, as far as its node knows.
+	Since time.Time `json:"since"`
+	// Refused and Delayed count the requests that its node has refused, and that it has let wait, because of the rate.
+	Refused uint64 `json:"refused"`
+	Delayed uint64 `json:"delayed"`
+	// AgeMillis is the time since this node was told.
+	AgeMillis int64 `json:"age_millis"`
+}
+
+// explainRate returns the rate that the endpoint states, nil for none.
+func (t *target) explainRate(now time.Time) *StatedRate {
+	m := t.statedRate(now, maxRateMemory)
+	if m == nil {
+		return nil
+	}
+	return &StatedRate{
+		PerSecond: m.GetRate(), Since: time.UnixMilli(m.GetSinceMillis()), Refused: m.GetRefused(), Delayed: m.GetDelayed(),
+		AgeMillis: now.Sub(m.heardAt).Milliseconds(),
+	}
+}
+
 // Explain returns the explanations for the endpoints of a service, or of all services that this node tracks if service
 // is empty.
 func (d *Director) Explain(service string) []Explanation {
@@ -203,6 +230,6 @@
 		IdleMillis:  e.target.reportAgeMillis(now),
 		Trial:       e.target.trialOnlyAt.Load() != 0,
 		HeldByFloor: e.verdict.Phase == eject.LastChoice,
-		InFlight:    e.target.inFlight.Load(), Open: d.available(e, now),
+		InFlight:    e.target.inFlight.Load(), Open: d.available(e, now), MaxRate: e.target.explainRate(now),
 	}
 }
--- a/director/target.go
+++ b/director/target.go
@@ -25,6 +25,8 @@
 	trialOnlyAt atomic.Int64
 	// outOfRetriesAt is when the endpoint's retry budget was last used up.
 	outOfRetriesAt atomic.Int64
+	// maxRate is the rate that the endpoint states, nil before the first load report.
+	maxRate atomic.Pointer[maxRate]
 	// coldUntil is when the endpoint stops being cold, by its own report or else by the estimate of this node.
 	coldUntil atomic.Int64
 
@@ -123,6 +125,7 @@
 	}
 	t.reported.Store(int64(load.GetBusy()) + int64(load.GetQueued()))
 	t.reportedAt.Store(now.UnixNano())
+	t.maxRate.Store(&maxRate{MaxRate: load.GetMaxRate(), heardAt: now})
 	if load.GetTrial() {
 		t.trialOnlyAt.Store(now.UnixNano())
 	} else {
@@ -168,4 +171,6 @@
 	// ReportAgeMillis is the age of the endpoint's last load report when it was picked, in milliseconds, -1 for none.
 	ReportAgeMillis int64
 	target          *target
+	// MaxRate is the rate that the endpoint states that it takes from all nodes, in requests a second, nil for none.
+	MaxRate *float64
 }
--- a/egress/cold.go
+++ b/egress/cold.go
@@ -1,12 +1,8 @@
 package egress
 
 import (
-	"context"
 	"time"
 
-	"github.com/lynxplank/lynxplank/fault"
-	"github.com/lynxplank/lynxplank/gen/peerpb"
-	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -33,29 +29,6 @@
 	return out
 }
 
-// waitWhileCold passes a request that holds a slot through the endpoint's cold-start limiter, and returns when it was
-// admitted, or the refusal. A request that may wait for a slot may wait here too, as long as its answer can still be
-// in time.
-func (e *Egress) waitWhileCold(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch) (admitted time.Time, end *peerpb.End) {
-	until := time.Now().Add(latencyTarget(d) - l.expectedDuration(d))
-	mayWait := d.GetExchange() == 0 || d.GetWait()
-	for {
-		e.updateColdReport(l)
-		admitted, ok, wait := l.tryAdmitCold()
-		if ok {
-			return admitted, nil
-		}
-		if !mayWait || time.Now().Add(wait).After(until) {
-			return admitted, peer.NotRun(fault.Cold, wait)
-		}
-		select {
-		case <-ctx.Done():
-			return admitted, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
-		case <-time.After(wait):
-		}
-	}
-}
-
 // updateColdReport passes the endpoint's latest report on whether it is cold to its cold-start limiter.
 func (e *Egress) updateColdReport(l *localEndpoint) {
 	if e.announced == nil {
@@ -83,15 +56,6 @@
 	l.coldLimiter.Report(l.clock(), l.coldUntil)
 }
 
-// tryAdmitCold asks the cold-start limiter to admit a request now; if it does not, wait is when to ask again.
-func (l *localEndpoint) tryAdmitCold() (now time.Time, ok bool, wait time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now = l.clock()
-	ok, wait = l.coldLimiter.Admit(now)
-	return now, ok, wait
-}
-
 // returnColdAdmission returns the admission of a request that did not reach the endpoint.
 func (l *localEndpoint) returnColdAdmission() {
 	l.mu.Lock()
--- a/egress/local.go
+++ b/egress/local.go
@@ -17,6 +17,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/latency"
+	"github.com/lynxplank/lynxplank/maxrate"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
@@ -67,6 +68,9 @@
 	// coldLimiter limits the rate while the endpoint is, by clock, cold or possibly cold.
 	coldLimiter *coldstart.Limiter
 	clock       clock.Clock
+	// maxRate keeps the rate that the endpoint states; badRateLogged is set once a malformed statement is logged.
+	maxRate       *maxrate.Limiter
+	badRateLogged atomic.Bool
 	// reportsCold is set once the endpoint has reported how long it is cold. Without such a report, it is taken to be
 	// cold for warmup after a start, until coldUntil.
 	reportsCold bool
@@ -92,6 +96,7 @@
 		dueSinks:  make(map[uint64]peer.Sink),
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
+		maxRate: maxrate.NewLimiter(),
 	}
 }
 
@@ -264,5 +269,6 @@
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.draining.Load(),
 		Trial: l.breaker.State() == breaker.Trial, ColdMicros: l.coldMicros(),
+		MaxRate: l.maxRateReport(),
 	}
 }
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/clock"
-	"github.com/lynxplank/lynxplank/coldstart"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -51,6 +50,10 @@
 	if !l.mayTake(time.Now(), d) {
 		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
+	e.adoptRate(l, d)
+	if end := l.refuseBeyondRate(d); end != nil {
+		return false, end
+	}
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Queued()
 	}
@@ -62,15 +65,15 @@
 		l.freeSlot(0)
 		return false, end
 	}
-	admitted, end := e.waitWhileCold(ctx, l, d)
+	admission, end := e.waitForRate(ctx, l, d)
 	if end != nil {
 		l.returnRetry(d)
 		l.freeSlot(0)
 		return false, end
 	}
-	trial, end = e.confirmDispatch(ctx, l, d, sink, admitted)
+	trial, end = e.confirmDispatch(ctx, l, d, sink, admission)
 	if end != nil {
-		l.returnColdAdmission()
+		l.returnAdmission(admission)
 		l.returnRetry(d)
 		l.freeSlot(0)
 		return trial, end
@@ -105,9 +108,9 @@
 }
 
 // confirmDispatch checks again, right before the dispatch, whether the request may run, and asks its sender for a
-// confirmation. admitted is when the cold-start limiter admitted the request.
+// confirmation.
 func (e *Egress) confirmDispatch(
-	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink, admitted time.Time,
+	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink, admission rateAdmission,
 ) (trial bool, end *peerpb.End) {
 	if _, end := e.find(d); end != nil {
 		return false, end
@@ -122,6 +125,11 @@
 	due := l.answerDue(d)
 	p, isOffer := sink.(peer.Permitter)
 	if !isOffer {
+		if admission.lapsed(l.clock()) {
+			// The host was suspended meanwhile.
+			l.releaseTrial(trial)
+			return false, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
+		}
 		if !peer.AllowsDispatch(sink) {
 			l.releaseTrial(trial)
 			return false, peer.NotRun(fault.Stopping, 0)
@@ -138,8 +146,7 @@
 	if p.Permit(ctx, l.loadReport(0, e.cfg.Incarnation), due) {
 		// The configuration or the endpoint may have changed while the confirmation was on its way.
 		_, refused := e.find(d)
-		inTime := e.clock.Since(admitted) <= coldstart.MaxSendDelay
-		if refused == nil && inTime && e.answers.dispatch(id) {
+		if refused == nil && !admission.lapsed(l.clock()) && e.answers.dispatch(id) {
 			return trial, nil
 		}
 		if refused != nil {
--- /dev/null
+++ b/egress/rate.go
@@ -0,0 +1,194 @@
+package egress
+
+import (
+	"context"
+	"time"
+
+	"github.com/lynxplank/lynxplank/coldstart"
+	"github.com/lynxplank/lynxplank/contract"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/maxrate"
+	"github.com/lynxplank/lynxplank/peer"
+)
+
+// rateAdmission is the admission of a request by the limits of its endpoint's rate.
+type rateAdmission struct {
+	// at is when the request may be sent, at the latest coldstart.MaxSendDelay after that.
+	at time.Time
+	// version is the version of the stated limit that admitted it.
+	version uint64
+}
+
+// lapsed reports whether it is too late to send the request.
+func (a rateAdmission) lapsed(now time.Time) bool { return now.Sub(a.at) > coldstart.MaxSendDelay }
+
+// waitForRate passes a request that holds a slot through the limits of the endpoint's rate: the rate that the endpoint
+// states, and that of a cold endpoint. A request that may wait for a slot may wait here too, as long as its answer can
+// still be in time.
+func (e *Egress) waitForRate(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch) (rateAdmission, *peerpb.End) {
+	latest := l.latestSend(d)
+	for {
+		e.updateColdReport(l)
+		a, retry, end := l.reserveRate(d, latest)
+		if end == nil {
+			if !sleep(ctx, a.at.Sub(l.clock())) {
+				l.returnRate(a)
+				return a, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+			}
+			if retry, end = l.claimRate(a); end == nil {
+				return a, nil
+			}
+		}
+		if l.clock().Add(retry).After(latest) {
+			return a, end
+		}
+		if !sleep(ctx, retry) {
+			return a, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+		}
+	}
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// latestSend returns until when a request may wait before it is sent: not at all, unless it may wait for a slot.
+func (l *localEndpoint) latestSend(d *peerpb.Dispatch) time.Time {
+	now := l.clock()
+	if d.GetExchange() != 0 && !d.GetWait() {
+		return now
+	}
+	return now.Add(max(0, latencyTarget(d)-l.expectedDuration(d)))
+}
+
+// reserveRate reserves the earliest time at which the stated rate allows the request. Otherwise it returns the refusal and
+// when to ask again.
+func (l *localEndpoint) reserveRate(d *peerpb.Dispatch, latest time.Time) (a rateAdmission, retry time.Duration, end *peerpb.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	at, retryAfter, ok := l.maxRate.Reserve(now, later(now, latest), d.GetRepeatable())
+	if ok {
+		return rateAdmission{at: at, version: l.maxRate.Version()}, 0, nil
+	}
+	return a, retryAfter, peer.NotRun(fault.MaxRate, retryAfter)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// claimRate confirms a reservation whose time has come and passes the request through the cold-start limiter. On a
+// refusal it returns the reservation; retry is when to ask again.
+func (l *localEndpoint) claimRate(a rateAdmission) (retry time.Duration, end *peerpb.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	if a.version != l.maxRate.Version() || a.lapsed(now) {
+		l.maxRate.Refund(now, a.version)
+		return 0, peer.NotRun(fault.MaxRate, shortRetryAfter)
+	}
+	ok, wait := l.coldLimiter.Admit(now)
+	if !ok {
+		l.maxRate.Refund(now, a.version)
+		return wait, peer.NotRun(fault.Cold, wait)
+	}
+	return 0, nil
+}
+
+// returnRate returns a reservation that was not claimed.
+func (l *localEndpoint) returnRate(a rateAdmission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxRate.Refund(l.clock(), a.version)
+}
+
+// returnAdmission returns the admission of a request that did not reach the endpoint.
+func (l *localEndpoint) returnAdmission(a rateAdmission) {
+	l.returnRate(a)
+	l.returnColdAdmission()
+}
+
+// refuseBeyondRate returns the refusal of a request that the stated rate would not admit in time, behind those that wait
+// for a slot; nil if it may.
+func (l *localEndpoint) refuseBeyondRate(d *peerpb.Dispatch) *peerpb.End {
+	latest := l.latestSend(d)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	wait := l.maxRate.Wait(now, l.queue.Waiting())
+	if wait == 0 || !now.Add(wait).After(latest) {
+		return nil
+	}
+	return peer.NotRun(fault.MaxRate, l.maxRate.Refuse(now))
+}
+
+// adoptRate applies the rate that the endpoint stated to the sender of a request, if this process has not heard of it.
+func (e *Egress) adoptRate(l *localEndpoint, d *peerpb.Dispatch) {
+	if d.MaxRate == nil {
+		return
+	}
+	l.mu.Lock()
+	change := l.maxRate.Adopt(l.clock(), d.GetMaxRate())
+	l.mu.Unlock()
+	e.logRateChange(l, change, d.GetMaxRate())
+}
+
+// noteMaxRate applies what an answer states of the endpoint's rate.
+func (e *Egress) noteMaxRate(l *localEndpoint, sentAt time.Time, a contract.Answer) {
+	// A refusal without a statement says nothing; other answers from elsewhere are not the endpoint's.
+	if a.Misplaced || a.Foreign && !a.NotRun || a.NotRun && a.MaxRate.Kind == maxrate.Absent {
+		return
+	}
+	if a.MaxRate.Kind == maxrate.Malformed {
+		if l.badRateLogged.CompareAndSwap(false, true) {
+			events.BadMaxRate.Log(e.log).Str("endpoint", l.key).Send()
+		}
+		return
+	}
+	l.mu.Lock()
+	change := l.maxRate.Observe(sentAt, l.clock(), a.MaxRate)
+	l.mu.Unlock()
+	e.logRateChange(l, change, a.MaxRate.Rate)
+}
+
+// logRateChange logs that the rate which an endpoint states begins, changes or ends.
+func (e *Egress) logRateChange(l *localEndpoint, change maxrate.Change, rate float64) {
+	if change == maxrate.NoChange {
+		return
+	}
+	events.MaxRateChanged.Log(e.log).Str("endpoint", l.key).Str("service", l.serviceName()).Stringer("change", change).Float64("rate", rate).Send()
+}
+
+// maxRateStatus returns what operators are shown of the stated rate; ok is false while there is none.
+func (l *localEndpoint) maxRateStatus() (s maxrate.Status, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.maxRate.Status()
+}
+
+// maxRateReport returns what senders learn of the stated rate, nil if there is none; the lock must be held.
+func (l *localEndpoint) maxRateReport() *peerpb.MaxRate {
+	s, ok := l.maxRate.Status()
+	if !ok {
+		return nil
+	}
+	return &peerpb.MaxRate{
+		Rate: s.Rate, WaitMicros: l.maxRate.Wait(l.clock(), l.queue.Waiting()).Microseconds(),
+		SinceMillis: s.Since.UnixMilli(), Refused: s.Refused, Delayed: s.Delayed,
+	}
+}
--- a/egress/run.go
+++ b/egress/run.go
@@ -67,8 +67,8 @@
 // answerHooks holds the sink for one run's answer and the callbacks for the events of the run.
 type answerHooks struct {
 	sink peer.Sink
-	// onHead is called with the fields of the endpoint's answer before any part of the answer is passed on.
-	onHead func(http.Header)
+	// onHead is called with the head of the endpoint's answer before any part of the answer is passed on.
+	onHead func(contract.Answer, http.Header)
 	// hold accounts for what is buffered of the answer while its caller reads slower than the endpoint answers.
 	hold *memory.Reservation
 	// onProgress is called when a part of the answer has arrived.
@@ -89,8 +89,8 @@
 		h.onDone(r)
 		return r
 	}
-	h.onHead(resp.Header)
 	answer := l.contract.Answer(resp.StatusCode, resp.Header)
+	h.onHead(answer, resp.Header)
 	l.reportedLoad.Store(&answer.Load)
 	if answer.NotRun || answer.Foreign {
 		r := rejectedAnswer(resp, answer)
--- a/egress/status.go
+++ b/egress/status.go
@@ -16,6 +16,13 @@
 	Draining bool `json:"leaving"`
 	// Trial is set while its breaker lets only trials through.
 	Trial bool `json:"trial"`
+	// Service is the endpoint's service.
+	Service string `json:"service"`
+	// MaxRate is the rate that the endpoint states that it takes, in requests a second, nil for none.
+	MaxRate *float64 `json:"max_rate,omitempty"`
+	// RateRefused and RateDelayed count the requests that were refused, and that had to wait, because of a stated rate.
+	RateRefused uint64 `json:"rate_refused,omitempty"`
+	RateDelayed uint64 `json:"rate_delayed,omitempty"`
 	// Arrivals counts what was dispatched to it since the node started.
 	Arrivals Arrivals `json:"arrivals"`
 }
@@ -27,11 +34,16 @@
 	out := make([]Status, 0, len(e.endpoints))
 	for _, l := range e.endpoints {
 		load := l.loadReport(0, 0)
-		out = append(out, Status{
+		rate, limited := l.maxRateStatus()
+		status := Status{
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Draining: load.GetLeaving(), Trial: load.GetTrial(),
-			Arrivals: l.arrivalCounts(),
-		})
+			Arrivals: l.arrivalCounts(), Service: l.serviceName(), RateRefused: rate.Refused, RateDelayed: rate.Delayed,
+		}
+		if limited {
+			status.MaxRate = &rate.Rate
+		}
+		out = append(out, status)
 	}
 	return out
 }
--- a/egress/work.go
+++ b/egress/work.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
@@ -25,7 +26,7 @@
 	if stored {
 		sink = recording
 	}
-	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), id: e.nextID.Add(1)}
+	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: e.nextID.Add(1)}
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
 	e.running.Begin(d.GetRequestId(), d.GetRepeat())
 	hold := e.budget.NewReservation(d.GetCustomer())
@@ -50,12 +51,16 @@
 	// start is when the run began; id identifies it for the in-flight monitor.
 	start time.Time
 	id    uint64
+	// sentAt is start by the egress's clock.
+	sentAt time.Time
 	// serviceTime is how long the endpoint took, set when the run is done.
 	serviceTime time.Duration
 }
 
-func (run *endpointRun) noteHead(h http.Header) {
+// noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer.
+func (run *endpointRun) noteHead(a contract.Answer, h http.Header) {
 	run.e.noteUnreadFields(run.l, run.l.contract.Unread(h))
+	run.e.noteMaxRate(run.l, run.sentAt, a)
 }
 
 func (run *endpointRun) noteProgress() { run.l.noteProgress(run.id) }
--- a/events/events.go
+++ b/events/events.go
@@ -63,6 +63,8 @@
 	CrashesWritten    = Event{414, "ends of endpoints written", zerolog.InfoLevel}
 	CrashesNotWritten = Event{415, "ends of endpoints cannot be written", zerolog.WarnLevel}
 	FieldsUnread      = Event{416, "endpoint sends fields that are not read", zerolog.InfoLevel}
+	MaxRateChanged    = Event{417, "endpoint's max rate changed", zerolog.InfoLevel}
+	BadMaxRate        = Event{418, "endpoint states an unreadable max rate", zerolog.WarnLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -82,7 +84,7 @@
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
-	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread,
+	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -67,6 +67,8 @@
 	FatalRequest Code = "fatal_request"
 	// Cold is a refusal because the endpoint is cold, or may be, and bears no more just now.
 	Cold Code = "cold"
+	// MaxRate is a refusal because the endpoint states that it takes no more requests a second.
+	MaxRate Code = "max_rate"
 	// Draining is a refusal by an endpoint or node that takes nothing new.
 	Draining Code = "draining"
 	// Evacuated is a refusal by an endpoint whose hall is evacuated.
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -36,12 +36,18 @@
 // suspicion, or because the offered slot was not taken in time.
 func declined(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
-	case fault.Busy, fault.Suspect, fault.Cold, fault.OfferLapsed:
+	case fault.Busy, fault.Suspect, fault.Cold, fault.MaxRate, fault.OfferLapsed:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
 }
 
+// seemsBusy reports whether the endpoint is to be avoided for a moment. One that keeps to its stated rate says itself for
+// how long.
+func seemsBusy(end *peerpb.End) bool {
+	return (declined(end) || misrouted(end)) && fault.Code(end.GetCode()) != fault.MaxRate
+}
+
 // egressFull reports whether an egress had no capacity for a request, which its endpoint has not seen.
 func egressFull(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -50,6 +50,8 @@
 	tried []string
 	// declined are the endpoints that had no free slot, or took only trials, when they were asked in this round.
 	declined []string
+	// limited are the endpoints that state a rate for which the request would have to wait too long.
+	limited []string
 	// suspects are the declined endpoints that took only trials. lastResort is set once there are no others left.
 	suspects   []string
 	lastResort bool
@@ -177,7 +179,7 @@
 	opts.ShortestWait = true
 	// A request that has to queue first does so in its own hall.
 	opts.LocalHallOnly = x.waits == 1
-	opts.Exclude = slices.Concat(x.tried, x.suspects)
+	opts.Exclude = slices.Concat(x.tried, x.suspects, x.limited)
 	pick, err := x.g.director.Pick(ctx, opts)
 	if err != nil && opts.LocalHallOnly {
 		opts.LocalHallOnly = false
@@ -310,6 +312,7 @@
 		Route: x.call.route.Key, Config: x.call.config,
 		Revision: x.call.revision, LateMicros: pick.OverdueAfter.Microseconds(), Caller: x.g.cfg.Service,
 		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.hasCustomerKey, AimMicros: x.latencyTargetLeft().Microseconds(),
+		MaxRate:     pick.MaxRate,
 		UsualMicros: x.g.routeStats.medianTime(x.call.route.Key, x.latencyTarget()).Microseconds(), Content: x.call.fingerprint[:],
 	}
 	if len(x.body.data) <= inlineBody {
@@ -407,8 +410,14 @@
 // afterDeclined records an endpoint that declined the request before it was sent, and reports whether to ask another.
 func (x *exchange) afterDeclined(key string, end *peerpb.End) bool {
 	x.declined = append(x.declined, key)
-	if fault.Code(end.GetCode()) == fault.Suspect {
+	switch fault.Code(end.GetCode()) {
+	case fault.Suspect:
 		x.suspects = append(x.suspects, key)
+	case fault.MaxRate:
+		if x.waits > 0 {
+			x.limited = append(x.limited, key)
+			return x.waits < maxWaits
+		}
 	}
 	if x.lastResort {
 		x.tried = append(x.tried, key)
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -230,6 +230,6 @@
 	x.g.director.Done(director.Report{
 		Service: x.call.service.Key, Pick: a.pick, WasOverdue: late, Load: a.end.GetLoad(),
 		Received: isEndpointSample(a.end) && !a.end.GetLoad().GetTrial(), Failed: a.answer.failed(a.end),
-		Refused: declined(a.end) || misrouted(a.end), OutOfRetries: fault.Code(a.end.GetCode()) == fault.RetryBudget,
+		Refused: seemsBusy(a.end), OutOfRetries: fault.Code(a.end.GetCode()) == fault.RetryBudget,
 	})
 }
--- a/ingress/keyed.go
+++ b/ingress/keyed.go
@@ -164,7 +164,7 @@
 func refusedForLoad(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
 	case fault.Overloaded, fault.DeadlineTooShort, fault.Draining, fault.Evacuated, fault.EndpointShed,
-		fault.EndpointUnreachable, fault.Busy, fault.Suspect, fault.Cold:
+		fault.EndpointUnreachable, fault.Busy, fault.Suspect, fault.Cold, fault.MaxRate:
 		return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN
 	}
 	return false
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -160,6 +160,21 @@
 	s.count(s.requests, "requests", outcome, code)
 }
 
+// MaxRates are the endpoints of a service beside this node that state how many requests a second they take.
+type MaxRates struct {
+	// Endpoints is their number.
+	Endpoints float64
+	// Refused and Delayed count the requests that were refused, and that had to wait, since the node started.
+	Refused, Delayed float64
+}
+
+// SetMaxRates sets the gauges of the stated rates.
+func (s *ServiceMetrics) SetMaxRates(r MaxRates) {
+	s.scope.Gauge("max_rate_endpoints").Update(r.Endpoints)
+	s.scope.Gauge("max_rate_refused").Update(r.Refused)
+	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
+}
+
 // CountSend counts a send of a request to an endpoint by its outcome and code.
 func (s *ServiceMetrics) CountSend(outcome, code string) {
 	s.count(s.sends, "asked", outcome, code)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -137,7 +137,14 @@
 // barred.
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
+	rates := make(map[string]metrics.MaxRates)
 	for _, e := range s.egress.Statuses() {
+		r := rates[e.Service]
+		if e.MaxRate != nil {
+			r.Endpoints++
+		}
+		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
+		rates[e.Service] = r
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -151,6 +158,9 @@
 		callsOfRetries += e.Arrivals.CallsOfRetries
 		outOfRetries += float64(e.Arrivals.RetriesRefused)
 	}
+	for service, r := range rates {
+		s.metrics.Service(service).SetMaxRates(r)
+	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -68,6 +68,22 @@
 	return granted
 }
 
+// Reserve grants one request for the earliest time that the limit allows, unless that is after latest.
+func (b *Bucket) Reserve(now, latest time.Time) (at time.Time, ok bool) {
+	at = now.Add(b.Wait(now, 1))
+	if at.After(latest) {
+		return at, false
+	}
+	b.tokens--
+	return at, true
+}
+
+// Wait returns after how long n more requests could have been granted.
+func (b *Bucket) Wait(now time.Time, n int) time.Duration {
+	b.refill(now)
+	return max(b.filledAt.Sub(now), 0) + max(0, secondsToDuration((float64(n)-b.tokens)/b.limit.Rate))
+}
+
 // Return takes back a request that was granted and not used.
 func (b *Bucket) Return(now time.Time) {
 	b.refill(now)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -70,16 +70,16 @@
 
 // Backend is one endpoint.
 type Backend struct {
-	mu     sync.Mutex
-	name   string
-	set    time.Time
-	how    Behaviour
-	runs   map[string]Run
+	mu   sync.Mutex
+	name string
+	set  time.Time
+	how  Behaviour
+	runs map[string]Run
 	// arrivals are the times at which work arrived, in Unix milliseconds.
 	arrivals []int64
 	busy     int
-	stuck  int
-	random *rand.Rand
+	stuck    int
+	random   *rand.Rand
 	// ends takes, at its end, for how long the endpoint is gone.
 	ends chan time.Duration
 }
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -21,6 +21,7 @@
 	fault.NoEndpoint: "the ingress knew no endpoint that takes new work: all draining, ejected, out of reach or tried before; " +
 		"see its links (301, 302) and phases (400)",
 	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
+	fault.MaxRate:  "the endpoints that were asked state a rate that leaves no room for it; see 417 for since when",
 	fault.Cold:     "the endpoints that were asked were cold, or may have been, and took no more; see 404 for when they began",
 	fault.Stopping: "the node that took the request was stopping, and no endpoint had taken it while its work could still have " +
 		"finished before the stop; " +
