Scenarios: a third of a service's endpoints, and all, state a rate; what the rate keeps from a slot says so

Callers of a service all of whose endpoints state a rate were told overloaded, with a time to come back that knows nothing of the rate, when the slots were held by requests that wait for it.

--- a/demo/rate_test.go
+++ b/demo/rate_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/lynxplank/lynxplank/fault"
 )
 
 const (
@@ -37,12 +39,30 @@
 			served++
 		}
 	}
+	if d.HasArg("least") {
+		return refusedByRate(l.Results(), served, number(t, d, "least", 0))
+	}
 	if all := len(l.Results()); served*percent < all*servedShare {
 		return fmt.Sprintf("%d of %d served\n", served, all) + summary(l.Results())
 	}
 	return "served\n"
 }
 
+// refusedByRate tells whether at least so many requests were served, and all others refused as not run, with a time to
+// come back, because of what the endpoints state.
+func refusedByRate(results []Result, served, least int) string {
+	refused := 0
+	for _, r := range results {
+		if r.Told == "not-run" && r.Code == string(fault.MaxRate) && r.ComesBack {
+			refused++
+		}
+	}
+	if served < least || served+refused < len(results) {
+		return summary(results)
+	}
+	return "served or refused\n"
+}
+
 // percent is a hundred of them.
 const percent = 100
 
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -55,7 +55,8 @@
 //	pause for=500ms                                                 lets time pass
 //	endpoint on=h1 [work=N] [fail=P] [half=P] [slow=X] [shed=N] [leaving] [large=BYTES] [pause=N]    pause is after each 16 KiB of a body
 //	         [max-rate=TEXT] [quiet-probe]                          states a rate; its probe does not say that it is leaving
-//	load rate=N for=6s                                              sends at a rate; prints whether 99 in 100 were served
+//	load rate=N for=6s [least=N]                                    sends at a rate; prints whether 99 in 100 were served; with least, whether as
+//	                                                                many were, and all others refused because of what endpoints state
 //	kept on=h1                                                      whether the endpoint got no more than it stated, from 3 s on
 //	slowly n=N to=h1 path=/large|/upload [body=BYTES] told=N       callers who read 2,000 bytes a second; waits until N have begun to be told
 //	memory on=h1                                                    whether the node's live heap is under half of its host's memory
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -61,7 +61,7 @@
 		p.Queued()
 	}
 	if end := e.waitForSlot(ctx, l, d); end != nil {
-		return false, end
+		return false, l.refusedForRate(end)
 	}
 	defer func() { l.logArrivals(time.Now(), e.log) }()
 	if end := l.takeRetry(time.Now(), d); end != nil {
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -137,6 +137,22 @@
 	return peer.NotRun(fault.MaxRate, l.maxRate.Refuse(now))
 }
 
+// refusedForRate replaces the refusal of a request that found no slot because others wait there for the stated rate.
+func (l *localEndpoint) refusedForRate(end *peerpb.End) *peerpb.End {
+	switch fault.Code(end.GetCode()) {
+	case fault.Busy, fault.Overloaded, fault.DeadlineTooShort:
+	default:
+		return end
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	if l.maxRate.Wait(now, 0) == 0 {
+		return end
+	}
+	return peer.NotRun(fault.MaxRate, l.maxRate.Refuse(now))
+}
+
 // adoptRate applies the rate that the endpoint stated to the sender of a request, if this process has not heard of it.
 func (e *Egress) adoptRate(l *localEndpoint, d *peerpb.Dispatch) {
 	if d.MaxRate == nil {
