Soak: endpoints that state a rate, with a promise checked from what they see

-rates N has endpoints state 0 to 10 requests a second for some seconds, among all other faults, and holds what arrived against the users' bound: one and a half times the rate in 4 s and 5 more, from 3 s on.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -26,13 +26,14 @@
 	fatal := flag.Int("fatal", 0, "requests that end the endpoints that run them")
 	stops := flag.Int("stops", 0, "series of signals that stop nodes, under work that may outlast their grace")
 	suspensions := flag.Int("suspensions", 0, "planned stops of nodes whose processes are suspended meanwhile")
+	rates := flag.Int("rates", 0, "times in which endpoints state how many requests a second they take")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
 	flag.Parse()
 	broken := 0
 	for i := range *seeds {
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
-			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions,
+			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -60,7 +61,7 @@
 		fmt.Fprintf(out, "seed %d: the run could not be done: %v\n", cfg.Seed, err)
 		return false
 	}
-	fmt.Fprintf(out, "seed %d: %d actions, %d drains and %d rows checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes)
+	fmt.Fprintf(out, "seed %d: %d actions, %d drains, %d rows and %d rates checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes, report.Rates)
 	demo.Print(out, demo.Check(report.Results, report.Records))
 	if cfg.Fatal > 0 {
 		fmt.Fprintf(out, "fatal requests begun: %v\n", report.Fatal)
--- a/demo/rate_test.go
+++ b/demo/rate_test.go
@@ -13,13 +13,6 @@
 )
 
 const (
-	// rateWindow is the window over which requests to an endpoint that states a rate are counted; in it, the endpoint
-	// gets at most maxRateFactor times what its rate allows and maxRateSlack more.
-	rateWindow    = 4 * time.Second
-	maxRateFactor = 1.5
-	maxRateSlack  = 5
-	// rateBindsAfter is when a rate binds, counted from when the endpoint began to state it.
-	rateBindsAfter = 3 * time.Second
 	// servedShare is the share of a load that counts as all of it, in percent.
 	servedShare = 99
 )
@@ -73,25 +66,9 @@
 	must(t, d, err)
 	rate, err := strconv.ParseFloat(word(t, d, "rate", ""), 64)
 	must(t, d, err)
-	from := s.ratesStatedAt[m.Host].Add(rateBindsAfter).UnixMilli()
-	allowed := int(maxRateFactor*rateWindow.Seconds()*rate + maxRateSlack)
-	if got := mostWithin(arrivals, from, rateWindow); got > allowed {
-		return fmt.Sprintf("%d in %v, %d allowed\n", got, rateWindow, allowed)
+	got, allowed := MostArrivals(arrivals, s.ratesStatedAt[m.Host].Add(RateBindsAfter)), MaxArrivals(rate)
+	if got > allowed {
+		return fmt.Sprintf("%d in %v, %d allowed\n", got, RateWindow, allowed)
 	}
 	return "kept\n"
 }
-
-// mostWithin returns the largest number of times that lie within a window, of those that are not before from. The times
-// are Unix milliseconds in order.
-func mostWithin(times []int64, from int64, window time.Duration) int {
-	first, most := 0, 0
-	for i, at := range times {
-		for times[first] < from && first < i || at-times[first] > window.Milliseconds() {
-			first++
-		}
-		if at >= from {
-			most = max(most, i-first+1)
-		}
-	}
-	return most
-}
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -34,6 +34,8 @@
 		r.drain(a)
 	case StopSeries:
 		r.stopSeries(a)
+	case StateRate:
+		r.stateRate(a)
 	}
 }
 
@@ -186,7 +188,7 @@
 			if a.On == on {
 				return true
 			}
-		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries:
+		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate:
 		}
 	}
 	return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -68,6 +68,8 @@
 	Weight string
 	// Series is how a node is stopped.
 	Series Series
+	// Rate is what an endpoint states that it takes, in requests a second.
+	Rate float64
 }
 
 // String tells the action in one line.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	Stops int
 	// Suspensions is how many planned stops besides have their node's process suspended meanwhile.
 	Suspensions int
+	// Rates is how often an endpoint states, for some seconds, how many requests a second it takes.
+	Rates int
 }
 
 // Report is what a run showed.
@@ -39,8 +41,8 @@
 	Results []demo.Result
 	// Records are what the endpoints have run.
 	Records []map[string]backend.Run
-	// Drains counts the drains that could be checked, Changes the rows whose value in force was.
-	Drains, Changes int
+	// Drains counts the drains that could be checked, Changes the rows whose value in force was, Rates the stated rates.
+	Drains, Changes, Rates int
 	// Fatal is how often each fatal request began to run until all was healed.
 	Fatal []int
 	// Broken says which promises were broken; empty when all were kept.
@@ -100,6 +102,7 @@
 	}
 	r.plan = append(r.plan, PlanStops(cfg.Seed, cfg.Members, cfg.Stops, cfg.Length)...)
 	r.plan = append(r.plan, PlanSuspensions(cfg.Seed, cfg.Members, cfg.Suspensions, cfg.Length)...)
+	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
