Egress: a stated rate is shared between customers, and what would be late is refused at once

What callers saw: where a service's endpoints state rates, a customer with 4 requests a second beside one with 80 was served 3 to 5 of 12 at an endpoint that states 10 a second. Cause: whoever came first held a slot and waited there for the rate, and the others were refused by the length of that wait before the fair queue could look at them.

Now as many requests hold slots as the rate keeps running, and one that waits for it; the others wait in the endpoint's fair queue, which knows the pace of the rate. Without a stated rate nothing changes: the pace is 0 and the slots are the endpoint's.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -97,7 +97,9 @@
 	// seconds.
 	meanServiceTime  float64
 	serviceDeviation float64
-	random           *rand.Rand
+	// pace is the minimum time between two starts, 0 for none.
+	pace   time.Duration
+	random *rand.Rand
 }
 
 // NewQueue returns an empty queue; random supplies the random spread of RetryAfter.
@@ -114,6 +116,10 @@
 	q.maxWaiting = maxWaiting
 }
 
+// SetPace sets the minimum time between two requests that start, which the owner enforces; 0 means none. Waiting requests
+// are refused by it when they can no longer finish in time.
+func (q *Queue) SetPace(pace time.Duration) { q.pace = pace }
+
 // Busy returns the number of slots taken.
 func (q *Queue) Busy() int { return q.busy }
 
@@ -200,7 +206,8 @@
 func (q *Queue) canFinishInTime(now time.Time, index int, r Request) bool {
 	turns := float64(index+1) / float64(max(q.slots, 1))
 	// At most one typical service time passes until a slot becomes free; the request's own service time comes on top.
-	need := durationOf(turns*q.typicalSeconds()) + q.serviceTime(r)
+	wait := max(durationOf(turns*q.typicalSeconds()), time.Duration(index+1)*q.pace)
+	need := wait + q.serviceTime(r)
 	return now.Add(need).Before(q.latestAnswer(r))
 }
 
--- a/egress/local.go
+++ b/egress/local.go
@@ -61,6 +61,7 @@
 	loggedState breaker.State
 	queue       *admission.Queue
 	slots       int
+	maxWaiting  int
 	// stalls are the runs that wait for their callers to read, those that have waited longest first.
 	stalls []stall
 	// latencies are the service times of the requests that ended well.
@@ -114,7 +115,8 @@
 		l.startNewLife()
 	}
 	l.slots = int(row.Value.Slots)
-	l.queue.SetLimits(l.slots, int(service.Value.Queue))
+	l.maxWaiting = int(service.Value.Queue)
+	l.applyRateToQueue()
 	l.retryRatio = float64(service.Value.RetryBudget)
 	l.service, l.slackShare = row.Value.Service, slackShareOf(row.Key, service, cfg.Retries)
 	l.retryBudget.SetSlack(time.Now(), l.slackShare)
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lynxplank/lynxplank/coldstart"
@@ -123,20 +124,35 @@
 	l.returnColdAdmission()
 }
 
-// refuseBeyondRate returns the refusal of a request that the stated rate would not admit in time, behind those that wait
-// for a slot; nil if it may.
+// refuseBeyondRate returns the refusal of a request that may not wait and that the stated rate does not admit now, nil for
+// another one.
 func (l *localEndpoint) refuseBeyondRate(d *peerpb.Dispatch) *peerpb.End {
-	latest := l.latestSend(d)
+	if d.GetExchange() == 0 || d.GetWait() {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	wait := l.maxRate.Wait(now, l.queue.Waiting())
-	if wait == 0 || !now.Add(wait).After(latest) {
+	if l.maxRate.Wait(now, l.queue.Waiting()) == 0 {
 		return nil
 	}
 	return peer.NotRun(fault.MaxRate, l.maxRate.Refuse(now))
 }
 
+// applyRateToQueue fits the queue to the stated rate; the lock must be held.
+//
+// Only as many requests hold slots as the rate keeps running, and one that waits for the rate. All others wait in the
+// queue, which shares the rate between customers as it shares slots.
+func (l *localEndpoint) applyRateToQueue() {
+	slots, pace := l.slots, l.maxRate.Pace()
+	if pace > 0 {
+		running := int(math.Ceil(float64(l.queue.TypicalServiceTime()) / float64(pace)))
+		slots = min(slots, running+1)
+	}
+	l.queue.SetLimits(slots, l.maxWaiting)
+	l.queue.SetPace(pace)
+}
+
 // refusedForRate replaces the refusal of a request that found no slot because others wait there for the stated rate.
 func (l *localEndpoint) refusedForRate(end *peerpb.End) *peerpb.End {
 	switch fault.Code(end.GetCode()) {
@@ -160,6 +176,7 @@
 	}
 	l.mu.Lock()
 	change := l.maxRate.Adopt(l.clock(), d.GetMaxRate())
+	l.applyRateToQueue()
 	l.mu.Unlock()
 	e.logRateChange(l, change, d.GetMaxRate())
 }
@@ -178,6 +195,9 @@
 	}
 	l.mu.Lock()
 	change := l.maxRate.Observe(sentAt, l.clock(), a.MaxRate)
+	if change != maxrate.NoChange {
+		l.applyRateToQueue()
+	}
 	l.mu.Unlock()
 	e.logRateChange(l, change, a.MaxRate.Rate)
 }
--- a/egress/rate_test.go
+++ b/egress/rate_test.go
@@ -142,3 +142,65 @@
 		t.Errorf("lines: got %d, want %d", got, want)
 	}
 }
+
+// TestStatedRateIsSharedFairly guards against a customer that gets nothing of a stated rate because another one sends
+// much more: the queue in which requests wait for the rate shares it between customers.
+func TestStatedRateIsSharedFairly(t *testing.T) {
+	const lasts = 3 * time.Second
+	_, e := newRatedEndpoint(t, "10")
+	setQueue(t, e, 50)
+	serve(t, e, lookup())
+	var modest, greedy, sent, refused, refusedAfter atomic.Int64
+	var wg sync.WaitGroup
+	send := func(customer string, served *atomic.Int64) {
+		d := lookupWithin(time.Second)
+		d.Customer, d.Wait, d.BudgetMicros = customer, true, time.Second.Microseconds()
+		wg.Go(func() {
+			start := time.Now()
+			if serve(t, e, d).GetOutcome() == peerpb.Outcome_OUTCOME_RAN {
+				served.Add(1)
+				return
+			}
+			refused.Add(1)
+			refusedAfter.Add(int64(time.Since(start)))
+		})
+	}
+	for n, end := 0, time.Now().Add(lasts); time.Now().Before(end); n++ {
+		for range 4 {
+			send("greedy", &greedy)
+		}
+		if n%5 == 0 {
+			sent.Add(1)
+			send("modest", &modest)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	// It sends less than half of the rate.
+	if got, want := modest.Load(), sent.Load()*9/10; got < want {
+		t.Errorf("modest customer: got %d of %d served, want at least %d; the other one %d", got, sent.Load(), want, greedy.Load())
+	}
+	if got, most := time.Duration(refusedAfter.Load()/refused.Load()), 100*time.Millisecond; got > most {
+		t.Errorf("%d refusals: got %v on the average, want at most %v", refused.Load(), got, most)
+	}
+	if got, want := greedy.Load(), int64(10); got < want {
+		t.Errorf("greedy customer: got %d served, want at least %d", got, want)
+	}
+}
+
+// setQueue lets requests wait in the endpoint's queue.
+func setQueue(t *testing.T, e *Egress, length int) {
+	t.Helper()
+	row, ok := e.state().Service("desk")
+	if !ok {
+		t.Fatal("no service")
+	}
+	row.Value.Queue = table.Count(length)
+	s, err := e.state().With(table.Delta{From: 1, To: 2, Rows: []table.Row{
+		table.Encode(table.KindService, "desk", table.Meta{Version: 2, Revision: 2}, row.Value),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.state = func() *table.State { return s }
+}
--- a/maxrate/limiter.go
+++ b/maxrate/limiter.go
@@ -178,6 +178,14 @@
 	return l.bucket.Wait(now, 1+others)
 }
 
+// Pace returns the mean time between two requests that the limit admits, 0 while there is no limit.
+func (l *Limiter) Pace() time.Duration {
+	if l.phase != limited {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / max(l.rate, minRate))
+}
+
 // Version changes with each change of the limit.
 func (l *Limiter) Version() uint64 { return l.version }
 
