Trace: the rate that an endpoint states, since when, and what it has cost

lynxplankctl trace shows event 417 among the views that decided a request, and of a refusal by a stated rate (408) the rate, since when, and how many requests it has refused and delayed. Log fields only; no decision changes.

--- a/egress/offer.go
+++ b/egress/offer.go
@@ -106,6 +106,10 @@
 	if l != nil {
 		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
 			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
+		if m := end.GetLoad().GetMaxRate(); m != nil {
+			line.Float64("max_rate", m.GetRate()).Time("rate_since", time.UnixMilli(m.GetSinceMillis()).UTC()).
+				Uint64("rate_refused", m.GetRefused()).Uint64("rate_delayed", m.GetDelayed())
+		}
 	}
 	line.Send()
 }
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -207,7 +207,7 @@
 	if change == maxrate.NoChange {
 		return
 	}
-	events.MaxRateChanged.Log(e.log).Str("endpoint", l.key).Str("service", l.serviceName()).Stringer("change", change).Float64("rate", rate).Send()
+	events.MaxRateChanged.Log(e.log).Str("endpoint", l.key).Str("service", l.serviceName()).Stringer("change", change).Float64("max_rate", rate).Send()
 }
 
 // maxRateStatus returns what operators are shown of the stated rate; ok is false while there is none.
--- a/trace/line.go
+++ b/trace/line.go
@@ -63,6 +63,13 @@
 	// Trial and LastResort tell why an endpoint whose breaker was not closed received the request.
 	Trial      bool `json:"trial"`
 	LastResort bool `json:"last_resort"`
+	// MaxRate is the rate that the endpoint states, in requests a second, Change what became of it, RateSince when the
+	// endpoint began to state a rate. RateRefused and RateDelayed count the requests that this has cost.
+	MaxRate     *float64  `json:"max_rate"`
+	Change      string    `json:"change"`
+	RateSince   time.Time `json:"rate_since"`
+	RateRefused uint64    `json:"rate_refused"`
+	RateDelayed uint64    `json:"rate_delayed"`
 	// Leaving is set for an endpoint that is draining.
 	Leaving bool `json:"leaving"`
 	// Cause is the error text that the node logged.
@@ -129,7 +136,8 @@
 	case events.NodeStarted.Number, events.NodeStopping.Number, events.NodeStopped.Number, events.RevisionActivated.Number,
 		events.PlatformLost.Number, events.PlatformBack.Number, events.ConfigReady.Number, events.HostReaped.Number,
 		events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number, events.PhaseChanged.Number,
-		events.EndpointAnnounced.Number, events.EndpointLeaving.Number, events.BreakerChanged.Number:
+		events.EndpointAnnounced.Number, events.EndpointLeaving.Number, events.BreakerChanged.Number,
+		events.MaxRateChanged.Number:
 		return true
 	}
 	return false
--- a/trace/print.go
+++ b/trace/print.go
@@ -52,6 +52,15 @@
 	add("status", strconv.Itoa(line.Status))
 	add("to", line.To)
 	add("breaker", line.Breaker)
+	add("change", line.Change)
+	if line.MaxRate != nil {
+		add("max_rate", fmt.Sprintf("%g/s", *line.MaxRate))
+	}
+	if !line.RateSince.IsZero() {
+		add("since", line.RateSince.Format(time.TimeOnly))
+		add("refused", strconv.FormatUint(line.RateRefused, 10))
+		add("delayed", strconv.FormatUint(line.RateDelayed, 10))
+	}
 	if line.Slots > 0 {
 		add("busy", fmt.Sprintf("%d/%d", line.Busy, line.Slots))
 	}
--- a/trace/story.go
+++ b/trace/story.go
@@ -150,6 +150,8 @@
 		return line.To == "closed"
 	case events.PhaseChanged.Number:
 		return line.To == "serving"
+	case events.MaxRateChanged.Number:
+		return line.Change == "ended"
 	case events.EndpointAnnounced.Number:
 		return !line.Leaving
 	}
