Egress: a stop refuses what waits for a stated rate at once

What callers would see: a request that waits beside a stopping node for the rate that the endpoint states is refused only when its time comes, 3.3 s after it began to wait at 0.3 a second, since only the wait for a slot ended with the stop. TestCloseRefusesRequestsThatWaitForRate failed before and passes. The wait for a cold endpoint ends with it as well. A limiter that starts a new life counts its versions on, so that an admission of the earlier life returns nothing to it.

--- a/egress/close_test.go
+++ b/egress/close_test.go
@@ -63,3 +63,31 @@
 		}
 	}
 }
+
+// TestCloseRefusesRequestsThatWaitForRate guards against requests that wait beside a stopping node for the rate that the
+// endpoint states, until the node is gone.
+func TestCloseRefusesRequestsThatWaitForRate(t *testing.T) {
+	_, e := newRatedEndpoint(t, "0.3")
+	serve(t, e, lookup())
+	ended := make(chan *peerpb.End, 1)
+	start := time.Now()
+	go func() {
+		d := payment()
+		d.BudgetMicros, d.UsualMicros = time.Minute.Microseconds(), time.Millisecond.Microseconds()
+		ended <- serve(t, e, d)
+	}()
+	for e.Statuses()[0].RateDelayed == 0 {
+		if len(ended) > 0 {
+			t.Fatalf("before the close: got %v, want it to wait", <-ended)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	e.Close()
+	end := <-ended
+	if got, want := end.GetCode(), string(fault.Draining); got != want || end.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN {
+		t.Errorf("got %v, want not run, %s", end, want)
+	}
+	if got, most := time.Since(start), time.Second; got > most {
+		t.Errorf("refused after %v, want within %v", got, most)
+	}
+}
--- a/egress/local.go
+++ b/egress/local.go
@@ -133,7 +133,7 @@
 // startNewLife forgets what the endpoint's process said of itself, because another one has taken its place; the lock must
 // be held.
 func (l *localEndpoint) startNewLife() {
-	l.maxRate = maxrate.NewUnlimited()
+	l.maxRate.Forget()
 	l.answered.Store(true)
 	l.draining.Store(false)
 }
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -27,8 +27,11 @@
 
 // waitForRate passes a request that holds a slot through the limits of the endpoint's rate: the rate that the endpoint
 // states, and that of a cold endpoint. A request that may wait for a slot may wait here too, as long as its answer can
-// still be in time.
+// still be in time and until Close.
 func (e *Egress) waitForRate(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch) (rateAdmission, *peerpb.End) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(e.closeCtx, cancel)()
 	latest := l.latestSend(d)
 	for {
 		e.updateColdReport(l)
@@ -36,7 +39,7 @@
 		if end == nil {
 			if !sleep(ctx, a.at.Sub(l.clock())) {
 				l.returnRate(a)
-				return a, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+				return a, e.waitEnded()
 			}
 			if retry, end = l.claimRate(a); end == nil {
 				return a, nil
@@ -46,11 +49,19 @@
 			return a, end
 		}
 		if !sleep(ctx, retry) {
-			return a, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+			return a, e.waitEnded()
 		}
 	}
 }
 
+// waitEnded is the refusal of a request whose wait ended before its time came.
+func (e *Egress) waitEnded() *peerpb.End {
+	if e.closeCtx.Err() != nil {
+		return peer.NotRun(fault.Draining, drainRetryAfter)
+	}
+	return peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+}
+
 // sleep waits and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/maxrate/limiter.go
+++ b/maxrate/limiter.go
@@ -78,9 +78,12 @@
 // NewLimiter returns the limiter of an endpoint that has not answered yet.
 func NewLimiter() *Limiter { return &Limiter{rate: math.Inf(1)} }
 
-// NewUnlimited returns the limiter of an endpoint that is known to have stated no rate: what senders tell of an earlier
-// process at its address does not count.
-func NewUnlimited() *Limiter { return &Limiter{rate: math.Inf(1), phase: unlimited} }
+// Forget ends the limit because another process has taken the endpoint's place: what senders tell of the earlier one does
+// not count.
+func (l *Limiter) Forget() {
+	l.phase, l.rate, l.bucket = unlimited, math.Inf(1), nil
+	l.version++
+}
 
 // limitFor returns the limit for a stated rate.
 func limitFor(rate float64) quota.Limit {
@@ -104,8 +107,7 @@
 		l.setRate(now, s.Rate)
 		return Changed
 	case s.Kind == Absent && l.phase == limited && later:
-		l.phase, l.rate, l.bucket = unlimited, math.Inf(1), nil
-		l.version++
+		l.Forget()
 		return Ended
 	case s.Kind == Absent && l.phase == unknown:
 		l.phase = unlimited
