--- a/egress/lastresort_test.go
+++ b/egress/lastresort_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
@@ -70,9 +69,6 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	e := newTestEgress(t, l.Addr().String(), table.Active)
-	// However late the third payment begins, the outage is not over: a payment may be the trial that shows its end.
-	e.cfg.Breaker = breaker.DefaultConfig()
-	e.cfg.Breaker.InitialOutage, e.cfg.Breaker.MaxOutage = time.Hour, time.Hour
 	for i, want := range []peerpb.Outcome{
 		peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_NOT_RUN,
 	} {
