--- a/egress/egress.go
+++ b/egress/egress.go
@@ -50,6 +50,8 @@
 	Breaker breaker.Config
 	// Retries is the retry slack that the endpoints of the fleet share.
 	Retries retry.FleetSlack
+	// NestedFirst, ReclaimSlots and SuspectRoom are the settings of the same names in the section overload.
+	NestedFirst, ReclaimSlots, SuspectRoom bool
 	// ColdLimit is how far the requests sent to a cold endpoint in one second may exceed the rate that its service
 	// sets for cold endpoints. Its Rate is not used.
 	ColdLimit coldstart.Bound
--- a/events/events.go
+++ b/events/events.go
@@ -65,6 +65,9 @@
 	FieldsUnread      = Event{416, "endpoint sends fields that are not read", zerolog.InfoLevel}
 	MaxRateChanged    = Event{417, "endpoint's max rate changed", zerolog.InfoLevel}
 	BadMaxRate        = Event{418, "endpoint states an unreadable max rate", zerolog.WarnLevel}
+	SlotsUsed         = Event{419, "slots used", zerolog.InfoLevel}
+	RequestsThrottled = Event{420, "requests throttled", zerolog.WarnLevel}
+	SlotReclaimed     = Event{421, "slot reclaimed", zerolog.InfoLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -85,6 +88,7 @@
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
 	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
+	SlotsUsed, RequestsThrottled, SlotReclaimed,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -67,6 +67,10 @@
 	FatalRequest Code = "fatal_request"
 	// Cold is a refusal because the endpoint is cold, or may be, and bears no more just now.
 	Cold Code = "cold"
+	// Throttled is a refusal at the ingress because the service refuses most requests of the route at the moment.
+	Throttled Code = "throttled"
+	// EndpointHung is a request that was ended because its endpoint hangs and another request needed the slot.
+	EndpointHung Code = "endpoint_hung"
 	// MaxRate is a refusal because the endpoint states that it takes no more requests a second.
 	MaxRate Code = "max_rate"
 	// Draining is a refusal by an endpoint or node that takes nothing new.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -37,6 +37,8 @@
 	Incarnation uint64
 	// Contract encodes and decodes the headers exchanged with callers; nil stands for the product's own contract.
 	Contract contract.Contract
+	// NestedFirst, EarlyRefusal and SuspectRoom are the settings of the same names in the section overload.
+	NestedFirst, EarlyRefusal, SuspectRoom bool
 }
 
 // Local runs requests at the endpoints beside this node.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -117,6 +117,8 @@
 	fault.CustomerLimit:       "the customer sends more than its limit",
 	fault.FatalRequest:        "endpoints ended while they ran this request; it is kept from all until an operator lets it run again",
 	fault.Busy:                "no endpoint has a free slot",
+	fault.Throttled:           "the service refuses most such requests at the moment",
+	fault.EndpointHung:        "the endpoint did not answer, and another request needed its slot",
 	fault.MaxRate:             "the endpoints state that they take no more requests a second",
 	fault.Cold:                "the endpoints are cold and bear no more just now",
 	fault.Suspect:             "the endpoints broke off their work just now",
--- a/node/config.go
+++ b/node/config.go
@@ -147,6 +147,7 @@
 			Slack: n.cfg.Retries.Slack * n.cfg.Retries.Use, Window: n.cfg.Retries.Window.Std(),
 			MaxShare: n.cfg.Retries.MaxBurst,
 		},
+		NestedFirst: n.cfg.Overload.NestedFirst, ReclaimSlots: n.cfg.Overload.ReclaimSlots, SuspectRoom: n.cfg.Overload.SuspectRoom,
 		ColdLimit: coldstart.Bound{RateFactor: n.cfg.Cold.Over, Slack: n.cfg.Cold.Slack},
 	}
 }
@@ -166,6 +167,7 @@
 func (n *Node) ingressConfig(incarnation uint64) ingress.Config {
 	return ingress.Config{
 		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, Service: n.cfg.Announced.Service, Incarnation: incarnation, Contract: n.contract(),
+		NestedFirst: n.cfg.Overload.NestedFirst, EarlyRefusal: n.cfg.Overload.EarlyRefusal, SuspectRoom: n.cfg.Overload.SuspectRoom,
 	}
 }
 
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -38,6 +38,8 @@
 	Memory Memory `yaml:"memory"`
 	// Ejection configures how long endpoints are ejected and how they return to service.
 	Ejection Ejection `yaml:"ejection"`
+	// Overload selects what the node does when demand exceeds the capacity of endpoints.
+	Overload Overload `yaml:"overload"`
 	// Stop configures the planned stop.
 	Stop Stop `yaml:"stop"`
 	// Log configures the log.
@@ -269,6 +271,18 @@
 	RampStep Duration `yaml:"ramp_step" validate:"min=1"`
 }
 
+// Overload selects what the node does when demand exceeds the capacity of endpoints.
+type Overload struct {
+	// NestedFirst serves calls that endpoints make while they handle a request before new requests.
+	NestedFirst bool `yaml:"nested_first"`
+	// ReclaimSlots ends repeatable requests that hold slots of hanging endpoints when other requests need the slots.
+	ReclaimSlots bool `yaml:"reclaim_slots"`
+	// EarlyRefusal refuses requests at the ingress while their service refuses most requests of their route.
+	EarlyRefusal bool `yaml:"early_refusal"`
+	// SuspectRoom sends requests to endpoints with an open breaker, by their chance of success, when all others are full.
+	SuspectRoom bool `yaml:"suspect_room"`
+}
+
 // DefaultDaemon returns the default settings of a node.
 func DefaultDaemon() Daemon {
 	listener := Listener{
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -21,8 +21,10 @@
 	fault.NoEndpoint: "the ingress knew no endpoint that takes new work: all draining, ejected, out of reach or tried before; " +
 		"see its links (301, 302) and phases (400)",
 	fault.Draining: "the endpoint was leaving, or its node was stopping, and the ingress did not know yet",
-	fault.MaxRate:  "the endpoints that were asked state a rate that leaves no room for it; see 417 for since when",
-	fault.Cold:     "the endpoints that were asked were cold, or may have been, and took no more; see 404 for when they began",
+	fault.Throttled: "the service refused most requests of the route, so the node refused this one at once and asked no endpoint; see 420 for how many, " +
+		"408 for what the endpoints lacked",
+	fault.MaxRate: "the endpoints that were asked state a rate that leaves no room for it; see 417 for since when",
+	fault.Cold:    "the endpoints that were asked were cold, or may have been, and took no more; see 404 for when they began",
 	fault.Stopping: "the node that took the request was stopping, and no endpoint had taken it while its work could still have " +
 		"finished before the stop; " +
 		"see 101 there",
@@ -43,6 +45,8 @@
 	fault.EndpointShed:        "the endpoint itself refused the work and said that it did not run it",
 	fault.EndpointCut: "the endpoint broke off before its answer was whole, so whether the work ran cannot be known here; see " +
 		"407 for what came",
+	fault.EndpointHung: "the endpoint had the request and answered nothing for longer than almost all such requests take, so it was ended for another " +
+		"request that needed the slot; see 421",
 	fault.DeadlineExceeded: "the endpoint had the request and had not answered when the time ran out",
 	fault.Canceled:         "the caller went away",
 	fault.RetryBudget:      "the service's retry budget was exhausted",
