Ingress: requests ask fewer endpoints for a free slot where few have one

Cause: at a full service each request made up to six offers, three of them to other halls, and each hedge four every 50 ms; nearly all were refused. They take processor time of two nodes and bytes between halls.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -53,6 +53,9 @@
 	progress   *progress
 	endpoint   string
 	dispatched bool
+	// search records the result of the send's offer, unless the offer waits for a slot.
+	search *search
+	waits  bool
 }
 
 func newAnswer(w http.ResponseWriter, c call, ct contract.Contract, win *winner) *answer {
@@ -62,9 +65,19 @@
 // AllowDispatch implements peer.DispatchGate.
 func (a *answer) AllowDispatch() bool {
 	a.dispatched = a.progress.beginDispatch(a)
+	if a.dispatched {
+		a.recordOffer(true, "")
+	}
 	return a.dispatched
 }
 
+// recordOffer records the result of the send's offer for the search for free slots.
+func (a *answer) recordOffer(accepted bool, code fault.Code) {
+	if a.search != nil && !a.waits {
+		a.search.record(accepted, code)
+	}
+}
+
 // Committed implements peer.CommittingSink.
 func (a *answer) Committed() bool { return a.started }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -44,6 +44,8 @@
 	// winner selects the send whose answer goes to the caller.
 	winner   *winner
 	refusals *refusals
+	// search limits the offers to endpoints that seem to have a free slot.
+	search *search
 	// reservations count the answers of the sends against the node's memory budget.
 	reservations []*memory.Reservation
 	// tried are the endpoints that had the request, or refused it for a lasting reason.
@@ -194,7 +196,7 @@
 // pickFree chooses an endpoint that seems to have a free slot, in this node's hall for as long as the request can wait
 // for a slot there.
 func (x *exchange) pickFree(ctx context.Context) (director.Pick, bool) {
-	for x.offers < maxOffers {
+	for x.offers < x.search.maxOffers(maxOffers) {
 		x.offers++
 		opts := x.pickOptions()
 		opts.RequireFreeSlot, opts.LocalHallOnly = true, true
@@ -207,7 +209,7 @@
 			x.offers, x.declined = 0, slices.Clone(x.suspects)
 			continue
 		}
-		if x.remoteOffers++; x.remoteOffers > maxRemoteOffers {
+		if x.remoteOffers++; x.remoteOffers > x.search.maxOffers(maxRemoteOffers) {
 			break
 		}
 		opts.LocalHallOnly = false
@@ -232,6 +234,7 @@
 	x.answer.late.begin(func() { x.g.director.ReportOverdue(x.call.service.Key, pick) })
 	d := x.buildDispatch(ctx, pick, claim)
 	x.markSend(d, wait)
+	x.answer.waits = wait || x.lastResort || claim != nil
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{pick: pick, answer: x.answer, offset: time.Since(x.start), cancel: cancel}
 	a.end = x.deliver(ctx, pick.Endpoint, d, x.answer)
@@ -255,7 +258,7 @@
 // newAnswer returns the sink for another send.
 func (x *exchange) newAnswer() *answer {
 	a := newAnswer(x.answer.w, x.call, x.g.cfg.Contract, x.winner)
-	a.progress = &x.progress
+	a.progress, a.search = &x.progress, x.search
 	x.reserveMemory(a)
 	return a
 }
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -104,6 +104,7 @@
 	a.answer.late.begin(func() { x.g.director.ReportOverdue(x.call.service.Key, pick) })
 	d := x.buildDispatch(ctx, pick, nil)
 	x.markSend(d, wait)
+	a.answer.waits = wait || x.lastResort
 	d.TellDue = !isHedge
 	d.Repeat = d.Repeat || isHedge
 	h.running = append(h.running, a)
@@ -121,7 +122,7 @@
 		x.progress.isClosed() || x.crashes >= maxOwnCrashes || x.g.crashes.Ends(x.call.fingerprint) >= poison.NoRetryThreshold {
 		return
 	}
-	if len(h.declined) >= maxHedgeOffers {
+	if len(h.declined) >= x.search.maxOffers(maxHedgeOffers) {
 		h.retryLater()
 		return
 	}
@@ -146,11 +147,12 @@
 	h.start(ctx, pick, false, true).permit = permit
 }
 
-// retryLater has startHedge run again after hedgeRetryInterval.
+// retryLater has startHedge run again after an interval.
 func (h *hedgedRequest) retryLater() {
 	h.declined = nil
+	interval := h.x.search.hedgeInterval()
 	for _, a := range h.running {
-		a.answer.due.set(hedgeRetryInterval)
+		a.answer.due.set(interval)
 	}
 }
 
@@ -213,6 +215,9 @@
 func (x *exchange) recordAttempt(a *attempt) {
 	x.recordEnd(a.end)
 	x.countAsked(a.end)
+	if a.end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		a.answer.recordOffer(false, fault.Code(a.end.GetCode()))
+	}
 	x.trail.add(step{endpoint: a.pick.Endpoint.Key, offset: a.offset, reportAgeMillis: a.pick.ReportAgeMillis, end: a.end})
 	if isEndpointSample(a.end) && !a.answer.failed(a.end) {
 		work := time.Duration(a.end.GetLoad().GetServiceMicros()) * time.Microsecond
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -76,6 +76,7 @@
 
 	mu                sync.Mutex
 	refusalsByService map[string]*refusals
+	searches          map[string]*search
 	routeStats        *routeStats
 }
 
@@ -139,7 +140,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
-		limits: unlimited{}, crashes: noCrashes{}, clock: clock.Boot, splits: newSplits(), refusalsByService: make(map[string]*refusals), routeStats: newRouteStats(),
+		limits: unlimited{}, crashes: noCrashes{}, clock: clock.Boot, splits: newSplits(), refusalsByService: make(map[string]*refusals), searches: make(map[string]*search), routeStats: newRouteStats(),
 		configIsNewest: func(context.Context) bool { return true }, budget: memory.New(defaultBudget),
 	}
 	for _, opt := range opts {
@@ -254,7 +255,8 @@
 	defer x.releaseReservations()
 	g.inFlight.add(x)
 	defer g.inFlight.remove(x)
-	x.refusals = g.refusals(c.service.Key)
+	x.refusals, x.search = g.refusals(c.service.Key), g.search(c.service.Key)
+	x.answer.search = x.search
 	end := x.run(ctx)
 	if x.hasPermit {
 		x.permit.Return()
