Egress: runs at endpoints that hang are ended for requests that need their slots

Cause: repeatable requests that an endpoint does not answer hold their slots until their own deadlines, up to 15 s, while other requests wait or are refused as busy (docs/OVERLOAD.md, part 4).

Change: with overload.reclaim_slots, a request that is refused as busy or begins to wait has at most one run ended. The pure type runSet chooses it: repeatable, no claim, whole request sent, no part of an answer, of a kind that the endpoint's own model knows, at most 2 in 100 usual requests take longer, and the breaker is open or nothing was answered since the run began. The run ends as unknown with endpoint_hung, counts once as an unanswered request, and is logged as event 421. The ingress counts the code as a sample of the endpoint, as it does a passed deadline; retries and hedges need no change. A gauge by service counts the slots.

Tests of egress (with -race, five times the new ones), ingress, latency, node's metrics and events pass.

--- /dev/null
+++ b/egress/hung.go
@@ -0,0 +1,117 @@
+package egress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lynxplank/lynxplank/admission"
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/upstream"
+)
+
+// errReclaimed is the cause with which the context of a run is canceled when the run is ended for another request.
+var errReclaimed = fault.New(fault.EndpointHung, "slot", "endpoint did not answer, and another request needs the slot")
+
+// newTrackedRun returns a run of the request. One whose body is streamed cannot be sent again.
+func newTrackedRun(id uint64, start time.Time, d *peerpb.Dispatch) trackedRun {
+	streamed := d.GetBodyLength() != 0
+	return trackedRun{
+		id: id, class: workOf(d), start: start, streamed: streamed, endable: d.GetRepeatable() && d.GetClaim() == nil && !streamed,
+	}
+}
+
+// trackRun adds a run to those of its endpoint and returns a context that ends with errReclaimed when the run is ended
+// for another request.
+func (l *localEndpoint) trackRun(ctx context.Context, id uint64, start time.Time, d *peerpb.Dispatch) (context.Context, context.CancelFunc) {
+	if !l.reclaims {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := newTrackedRun(id, start, d)
+	r.cancel = func() { cancel(errReclaimed) }
+	l.runs.begin(r)
+	return ctx, func() { cancel(nil) }
+}
+
+// untrackRun removes a run that is done, and counts it if it was ended for another request.
+func (l *localEndpoint) untrackRun(id uint64, r result) {
+	if !l.reclaims {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs.end(id)
+	if r.reclaimed {
+		l.reclaimed++
+	}
+}
+
+// reclaimedCount returns how many runs were ended for other requests.
+func (l *localEndpoint) reclaimedCount() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reclaimed
+}
+
+// noteAnswer records that the answer to a run has begun; it reports false if the run was ended at the same moment, so
+// that its connection is closed already.
+func (l *localEndpoint) noteAnswer(id uint64, a contract.Answer, resp *upstream.Response) bool {
+	if !l.reclaims {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	success := !a.NotRun && !a.Foreign && resp.StatusCode < http.StatusInternalServerError
+	return l.runs.answered(time.Now(), id, success, l.knownSurvival)
+}
+
+// knownSurvival is survival by the endpoint's own answers: 1 for a kind of request of which it has answered too few. The
+// lock must be held.
+func (l *localEndpoint) knownSurvival(class breaker.RequestClass, age time.Duration) float64 {
+	if !l.latencies.Knows(class.Kind) {
+		return 1
+	}
+	return l.survival(class, age)
+}
+
+// reclaimHungSlot ends a run at an endpoint that hangs, if one qualifies, for a request that found no slot free; the
+// lock must be held. A request that was refused as busy stays refused: the slot is free a little later.
+func (l *localEndpoint) reclaimHungSlot(now time.Time, d admission.Decision) bool {
+	if !l.reclaims || d.Action != admission.Wait && d.Code != fault.Busy {
+		return false
+	}
+	r := l.runs.reclaim(now, l.breaker.State() != breaker.Closed, l.knownSurvival)
+	if r == nil {
+		return false
+	}
+	r.cancel()
+	return true
+}
+
+// reclaimedResult is the result of a run that was ended for another request. For the breaker, the monitor and the
+// directors it is a request that the endpoint left unanswered.
+func reclaimedResult(err error) result {
+	r := result{end: peer.Unknown(fault.EndpointHung), sample: true, failed: true, unanswered: true, reclaimed: true, cause: err}
+	if fault.CodeOf(err) == fault.EndpointUnreachable {
+		// The endpoint has not taken the connection, so the request has not run.
+		r.end = peer.NotRun(fault.EndpointUnreachable, shortRetryAfter)
+	}
+	return r
+}
+
+// logReclaimed logs a run that was ended for another request.
+func (e *Egress) logReclaimed(l *localEndpoint, d *peerpb.Dispatch, after time.Duration) {
+	l.mu.Lock()
+	survival := l.survival(workOf(d), after)
+	l.mu.Unlock()
+	events.SlotReclaimed.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).Str("service", d.GetService()).
+		Str("route", d.GetRoute()).Dur("after", after).Float64("survival", survival).Send()
+}
--- a/egress/local.go
+++ b/egress/local.go
@@ -89,6 +89,11 @@
 	// is being checked.
 	brokenRequests    []brokenRequest
 	crashCheckRunning bool
+	// reclaims is the setting reclaim_slots; runs are the runs at the endpoint while it is on, reclaimed counts those of
+	// them that were ended for other requests.
+	reclaims  bool
+	runs      runSet
+	reclaimed uint64
 	// waiters are the channels on which queued requests wait for their decision, by their ids in the queue.
 	waiters map[uint64]chan admission.Decision
 }
@@ -101,7 +106,7 @@
 		dueSinks:  make(map[uint64]peer.Sink),
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
-		maxRate: maxrate.NewLimiter(),
+		maxRate: maxrate.NewLimiter(), reclaims: cfg.ReclaimSlots,
 	}
 }
 
@@ -201,9 +206,10 @@
 func (l *localEndpoint) enqueue(r admission.Request) (chan admission.Decision, time.Time, *peerpb.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	decision, evicted := l.queue.Offer(time.Now(), r)
+	now := time.Now()
+	decision, evicted := l.queue.Offer(now, r)
 	l.deliver(evicted)
-	if decision.Action != admission.Run {
+	if decision.Action != admission.Run && !l.reclaimHungSlot(now, decision) {
 		l.reclaimStalledSlot()
 	}
 	if decision.Action != admission.Wait {
@@ -261,7 +267,8 @@
 // finishRun frees the slot and counts the run. A request that the endpoint did not run says nothing about its speed.
 func (l *localEndpoint) finishRun(id uint64, service time.Duration, r result, d *peerpb.Dispatch, trial bool) {
 	l.recordResult(id, r, service, d, trial)
-	if !r.sample {
+	// Nor does one that was ended for another request: it ended when that request came.
+	if !r.sample || r.reclaimed {
 		service = 0
 	}
 	l.freeSlot(service)
--- a/egress/run.go
+++ b/egress/run.go
@@ -31,6 +31,8 @@
 	brokenOff bool
 	// unanswered is set when no answer had begun by the time the deadline passed or the caller left.
 	unanswered bool
+	// reclaimed is set when the run was ended because another request needed its slot.
+	reclaimed bool
 	// unreachable is set when the endpoint accepted no connection.
 	unreachable bool
 	// stalledFor is how long the endpoint had to wait for the caller to read.
@@ -65,8 +67,9 @@
 // answerHooks holds the sink for one run's answer and the callbacks for the events of the run.
 type answerHooks struct {
 	sink peer.Sink
-	// onHead is called with the head of the endpoint's answer before any part of the answer is passed on.
-	onHead func(contract.Answer, http.Header)
+	// onHead is called with the head of the endpoint's answer before any part of the answer is passed on. It returns false
+	// if the run was ended at the same moment.
+	onHead func(contract.Answer, *upstream.Response) bool
 	// hold accounts for what is buffered of the answer while its caller reads slower than the endpoint answers.
 	hold *memory.Reservation
 	// onProgress is called when a part of the answer has arrived.
@@ -88,8 +91,14 @@
 		return r
 	}
 	answer := l.contract.Answer(resp.StatusCode, resp.Header)
-	h.onHead(answer, resp.Header)
+	wanted := h.onHead(answer, resp)
 	l.reportedLoad.Store(&answer.Load)
+	if !wanted {
+		resp.Close()
+		r := reclaimedResult(errReclaimed)
+		h.onDone(r)
+		return r
+	}
 	if answer.NotRun || answer.Foreign {
 		r := rejectedAnswer(resp, answer)
 		resp.Close()
@@ -159,6 +168,9 @@
 
 // noAnswerResult is the result of a run that got no answer.
 func noAnswerResult(ctx context.Context, err error) result {
+	if errors.Is(context.Cause(ctx), errReclaimed) {
+		return reclaimedResult(err)
+	}
 	code := fault.CodeOf(err)
 	canceled := ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
 	if code == fault.EndpointUnreachable {
--- a/egress/status.go
+++ b/egress/status.go
@@ -23,6 +23,8 @@
 	// RateRefused and RateDelayed count the requests that were refused, and that had to wait, because of a stated rate.
 	RateRefused uint64 `json:"rate_refused,omitempty"`
 	RateDelayed uint64 `json:"rate_delayed,omitempty"`
+	// Reclaimed counts the runs that were ended because other requests needed their slots.
+	Reclaimed uint64 `json:"reclaimed,omitempty"`
 	// Arrivals counts what was dispatched to it since the node started.
 	Arrivals Arrivals `json:"arrivals"`
 }
@@ -39,6 +41,7 @@
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Draining: load.GetLeaving(), Trial: load.GetTrial(),
 			Arrivals: l.arrivalCounts(), Service: l.serviceName(), RateRefused: rate.Refused, RateDelayed: rate.Delayed,
+			Reclaimed: l.reclaimedCount(),
 		}
 		if limited {
 			status.MaxRate = &rate.Rate
--- a/egress/work.go
+++ b/egress/work.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/upstream"
 )
 
 // runAt runs a request that holds a slot, stores its answer if the sender may fetch it again, and frees the slot.
@@ -27,6 +27,8 @@
 		sink = recording
 	}
 	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: e.nextID.Add(1)}
+	ctx, stopTracking := l.trackRun(ctx, run.id, run.start, d)
+	defer stopTracking()
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
 	e.running.Begin(d.GetRequestId(), d.GetRepeat())
 	hold := e.budget.NewReservation(d.GetCustomer())
@@ -57,11 +59,13 @@
 	serviceTime time.Duration
 }
 
-// noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer.
-func (run *endpointRun) noteHead(a contract.Answer, h http.Header) {
-	run.e.noteUnreadFields(run.l, run.l.contract.Unread(h))
+// noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer. It
+// reports false if the run was ended at the same moment.
+func (run *endpointRun) noteHead(a contract.Answer, resp *upstream.Response) bool {
+	run.e.noteUnreadFields(run.l, run.l.contract.Unread(resp.Header))
 	run.e.noteMaxRate(run.l, run.sentAt, a)
 	run.e.noteLeaving(run.l, a)
+	return run.l.noteAnswer(run.id, a, resp)
 }
 
 func (run *endpointRun) noteProgress() { run.l.noteProgress(run.id) }
@@ -75,7 +79,11 @@
 	e, l, d := run.e, run.l, run.d
 	e.running.End(d.GetRequestId(), d.GetRepeat())
 	run.serviceTime = time.Since(run.start) - r.stalledFor
+	l.untrackRun(run.id, r)
 	l.finishRun(run.id, run.serviceTime, r, d, run.trial)
+	if r.reclaimed {
+		e.logReclaimed(l, d, run.serviceTime)
+	}
 	if r.cause != nil {
 		e.logFailure(l, d, r, run.serviceTime, run.trial)
 	}
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -18,7 +18,7 @@
 	switch fault.Code(end.GetCode()) {
 	case fault.LinkLost, fault.LinkDown, fault.Canceled, fault.CallerSlow, fault.Protocol, fault.OfferLapsed:
 		return false
-	case fault.EndpointUnreachable, fault.DeadlineExceeded, fault.EndpointCut:
+	case fault.EndpointUnreachable, fault.DeadlineExceeded, fault.EndpointCut, fault.EndpointHung:
 		return true
 	}
 	return end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -72,6 +72,7 @@
 	"spent":   peer.NotRun(fault.RetryBudget, 0),
 	"refuses": peer.NotRun(fault.Busy, 0),
 	"ends":    peer.Unknown(fault.EndpointCut),
+	"hung":    peer.Unknown(fault.EndpointHung),
 	"gone":    {Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Code: string(fault.EndpointCut), Ended: true},
 	"barred":  peer.NotRun(fault.FatalRequest, 0),
 }
@@ -81,6 +82,10 @@
 		return proto.CloneOf(end)
 	}
 	switch behaviour {
+	case "yields":
+		// The run is ended for another request while its hedge runs.
+		time.Sleep(40 * time.Millisecond)
+		return peer.Unknown(fault.EndpointHung)
 	case "nags":
 		// The endpoint's node reports again that the answer is due, as it does when nothing there answers any more.
 		time.Sleep(100 * time.Millisecond)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -175,6 +175,9 @@
 	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
 }
 
+// SetReclaimedSlots sets the number of runs that were ended because other requests needed their slots.
+func (s *ServiceMetrics) SetReclaimedSlots(n float64) { s.scope.Gauge("reclaimed_slots").Update(n) }
+
 // CountSend counts a send of a request to an endpoint by its outcome and code.
 func (s *ServiceMetrics) CountSend(outcome, code string) {
 	s.count(s.sends, "asked", outcome, code)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -138,6 +138,7 @@
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
+	reclaimed := make(map[string]float64)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
 		if e.MaxRate != nil {
@@ -145,6 +146,7 @@
 		}
 		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
 		rates[e.Service] = r
+		reclaimed[e.Service] += float64(e.Reclaimed)
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -160,6 +162,7 @@
 	}
 	for service, r := range rates {
 		s.metrics.Service(service).SetMaxRates(r)
+		s.metrics.Service(service).SetReclaimedSlots(reclaimed[service])
 	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
