Slot accounting: package slotuse, event 419, lynxplankctl slots

Cause: nobody can see how many slots are held by requests that are overdue, by dispatches that are not confirmed, or by nothing (docs/OVERLOAD.md, part 4).

Change: slotuse.Meter adds up slot time by state and breaker, waiting time, and working and late time by route (eight, the rest together). It integrates at the events that change the state; a run is settled when its answer begins, when it ends, when the breaker changes, and when a window is taken, with the age of being late from the latency model (Model.Late, the inverse of Survival). The node's sampler, which wakes every 2 s anyway, has one line logged for each endpoint that was in use, so there is no timer. All of it only with overload.reclaim_slots. lynxplankctl slots spreads the lines over windows and prints the mean slots by state for each service.

Tests of slotuse, latency, trace and cli, and the new ones of egress three times with -race, pass; slot time is conserved in drawn sequences of events.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -29,6 +29,13 @@
 		flags: func(f *flag.FlagSet) {
 			f.Duration(windowFlag, usualWindow, "the window over which a service's retries are counted")
 		},
+	}, {
+		name: "slots", args: "[-window 2s] [LOG...]", offline: true,
+		help: "what the slots of each service's endpoints were used for, by window, from the logs of all nodes",
+		run:  reportSlots,
+		flags: func(f *flag.FlagSet) {
+			f.Duration(windowFlag, usualSlotWindow, "the window over which the numbers of slots are averaged")
+		},
 	}}
 }
 
@@ -36,12 +43,41 @@
 	windowFlag = "window"
 	// usualWindow is that of the nodes' settings where they name none.
 	usualWindow = 10 * time.Second
+	// usualSlotWindow is the time between two lines of a node on the slots of an endpoint.
+	usualSlotWindow = 2 * time.Second
 )
 
-func reportSends(a *app, f *flag.FlagSet) error {
+// windowOf returns the window that the command names.
+func windowOf(f *flag.FlagSet) (time.Duration, error) {
 	window, err := time.ParseDuration(f.Lookup(windowFlag).Value.String())
 	if err != nil || window <= 0 {
-		return fault.New(fault.BadUsage, "-"+windowFlag, "want a time above 0")
+		return 0, fault.New(fault.BadUsage, "-"+windowFlag, "want a time above 0")
+	}
+	return window, nil
+}
+
+// minSlotWindow bounds the number of windows that one line of a log is spread over.
+const minSlotWindow = 10 * time.Millisecond
+
+func reportSlots(a *app, f *flag.FlagSet) error {
+	window, err := windowOf(f)
+	if err != nil {
+		return err
+	}
+	if window < minSlotWindow {
+		return fault.New(fault.BadUsage, "-"+windowFlag, "want at least "+minSlotWindow.String())
+	}
+	slots := trace.NewSlots(window)
+	if err := readLogs(slots, f.Args()); err != nil {
+		return err
+	}
+	return slots.Print(a.out)
+}
+
+func reportSends(a *app, f *flag.FlagSet) error {
+	window, err := windowOf(f)
+	if err != nil {
+		return err
 	}
 	sends := trace.NewSends()
 	if err := readLogs(sends, f.Args()); err != nil {
--- a/egress/breaker.go
+++ b/egress/breaker.go
@@ -54,6 +54,7 @@
 func (l *localEndpoint) breakerChange() (from, to breaker.State, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.noteBreaker()
 	from, to = l.loggedState, l.breaker.State()
 	l.loggedState = to
 	return from, to, from != to
--- a/egress/hung.go
+++ b/egress/hung.go
@@ -38,6 +38,7 @@
 	r := newTrackedRun(id, start, d)
 	r.cancel = func() { cancel(errReclaimed) }
 	l.runs.begin(r)
+	l.use.Begin(start, id, d.GetRoute(), r.class)
 	return ctx, func() { cancel(nil) }
 }
 
@@ -49,6 +50,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs.end(id)
+	l.use.End(time.Now(), id, l.lateAfter)
 	if r.reclaimed {
 		l.reclaimed++
 	}
@@ -70,7 +72,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	success := !a.NotRun && !a.Foreign && resp.StatusCode < http.StatusInternalServerError
-	return l.runs.answered(time.Now(), id, success, l.knownSurvival)
+	now := time.Now()
+	l.use.Answer(now, id, l.lateAfter)
+	return l.runs.answered(now, id, success, l.knownSurvival)
 }
 
 // knownSurvival is survival by the endpoint's own answers: 1 for a kind of request of which it has answered too few. The
--- a/egress/local.go
+++ b/egress/local.go
@@ -20,6 +20,7 @@
 	"github.com/lynxplank/lynxplank/maxrate"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/slotuse"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -94,12 +95,14 @@
 	reclaims  bool
 	runs      runSet
 	reclaimed uint64
+	// use accounts for the slots, nil while the setting is off.
+	use *slotuse.Meter
 	// waiters are the channels on which queued requests wait for their decision, by their ids in the queue.
 	waiters map[uint64]chan admission.Decision
 }
 
 func newLocalEndpoint(row table.Entry[table.Endpoint], cfg Config, c clock.Clock, pool *upstream.Pool, random *rand.Rand) *localEndpoint {
-	return &localEndpoint{
+	l := &localEndpoint{
 		key: row.Key, contract: cfg.Contract, pool: pool, breaker: breaker.New(cfg.Breaker),
 		queue:     admission.NewQueue(int(row.Value.Slots), 0, random),
 		waiters:   make(map[uint64]chan admission.Decision),
@@ -108,6 +111,10 @@
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
 		maxRate: maxrate.NewLimiter(), reclaims: cfg.ReclaimSlots,
 	}
+	if cfg.ReclaimSlots {
+		l.use = slotuse.New(time.Now(), int(row.Value.Slots))
+	}
+	return l
 }
 
 // configure applies the endpoint's address and limits from the active configuration.
@@ -122,6 +129,7 @@
 	l.slots = int(row.Value.Slots)
 	l.maxWaiting = int(service.Value.Queue)
 	l.applyRateToQueue()
+	l.noteLevels()
 	l.retryRatio = float64(service.Value.RetryBudget)
 	l.service, l.slackShare = row.Value.Service, slackShareOf(row.Key, service, cfg.Retries)
 	l.retryBudget.SetSlack(time.Now(), l.slackShare)
@@ -222,6 +230,7 @@
 
 // deliver sends decisions to the requests that wait for them; the lock must be held.
 func (l *localEndpoint) deliver(decisions []admission.Decision) {
+	l.noteLevels()
 	for _, d := range decisions {
 		if decided := l.waiters[d.ID]; decided != nil {
 			decided <- d
@@ -234,6 +243,7 @@
 func (l *localEndpoint) cancelQueued(ctx context.Context, id uint64, decided chan admission.Decision) *peerpb.End {
 	l.mu.Lock()
 	canceled := l.queue.Cancel(id)
+	l.noteLevels()
 	delete(l.waiters, id)
 	l.mu.Unlock()
 	if !canceled {
--- a/latency/model.go
+++ b/latency/model.go
@@ -67,6 +67,12 @@
 	return jitter + time.Duration(math.Exp(m.mean+z*m.stddev())*float64(time.Second))
 }
 
+// Late returns the age from which Survival is below a share that is above the share of the heavy tail, 0 while the model is
+// not known.
+func (m *Model) Late(share float64) time.Duration {
+	return m.Quantile(1 - (share-tailProbability)/(1-tailProbability))
+}
+
 // Survival returns the share of the requests that take longer than an age, from 1 down to the share of the heavy tail,
 // or 1 while the model is not known.
 func (m *Model) Survival(age time.Duration) float64 {
--- a/latency/model_test.go
+++ b/latency/model_test.go
@@ -92,3 +92,19 @@
 		t.Errorf("kinds held: got %d, want %d", got, want)
 	}
 }
+
+// TestLateIsWhereSurvivalEnds checks that Late returns the age at which the survival passes a share, so that slots are
+// counted as late by the same measure by which runs are ended.
+func TestLateIsWhereSurvivalEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Model
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(1, 5000), minSamples, 50).Draw(t, "times") {
+			m.Observe(time.Duration(ms) * time.Millisecond)
+		}
+		share := rapid.Float64Range(0.02, 0.9).Draw(t, "share")
+		late := m.Late(share)
+		if got := m.Survival(late); math.Abs(got-share) > 1e-3 {
+			t.Fatalf("survival at %v: got %v, want %v", late, got, share)
+		}
+	})
+}
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -25,8 +25,8 @@
 	Counts() (seen map[int]uint64, suppressed uint64)
 }
 
-// sampler periodically copies the state of the node's components into the metrics, and logs calls to the platform's store and
-// refused bodies. It is a kernel component.
+// sampler periodically copies the state of the node's components into the metrics, and logs calls to the platform's store,
+// refused bodies and the use of slots. It is a kernel component.
 type sampler struct {
 	metrics  *metrics.Metrics
 	follower *configsync.Follower
@@ -83,6 +83,7 @@
 func (s *sampler) sample(now time.Time) {
 	s.sampleConfig(now)
 	s.sampleWork()
+	s.egress.LogSlotUse()
 	s.sampleMemory()
 	s.sampleEvents()
 	s.logCalls()
