--- a/egress/slots_test.go
+++ b/egress/slots_test.go
@@ -4,11 +4,18 @@
 	"context"
 	"encoding/json"
 	"math"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/lynxplank/lynxplank/admission"
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/latency"
+	"github.com/lynxplank/lynxplank/slotuse"
+	"github.com/lynxplank/lynxplank/upstream"
 )
 
 // slotSeconds are the slot seconds of one breaker state in event 419.
@@ -84,3 +91,29 @@
 		t.Errorf("lines on slots: got %v, want none", got)
 	}
 }
+
+// BenchmarkTrackedRun measures what the setting reclaim_slots adds to a run at an endpoint: its context, and the locked
+// records of its start, answer and end, for reclamation and for the accounting of slots.
+func BenchmarkTrackedRun(b *testing.B) {
+	const slots = 10
+	l := &localEndpoint{
+		latencies: latency.NewModels(), breaker: breaker.New(breaker.DefaultConfig()), reclaims: true, slots: slots,
+		use: slotuse.New(time.Now(), slots), queue: admission.NewQueue(slots, 0, nil),
+	}
+	for i := range 100 {
+		l.latencies.Observe("r", time.Duration(15+i%10)*time.Millisecond)
+	}
+	d := lookup()
+	resp := &upstream.Response{Response: &http.Response{StatusCode: http.StatusOK}}
+	ended := result{end: &peerpb.End{}}
+	for id := range uint64(slots) {
+		l.trackRun(b.Context(), id, time.Now(), d)
+	}
+	b.ReportAllocs()
+	for id := uint64(slots); b.Loop(); id++ {
+		_, stop := l.trackRun(b.Context(), id, time.Now(), d)
+		l.noteAnswer(id-slots, contract.Answer{}, resp)
+		l.untrackRun(id-slots, ended)
+		stop()
+	}
+}
