--- a/egress/local.go
+++ b/egress/local.go
@@ -20,6 +20,7 @@
 	"github.com/lynxplank/lynxplank/maxrate"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/slotuse"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -89,20 +90,31 @@
 	// is being checked.
 	brokenRequests    []brokenRequest
 	crashCheckRunning bool
+	// reclaims is the setting reclaim_slots; runs are the runs at the endpoint while it is on, reclaimed counts those of
+	// them that were ended for other requests.
+	reclaims  bool
+	runs      runSet
+	reclaimed uint64
+	// use accounts for the slots, nil while the setting is off.
+	use *slotuse.Meter
 	// waiters are the channels on which queued requests wait for their decision, by their ids in the queue.
 	waiters map[uint64]chan admission.Decision
 }
 
 func newLocalEndpoint(row table.Entry[table.Endpoint], cfg Config, c clock.Clock, pool *upstream.Pool, random *rand.Rand) *localEndpoint {
-	return &localEndpoint{
+	l := &localEndpoint{
 		key: row.Key, contract: cfg.Contract, pool: pool, breaker: breaker.New(cfg.Breaker),
 		queue:     admission.NewQueue(int(row.Value.Slots), 0, random),
 		waiters:   make(map[uint64]chan admission.Decision),
 		dueSinks:  make(map[uint64]peer.Sink),
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
-		maxRate: maxrate.NewLimiter(),
+		maxRate: maxrate.NewLimiter(), reclaims: cfg.ReclaimSlots,
 	}
+	if cfg.ReclaimSlots {
+		l.use = slotuse.New(time.Now(), int(row.Value.Slots))
+	}
+	return l
 }
 
 // configure applies the endpoint's address and limits from the active configuration.
@@ -117,6 +129,7 @@
 	l.slots = int(row.Value.Slots)
 	l.maxWaiting = int(service.Value.Queue)
 	l.applyRateToQueue()
+	l.noteLevels()
 	l.retryRatio = float64(service.Value.RetryBudget)
 	l.service, l.slackShare = row.Value.Service, slackShareOf(row.Key, service, cfg.Retries)
 	l.retryBudget.SetSlack(time.Now(), l.slackShare)
@@ -201,9 +214,10 @@
 func (l *localEndpoint) enqueue(r admission.Request) (chan admission.Decision, time.Time, *peerpb.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	decision, evicted := l.queue.Offer(time.Now(), r)
+	now := time.Now()
+	decision, evicted := l.queue.Offer(now, r)
 	l.deliver(evicted)
-	if decision.Action != admission.Run {
+	if decision.Action != admission.Run && !l.reclaimHungSlot(now, decision) {
 		l.reclaimStalledSlot()
 	}
 	if decision.Action != admission.Wait {
@@ -216,6 +230,7 @@
 
 // deliver sends decisions to the requests that wait for them; the lock must be held.
 func (l *localEndpoint) deliver(decisions []admission.Decision) {
+	l.noteLevels()
 	for _, d := range decisions {
 		if decided := l.waiters[d.ID]; decided != nil {
 			decided <- d
@@ -228,6 +243,7 @@
 func (l *localEndpoint) cancelQueued(ctx context.Context, id uint64, decided chan admission.Decision) *peerpb.End {
 	l.mu.Lock()
 	canceled := l.queue.Cancel(id)
+	l.noteLevels()
 	delete(l.waiters, id)
 	l.mu.Unlock()
 	if !canceled {
@@ -261,7 +277,8 @@
 // finishRun frees the slot and counts the run. A request that the endpoint did not run says nothing about its speed.
 func (l *localEndpoint) finishRun(id uint64, service time.Duration, r result, d *peerpb.Dispatch, trial bool) {
 	l.recordResult(id, r, service, d, trial)
-	if !r.sample {
+	// Nor does one that was ended for another request: it ended when that request came.
+	if !r.sample || r.reclaimed {
 		service = 0
 	}
 	l.freeSlot(service)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -25,8 +25,8 @@
 	Counts() (seen map[int]uint64, suppressed uint64)
 }
 
-// sampler periodically copies the state of the node's components into the metrics, and logs calls to the platform's store and
-// refused bodies. It is a kernel component.
+// sampler periodically copies the state of the node's components into the metrics, and logs calls to the platform's store,
+// refused bodies and the use of slots. It is a kernel component.
 type sampler struct {
 	metrics  *metrics.Metrics
 	follower *configsync.Follower
@@ -83,6 +83,7 @@
 func (s *sampler) sample(now time.Time) {
 	s.sampleConfig(now)
 	s.sampleWork()
+	s.egress.LogSlotUse()
 	s.sampleMemory()
 	s.sampleEvents()
 	s.logCalls()
@@ -138,6 +139,7 @@
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
+	reclaimed := make(map[string]float64)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
 		if e.MaxRate != nil {
@@ -145,6 +147,7 @@
 		}
 		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
 		rates[e.Service] = r
+		reclaimed[e.Service] += float64(e.Reclaimed)
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -160,6 +163,7 @@
 	}
 	for service, r := range rates {
 		s.metrics.Service(service).SetMaxRates(r)
+		s.metrics.Service(service).SetReclaimedSlots(reclaimed[service])
 	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
