Egress: End.nested_failed tells that a call made for the request was not served

Change: inflight.Requests holds a mark for each request in flight; Egress.NoteCallFailed sets it, and the run that ends with a status of 500 or more of the endpoint takes it into its End. With nested_first only; the marks are bounded by the table of requests in flight. Before: End.nested_failed was never set. Conclusion: nothing changes with the setting off.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -241,6 +241,13 @@
 // none.
 func (e *Egress) Work(request string) inflight.Snapshot { return e.running.Snapshot(request) }
 
+// NoteCallFailed records that a call which an endpoint made for a request in flight beside this node was not served.
+func (e *Egress) NoteCallFailed(request string) {
+	if e.cfg.NestedFirst {
+		e.running.MarkCallFailed(request)
+	}
+}
+
 // Settle records how a request whose key was claimed here ended at another endpoint.
 func (e *Egress) Settle(msg *peerpb.Settle) {
 	a := dedupe.Answer{Head: msg.GetHead(), Body: msg.GetBody(), Stored: msg.GetHead() != nil}
--- a/egress/run.go
+++ b/egress/run.go
@@ -27,6 +27,8 @@
 	sample bool
 	// failed is set when the endpoint failed to handle the request.
 	failed bool
+	// failedStatus is set when the endpoint answered with a status of 500 or more.
+	failedStatus bool
 	// brokenOff is set when the answer broke off or could not be read, or the endpoint accepted no connection.
 	brokenOff bool
 	// unanswered is set when no answer had begun by the time the deadline passed or the caller left.
@@ -183,7 +185,7 @@
 	small := resp.ContentLength >= 0 && resp.ContentLength <= copyBufferSize
 	finish := func(r result) result {
 		resp.Close()
-		r.failed = r.failed || failed
+		r.failed, r.failedStatus = r.failed || failed, failed
 		h.onDone(r)
 		return r
 	}
--- a/egress/work.go
+++ b/egress/work.go
@@ -35,6 +35,7 @@
 		sink: sink, onHead: run.noteHead, hold: hold, onProgress: run.noteProgress, onStall: run.noteStall, onDone: run.done,
 	})
 	result.end.Load = l.loadReport(run.serviceTime, e.cfg.Incarnation)
+	result.end.NestedFailed = run.callFailed && result.failedStatus
 	if stored {
 		result.end.Revision = e.state().Revision()
 		e.answers.finish(d.GetExchange(), recording, result.end)
@@ -55,6 +56,8 @@
 	sentAt time.Time
 	// serviceTime is how long the endpoint took, set when the run is done.
 	serviceTime time.Duration
+	// callFailed is set when a call that the endpoint made for the request was not served.
+	callFailed bool
 }
 
 // noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer.
@@ -73,7 +76,7 @@
 // done frees the slot and reports the result to everything that depends on it, as soon as the endpoint is done.
 func (run *endpointRun) done(r result) {
 	e, l, d := run.e, run.l, run.d
-	e.running.End(d.GetRequestId(), d.GetRepeat())
+	run.callFailed = e.running.End(d.GetRequestId(), d.GetRepeat())
 	run.serviceTime = time.Since(run.start) - r.stalledFor
 	l.finishRun(run.id, run.serviceTime, r, d, run.trial)
 	if r.cause != nil {
--- a/inflight/requests.go
+++ b/inflight/requests.go
@@ -31,40 +31,64 @@
 // retryShare is the share of retries.
 func (s sends) retryShare() float64 { return float64(s.retries) / float64(max(s.total(), 1)) }
 
+// request is what is known of one in-flight request.
+type request struct {
+	sends sends
+	// callFailed is set once a call that an endpoint made for the request was not served.
+	callFailed bool
+}
+
 // Requests counts in-flight requests, in total and by request ID; it is safe for concurrent use.
 type Requests struct {
 	mu        sync.Mutex
 	total     sends
-	byRequest map[string]sends
+	byRequest map[string]request
 }
 
 // Begin counts a request that is dispatched to an endpoint; retry is true unless it is the first attempt.
-func (r *Requests) Begin(request string, retry bool) { r.add(request, retry, 1) }
+func (r *Requests) Begin(id string, retry bool) { r.add(id, retry, 1) }
+
+// End counts a request that has ended and reports whether MarkCallFailed was called for it while it was in flight.
+func (r *Requests) End(id string, retry bool) (callFailed bool) {
+	return r.add(id, retry, -1).callFailed
+}
 
-// End counts a request that has ended.
-func (r *Requests) End(request string, retry bool) { r.add(request, retry, -1) }
+// MarkCallFailed records that a call made for a request was not served; it does nothing unless the request is in flight.
+//
+// Invariant: only requests in flight hold a mark, so that marks need no bound of their own.
+func (r *Requests) MarkCallFailed(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if same, ok := r.byRequest[id]; ok {
+		same.callFailed = true
+		r.byRequest[id] = same
+	}
+}
 
-func (r *Requests) add(request string, retry bool, n int) {
+// add changes the counts by n and returns what is known of the request then.
+func (r *Requests) add(id string, retry bool, n int) request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.total = r.total.plus(retry, n)
-	left := r.byRequest[request].plus(retry, n)
-	if left.total() == 0 {
-		delete(r.byRequest, request)
-		return
+	same := r.byRequest[id]
+	same.sends = same.sends.plus(retry, n)
+	if same.sends.total() == 0 {
+		delete(r.byRequest, id)
+		return same
 	}
 	if r.byRequest == nil {
-		r.byRequest = make(map[string]sends)
+		r.byRequest = make(map[string]request)
 	}
-	r.byRequest[request] = left
+	r.byRequest[id] = same
+	return same
 }
 
 // Snapshot returns the in-flight requests, and those with a request ID if there are any.
-func (r *Requests) Snapshot(request string) Snapshot {
+func (r *Requests) Snapshot(id string) Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if same, ok := r.byRequest[request]; ok && request != "" {
-		return Snapshot{Total: r.total.total(), ForRequest: true, RetryShare: same.retryShare()}
+	if same, ok := r.byRequest[id]; ok && id != "" {
+		return Snapshot{Total: r.total.total(), ForRequest: true, RetryShare: same.sends.retryShare()}
 	}
 	return Snapshot{Total: r.total.total(), RetryShare: r.total.retryShare()}
 }
