Ingress: a nested call that found no capacity starts over

Change: with nested_first, a call whose id names a request in flight at the endpoint beside the node, or whose route only that endpoint uses, is nested. When all that it asked lacked capacity and it has not run, it starts over after 50 ms, doubling to 200 ms, while its median time remains (type rounds). Rejections by queues don't count as its attempts. Dispatch.nested is set in all its sends and offers, its parent is marked when it was not served, at most 32 calls of one parent at a time are nested, and its log lines and two metrics give its rounds. Before: with all endpoints full for 300 ms, the call was refused as overloaded.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -117,6 +117,9 @@
 	if !a.winner.take(a) {
 		return fault.New(fault.Canceled, "answer", "another send has answered")
 	}
+	if h.GetStatus() >= http.StatusInternalServerError && a.winner.onFailure != nil {
+		a.winner.onFailure()
+	}
 	a.started = true
 	a.progress.beginAnswer()
 	out := a.w.Header()
--- a/ingress/arrivals_test.go
+++ b/ingress/arrivals_test.go
@@ -68,10 +68,15 @@
 // egressWith returns the egress of host h1 with ample retries, which speaks to endpoints by a contract.
 func egressWith(s *table.State, c contract.Contract) *egress.Egress {
 	log := zerolog.Nop()
-	return egress.New(egress.Config{
+	return egress.New(egressConfig(c), &log, func() *table.State { return s })
+}
+
+// egressConfig returns the configuration of egressWith.
+func egressConfig(c contract.Contract) egress.Config {
+	return egress.Config{
 		Host: "h1", Contract: c, ProbeInterval: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20,
 		Retries: retry.FleetSlack{Slack: 30, Window: time.Nanosecond, MaxShare: 10},
-	}, &log, func() *table.State { return s })
+	}
 }
 
 // fleetWithTarget returns a fleet whose route has a latency target, with endpoints at the addresses.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -42,7 +42,11 @@
 	// where the work that made the call is not known.
 	fromRetry       bool
 	fromRetryChance float64
-	timeout         time.Duration
+	// nested is set for a call that the endpoint beside this node makes while it handles another request, if the setting
+	// is on; parent is the id of that request, "" if only the route tells that it is such a call.
+	nested  bool
+	parent  string
+	timeout time.Duration
 	// fingerprint identifies what the request asks for; it is the same each time the request is sent.
 	fingerprint poison.Fingerprint
 	key         string
@@ -121,10 +125,15 @@
 // findOrigin determines whether the request is a caller's own or a call made by the endpoint beside this node: from the
 // in-flight work that the request's id names, or from the route's arrivals if there is none.
 func (g *Ingress) findOrigin(c *call) {
-	work := g.local.Work(contract.ParentOf(c.id))
+	parent := contract.ParentOf(c.id)
+	work := g.local.Work(parent)
 	routeOrigin := g.routeStats.countArrival(c.route.Key, work.Total == 0)
+	c.nested = g.cfg.NestedFirst && (work.ForRequest || routeOrigin == fromEndpoint)
 	if work.ForRequest {
 		c.fromRetry = work.RetryShare > 0
+		if c.nested {
+			c.parent = parent
+		}
 		return
 	}
 	if routeOrigin == fromEndpoint {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -48,6 +48,13 @@
 	reservations []*memory.Reservation
 	// tried are the endpoints that had the request, or refused it for a lasting reason.
 	tried []string
+	// rejecting are those of tried that lacked only capacity or a link, rounds the rounds of a nested call, askedBefore
+	// the endpoints that it asked in its earlier rounds.
+	rejecting   []string
+	rounds      rounds
+	askedBefore int
+	// countedNested is set while the call counts as one of its parent's nested calls.
+	countedNested bool
 	// declined are the endpoints that had no free slot, or took only trials, when they were asked in this round.
 	declined []string
 	// limited are the endpoints that state a rate for which the request would have to wait too long.
@@ -102,16 +109,31 @@
 }
 
 // runAnywhere sends the request to endpoints picked by the director until there is a final answer or no retry is
-// allowed.
+// allowed. A nested call that found no capacity starts over.
 func (x *exchange) runAnywhere(ctx context.Context) *peerpb.End {
+	for {
+		end, cause := x.runRound(ctx)
+		if x.startOver(ctx, end, cause) {
+			continue
+		}
+		if x.call.nested {
+			end = x.asStoppingIfUnsent(ctx, end)
+		}
+		return x.withOverallOutcome(end)
+	}
+}
+
+// runRound sends the request until there is a final answer or no retry is allowed. It returns the end and what prevented
+// another send.
+func (x *exchange) runRound(ctx context.Context) (end *peerpb.End, cause fault.Code) {
 	var last *peerpb.End
 	for {
 		pick, wait, err := x.pickUnlessStopping(ctx)
 		if err != nil {
 			if last != nil {
-				return x.withOverallOutcome(last)
+				return last, fault.CodeOf(err)
 			}
-			return x.withOverallOutcome(x.asStoppingIfUnsent(ctx, peer.NotRun(fault.CodeOf(err), 0)))
+			return x.asStoppingIfUnsent(ctx, peer.NotRun(fault.CodeOf(err), 0)), fault.CodeOf(err)
 		}
 		end := x.sendTo(ctx, &pick, wait)
 		retryNext := x.shouldRetry(ctx, pick, end)
@@ -120,7 +142,8 @@
 			end = last
 		}
 		if !retryNext || !x.takePermit(ctx) {
-			return x.withOverallOutcome(x.asStoppingIfUnsent(ctx, end))
+			end = x.asStoppingIfUnsent(ctx, end)
+			return end, fault.Code(end.GetCode())
 		}
 		last = end
 	}
@@ -165,6 +188,9 @@
 // pick chooses the next endpoint. It first asks endpoints that seem to have a free slot, without waiting, then the
 // endpoint with the shortest queue wait, and if all endpoints are under suspicion, one of these.
 func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
+	if x.roundSpent() {
+		return director.Pick{}, true, fault.New(fault.Overloaded, x.call.service.Key, "the endpoints asked in this round have no capacity")
+	}
 	if x.lastResort {
 		return x.pickLast(ctx)
 	}
@@ -314,6 +340,7 @@
 		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.hasCustomerKey, AimMicros: x.latencyTargetLeft().Microseconds(),
 		MaxRate: pick.MaxRate, ToldLeaving: pick.ToldLeaving,
 		UsualMicros: x.g.routeStats.medianTime(x.call.route.Key, x.latencyTarget()).Microseconds(), Content: x.call.fingerprint[:],
+		Nested: x.call.nested,
 	}
 	if len(x.body.data) <= inlineBody {
 		d.Body = x.body.data
@@ -377,10 +404,9 @@
 	}
 	x.tried = append(x.tried, pick.Endpoint.Key)
 	if misrouted(end) {
-		return x.refreshConfig(ctx, end)
+		return x.afterMisrouted(ctx, pick.Endpoint.Key, end)
 	}
-	if egressFull(end) && len(x.suspects) > 0 && !x.lastResort {
-		x.lastResort, x.likelyOnly = true, true
+	if egressFull(end) && x.afterFull(pick.Endpoint.Key) {
 		return true
 	}
 	if x.overdue() && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
@@ -396,6 +422,27 @@
 	return true
 }
 
+// afterFull handles a queue that had no room, and reports whether to ask another endpoint whatever the retry policy says.
+func (x *exchange) afterFull(key string) bool {
+	if x.call.nested {
+		x.noteNestedRejection(key)
+	}
+	if len(x.suspects) > 0 && !x.lastResort {
+		x.lastResort, x.likelyOnly = true, true
+		return true
+	}
+	return x.call.nested
+}
+
+// afterMisrouted handles a refusal because of an outdated view or a link that is down, and reports whether to send the
+// request again. A link may be up in a later round.
+func (x *exchange) afterMisrouted(ctx context.Context, key string, end *peerpb.End) bool {
+	if fault.Code(end.GetCode()) == fault.LinkDown {
+		x.rejecting = append(x.rejecting, key)
+	}
+	return x.refreshConfig(ctx, end)
+}
+
 // maxOwnCrashes is how many endpoints may crash on the sends of one request: one more would have it blocked before it
 // comes again.
 const maxOwnCrashes = poison.BlockThreshold - 1
@@ -420,7 +467,7 @@
 		}
 	}
 	if x.lastResort {
-		x.tried = append(x.tried, key)
+		x.tried, x.rejecting = append(x.tried, key), append(x.rejecting, key)
 	} else if x.waits > 0 {
 		// The request did not wait in a queue; the next endpoint may have one.
 		x.waits--
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -27,6 +27,8 @@
 // winner is the one send of a request whose answer goes to the caller.
 type winner struct {
 	answer atomic.Pointer[answer]
+	// onFailure, unless nil, is called when an answer with a failure status begins to go to the caller.
+	onFailure func()
 }
 
 // takenByOther reports whether the answer of a send other than a's goes to the caller.
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -118,6 +118,9 @@
 // Work implements Local.
 func (*scriptedEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
+// NoteCallFailed implements Local.
+func (*scriptedEndpoints) NoteCallFailed(string) {}
+
 // fleet returns a table with one service, its endpoints, all beside this node, and a route to it.
 func fleet(t *testing.T, endpoints, attempts int) *table.State {
 	t.Helper()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -50,6 +50,9 @@
 	// Work returns the in-flight work of the endpoints beside this node, or only that for the named request if there is
 	// any.
 	Work(request string) inflight.Snapshot
+	// NoteCallFailed records that a call made for a request in flight there was not served; it may be called more
+	// than once for a call.
+	NoteCallFailed(request string)
 }
 
 // Ingress is the handler of the callers' listener.
@@ -226,14 +229,14 @@
 		end := peer.NotRun(fault.CustomerLimit, wait)
 		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", end.GetCode()).Str("customer", c.customer).
 			Dur("retry_after", wait).Send()
-		g.refuseEarly(w, r, c.id, end, details[fault.CustomerLimit])
+		g.refuseCall(w, r, &c, end, details[fault.CustomerLimit])
 		return end
 	}
 	body, err := readBody(r)
 	if err != nil {
 		permit.Return()
 		end := peer.NotRun(err.Code, 0)
-		g.refuseEarly(w, r, c.id, end, err.Detail)
+		g.refuseCall(w, r, &c, end, err.Detail)
 		return end
 	}
 	c.fingerprint = poison.FingerprintOf(c.customer, c.method, c.route.Value.Host, c.target, body.data)
@@ -242,12 +245,13 @@
 		end := peer.NotRun(fault.FatalRequest, 0)
 		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", end.GetCode()).Str("service", c.service.Key).
 			Stringer("content", c.fingerprint).Send()
-		g.refuseEarly(w, r, c.id, end, details[fault.FatalRequest])
+		g.refuseCall(w, r, &c, end, details[fault.FatalRequest])
 		return end
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	x := &exchange{g: g, start: time.Now(), stopwatch: g.clock.StartStopwatch(), call: c, body: body, winner: new(winner), permit: permit, hasPermit: true}
+	x.winner.onFailure = func() { g.noteFailedCall(&c) }
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
 	x.answer.progress = &x.progress
 	x.reserveMemory(x.answer)
@@ -259,6 +263,12 @@
 	if x.hasPermit {
 		x.permit.Return()
 	}
+	if !x.answer.served(end) {
+		g.noteFailedCall(&c)
+	}
+	if x.call.nested {
+		g.metrics.Service(c.service.Key).CountNested(x.rounds.count())
+	}
 	x.log(end)
 	return x.answer.finish(end)
 }
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -62,6 +62,9 @@
 // Work implements Local.
 func (*keyedNode) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
+// NoteCallFailed implements Local.
+func (*keyedNode) NoteCallFailed(string) {}
+
 // rows parses lines of "KIND KEY COLUMN=VALUE ..." or "KIND KEY -".
 func (k *keyedNode) rows(lines string, from *table.State) *table.State {
 	d := table.Delta{From: from.Revision(), To: from.Revision() + 1}
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -166,6 +166,8 @@
 type inFlightRequests struct {
 	mu  sync.Mutex
 	all map[*exchange]struct{}
+	// nested counts those of them that are calls of a parent.
+	nested nestedCalls
 	// stopAt is when the node may end, the zero time while it is not stopping.
 	stopAt time.Time
 }
@@ -174,9 +176,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.all == nil {
-		r.all = make(map[*exchange]struct{})
+		r.all, r.nested = make(map[*exchange]struct{}), make(nestedCalls)
 	}
 	r.all[x] = struct{}{}
+	if x.call.parent != "" {
+		x.countedNested = r.nested.begin(x.call.parent)
+		x.call.nested = x.countedNested
+	}
 	if !r.stopAt.IsZero() {
 		x.closeBefore(r.stopAt)
 	}
@@ -186,6 +192,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.all, x)
+	if x.countedNested {
+		r.nested.end(x.call.parent)
+	}
 	if x.closeTimer != nil {
 		x.closeTimer.Stop()
 	}
--- a/ingress/refusals.go
+++ b/ingress/refusals.go
@@ -32,6 +32,13 @@
 	return r.Decide(a)
 }
 
+// noteOverload records that an attempt met overload.
+func (r *refusals) noteOverload() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Record(true)
+}
+
 // refusing reports whether the service refuses most of its work.
 func (r *refusals) refusing() bool {
 	r.mu.Lock()
--- a/ingress/replacement_test.go
+++ b/ingress/replacement_test.go
@@ -44,6 +44,9 @@
 // Work implements Local.
 func (*restartedEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
+// NoteCallFailed implements Local.
+func (*restartedEndpoints) NoteCallFailed(string) {}
+
 // TestReplacementEndpointIsAskedAtOnce sends repeatable and non-repeatable requests to a fleet that has just restarted.
 // Each must be served by the endpoint that took the place of the requested one, at the first try, under an exchange
 // number of its own.
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -93,6 +93,9 @@
 // Work implements Local.
 func (*stoppingEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
+// NoteCallFailed implements Local.
+func (*stoppingEndpoints) NoteCallFailed(string) {}
+
 // TestRequestsDuringStop runs the scenarios of testdata/stop: requests to a node that dispatches nothing any more. The
 // output is what the caller receives, with the retry delay, and each send with how it ended.
 //
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -87,6 +87,9 @@
 	if code := end.GetCode(); code != "" {
 		e.Str("code", code)
 	}
+	if x.call.nested {
+		e.Bool("nested", true).Int("rounds", x.rounds.count())
+	}
 	if event != events.RequestServed {
 		e.Stringer("content", x.call.fingerprint).Dur("aim", x.latencyTarget()).Dur("limit", x.call.timeout).
 			Bool("last_resort", x.lastResort).Array("trail", &x.trail)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -60,8 +60,10 @@
 	// Retries counts the retries of requests.
 	Retries tally.Counter
 	// Work is the time that endpoints took for requests, as measured by the ingress that sent them.
-	Work  tally.Histogram
-	scope tally.Scope
+	Work tally.Histogram
+	// nestedCalls counts the calls of endpoints' own work, nestedRounds the rounds in which these looked for capacity.
+	nestedCalls, nestedRounds tally.Counter
+	scope                     tally.Scope
 
 	mu sync.RWMutex
 	// requests counts requests and sends counts sends of requests to endpoints, both by outcome and code. The outer name of the
@@ -100,7 +102,9 @@
 		Latency: scope.Histogram("request_seconds", m.buckets),
 		Retries: scope.Counter("retries"),
 		Work:    scope.Histogram("work_seconds", m.buckets),
-		scope:   scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
+
+		nestedCalls: scope.Counter("nested_calls"), nestedRounds: scope.Counter("nested_rounds"),
+		scope: scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
 	}
 }
 
@@ -175,6 +179,12 @@
 	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
 }
 
+// CountNested counts a nested call and the rounds in which it looked for capacity.
+func (s *ServiceMetrics) CountNested(rounds int) {
+	s.nestedCalls.Inc(1)
+	s.nestedRounds.Inc(int64(rounds))
+}
+
 // CountSend counts a send of a request to an endpoint by its outcome and code.
 func (s *ServiceMetrics) CountSend(outcome, code string) {
 	s.count(s.sends, "asked", outcome, code)
