Trace: nested calls and their rounds

Cause: a call's line says nested and rounds now; trace left them out. Change: trace prints both and explains them, also where the call is told as the cause of its parent's failure.

--- a/trace/explain.go
+++ b/trace/explain.go
@@ -81,12 +81,24 @@
 		fmt.Fprintf(&b, " for service %s, by configuration %d and hosts %d", e.Service, e.Config, e.Hosts)
 	}
 	b.WriteString(". ")
+	s.explainNested(&b)
 	s.explainTrail(&b)
 	s.explainEnd(&b)
 	s.explainCalls(&b)
 	return strings.TrimSpace(b.String())
 }
 
+// explainNested says how often a nested call looked for capacity.
+func (s Story) explainNested(b *strings.Builder) {
+	switch {
+	case !s.End.Nested:
+	case s.End.Rounds > 1:
+		fmt.Fprintf(b, "It is a call of an endpoint's own work (nested) and looked for capacity in %d rounds. ", s.End.Rounds)
+	default:
+		b.WriteString("It is a call of an endpoint's own work (nested). ")
+	}
+}
+
 // explainTrail lists the endpoints that were asked, when, and with which result.
 func (s Story) explainTrail(b *strings.Builder) {
 	for i, step := range s.End.Trail {
@@ -159,12 +171,20 @@
 func (s Story) explainCalls(b *strings.Builder) {
 	for _, line := range s.Lines {
 		if line.Request != s.ID && line.Event == events.RequestFailed.Number {
-			fmt.Fprintf(b, "The endpoint's call %s to service %s failed as %s at node %s. ", line.Request, line.Service,
-				codeOf(line), line.Node)
+			fmt.Fprintf(b, "The endpoint's call %s to service %s failed as %s at node %s%s. ", line.Request, line.Service,
+				codeOf(line), line.Node, roundsOf(line))
 		}
 	}
 }
 
+// roundsOf says in how many rounds a nested call looked for capacity, if there were several.
+func roundsOf(line Line) string {
+	if line.Rounds <= 1 {
+		return ""
+	}
+	return fmt.Sprintf(" after %d rounds", line.Rounds)
+}
+
 // codeOf returns the code of a failed request, or the endpoint's own status where there is no code.
 func codeOf(line Line) string {
 	if line.Code != "" {
--- a/trace/line.go
+++ b/trace/line.go
@@ -46,6 +46,10 @@
 	// Sends counts the dispatches to endpoints, Asked the offers to endpoints.
 	Sends int `json:"sends"`
 	Asked int `json:"asked"`
+	// Nested is set for a call that an endpoint made while it handled another request, Rounds is how often it looked for
+	// capacity.
+	Nested bool `json:"nested"`
+	Rounds int  `json:"rounds"`
 	// Repeatable is set for requests that may run more than once.
 	Repeatable bool `json:"repeatable"`
 	// Config and Hosts are the revisions of the configuration and of the list of hosts by which the node decided.
--- a/trace/print.go
+++ b/trace/print.go
@@ -50,6 +50,9 @@
 	add("outcome", outcomes[line.Outcome])
 	add("code", line.Code)
 	add("status", strconv.Itoa(line.Status))
+	if line.Nested {
+		add("nested", "rounds:"+strconv.Itoa(line.Rounds))
+	}
 	add("to", line.To)
 	add("breaker", line.Breaker)
 	add("change", line.Change)
