--- a/ingress/nested_test.go
+++ b/ingress/nested_test.go
@@ -141,7 +141,7 @@
 }
 
 // newPhasedEndpoints reads the endpoints' phases, one endpoint a line: KEY STATE[@FROM] ...
-func newPhasedEndpoints(t *testing.T, lines string) *phasedEndpoints {
+func newPhasedEndpoints(t testing.TB, lines string) *phasedEndpoints {
 	t.Helper()
 	p := &phasedEndpoints{
 		start: time.Now(), phases: make(map[string][]phase), gone: make(map[string]bool), forRequest: parentID,
@@ -159,7 +159,7 @@
 
 // nestedIngress returns an ingress with the setting nested_first before a fleet of so many endpoints, whose route has a
 // latency target.
-func nestedIngress(t *testing.T, endpoints int, target string, local Local) *Ingress {
+func nestedIngress(t testing.TB, endpoints int, target string, local Local) *Ingress {
 	t.Helper()
 	s := fleet(t, endpoints, 3)
 	row, err := table.NewRow(table.KindRoute, "all", []string{"desk.example", "/", "desk", "", "", "3", "", target})
--- a/ingress/rounds_test.go
+++ b/ingress/rounds_test.go
@@ -50,7 +50,7 @@
 	})
 }
 
-func parseDuration(t *testing.T, s string) time.Duration {
+func parseDuration(t testing.TB, s string) time.Duration {
 	t.Helper()
 	d, err := time.ParseDuration(s)
 	if err != nil {
