Soak: endpoints that make calls of their own

Change: with -nested the stand-in endpoint makes a call through its node for each request, one that may not be repeated, and answers 500 when the call fails; the soak checks that no call began twice and that none that was told not run began. Before: no run had nested calls.

--- a/cmd/lynxplank-standin/main.go
+++ b/cmd/lynxplank-standin/main.go
@@ -25,14 +25,15 @@
 	name := flag.String("name", "endpoint", "the endpoint's name in its answers")
 	how := flag.String("behaviour", `{"work_millis":2}`, "the endpoint's behaviour, JSON")
 	seed := flag.Uint64("seed", 1, "seed of the endpoint's random faults")
+	node := flag.String("node", "", "IP and port of the node through which an endpoint makes calls of its own")
 	flag.Parse()
-	if err := run(*role, *listen, *name, *how, *seed); err != nil {
+	if err := run(*role, *listen, *name, *how, *node, *seed); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(role, listen, name, how string, seed uint64) error {
+func run(role, listen, name, how, node string, seed uint64) error {
 	address, err := netip.ParseAddrPort(listen)
 	if err != nil {
 		return err
@@ -46,7 +47,9 @@
 		if err := json.Unmarshal([]byte(how), &b); err != nil {
 			return err
 		}
-		server = backend.NewPort(backend.New(name, b, seed), address)
+		endpoint := backend.New(name, b, seed)
+		endpoint.CallThrough(node)
+		server = backend.NewPort(endpoint, address)
 	default:
 		flag.Usage()
 		os.Exit(2)
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -45,6 +45,9 @@
 	// StoreAddress, if set, gives the address at which a member's node finds the platform.
 	StoreAddress func(m *Member) string
 
+	// Routes are lines of routes that are declared beside the one of all requests.
+	Routes string
+
 	// Bare fleets have no endpoint processes, only their rows.
 	Bare bool
 
@@ -165,7 +168,7 @@
 		return f.StartNode(m)
 	}
 	m.endpoint, err = f.spawn(m.Key(), "lynxplank-standin", "-role", "endpoint", "-name", m.Key(),
-		"-listen", m.Endpoint, "-behaviour", string(text), "-seed", strconv.Itoa(i+1))
+		"-listen", m.Endpoint, "-behaviour", string(text), "-node", m.Callers, "-seed", strconv.Itoa(i+1))
 	if err != nil {
 		return err
 	}
@@ -200,7 +203,7 @@
 // declare writes the declarations and has the operators' tool apply them.
 func (f *Fleet) declare(service, cells string) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\nendpoint:\n", service, cells, service)
+	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\n%sendpoint:\n", service, cells, service, f.Routes)
 	for _, m := range f.Members {
 		fmt.Fprintf(&b, "  %s: {service: %s, host: %s, hall: %s, address: %q}\n", m.Key(), service, m.Host, m.Hall, m.Endpoint)
 	}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -28,6 +28,7 @@
 	if r.cfg.Fatal > 0 {
 		how.DownMillis = downMillis
 	}
+	how.Calls = r.cfg.Nested
 	return how
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -85,6 +85,7 @@
 		r.report.Records = append(r.report.Records, runs)
 	}
 	r.judgeRequests()
+	r.judgeNested()
 	r.judgeStops()
 	if err := r.judgeFatal(); err != nil {
 		return err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,8 @@
 	Suspensions int
 	// Rates is how often an endpoint states, for some seconds, how many requests a second it takes.
 	Rates int
+	// Nested has the endpoints make a call through their nodes for each request.
+	Nested bool
 }
 
 // Report is what a run showed.
@@ -43,6 +45,8 @@
 	Records []map[string]backend.Run
 	// Drains counts the drains that could be checked, Changes the rows whose value in force was, Rates the stated rates.
 	Drains, Changes, Rates int
+	// Nested counts the calls that endpoints made.
+	Nested NestedCalls
 	// Fatal is how often each fatal request began to run until all was healed.
 	Fatal []int
 	// Broken says which promises were broken; empty when all were kept.
@@ -82,10 +86,14 @@
 }
 
 func settingsOf(cfg Config) string {
+	settings := nodeSettings
 	if cfg.Stops+cfg.Suspensions > 0 {
-		return stopSettings
+		settings = stopSettings
 	}
-	return nodeSettings
+	if cfg.Nested {
+		settings += nestedSettings
+	}
+	return settings
 }
 
 // Run does one run; it fails only when the run itself could not be done.
@@ -95,6 +103,9 @@
 		return Report{}, err
 	}
 	defer fleet.Close()
+	if cfg.Nested {
+		fleet.Routes = nestedRoute
+	}
 	r := &run{
 		cfg: cfg, plan: Plan(cfg.Seed, cfg.Members, cfg.Length), fleet: fleet,
 		procs: make([]sync.Mutex, cfg.Members), ends: make([]sync.Mutex, cfg.Members), rows: make([]sync.Mutex, cfg.Members),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,6 +102,32 @@
 	}
 }
 
+// TestJudgeFindsBrokenCalls checks that the verdict on the endpoints' own calls can fail.
+func TestJudgeFindsBrokenCalls(t *testing.T) {
+	for _, c := range []struct {
+		told   string
+		begun  int
+		broken bool
+	}{
+		{told: "ran", begun: 1},
+		{told: "unknown", begun: 1},
+		{told: "not-run"},
+		{told: "ran", begun: 2, broken: true},
+		{told: "unknown", begun: 2, broken: true},
+		{told: "not-run", begun: 1, broken: true},
+	} {
+		r := &run{}
+		r.report.Records = append(r.report.Records, map[string]backend.Run{"lookup-1.e-1": {Told: c.told}})
+		for range c.begun {
+			r.report.Records = append(r.report.Records, record("lookup-1.e-1"))
+		}
+		r.judgeNested()
+		if got := len(r.report.Broken) > 0; got != c.broken {
+			t.Errorf("told %s and begun %d times: got broken %v, want %v", c.told, c.begun, got, c.broken)
+		}
+	}
+}
+
 func record(call string) map[string]backend.Run {
 	return map[string]backend.Run{call: {Started: 1, Finished: 1}}
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -44,6 +44,8 @@
 	QuietProbe bool `json:"quiet_probe"`
 	// DownMillis is how long the endpoint is gone once it has worked at a fatal request; 0 has it live on and answer.
 	DownMillis int `json:"down_millis"`
+	// Calls has the endpoint make a call through its node for each request, and answer 500 when the call fails.
+	Calls bool `json:"calls"`
 	// ReportLoad is what it says of its load: "" for the truth, "stuck" for the first value, "idle" for none.
 	ReportLoad string `json:"report_load"`
 }
@@ -56,6 +58,8 @@
 	Finished int `json:"finished"`
 	// LastMillis is when it last began, in Unix milliseconds.
 	LastMillis int64 `json:"last_millis"`
+	// Told is what the endpoint was told of this request, if it is a call that the endpoint made itself.
+	Told string `json:"told,omitempty"`
 }
 
 // CallHeader names the caller's request for the record.
@@ -78,8 +82,11 @@
 	// arrivals are the times at which work arrived, in Unix milliseconds.
 	arrivals []int64
 	busy     int
-	stuck    int
-	random   *rand.Rand
+	// node is the address of the node for the endpoint's own calls, calls their number.
+	node   string
+	calls  int
+	stuck  int
+	random *rand.Rand
 	// ends takes, at its end, for how long the endpoint is gone.
 	ends chan time.Duration
 }
@@ -123,6 +130,7 @@
 	// large is the length that the answer is filled up to, 0 for as it is.
 	large                     int
 	shed, fail, half, leaving bool
+	calls                     bool
 	work                      time.Duration
 	report                    int
 	maxRate                   string
@@ -159,6 +167,7 @@
 	if strings.HasPrefix(path, PathFatal) {
 		p.down = time.Duration(b.how.DownMillis) * time.Millisecond
 	}
+	p.calls = b.makesCall(path)
 	b.busy++
 	r := b.runs[call]
 	r.Started++
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -80,7 +80,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	begun := time.Now()
 	done := p.wait(r.Context(), deadlineOf(r))
+	if done && p.calls {
+		p.fail = !b.callFor(r.Context(), call, deadlineOf(r)-time.Since(begun)) || p.fail
+	}
 	b.end(call, done && !p.fail && p.down == 0)
 	if done && p.down > 0 {
 		b.endLife(p.down)
