--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -15,7 +15,7 @@
 // rejected.
 
 // maxCallsOfParent bounds the concurrent calls of one parent that are treated as nested. It limits what an outside caller
-// gains by an id that names a request in flight here; no deployment makes as many calls at a time for a request.
+// gains by an id that names a request in flight here; the calls of a larger fan-out are treated as new requests.
 const maxCallsOfParent = 32
 
 // nestedCalls counts the nested calls in flight by parent; calls whose parent is not known by id are not counted.
