Merge nested calls at the ingress

Cause: a call that running work made gave up after about 100 ms of its 2 s, and the work was lost (docs/OVERLOAD.md, part 3).

--- a/ingress/search_test.go
+++ b/ingress/search_test.go
@@ -46,6 +46,9 @@
 // Work implements Local.
 func (*fullEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
+// NoteCallFailed implements Local.
+func (*fullEndpoints) NoteCallFailed(string) {}
+
 // offerPause is longer than the time for which an endpoint that has refused a request is not asked.
 const offerPause = 25 * time.Millisecond
 
