Latency: mean of a model, and whether a kind is known

Cause: the queue beside an endpoint estimates waits by a single mean over all work; a list schedule needs the mean time for which each kind holds a slot. The quantile that requests carry contains 30 ms for jitter, which would add up over a queue.

Change: Model.Mean, without that allowance, and Models.Knows.

Before and after: nothing uses them yet; the tests of the package pass.

Conclusion: expected times can be given by kind, with and without a margin.

--- a/latency/kinds.go
+++ b/latency/kinds.go
@@ -38,6 +38,12 @@
 	m.Observe(d)
 }
 
+// Knows reports whether a kind has enough observations for a model of its own.
+func (ms *Models) Knows(kind string) bool {
+	m, ok := ms.models.Peek(kind)
+	return ok && m.Known()
+}
+
 // For returns the model of a kind. Until the kind has enough observations, it returns a prior of requests that usually
 // take as long as usual, or the model of all requests if usual is 0. The model is valid until the next Observe.
 func (ms *Models) For(kind string, usual time.Duration) *Model {
--- a/latency/model.go
+++ b/latency/model.go
@@ -67,6 +67,15 @@
 	return jitter + time.Duration(math.Exp(m.mean+z*m.stddev())*float64(time.Second))
 }
 
+// Mean returns the mean time of the requests, without the heavy tail, or 0 while the model is not known.
+func (m *Model) Mean() time.Duration {
+	if !m.Known() {
+		return 0
+	}
+	s := m.stddev()
+	return time.Duration(math.Exp(m.mean+s*s/2) * float64(time.Second))
+}
+
 // Survival returns the share of the requests that take longer than an age, from 1 down to the share of the heavy tail,
 // or 1 while the model is not known.
 func (m *Model) Survival(age time.Duration) float64 {
