Admission: list-scheduled wait estimates, and priority for nested calls

Cause: the queue beside an endpoint estimated the wait as the position times one mean over all work. Calls of running work waited behind new requests.

Change: a request holds a slot under its id, with the expected times of its kind; Done names it. Starts are estimated by list scheduling over the slots (admission/estimate.go). Times learned later apply to what runs and waits already (Learn), a run that waits for its caller to read counts as ready to give up its slot (Pause), and the owner asks NextCheck when the next waiting request could run out of time, since an overdue run moves the estimate. A kind of work is a route and the size class of a body over 16 KiB. Nested calls have a line of their own, with its own fair shares; they go first, wait until their deadline, displace the last of the others, and leave one start in four to them. Gauges nested_starts and nested_displaced by service.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,10 +25,18 @@
 	TargetTime time.Time
 	// Deadline is when the answer becomes useless.
 	Deadline time.Time
+	// Kind names the kind of work, for Learn.
+	Kind string
 	// ServiceTime is how long requests of this kind usually take; 0 means the usual time of all requests. An endpoint
 	// serves requests of very different lengths: with one service time for all, a 1 ms lookup was refused because of
 	// the half second that the bookings beside it take.
 	ServiceTime time.Duration
+	// SlotTime is how long requests of this kind hold a slot on average; 0 means ServiceTime. ServiceTime may contain a
+	// margin, which would add up over the requests of a long queue.
+	SlotTime time.Duration
+	// Nested marks a call that an endpoint makes while it handles another request. Nested calls go before all others,
+	// and wait until their deadline, whatever their latency target: to refuse one loses the work of its caller.
+	Nested bool
 }
 
 // Action is what happens to a request.
@@ -54,8 +62,14 @@
 	Code fault.Code
 	// RetryAfter is when a refused caller may retry.
 	RetryAfter time.Duration
-	// Until is when a waiting request can no longer finish in time; the caller of Offer must call Expire then.
-	Until time.Time
+}
+
+// Counts are the numbers of requests that nested calls have affected.
+type Counts struct {
+	// NestedStarts is the number of nested calls that started.
+	NestedStarts uint64
+	// Displaced is the number of waiting requests that were refused for the place of a nested call.
+	Displaced uint64
 }
 
 const (
@@ -70,12 +84,6 @@
 	retrySpreadRange = 1.0
 )
 
-// waiting is a queued request with its start tag: the virtual time at which it may start.
-type waiting struct {
-	Request
-	startTag float64
-}
-
 // durationOf converts seconds to a duration.
 func durationOf(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
@@ -83,16 +91,15 @@
 //
 // Invariant: at most the configured number of slots is taken at any time.
 type Queue struct {
-	// slots is how many requests may run at once, maxWaiting how many may wait, busy how many slots are taken.
+	// slots is how many requests may run at once, maxWaiting how many may wait.
 	slots      int
 	maxWaiting int
-	busy       int
-	// queue is sorted by priority, then by start tag.
-	queue []waiting
-	// virtualTime is the start tag of the last request taken from the queue; finishTags holds, for each customer, the
-	// virtual time at which its last request finishes (start-time fair queueing).
-	virtualTime float64
-	finishTags  map[string]float64
+	// running are the requests that hold a slot.
+	running []active
+	// nested are the nested calls that wait, others the other requests; turn decides between them.
+	nested, others line
+	turn           turn
+	counts         Counts
 	// meanServiceTime and serviceDeviation are moving averages of the service time and of its absolute deviation, in
 	// seconds.
 	meanServiceTime  float64
@@ -100,13 +107,16 @@
 	// pace is the minimum time between two starts, 0 for none.
 	pace   time.Duration
 	random *rand.Rand
+	// scratch is the memory of slotTimes.
+	scratch []time.Duration
 }
 
 // NewQueue returns an empty queue; random supplies the random spread of RetryAfter.
 func NewQueue(slots, maxWaiting int, random *rand.Rand) *Queue {
 	return &Queue{
 		slots: slots, maxWaiting: maxWaiting, random: random,
-		finishTags: make(map[string]float64), meanServiceTime: initialServiceTime.Seconds(),
+		nested: line{finishTags: make(map[string]float64)}, others: line{finishTags: make(map[string]float64)},
+		meanServiceTime: initialServiceTime.Seconds(),
 	}
 }
 
@@ -120,99 +130,108 @@
 // are refused by it when they can no longer finish in time.
 func (q *Queue) SetPace(pace time.Duration) { q.pace = pace }
 
+// Learn updates the times that the requests of a kind are expected to take. Those that wait or run may have come while
+// nothing was known of their kind.
+func (q *Queue) Learn(kind string, service, slot time.Duration) {
+	learn := func(r *Request) {
+		if r.Kind == kind {
+			r.ServiceTime, r.SlotTime = service, slot
+		}
+	}
+	for i := range q.running {
+		learn(&q.running[i].Request)
+	}
+	for _, l := range []*line{&q.nested, &q.others} {
+		for i := range l.requests {
+			learn(&l.requests[i].Request)
+		}
+	}
+}
+
 // Busy returns the number of slots taken.
-func (q *Queue) Busy() int { return q.busy }
+func (q *Queue) Busy() int { return len(q.running) }
 
 // Waiting returns the number of waiting requests.
-func (q *Queue) Waiting() int { return len(q.queue) }
+func (q *Queue) Waiting() int { return len(q.nested.requests) + len(q.others.requests) }
+
+// Counts returns the numbers of requests that nested calls have affected.
+func (q *Queue) Counts() Counts { return q.counts }
+
+// line returns the line in which a request waits.
+func (q *Queue) line(r *Request) *line {
+	if r.Nested {
+		return &q.nested
+	}
+	return &q.others
+}
 
 // Offer decides about a new request. The second result refuses a waiting request that was evicted for the new one.
 func (q *Queue) Offer(now time.Time, r Request) (Decision, []Decision) {
 	if r.Weight <= 0 {
 		r.Weight = 1
 	}
-	if q.busy < q.slots && len(q.queue) == 0 {
-		q.busy++
-		q.charge(r)
-		return Decision{ID: r.ID, Action: Run}, nil
+	if q.Busy() < q.slots && q.Waiting() == 0 {
+		q.line(&r).charge(r)
+		return q.start(now, r), nil
 	}
 	if r.NoWait {
-		return q.refuse(r.ID, fault.Busy), nil
+		return q.refuse(now, r.ID, fault.Busy), nil
 	}
-	w := waiting{Request: r, startTag: q.startTag(r)}
-	at, _ := slices.BinarySearchFunc(q.queue, w, func(a, b waiting) int {
-		if a.Priority < b.Priority || a.Priority == b.Priority && a.startTag <= b.startTag {
-			return -1
-		}
-		return 1
-	})
-	if !q.canFinishInTime(now, at, r) {
-		return q.refuse(r.ID, fault.DeadlineTooShort), nil
+	l := q.line(&r)
+	l.insert(r)
+	if !q.waitsInTime(now, r.ID) {
+		l.remove(l.index(r.ID))
+		return q.refuse(now, r.ID, fault.DeadlineTooShort), nil
 	}
-	var out []Decision
-	if len(q.queue) >= q.maxWaiting {
-		victim, ok := q.evictionIndex(r)
-		if !ok {
-			return q.refuse(r.ID, fault.Overloaded), nil
-		}
-		out = append(out, q.refuse(q.queue[victim].ID, fault.Overloaded))
-		q.remove(victim)
-		if victim < at {
-			at--
-		}
+	if q.Waiting() <= q.maxWaiting {
+		return Decision{ID: r.ID, Action: Wait}, nil
+	}
+	victim, ok := q.evict(r)
+	if !ok {
+		l.remove(l.index(r.ID))
+		return q.refuse(now, r.ID, fault.Overloaded), nil
 	}
-	q.queue = slices.Insert(q.queue, at, w)
-	q.charge(r)
-	until := q.latestAnswer(r).Add(-q.serviceTime(r))
-	return Decision{ID: r.ID, Action: Wait, Until: until}, out
+	return Decision{ID: r.ID, Action: Wait}, []Decision{q.refuse(now, victim.ID, fault.Overloaded)}
 }
 
-// startTag is the virtual time at which the customer's next request may start (start-time fair queueing).
-func (q *Queue) startTag(r Request) float64 { return max(q.virtualTime, q.finishTags[r.Customer]) }
-
-// charge counts a request against its customer's share.
-func (q *Queue) charge(r Request) { q.finishTags[r.Customer] = q.startTag(r) + 1/r.Weight }
-
-// remove takes a waiting request that will not run out of the queue and refunds what its customer was charged.
-func (q *Queue) remove(i int) {
-	w := q.queue[i]
-	q.queue = slices.Delete(q.queue, i, i+1)
-	q.finishTags[w.Customer] -= 1 / w.Weight
+// waitsInTime reports whether a waiting request can finish in time.
+func (q *Queue) waitsInTime(now time.Time, id uint64) bool {
+	inTime := false
+	q.eachStart(now, func(w *waiting, start time.Duration) bool {
+		if w.ID == id {
+			inTime = q.canFinishInTime(now, start, &w.Request)
+		}
+		return true
+	})
+	return inTime
 }
 
-// evictionIndex returns the index of the waiting request to evict for r, false if there is none. It picks the last
-// request in the queue if that has a lower priority than r. Otherwise it picks, among requests of r's priority, the
-// newest one of the customer that holds most of the queue relative to its weight, provided that is more than r's
-// customer would hold.
-func (q *Queue) evictionIndex(r Request) (int, bool) {
-	if last := len(q.queue) - 1; last >= 0 && q.queue[last].Priority > r.Priority {
-		return last, true
-	}
-	held := make(map[string]float64)
-	for _, w := range q.queue {
-		held[w.Customer] += 1 / w.Weight
+// evict removes the waiting request whose place r takes, false if there is none. A nested call displaces the last request
+// that is not nested; a nested call is only evicted for another one.
+func (q *Queue) evict(r Request) (waiting, bool) {
+	if last := len(q.others.requests) - 1; r.Nested && last >= 0 {
+		q.counts.Displaced++
+		return q.others.remove(last), true
 	}
-	ownHeld := held[r.Customer] + 1/r.Weight
-	index, maxHeld := -1, ownHeld
-	for i, w := range q.queue {
-		if h := held[w.Customer]; w.Customer != r.Customer && w.Priority == r.Priority && h >= maxHeld && h > ownHeld {
-			index, maxHeld = i, h
-		}
+	l := q.line(&r)
+	i, ok := l.evictionIndex(r)
+	if !ok {
+		return waiting{}, false
 	}
-	return index, index >= 0
+	return l.remove(i), true
 }
 
-// canFinishInTime reports whether a request at an index of the queue can finish before latestAnswer.
-func (q *Queue) canFinishInTime(now time.Time, index int, r Request) bool {
-	turns := float64(index+1) / float64(max(q.slots, 1))
-	// At most one typical service time passes until a slot becomes free; the request's own service time comes on top.
-	wait := max(durationOf(turns*q.typicalSeconds()), time.Duration(index+1)*q.pace)
-	need := wait + q.serviceTime(r)
-	return now.Add(need).Before(q.latestAnswer(r))
+// start has a request take a slot.
+func (q *Queue) start(now time.Time, r Request) Decision {
+	q.running = append(q.running, active{Request: r, since: now})
+	if r.Nested {
+		q.counts.NestedStarts++
+	}
+	return Decision{ID: r.ID, Action: Run}
 }
 
 // serviceTime returns how long the request is expected to run.
-func (q *Queue) serviceTime(r Request) time.Duration {
+func (q *Queue) serviceTime(r *Request) time.Duration {
 	if r.ServiceTime > 0 {
 		return r.ServiceTime
 	}
@@ -225,9 +244,9 @@
 const lateAllowance = 1
 
 // latestAnswer returns the time by which the answer must come for the request to wait: lateAllowance after its target
-// time, at most its deadline.
-func (q *Queue) latestAnswer(r Request) time.Time {
-	if r.TargetTime.IsZero() {
+// time, at most its deadline; for a nested call its deadline.
+func (q *Queue) latestAnswer(r *Request) time.Time {
+	if r.TargetTime.IsZero() || r.Nested {
 		return r.Deadline
 	}
 	late := r.TargetTime.Add(lateAllowance * q.serviceTime(r))
@@ -244,102 +263,101 @@
 func (q *Queue) typicalSeconds() float64 { return q.meanServiceTime + q.serviceDeviation }
 
 // refuse returns the decision that refuses a request.
-func (q *Queue) refuse(id uint64, code fault.Code) Decision {
-	return Decision{ID: id, Action: Refuse, Code: code, RetryAfter: q.RetryAfter()}
+func (q *Queue) refuse(now time.Time, id uint64, code fault.Code) Decision {
+	return Decision{ID: id, Action: Refuse, Code: code, RetryAfter: q.RetryAfter(now)}
+}
+
+// RetryAfter returns roughly the time after which a further request could start, spread at random so that refused callers
+// don't retry all at the same time.
+func (q *Queue) RetryAfter(now time.Time) time.Duration {
+	return q.spread(q.eachStart(now, func(*waiting, time.Duration) bool { return true }))
 }
 
-// RetryAfter returns roughly the time in which the running and waiting requests finish, spread at random so that
-// refused callers don't retry all at the same time.
-func (q *Queue) RetryAfter() time.Duration {
-	drain := float64(len(q.queue)+q.busy+1) / float64(max(q.slots, 1)) * q.meanServiceTime
-	d := durationOf(drain * (minRetrySpread + retrySpreadRange*q.random.Float64()))
+// spread returns the retry delay for the time after which a further request could start.
+func (q *Queue) spread(start time.Duration) time.Duration {
+	d := time.Duration(float64(start) * (minRetrySpread + retrySpreadRange*q.random.Float64()))
 	return max(d, minRetryAfter)
 }
 
-// Done frees a slot after a request ran for the given service time and decides about the waiting requests: some run,
-// and those that can no longer finish in time are refused at once.
-func (q *Queue) Done(now time.Time, service time.Duration) []Decision {
-	q.busy--
+// Done frees the slot of a request that ran for the given service time and decides about the waiting requests: some run,
+// and those that can no longer finish in time are refused at once. A request that holds no slot frees none.
+func (q *Queue) Done(now time.Time, id uint64, service time.Duration) []Decision {
+	i := slices.IndexFunc(q.running, func(a active) bool { return a.ID == id })
+	if i < 0 {
+		return nil
+	}
+	q.running = slices.Delete(q.running, i, i+1)
 	if service > 0 {
 		diff := service.Seconds() - q.meanServiceTime
 		q.meanServiceTime += diff * serviceSmoothing
 		q.serviceDeviation += (max(diff, -diff) - q.serviceDeviation) * serviceSmoothing
 	}
-	return q.fill(now)
+	return q.prune(now, q.fill(now))
 }
 
-// Expire refuses the waiting requests that can no longer finish in time; call it when a decision's Until has passed and
-// no slot has become free.
-func (q *Queue) Expire(now time.Time) []Decision { return q.prune(now) }
+// Expire refuses the waiting requests that can no longer finish in time; call it at the time of NextCheck.
+func (q *Queue) Expire(now time.Time) []Decision { return q.prune(now, nil) }
 
 // Cancel removes a waiting request from the queue; false if it isn't waiting.
 func (q *Queue) Cancel(id uint64) bool {
-	i := slices.IndexFunc(q.queue, func(w waiting) bool { return w.ID == id })
-	if i < 0 {
-		return false
+	for _, l := range []*line{&q.nested, &q.others} {
+		if i := l.index(id); i >= 0 {
+			l.remove(i)
+			return true
+		}
 	}
-	q.remove(i)
-	return true
+	return false
 }
 
-// fill starts waiting requests while slots are free and refuses those that can no longer finish in time.
+// fill starts waiting requests while slots are free and refuses, without a RetryAfter yet, those of them whose deadline
+// is too near.
 func (q *Queue) fill(now time.Time) []Decision {
 	var out []Decision
-	for q.busy < q.slots && len(q.queue) > 0 {
-		i := q.nextIndex(now)
-		w := q.queue[i]
-		q.queue = slices.Delete(q.queue, i, i+1)
-		q.virtualTime = max(q.virtualTime, w.startTag)
-		if !now.Add(q.minServiceTime(w.Request)).Before(w.Deadline) {
-			out = append(out, q.refuse(w.ID, fault.DeadlineTooShort))
-			continue
+	for q.Busy() < q.slots && q.Waiting() > 0 {
+		l := &q.others
+		if q.turn.isNested(len(q.nested.requests), len(q.others.requests)) {
+			l = &q.nested
 		}
-		q.busy++
-		out = append(out, Decision{ID: w.ID, Action: Run})
-	}
-	return append(out, q.prune(now)...)
-}
-
-// nextIndex returns the index of the request to run next: the first whose answer can still come by its target time, or
-// index 0 if there is none. Under overload, first come first served would answer every request late; this way late
-// requests only get slots that no other request needs.
-func (q *Queue) nextIndex(now time.Time) int {
-	for i, w := range q.queue {
-		if w.TargetTime.IsZero() || now.Add(q.minServiceTime(w.Request)).Before(w.TargetTime) {
-			return i
+		others := len(q.others.requests)
+		w := l.take(l.nextIndex(now, q.minServiceTime))
+		if !now.Add(q.minServiceTime(&w.Request)).Before(w.Deadline) {
+			out = append(out, Decision{ID: w.ID, Action: Refuse, Code: fault.DeadlineTooShort})
+			continue
 		}
+		q.turn = q.turn.after(w.Nested, others)
+		out = append(out, q.start(now, w.Request))
 	}
-	return 0
+	return out
 }
 
 // minServiceTime returns how long the request is expected to run, without an allowance for the deviation.
-func (q *Queue) minServiceTime(r Request) time.Duration {
+func (q *Queue) minServiceTime(r *Request) time.Duration {
 	if r.ServiceTime > 0 {
 		return min(r.ServiceTime, durationOf(q.meanServiceTime))
 	}
 	return durationOf(q.meanServiceTime)
 }
 
-// prune refuses the waiting requests that can no longer finish in time and drops the finish tags of idle customers.
-func (q *Queue) prune(now time.Time) []Decision {
-	var out []Decision
-	for i := 0; i < len(q.queue); {
-		if q.canFinishInTime(now, i, q.queue[i].Request) {
-			i++
-			continue
+// prune adds to out the refusals of the waiting requests that can no longer finish in time, sets the RetryAfter of all
+// refusals in it and drops the finish tags of idle customers.
+func (q *Queue) prune(now time.Time, out []Decision) []Decision {
+	kept := len(out)
+	further := q.eachStart(now, func(w *waiting, start time.Duration) bool {
+		if q.canFinishInTime(now, start, &w.Request) {
+			return true
 		}
-		out = append(out, q.refuse(q.queue[i].ID, fault.DeadlineTooShort))
-		q.remove(i)
+		out = append(out, Decision{ID: w.ID, Action: Refuse, Code: fault.DeadlineTooShort})
+		return false
+	})
+	for _, d := range out[kept:] {
+		q.Cancel(d.ID)
 	}
-	if len(q.queue) == 0 {
-		for c, f := range q.finishTags {
-			if f <= q.virtualTime {
-				delete(q.finishTags, c)
-			}
-		}
-		if q.busy == 0 {
-			clear(q.finishTags)
+	for i := range out {
+		if out[i].Action == Refuse {
+			out[i].RetryAfter = q.spread(further)
 		}
 	}
+	q.nested.forgetIdle(q.Busy() == 0)
+	q.others.forgetIdle(q.Busy() == 0)
 	return out
 }
--- a/egress/due.go
+++ b/egress/due.go
@@ -40,10 +40,26 @@
 // expectedQuantile is the share of usual requests that take no longer than the expected duration.
 const expectedQuantile = 0.7
 
-// expectedDuration is how long a request is expected to take, 0 if that is not known.
-func (l *localEndpoint) expectedDuration(d *peerpb.Dispatch) time.Duration {
+// expectedDurations returns how long a request is expected to take, 0 if that is not known, and how long requests of its
+// kind hold a slot on average.
+//
+// Where nothing is known of a kind, its requests are taken to hold a slot as long as the others here: an estimate from
+// the time budget is ten times too long where callers allow plenty, and would have a queue of short requests refused.
+func (l *localEndpoint) expectedDurations(d *peerpb.Dispatch) (expected, mean time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	work := workOf(d)
-	return l.latencies.For(work.Kind, work.UsualTime).Quantile(expectedQuantile)
+	model := l.latencies.For(work.Kind, work.UsualTime)
+	if d.GetUsualMicros() == 0 && !l.latencies.Knows(work.Kind) {
+		return model.Quantile(expectedQuantile), l.queue.TypicalServiceTime()
+	}
+	return model.Quantile(expectedQuantile), model.Mean()
+}
+
+// learn passes what was learned of a kind on to the queue; the lock must be held.
+func (l *localEndpoint) learn(kind string) {
+	if l.latencies.Knows(kind) {
+		model := l.latencies.For(kind, 0)
+		l.queue.Learn(kind, model.Quantile(expectedQuantile), model.Mean())
+	}
 }
--- a/egress/hang.go
+++ b/egress/hang.go
@@ -1,6 +1,8 @@
 package egress
 
 import (
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/lynxplank/lynxplank/breaker"
@@ -118,7 +120,29 @@
 	if usual == 0 {
 		usual = d.GetBudgetMicros() / usualTimeDivisor
 	}
-	return breaker.RequestClass{Kind: d.GetRoute(), UsualTime: time.Duration(usual) * time.Microsecond}
+	return breaker.RequestClass{Kind: kindOf(d), UsualTime: time.Duration(usual) * time.Microsecond}
+}
+
+const (
+	// smallBody is the size in bytes up to which a body doesn't count in a request's kind. An offer doesn't tell the size of a
+	// body that is sent inline, which is as small.
+	smallBody = 16 << 10
+	// sizeClassFactor is the ratio between the bounds of two size classes. Sixteen keeps the number of kinds of a route at
+	// three for bodies of up to 4 MiB.
+	sizeClassFactor = 16
+)
+
+// kindOf returns the kind of a request: its route, and the size class of a body that is not small. Large uploads and
+// small requests of one route take very different times.
+func kindOf(d *peerpb.Dispatch) string {
+	class, bound := 0, int64(smallBody)
+	for size := max(d.GetBodyLength(), int64(len(d.GetBody()))); size > bound && bound < math.MaxInt64/sizeClassFactor; class++ {
+		bound *= sizeClassFactor
+	}
+	if class == 0 {
+		return d.GetRoute()
+	}
+	return d.GetRoute() + " body " + strconv.Itoa(class)
 }
 
 // resetOnClose resets the in-flight monitor once the breaker has closed; the lock must be held.
@@ -171,7 +195,9 @@
 		return
 	}
 	if res == breaker.OK {
-		l.latencies.Observe(d.GetRoute(), service)
+		kind := kindOf(d)
+		l.latencies.Observe(kind, service)
+		l.learn(kind)
 	}
 	if d.GetLastResort() && !trial {
 		l.breaker.ReportLastResort(res)
--- a/egress/local.go
+++ b/egress/local.go
@@ -89,6 +89,10 @@
 	// is being checked.
 	brokenRequests    []brokenRequest
 	crashCheckRunning bool
+	// queueCheck runs the next check of the queue; nil before the first request waited.
+	queueCheck *time.Timer
+	// nestedFirst has the queue serve nested calls before others.
+	nestedFirst bool
 	// waiters are the channels on which queued requests wait for their decision, by their ids in the queue.
 	waiters map[uint64]chan admission.Decision
 }
@@ -101,7 +105,7 @@
 		dueSinks:  make(map[uint64]peer.Sink),
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
-		maxRate: maxrate.NewLimiter(),
+		maxRate: maxrate.NewLimiter(), nestedFirst: cfg.NestedFirst,
 	}
 }
 
@@ -153,16 +157,15 @@
 func (l *localEndpoint) waitForSlot(ctx context.Context, id uint64, d *peerpb.Dispatch, s *table.State) *peerpb.End {
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
-	r := admission.Request{
+	usual, mean := l.expectedDurations(d)
+	decided, end := l.enqueue(admission.Request{
 		ID: id, Customer: queueCustomer(d), Weight: float64(customer.Value.Weight), Deadline: deadline,
-		TargetTime: time.Now().Add(latencyTarget(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(), ServiceTime: l.expectedDuration(d),
-	}
-	decided, until, end := l.enqueue(r)
+		TargetTime: time.Now().Add(latencyTarget(d)), Priority: int(d.GetPriority()), NoWait: d.GetExchange() != 0 && !d.GetWait(),
+		Kind: kindOf(d), ServiceTime: usual, SlotTime: mean, Nested: l.isNested(d),
+	})
 	if decided == nil {
 		return end
 	}
-	expire := time.AfterFunc(time.Until(until), l.expireQueued)
-	defer expire.Stop()
 	select {
 	case decision := <-decided:
 		return refusal(decision)
@@ -186,32 +189,57 @@
 	if target := d.GetAimMicros(); target != 0 {
 		return time.Duration(target) * time.Microsecond
 	}
+	return timeBudget(d)
+}
+
+// timeBudget is the time left until the deadline when the request was sent.
+func timeBudget(d *peerpb.Dispatch) time.Duration {
 	return time.Duration(d.GetBudgetMicros()) * time.Microsecond
 }
 
-// expireQueued refuses the queued requests whose time is over.
+// isNested reports whether a request is served as a nested call.
+func (l *localEndpoint) isNested(d *peerpb.Dispatch) bool { return l.nestedFirst && d.GetNested() }
+
+// expireQueued refuses the queued requests that can no longer be answered in time.
 func (l *localEndpoint) expireQueued() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deliver(l.queue.Expire(time.Now()))
+	now := time.Now()
+	l.deliver(l.queue.Expire(now))
+	l.scheduleQueueCheck(now)
 }
 
-// enqueue offers a request to the queue. It returns the channel on which the decision arrives and the latest time for
-// it; for an immediate decision, it returns a nil channel and the refusal, if any.
-func (l *localEndpoint) enqueue(r admission.Request) (chan admission.Decision, time.Time, *peerpb.End) {
+// scheduleQueueCheck schedules the next check of the queue; the lock must be held.
+func (l *localEndpoint) scheduleQueueCheck(now time.Time) {
+	at, ok := l.queue.NextCheck(now)
+	switch {
+	case !ok && l.queueCheck != nil:
+		l.queueCheck.Stop()
+	case ok && l.queueCheck == nil:
+		l.queueCheck = time.AfterFunc(at.Sub(now), l.expireQueued)
+	case ok:
+		l.queueCheck.Reset(at.Sub(now))
+	}
+}
+
+// enqueue offers a request to the queue. It returns the channel on which the decision arrives; for an immediate
+// decision, it returns a nil channel and the refusal, if any.
+func (l *localEndpoint) enqueue(r admission.Request) (chan admission.Decision, *peerpb.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	decision, evicted := l.queue.Offer(time.Now(), r)
+	now := time.Now()
+	decision, evicted := l.queue.Offer(now, r)
 	l.deliver(evicted)
 	if decision.Action != admission.Run {
 		l.reclaimStalledSlot()
 	}
 	if decision.Action != admission.Wait {
-		return nil, time.Time{}, refusal(decision)
+		return nil, refusal(decision)
 	}
 	decided := make(chan admission.Decision, 1)
 	l.waiters[r.ID] = decided
-	return decided, decision.Until, nil
+	l.scheduleQueueCheck(now)
+	return decided, nil
 }
 
 // deliver sends decisions to the requests that wait for them; the lock must be held.
@@ -229,11 +257,12 @@
 	l.mu.Lock()
 	canceled := l.queue.Cancel(id)
 	delete(l.waiters, id)
+	l.scheduleQueueCheck(time.Now())
 	l.mu.Unlock()
 	if !canceled {
 		// The decision was made at the same moment; a slot that it granted is returned unused.
 		if decision := <-decided; decision.Action == admission.Run {
-			l.freeSlot(0)
+			l.freeSlot(id, 0)
 		}
 	}
 	code := fault.Canceled
@@ -251,11 +280,13 @@
 	return peer.NotRun(d.Code, d.RetryAfter)
 }
 
-// freeSlot returns a slot after a service time, 0 if the run says nothing about the endpoint's speed.
-func (l *localEndpoint) freeSlot(service time.Duration) {
+// freeSlot returns a request's slot after a service time, 0 if the run says nothing about the endpoint's speed.
+func (l *localEndpoint) freeSlot(id uint64, service time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deliver(l.queue.Done(time.Now(), service))
+	now := time.Now()
+	l.deliver(l.queue.Done(now, id, service))
+	l.scheduleQueueCheck(now)
 }
 
 // finishRun frees the slot and counts the run. A request that the endpoint did not run says nothing about its speed.
@@ -264,7 +295,7 @@
 	if !r.sample {
 		service = 0
 	}
-	l.freeSlot(service)
+	l.freeSlot(id, service)
 	// Trials are samples for the breaker only; directors judge by the requests that it let through.
 	if !r.sample || trial {
 		return
@@ -275,6 +306,13 @@
 	}
 }
 
+// queueCounts returns the numbers of requests that nested calls have affected.
+func (l *localEndpoint) queueCounts() admission.Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Counts()
+}
+
 // loadReport returns the load that directors learn of, with the service time of the latest run.
 func (l *localEndpoint) loadReport(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -22,7 +22,8 @@
 	}
 	e.updateColdReport(l)
 	stopwatch := e.clock.StartStopwatch()
-	trial, end := e.runAdmissionChecks(ctx, l, d, sink)
+	id := e.nextID.Add(1)
+	trial, end := e.runAdmissionChecks(ctx, l, id, d, sink)
 	if end != nil {
 		end.Load = l.loadReport(0, e.cfg.Incarnation)
 		e.logRefusal(l, d, end)
@@ -30,7 +31,7 @@
 	}
 	ctx, cancel := subtractSuspension(ctx, stopwatch)
 	defer cancel()
-	return e.runAt(ctx, l, d, body, sink, trial)
+	return e.runAt(ctx, l, id, d, body, sink, trial)
 }
 
 // subtractSuspension moves the deadline of a request forward by the time for which the host was suspended while the
@@ -45,8 +46,10 @@
 }
 
 // runAdmissionChecks returns nil once a request holds a slot and its sender has confirmed the dispatch, otherwise the
-// refusal.
-func (e *Egress) runAdmissionChecks(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+// refusal. The id names the request in the endpoint's queue.
+func (e *Egress) runAdmissionChecks(
+	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, sink peer.Sink,
+) (trial bool, end *peerpb.End) {
 	if !l.mayTake(time.Now(), d) {
 		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
@@ -60,25 +63,25 @@
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Queued()
 	}
-	if end := e.waitForSlot(ctx, l, d); end != nil {
+	if end := e.waitForSlot(ctx, l, id, d); end != nil {
 		return false, l.refusedForRate(end)
 	}
 	defer func() { l.logArrivals(time.Now(), e.log) }()
 	if end := l.takeRetry(time.Now(), d); end != nil {
-		l.freeSlot(0)
+		l.freeSlot(id, 0)
 		return false, end
 	}
 	admission, end := e.waitForRate(ctx, l, d)
 	if end != nil {
 		l.returnRetry(d)
-		l.freeSlot(0)
+		l.freeSlot(id, 0)
 		return false, end
 	}
 	trial, end = e.confirmDispatch(ctx, l, d, sink, admission)
 	if end != nil {
 		l.returnAdmission(admission)
 		l.returnRetry(d)
-		l.freeSlot(0)
+		l.freeSlot(id, 0)
 		return trial, end
 	}
 	l.countDispatch(time.Now(), d)
@@ -87,11 +90,11 @@
 }
 
 // waitForSlot waits for a slot of the endpoint, at most until Close, and returns the refusal if there is none.
-func (e *Egress) waitForSlot(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch) *peerpb.End {
+func (e *Egress) waitForSlot(ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch) *peerpb.End {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(e.closeCtx, cancel)()
-	end := l.waitForSlot(ctx, e.nextID.Add(1), d, e.state())
+	end := l.waitForSlot(ctx, id, d, e.state())
 	if end != nil && e.closeCtx.Err() != nil {
 		return peer.NotRun(fault.Draining, drainRetryAfter)
 	}
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -81,7 +81,12 @@
 	if d.GetExchange() != 0 && !d.GetWait() {
 		return now
 	}
-	return now.Add(max(0, latencyTarget(d)-l.expectedDuration(d)))
+	left := latencyTarget(d)
+	if l.isNested(d) {
+		left = timeBudget(d)
+	}
+	expected, _ := l.expectedDurations(d)
+	return now.Add(max(0, left-expected))
 }
 
 // reserveRate reserves the earliest time at which the stated rate allows the request. Otherwise it returns the refusal and
--- a/egress/stall.go
+++ b/egress/stall.go
@@ -28,7 +28,9 @@
 func (l *localEndpoint) noteStall(id uint64) (wanted <-chan struct{}, over func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.monitor.Pause(time.Now(), id)
+	now := time.Now()
+	l.monitor.Pause(now, id)
+	l.queue.Pause(now, id, reclaimDelay+stallCheckInterval)
 	s := stall{id: id, wanted: make(chan struct{}, 1)}
 	l.stalls = append(l.stalls, s)
 	if l.queue.Waiting() > 0 || len(l.stalls) > max(1, l.slots/stalledSlotsDivisor) {
@@ -38,7 +40,9 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.stalls = slices.DeleteFunc(l.stalls, func(o stall) bool { return o.id == id })
-		l.monitor.Resume(time.Now(), id)
+		now := time.Now()
+		l.monitor.Resume(now, id)
+		l.queue.Resume(now, id)
 	}
 }
 
--- a/egress/status.go
+++ b/egress/status.go
@@ -23,6 +23,10 @@
 	// RateRefused and RateDelayed count the requests that were refused, and that had to wait, because of a stated rate.
 	RateRefused uint64 `json:"rate_refused,omitempty"`
 	RateDelayed uint64 `json:"rate_delayed,omitempty"`
+	// NestedStarts counts the nested calls that started, Displaced the waiting requests that were refused for the place of
+	// one.
+	NestedStarts uint64 `json:"nested_starts,omitempty"`
+	Displaced    uint64 `json:"displaced,omitempty"`
 	// Arrivals counts what was dispatched to it since the node started.
 	Arrivals Arrivals `json:"arrivals"`
 }
@@ -35,10 +39,12 @@
 	for _, l := range e.endpoints {
 		load := l.loadReport(0, 0)
 		rate, limited := l.maxRateStatus()
+		counts := l.queueCounts()
 		status := Status{
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Draining: load.GetLeaving(), Trial: load.GetTrial(),
 			Arrivals: l.arrivalCounts(), Service: l.serviceName(), RateRefused: rate.Refused, RateDelayed: rate.Delayed,
+			NestedStarts: counts.NestedStarts, Displaced: counts.Displaced,
 		}
 		if limited {
 			status.MaxRate = &rate.Rate
--- a/egress/work.go
+++ b/egress/work.go
@@ -12,9 +12,9 @@
 	"github.com/lynxplank/lynxplank/peer"
 )
 
-// runAt runs a request that holds a slot, stores its answer if the sender may fetch it again, and frees the slot.
+// runAt runs a request that holds a slot under an id, stores its answer if the sender may fetch it again, and frees the slot.
 func (e *Egress) runAt(
-	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
+	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
 ) *peerpb.End {
 	if d.GetClaim() != nil {
 		var cancel context.CancelFunc
@@ -26,7 +26,7 @@
 	if stored {
 		sink = recording
 	}
-	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: e.nextID.Add(1)}
+	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: id}
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
 	e.running.Begin(d.GetRequestId(), d.GetRepeat())
 	hold := e.budget.NewReservation(d.GetCustomer())
@@ -48,7 +48,7 @@
 	l     *localEndpoint
 	d     *peerpb.Dispatch
 	trial bool
-	// start is when the run began; id identifies it for the in-flight monitor.
+	// start is when the run began; id identifies it for the queue and the in-flight monitor.
 	start time.Time
 	id    uint64
 	// sentAt is start by the egress's clock.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -175,6 +175,13 @@
 	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
 }
 
+// SetNested sets the gauges of the nested calls that started at the endpoints of the service beside this node, and of the
+// waiting requests that were refused for the place of one, since the node started.
+func (s *ServiceMetrics) SetNested(starts, displaced uint64) {
+	s.scope.Gauge("nested_starts").Update(float64(starts))
+	s.scope.Gauge("nested_displaced").Update(float64(displaced))
+}
+
 // CountSend counts a send of a request to an endpoint by its outcome and code.
 func (s *ServiceMetrics) CountSend(outcome, code string) {
 	s.count(s.sends, "asked", outcome, code)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/admission"
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
@@ -138,6 +139,7 @@
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
+	nested := make(map[string]admission.Counts)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
 		if e.MaxRate != nil {
@@ -145,6 +147,8 @@
 		}
 		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
 		rates[e.Service] = r
+		n := nested[e.Service]
+		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -161,6 +165,9 @@
 	for service, r := range rates {
 		s.metrics.Service(service).SetMaxRates(r)
 	}
+	for service, n := range nested {
+		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
+	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
--- a/virtual/sends.go
+++ b/virtual/sends.go
@@ -18,6 +18,8 @@
 	plainQueue []*send
 	busy       int
 	pausedTo   time.Time
+	// checkAt is when the next check of the queue is scheduled.
+	checkAt time.Time
 }
 
 // request is one request of a customer.
@@ -66,6 +68,7 @@
 		d, evicted := e.queue.Offer(r.clock.now, admission.Request{ID: s.id, Customer: name, Deadline: s.request.arrived.Add(deadline)})
 		e.waiting[s.id] = s
 		r.apply(e, append(evicted, d))
+		r.scheduleCheck(e)
 		return
 	}
 	switch {
@@ -90,11 +93,27 @@
 			delete(e.waiting, d.ID)
 			r.refused(s)
 		case admission.Wait:
-			r.clock.after(d.Until.Sub(r.clock.now), func() { r.apply(e, e.queue.Expire(r.clock.now)) })
 		}
 	}
 }
 
+// scheduleCheck has an endpoint's queue refuse the waiting requests that can no longer finish in time. A check that is
+// already scheduled for an earlier time schedules the next one.
+func (r *run) scheduleCheck(e *endpoint) {
+	at, ok := e.queue.NextCheck(r.clock.now)
+	if !ok || e.checkAt.After(r.clock.now) && !at.Before(e.checkAt) {
+		return
+	}
+	e.checkAt = at
+	r.clock.after(at.Sub(r.clock.now), func() {
+		if !e.checkAt.Equal(at) {
+			return
+		}
+		r.apply(e, e.queue.Expire(r.clock.now))
+		r.scheduleCheck(e)
+	})
+}
+
 // startWork occupies a slot of the endpoint and schedules the attempt's end.
 func (r *run) startWork(s *send) {
 	e := r.endpoints[s.endpoint]
@@ -152,7 +171,8 @@
 	e := r.endpoints[s.endpoint]
 	e.busy--
 	if r.FairQueue {
-		r.apply(e, e.queue.Done(r.clock.now, service))
+		r.apply(e, e.queue.Done(r.clock.now, s.id, service))
+		r.scheduleCheck(e)
 		return
 	}
 	if len(e.plainQueue) > 0 {
