--- a/admission/script_test.go
+++ b/admission/script_test.go
@@ -336,8 +336,8 @@
 	})
 }
 
-// BenchmarkFullQueue measures an offer that is refused by a full queue, and an end after which the next request starts,
-// with 10 slots and 36 waiting requests.
+// BenchmarkFullQueue measures, with 10 slots and 36 waiting requests, an offer that is refused by a full queue, an end after
+// which the next request starts and another one comes, the memory of the queue, and the time of its next check.
 func BenchmarkFullQueue(b *testing.B) {
 	now := time.Unix(0, 0)
 	full := func() (q *Queue, next uint64, running []uint64) {
@@ -368,6 +368,11 @@
 			id++
 		}
 	})
+	b.Run("build", func(b *testing.B) {
+		for b.Loop() {
+			full()
+		}
+	})
 	b.Run("check", func(b *testing.B) {
 		q, _, _ := full()
 		for b.Loop() {
