--- a/egress/hung.go
+++ b/egress/hung.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/lynxplank/lynxplank/admission"
 	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
@@ -86,10 +85,14 @@
 	return l.survival(class, age)
 }
 
-// reclaimHungSlot ends a run at an endpoint that hangs, if one qualifies, for a request that found no slot free; the
-// lock must be held. A request that was refused as busy stays refused: the slot is free a little later.
-func (l *localEndpoint) reclaimHungSlot(now time.Time, d admission.Decision) bool {
-	if !l.reclaims || d.Action != admission.Wait && d.Code != fault.Busy {
+// reclaimTime is the time in which the slot of a run that is ended becomes free: its connection is closed at once.
+const reclaimTime = 10 * time.Millisecond
+
+// reclaimHungSlot ends a run at an endpoint that hangs, if no slot is free and one qualifies; the lock must be held. The
+// queue then expects the slot to be free shortly: by its usual estimate the run would hold it for as long as it is
+// overdue, and the request that needs the slot would be refused.
+func (l *localEndpoint) reclaimHungSlot(now time.Time) bool {
+	if !l.reclaims || l.queue.Busy() < l.slots {
 		return false
 	}
 	r := l.runs.reclaim(now, l.breaker.State() != breaker.Closed, l.knownSurvival)
@@ -97,6 +100,7 @@
 		return false
 	}
 	r.cancel()
+	l.queue.Pause(now, r.id, reclaimTime)
 	return true
 }
 
--- a/latency/kinds.go
+++ b/latency/kinds.go
@@ -38,7 +38,7 @@
 	m.Observe(d)
 }
 
-// Knows reports whether a kind has enough observations of its own.
+// Knows reports whether a kind has enough observations for a model of its own.
 func (ms *Models) Knows(kind string) bool {
 	m, ok := ms.models.Peek(kind)
 	return ok && m.Known()
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/admission"
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
@@ -140,6 +141,7 @@
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
 	reclaimed := make(map[string]float64)
+	nested := make(map[string]admission.Counts)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
 		if e.MaxRate != nil {
@@ -148,6 +150,8 @@
 		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
 		rates[e.Service] = r
 		reclaimed[e.Service] += float64(e.Reclaimed)
+		n := nested[e.Service]
+		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -165,6 +169,9 @@
 		s.metrics.Service(service).SetMaxRates(r)
 		s.metrics.Service(service).SetReclaimedSlots(reclaimed[service])
 	}
+	for service, n := range nested {
+		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
+	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
