--- a/ingress/nested_test.go
+++ b/ingress/nested_test.go
@@ -85,6 +85,9 @@
 
 // Serve implements Local. An endpoint that dies does so 300 ms after it got the request.
 func (p *phasedEndpoints) Serve(ctx context.Context, d *peerpb.Dispatch, _ io.Reader, sink peer.Sink) *peerpb.End {
+	if d.GetClaim().GetClaimOnly() {
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_CLAIMED}
+	}
 	state := p.stateOf(d.GetEndpoint())
 	p.mu.Lock()
 	p.asked++
@@ -179,12 +182,18 @@
 	return g
 }
 
-// sendNamed sends a request with an id and returns the answer.
-func sendNamed(ctx context.Context, g *Ingress, method, id string) *httptest.ResponseRecorder {
+// keyed are the header fields of the first attempt under an idempotency key.
+var keyed = map[string]string{header.IdempotencyKey: "k", header.Attempt: "1"}
+
+// sendNamed sends a request with an id, and with other header fields if they are not nil, and returns the answer.
+func sendNamed(ctx context.Context, g *Ingress, method, id string, fields map[string]string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(method, "http://desk.example/x", nil)
 	r.RequestURI = "/x"
 	r.Header.Set(header.RequestID, id)
+	for name, value := range fields {
+		r.Header.Set(name, value)
+	}
 	serveCaller(g, w, r.WithContext(ctx))
 	return w
 }
@@ -193,10 +202,10 @@
 // before their deadline, calls that run twice or go on when nobody waits for them, parents that are not told of a failed
 // call, and changes for requests that are not nested.
 //
-//	get|post [id=ID] [off] [by-route] [limit=DURATION] [target=DURATION] [stop=DURATION] [cancel=DURATION]
+//	get|post [id=ID] [key] [off] [by-route] [limit=DURATION] [target=DURATION] [stop=DURATION] [cancel=DURATION]
 //	ENDPOINT STATE[@FROM] ...
 //
-// The id names a call of the request in flight, unless another is given; off switches the setting off; with by-route, only
+// The id names a call of the request in flight, unless another is given; key sends it under an idempotency key; off switches the setting off; with by-route, only
 // the route tells whose call it is. stop and cancel stop the node, or have the caller leave, after a time. The output is
 // the answer, how often endpoints ran the request, what it was sent as, whether it took more than one round, and the failed
 // call that was noted.
@@ -229,7 +238,11 @@
 			time.AfterFunc(parseDuration(t, cancelAfter), cancel)
 		}
 		local.start = time.Now()
-		w := sendNamed(ctx, g, strings.ToUpper(d.Cmd), id)
+		var fields map[string]string
+		if d.HasArg("key") {
+			fields = keyed
+		}
+		w := sendNamed(ctx, g, strings.ToUpper(d.Cmd), id, fields)
 		took := time.Since(local.start)
 		if (stop != "" || cancelAfter != "") && took > time.Second {
 			t.Errorf("%s: took %v after the stop or the caller's leave, want less than %v", d.Pos, took, time.Second)
@@ -269,7 +282,7 @@
 	g := nestedIngress(t, len(lines), "400ms", local)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	w := sendNamed(ctx, g, http.MethodPost, parentID+".1")
+	w := sendNamed(ctx, g, http.MethodPost, parentID+".1", nil)
 	if got, want := w.Code, http.StatusServiceUnavailable; got != want {
 		t.Errorf("status: got %d, want %d", got, want)
 	}
@@ -296,7 +309,11 @@
 		all.Go(func() {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			w := sendNamed(ctx, g, http.MethodPost, parentID+".1")
+			var fields map[string]string
+			if i%2 == 1 {
+				fields = keyed
+			}
+			w := sendNamed(ctx, g, http.MethodPost, parentID+".1", fields)
 			if local.ran > 1 {
 				t.Errorf("call %d: got %d runs, want at most one", i, local.ran)
 			}
--- a/ingress/nestedcost_test.go
+++ b/ingress/nestedcost_test.go
@@ -33,7 +33,7 @@
 			all.Go(func() {
 				ctx, cancel := context.WithTimeout(b.Context(), 2*time.Second)
 				defer cancel()
-				sendNamed(ctx, g, http.MethodPost, parentID+"."+strconv.Itoa(i))
+				sendNamed(ctx, g, http.MethodPost, parentID+"."+strconv.Itoa(i), nil)
 			})
 		}
 		all.Wait()
