Sampler: gauges by service are added up in one place

Change: serviceSample adds up what the endpoints of a service show. Conclusion: a further gauge is one line.

--- a/node/sampler.go
+++ b/node/sampler.go
@@ -139,19 +139,9 @@
 // barred.
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
-	rates := make(map[string]metrics.MaxRates)
-	reclaimed := make(map[string]float64)
-	nested := make(map[string]admission.Counts)
-	for _, e := range s.egress.Statuses() {
-		r := rates[e.Service]
-		if e.MaxRate != nil {
-			r.Endpoints++
-		}
-		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
-		rates[e.Service] = r
-		reclaimed[e.Service] += float64(e.Reclaimed)
-		n := nested[e.Service]
-		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
+	statuses := s.egress.Statuses()
+	s.sampleServices(statuses)
+	for _, e := range statuses {
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -165,13 +155,6 @@
 		callsOfRetries += e.Arrivals.CallsOfRetries
 		outOfRetries += float64(e.Arrivals.RetriesRefused)
 	}
-	for service, r := range rates {
-		s.metrics.Service(service).SetMaxRates(r)
-		s.metrics.Service(service).SetReclaimedSlots(reclaimed[service])
-	}
-	for service, n := range nested {
-		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
-	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
@@ -189,6 +172,40 @@
 	s.metrics.Gauge("peer_bytes", float64(s.links.Bytes()))
 }
 
+// serviceSample adds up the gauges of one service's endpoints beside this node.
+type serviceSample struct {
+	rates     metrics.MaxRates
+	reclaimed float64
+	nested    admission.Counts
+}
+
+// with returns the sample with one more endpoint.
+func (s serviceSample) with(e egress.Status) serviceSample {
+	if e.MaxRate != nil {
+		s.rates.Endpoints++
+	}
+	s.rates.Refused += float64(e.RateRefused)
+	s.rates.Delayed += float64(e.RateDelayed)
+	s.reclaimed += float64(e.Reclaimed)
+	s.nested.NestedStarts += e.NestedStarts
+	s.nested.Displaced += e.Displaced
+	return s
+}
+
+// sampleServices updates the gauges by service.
+func (s *sampler) sampleServices(statuses []egress.Status) {
+	services := make(map[string]serviceSample)
+	for _, e := range statuses {
+		services[e.Service] = services[e.Service].with(e)
+	}
+	for name, sample := range services {
+		m := s.metrics.Service(name)
+		m.SetMaxRates(sample.rates)
+		m.SetReclaimedSlots(sample.reclaimed)
+		m.SetNested(sample.nested.NestedStarts, sample.nested.Displaced)
+	}
+}
+
 // sampleEvents adds the log lines of each event since the last sample to the metrics.
 func (s *sampler) sampleEvents() {
 	if s.events == nil {
