--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -67,12 +67,12 @@
 }
 
 // Throttle counts the results of the requests of one service and route within a sliding window. The zero value is
-// empty. It does not lock: the caller serializes access.
+// empty. It does not lock: the caller serializes access. Its times come from a clock that is never set back.
 type Throttle struct {
 	slices [sliceCount]counts
 	// total is the sum of the slices.
 	total counts
-	// current is the number of the newest slice since the zero time of the caller's clock.
+	// current is the number of the newest slice, counted from 1970.
 	current int64
 }
 
