Callers' listener: the head of an answer is written without joined strings

Cause: each header field of an answer was joined to a line of its own before it was copied, and the buffer grew several times.

Change: the parts are written one by one into a buffer of the size of most heads.

Before and after: 51 to 46 allocations for a throttled request, 181 to 177 for a served one (BenchmarkCost). go test ./pipeline passes.

Conclusion: a small part of what a refusal costs.

--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -17,6 +17,9 @@
 // in one write.
 const answerBuffer = 32 << 10
 
+// headSize is enough for the head of most answers, in bytes.
+const headSize = 512
+
 // exchange is a request with its answer; it is the http.ResponseWriter that the handler gets.
 type exchange struct {
 	c      *conn
@@ -138,6 +141,7 @@
 	x.buf.Reset()
 	x.setFraming(whole, len(held))
 	var b bytes.Buffer
+	b.Grow(headSize + len(held))
 	x.writeHead(&b)
 	if x.bodyless() {
 		held = nil
@@ -182,15 +186,22 @@
 }
 
 func (x *exchange) writeHead(b *bytes.Buffer) {
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(x.status) + " " + http.StatusText(x.status) + "\r\n")
+	writeStrings(b, "HTTP/1.1 ", strconv.Itoa(x.status), " ", http.StatusText(x.status), "\r\n")
 	for name, values := range x.header {
 		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
+			writeStrings(b, name, ": ", v, "\r\n")
 		}
 	}
 	b.WriteString("\r\n")
 }
 
+// writeStrings appends strings without joining them first.
+func writeStrings(b *bytes.Buffer, list ...string) {
+	for _, s := range list {
+		b.WriteString(s)
+	}
+}
+
 // writePart appends a part of the body to b in the answer's framing. An empty part appends nothing, as an empty chunk would
 // end the answer.
 func (x *exchange) writePart(b *bytes.Buffer, part []byte) {
