Losses: lines that stand for several requests count as many

Cause: throttled requests have no line of their own, and those of a customer beyond its limit will have one a second.

Change: losses reads event 420 and the field count.

--- a/trace/line.go
+++ b/trace/line.go
@@ -43,6 +43,8 @@
 	// Aim is the request's latency target and Limit its deadline, in milliseconds from its arrival.
 	Aim   float64 `json:"aim"`
 	Limit float64 `json:"limit"`
+	// Count is how many requests the line stands for, 0 for one.
+	Count int `json:"count"`
 	// Sends counts the dispatches to endpoints, Asked the offers to endpoints.
 	Sends int `json:"sends"`
 	Asked int `json:"asked"`
--- a/trace/losses.go
+++ b/trace/losses.go
@@ -45,7 +45,7 @@
 	// Worst is the second in which the most of them arrived, WorstCount how many arrived in it.
 	Worst      time.Time
 	WorstCount int
-	// Example is the id of the first of them, to be traced.
+	// Example is the id of the first of them, to be traced, "" if its line stands for several requests without an id.
 	Example string
 	seconds map[time.Time]int
 }
@@ -78,7 +78,7 @@
 		if json.Unmarshal(text, &s) == nil {
 			l.halls[s.Node] = s.Hall
 		}
-	case events.RequestFailed.Number, events.RequestRefused.Number:
+	case events.RequestFailed.Number, events.RequestRefused.Number, events.RequestsThrottled.Number:
 		l.keep(line)
 	}
 }
@@ -157,12 +157,13 @@
 
 func (x *Loss) add(line Line) {
 	waited := time.Duration(line.After * float64(time.Millisecond))
-	x.Count++
+	n := max(1, line.Count)
+	x.Count += n
 	x.Waited += waited
 	second := line.Time.Add(-waited).Truncate(time.Second)
-	x.seconds[second]++
-	if n := x.seconds[second]; n > x.WorstCount {
-		x.Worst, x.WorstCount = second, n
+	x.seconds[second] += n
+	if inSecond := x.seconds[second]; inSecond > x.WorstCount {
+		x.Worst, x.WorstCount = second, inSecond
 	}
 }
 
