Ingress: early rejection of requests that their service mostly rejects, and cheap refusals

Change: with overload.early_refusal the ingress asks package throttle after a request is parsed and before the limit, the body and any endpoint; calls that endpoints make are exempt; what may be a re-send is told as unknown. Event 420 and event 500 with customer_limit are written at most once a second and name with a count; lynxplank_throttled and lynxplank_throttle_share; lynxplankctl explain lists the throttles. Problems are written without encoding/json (a property test holds the bytes equal), and the fields for the endpoint are built only once a request is let through.

--- a/cli/reports.go
+++ b/cli/reports.go
@@ -17,6 +17,7 @@
 
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/ratelimit"
 	"github.com/lynxplank/lynxplank/settings"
@@ -131,7 +132,36 @@
 		}
 	}
 	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE"}
-	return a.printReport(values, head, lines)
+	if err := a.printReport(values, head, lines); err != nil {
+		return err
+	}
+	return a.printThrottles(f.Arg(0))
+}
+
+// printThrottles prints, for each node and route of a service, the requests of the last 2 s and the throttled share. It
+// skips nodes of a version without throttles, and prints nothing in a format for programs, whose output is one list.
+func (a *app) printThrottles(service string) error {
+	if a.format != "table" {
+		return nil
+	}
+	var lines [][]string
+	for _, node := range a.cfg.Nodes {
+		var list []ingress.Throttle
+		if err := a.askNode(node, operator.PathThrottles+"?service="+url.QueryEscape(service), &list); err != nil {
+			continue
+		}
+		for _, t := range list {
+			lines = append(lines, []string{
+				node.String(), t.Route, strconv.Itoa(t.Requests), strconv.Itoa(t.Accepted), strconv.Itoa(t.Throttled),
+				strconv.FormatFloat(t.Share, 'f', 2, 64),
+			})
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	fmt.Fprintln(a.out)
+	return printTable(a.out, []string{"NODE", "ROUTE", "REQUESTS", "ACCEPTED", "THROTTLED", "SHARE"}, lines)
 }
 
 // statedRate says which rate an endpoint states, since when, and what that has cost.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -37,7 +37,9 @@
 	// token is the customer key that the caller presented; hasCustomerKey is set when it identifies the customer.
 	token          contract.Token
 	hasCustomerKey bool
-	repeatable     bool
+	// usesCustomerKeys is set where callers must present a customer key.
+	usesCustomerKeys bool
+	repeatable       bool
 	// fromRetry is set for a call made by work that was itself a retry. fromRetryChance is the probability of that
 	// where the work that made the call is not known.
 	fromRetry       bool
@@ -80,10 +82,15 @@
 	c.timeout = c.route.timeout(c.service, decoded.Timeout)
 	c.repeatable = c.route.repeatable(r.Method, decoded.Repeatable)
 	g.findOrigin(&c)
-	c.headers = g.cfg.Contract.Forward(r.Header, contract.Origin{Address: clientIP(r), UsesCustomerKeys: snap.State.KeysRequired()})
+	c.usesCustomerKeys = snap.State.KeysRequired()
 	return c, nil
 }
 
+// forwardHeaders sets the fields that are passed on to the endpoint. A request that is refused early needs none.
+func (g *Ingress) forwardHeaders(c *call, r *http.Request) {
+	c.headers = g.cfg.Contract.Forward(r.Header, contract.Origin{Address: clientIP(r), UsesCustomerKeys: c.usesCustomerKeys})
+}
+
 // findCustomer returns the customer whose key the caller presented, if callers must present one. hasKey is false for a
 // caller of an open route that presented no valid key; such a request belongs to no customer.
 func (c *call) findCustomer(s *table.State) (customer string, hasKey bool, failure *fault.Error) {
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -119,7 +119,7 @@
 func (*scriptedEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
 
 // fleet returns a table with one service, its endpoints, all beside this node, and a route to it.
-func fleet(t *testing.T, endpoints, attempts int) *table.State {
+func fleet(t testing.TB, endpoints, attempts int) *table.State {
 	t.Helper()
 	row := func(kind table.Kind, key string, cells ...string) table.Row {
 		r, err := table.NewRow(kind, key, cells)
@@ -203,7 +203,7 @@
 	return w.Body.String()
 }
 
-func ingressWith(t *testing.T, s *table.State, local Local) *Ingress {
+func ingressWith(t testing.TB, s *table.State, local Local) *Ingress {
 	t.Helper()
 	log := zerolog.Nop()
 	state := func() *table.State { return s }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -73,6 +73,7 @@
 	// budget bounds the memory that held answers take.
 	budget   *memory.Budget
 	inFlight inFlightRequests
+	early    *earlyRefusals
 
 	mu                sync.Mutex
 	refusalsByService map[string]*refusals
@@ -141,6 +142,7 @@
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
 		limits: unlimited{}, crashes: noCrashes{}, clock: clock.Boot, splits: newSplits(), refusalsByService: make(map[string]*refusals), routeStats: newRouteStats(),
 		configIsNewest: func(context.Context) bool { return true }, budget: memory.New(defaultBudget),
+		early: newEarlyRefusals(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -186,7 +188,11 @@
 		return
 	}
 	serviceMetrics := g.metrics.Service(c.service.Key)
-	end := g.serve(w, r, c)
+	end, throttled := g.throttle(w, r, &c)
+	if !throttled {
+		end = g.serve(w, r, c)
+		g.recordCapacity(&c, end)
+	}
 	serviceMetrics.CountRequest(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	serviceMetrics.Latency.RecordDuration(elapsed)
@@ -224,8 +230,7 @@
 	permit, wait, ok := g.limits.Take(r.Context(), c.customer)
 	if !ok {
 		end := peer.NotRun(fault.CustomerLimit, wait)
-		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", end.GetCode()).Str("customer", c.customer).
-			Dur("retry_after", wait).Send()
+		g.logBeyondLimit(&c, wait)
 		g.refuseEarly(w, r, c.id, end, details[fault.CustomerLimit])
 		return end
 	}
@@ -245,6 +250,7 @@
 		g.refuseEarly(w, r, c.id, end, details[fault.FatalRequest])
 		return end
 	}
+	g.forwardHeaders(&c, r)
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	x := &exchange{g: g, start: time.Now(), stopwatch: g.clock.StartStopwatch(), call: c, body: body, winner: new(winner), permit: permit, hasPermit: true}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -26,12 +25,14 @@
 
 // statusOf maps codes to HTTP statuses; status covers the other codes.
 var statusOf = map[fault.Code]int{
-	fault.BadRequest:       http.StatusBadRequest,
-	fault.BadDeadline:      http.StatusBadRequest,
-	fault.BodyTooLarge:     http.StatusRequestEntityTooLarge,
-	fault.UnknownRoute:     http.StatusNotFound,
-	fault.UnknownToken:     http.StatusUnauthorized,
-	fault.CustomerLimit:    http.StatusTooManyRequests,
+	fault.BadRequest:    http.StatusBadRequest,
+	fault.BadDeadline:   http.StatusBadRequest,
+	fault.BodyTooLarge:  http.StatusRequestEntityTooLarge,
+	fault.UnknownRoute:  http.StatusNotFound,
+	fault.UnknownToken:  http.StatusUnauthorized,
+	fault.CustomerLimit: http.StatusTooManyRequests,
+	// Also for a request whose earlier attempt under its key may have run, and whose outcome is therefore unknown.
+	fault.Throttled:        http.StatusServiceUnavailable,
 	fault.KeyMismatch:      http.StatusUnprocessableEntity,
 	fault.KeyInProgress:    http.StatusConflict,
 	fault.KeyUnknown:       http.StatusConflict,
@@ -72,7 +73,7 @@
 	h.Set("Content-Type", "application/json")
 	ct.Outcome(h, o)
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(p.appendJSON(make([]byte, 0, problemSize)))
 }
 
 // refusedOutcome returns the outcome of a request that was refused before the owners of its key were asked.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -59,6 +59,10 @@
 	Latency tally.Histogram
 	// Retries counts the retries of requests.
 	Retries tally.Counter
+	// Throttled counts the requests that were refused because the service rejects most requests of their route.
+	Throttled tally.Counter
+	// ThrottleShare is the largest share of requests that is refused for that reason now, among the service's routes.
+	ThrottleShare tally.Gauge
 	// Work is the time that endpoints took for requests, as measured by the ingress that sent them.
 	Work  tally.Histogram
 	scope tally.Scope
@@ -98,9 +102,9 @@
 	scope := m.root.Tagged(map[string]string{"service": service})
 	return &ServiceMetrics{
 		Latency: scope.Histogram("request_seconds", m.buckets),
-		Retries: scope.Counter("retries"),
-		Work:    scope.Histogram("work_seconds", m.buckets),
-		scope:   scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
+		Retries: scope.Counter("retries"), Throttled: scope.Counter("throttled"), ThrottleShare: scope.Gauge("throttle_share"),
+		Work:  scope.Histogram("work_seconds", m.buckets),
+		scope: scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
 	}
 }
 
@@ -175,6 +179,11 @@
 	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
 }
 
+// SetThrottleShare sets the gauge of the throttled share.
+func (s *ServiceMetrics) SetThrottleShare(share float64) {
+	s.scope.Gauge("throttle_share").Update(share)
+}
+
 // CountSend counts a send of a request to an endpoint by its outcome and code.
 func (s *ServiceMetrics) CountSend(outcome, code string) {
 	s.count(s.sends, "asked", outcome, code)
--- a/node/contract_test.go
+++ b/node/contract_test.go
@@ -262,6 +262,7 @@
 	wants := map[string]string{
 		operator.PathStatus:                         `"revision":1`,
 		operator.PathExplain + "?service=desk":      `"phase":"serving"`,
+		operator.PathThrottles + "?service=desk":    `[]`,
 		operator.PathRow + "?kind=service&key=desk": `"floor":"60%"`,
 		operator.PathCustomers:                      `"customer":"limited","limit":0.01,"burst":0.01,"passed":0,"refused":1`,
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -188,11 +188,12 @@
 	limiter *ratelimit.Limiter, m *metrics.Metrics, calls *storeCalls, tracker *quarantine.Tracker,
 ) {
 	o := operator.New(n.cfg.Node.ID, n.cfg.Node.Hall, string(n.cfg.Operators.Token), f.Snapshot, f.Reads, e, d, links, limiter, n.skipped,
-		m.Handler())
+		m.Handler(), operator.WithThrottles(g.Throttles))
 	n.kernel.Register(Metrics, m)
 	counter, _ := n.out.(eventCounter)
 	n.kernel.Register(Sampler, &sampler{
-		metrics: m, follower: f, egress: e, links: links, events: counter, calls: calls, tracker: tracker, budget: n.budget, log: n.log,
+		metrics: m, follower: f, egress: e, ingress: g, links: links, events: counter, calls: calls, tracker: tracker, budget: n.budget,
+		log: n.log,
 	})
 	n.kernel.Register(Links, links)
 	n.kernel.Register(Follower, f)
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -10,6 +10,7 @@
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
@@ -31,6 +32,7 @@
 	metrics  *metrics.Metrics
 	follower *configsync.Follower
 	egress   *egress.Egress
+	ingress  *ingress.Ingress
 	links    *peer.Manager
 	// events is nil if log lines are not counted.
 	events  eventCounter
@@ -83,6 +85,7 @@
 func (s *sampler) sample(now time.Time) {
 	s.sampleConfig(now)
 	s.sampleWork()
+	s.ingress.SampleThrottles()
 	s.sampleMemory()
 	s.sampleEvents()
 	s.logCalls()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/ratelimit"
 	"github.com/lynxplank/lynxplank/skipped"
 	"github.com/lynxplank/lynxplank/table"
@@ -26,6 +27,8 @@
 	PathStatus = "/v1/status"
 	// PathExplain returns a list of director.Explanation for the service in the query parameter "service", or for all services.
 	PathExplain = "/v1/explain"
+	// PathThrottles returns a list of ingress.Throttle for the service in the query parameter "service", or for all services.
+	PathThrottles = "/v1/throttles"
 	// PathCustomers returns a list of ratelimit.Usage for the customers with a limit whose requests the node has
 	// recently received.
 	PathCustomers = "/v1/customers"
@@ -125,17 +128,32 @@
 	limits     *ratelimit.Limiter
 	skipped    *skipped.List
 	metrics    http.Handler
+	throttles  func(service string) []ingress.Throttle
+}
+
+// Option configures an Operator in New.
+type Option func(*Operator)
+
+// WithThrottles reports the throttles that f returns for a service.
+func WithThrottles(f func(service string) []ingress.Throttle) Option {
+	return func(o *Operator) { o.throttles = f }
 }
 
 // New returns the Operator of a node. Every request except those to PathHealth must carry token.
 func New(
 	node, hall, token string, snapshot func() *configsync.Snapshot, reads func() (own, config bool),
 	e *egress.Egress, d *director.Director, l Links, limits *ratelimit.Limiter, skippedEntries *skipped.List, metrics http.Handler,
+	opts ...Option,
 ) *Operator {
-	return &Operator{
+	op := &Operator{
 		node: node, hall: hall, token: token, snapshot: snapshot, reads: reads,
 		egress: e, director: d, links: l, limits: limits, skipped: skippedEntries, metrics: metrics,
+		throttles: func(string) []ingress.Throttle { return []ingress.Throttle{} },
 	}
+	for _, opt := range opts {
+		opt(op)
+	}
+	return op
 }
 
 // Routes returns the routes of the listener.
@@ -144,6 +162,7 @@
 		{Method: http.MethodGet, Path: PathHealth, Handler: o.health},
 		{Method: http.MethodGet, Path: PathStatus, Handler: o.authorized(o.status)},
 		{Method: http.MethodGet, Path: PathExplain, Handler: o.authorized(o.explain)},
+		{Method: http.MethodGet, Path: PathThrottles, Handler: o.authorized(o.explainThrottles)},
 		{Method: http.MethodGet, Path: PathCustomers, Handler: o.authorized(o.customers)},
 		{Method: http.MethodGet, Path: PathSkipped, Handler: o.authorized(o.skippedEntries)},
 		{Method: http.MethodGet, Path: PathRow, Handler: o.authorized(o.row)},
@@ -189,6 +208,10 @@
 	writeJSON(w, o.director.Explain(r.URL.Query().Get("service")))
 }
 
+func (o *Operator) explainThrottles(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, o.throttles(r.URL.Query().Get("service")))
+}
+
 func (o *Operator) customers(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.limits.Report()) }
 
 func (o *Operator) skippedEntries(w http.ResponseWriter, _ *http.Request) {
