Throttle: requests that tell nothing of capacity don't raise the share of others

Cause: the throttle comes before the customer's limit, so most throttled requests may be those of a customer beyond its limit.

Change: of the throttled requests R has the part that those let through tell something of.

--- a/ingress/throttle.go
+++ b/ingress/throttle.go
@@ -106,9 +106,6 @@
 		return
 	}
 	result := capacityResult(end)
-	if result == throttle.Inconclusive {
-		return
-	}
 	now := g.early.now()
 	g.early.mu.Lock()
 	defer g.early.mu.Unlock()
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"math"
 	"time"
 )
 
@@ -31,7 +32,7 @@
 type Result uint8
 
 const (
-	// Inconclusive is a result that says nothing of capacity. It is not counted.
+	// Inconclusive is a result that says nothing of capacity.
 	Inconclusive Result = iota
 	// Accepted is a request that the service ran.
 	Accepted
@@ -43,8 +44,8 @@
 
 // counts are the results of some time.
 type counts struct {
-	// requests are all that were counted: accepted, failed (rejected or lost) and throttled.
-	requests, accepted, failed, throttled uint32
+	// accepted, failed (rejected or lost) and inconclusive are the requests that were let through and have ended.
+	accepted, failed, inconclusive, throttled uint32
 	// delays is the number of rejections that stated a Retry-After, delaySum the sum of those.
 	delays   uint32
 	delaySum time.Duration
@@ -52,20 +53,29 @@
 
 func (c counts) plus(o counts) counts {
 	return counts{
-		requests: c.requests + o.requests, accepted: c.accepted + o.accepted, failed: c.failed + o.failed,
-		throttled: c.throttled + o.throttled,
-		delays:    c.delays + o.delays, delaySum: c.delaySum + o.delaySum,
+		accepted: c.accepted + o.accepted, failed: c.failed + o.failed, inconclusive: c.inconclusive + o.inconclusive,
+		throttled: c.throttled + o.throttled, delays: c.delays + o.delays, delaySum: c.delaySum + o.delaySum,
 	}
 }
 
 func (c counts) minus(o counts) counts {
 	return counts{
-		requests: c.requests - o.requests, accepted: c.accepted - o.accepted, failed: c.failed - o.failed,
-		throttled: c.throttled - o.throttled,
-		delays:    c.delays - o.delays, delaySum: c.delaySum - o.delaySum,
+		accepted: c.accepted - o.accepted, failed: c.failed - o.failed, inconclusive: c.inconclusive - o.inconclusive,
+		throttled: c.throttled - o.throttled, delays: c.delays - o.delays, delaySum: c.delaySum - o.delaySum,
 	}
 }
 
+// requests is R of the formula. Of the throttled requests it has the part that would have told of the service's capacity,
+// judged by those that were let through: otherwise a customer beyond its limit, whose requests say nothing of capacity
+// and are throttled with the others, would keep the share up.
+func (c counts) requests() float64 {
+	told := float64(c.accepted + c.failed)
+	if told == 0 {
+		return float64(c.throttled)
+	}
+	return told + float64(c.throttled)*told/(told+float64(c.inconclusive))
+}
+
 // Throttle counts the results of the requests of one service and route within a sliding window. The zero value is
 // empty. It does not lock: the caller serializes access. Its times come from a clock that is never set back.
 type Throttle struct {
@@ -78,11 +88,12 @@
 
 // State is what a Throttle has counted within the window.
 type State struct {
-	// Requests is R of the formula: the requests that were accepted, rejected, lost or throttled.
+	// Requests is R of the formula: the requests that were accepted, rejected or lost, and of the throttled ones the part
+	// that would have been.
 	Requests int `json:"requests"`
 	// Accepted is A of the formula: the requests that ran and did not fail because of a nested call.
 	Accepted int `json:"accepted"`
-	// Throttled is how many of Requests were throttled.
+	// Throttled is how many requests were throttled.
 	Throttled int `json:"throttled"`
 	// Share is the probability with which the next request is throttled.
 	Share float64 `json:"share"`
@@ -113,7 +124,7 @@
 
 // Record counts a request that ended. retryAfter is the Retry-After of a rejection, 0 for none.
 func (t *Throttle) Record(now time.Time, r Result, retryAfter time.Duration) {
-	c := counts{requests: 1}
+	var c counts
 	switch r {
 	case Accepted:
 		c.accepted = 1
@@ -125,7 +136,7 @@
 	case Lost:
 		c.failed = 1
 	case Inconclusive:
-		return
+		c.inconclusive = 1
 	}
 	t.add(now, c)
 }
@@ -139,10 +150,10 @@
 // share is the throttled share. It is 0 once the window has no rejection or loss left: throttled requests count as not
 // accepted, so without this the share would fall by steps over four windows after the service has recovered.
 func (c counts) share() float64 {
-	if c.requests < minRequests || c.failed == 0 {
+	r, a := c.requests(), float64(c.accepted)
+	if r < minRequests || c.failed == 0 {
 		return 0
 	}
-	r, a := float64(c.requests), float64(c.accepted)
 	return min(max(0, (r-acceptedFactor*a)/(r+1)), MaxShare)
 }
 
@@ -153,7 +164,7 @@
 // RecordThrottled counts a throttled request. It returns after how long its caller should retry: the mean Retry-After of
 // the rejections in the window with a jitter, given a draw that is uniform in [0, 1).
 func (t *Throttle) RecordThrottled(now time.Time, draw float64) time.Duration {
-	t.add(now, counts{requests: 1, throttled: 1})
+	t.add(now, counts{throttled: 1})
 	mean := defaultRetryDelay
 	if n := t.total.delays; n > 0 {
 		mean = max(t.total.delaySum/time.Duration(n), MinRetryDelay)
@@ -165,6 +176,6 @@
 func (t *Throttle) State(now time.Time) State {
 	t.advance(now)
 	return State{
-		Requests: int(t.total.requests), Accepted: int(t.total.accepted), Throttled: int(t.total.throttled), Share: t.total.share(),
+		Requests: int(math.Round(t.total.requests())), Accepted: int(t.total.accepted), Throttled: int(t.total.throttled), Share: t.total.share(),
 	}
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -26,15 +26,17 @@
 // class is the load of one route: requests that arrive at a constant rate. The service takes those of the lowest rank
 // first.
 type class struct {
-	name        string
-	rank        int
-	rate        float64
+	name string
+	rank int
+	rate float64
+	// beyondLimit is the share of the requests that are refused as beyond a customer's limit once they are let through.
+	beyondLimit float64
 	outstanding float64
 	tally
 }
 
 // tally counts the requests of one second by how they ended.
-type tally struct{ arrived, throttled, rejected, served int }
+type tally struct{ arrived, throttled, beyond, rejected, served int }
 
 // service simulates a service that runs as many requests as its capacity allows and rejects the others at once.
 type service struct {
@@ -63,6 +65,9 @@
 	case th.Throttles(s.now, s.draws.Float64()):
 		th.RecordThrottled(s.now, s.draws.Float64())
 		c.throttled++
+	case s.draws.Float64() < c.beyondLimit:
+		th.Record(s.now, Inconclusive, 0)
+		c.beyond++
 	case s.free >= 1:
 		s.free--
 		th.Record(s.now, Accepted, 0)
@@ -77,7 +82,7 @@
 // second, and its throttled share at the end of that second.
 //
 //	run seconds=N capacity=RATE
-//	CLASS RANK RATE
+//	CLASS RANK RATE BEYOND-LIMIT
 //
 // The counts of one run are those with which the next one begins.
 func TestLoads(t *testing.T) {
@@ -92,7 +97,7 @@
 			var classes []*class
 			for line := range strings.Lines(d.Input) {
 				c := &class{}
-				if _, err := fmt.Sscan(line, &c.name, &c.rank, &c.rate); err != nil {
+				if _, err := fmt.Sscan(line, &c.name, &c.rank, &c.rate, &c.beyondLimit); err != nil {
 					d.Fatalf(t, "%q: %v", line, err)
 				}
 				classes = append(classes, c)
@@ -105,8 +110,8 @@
 				}
 				for _, c := range classes {
 					share := s.table.Get(Key{Service: "desk", Route: c.name}).Share(s.now)
-					fmt.Fprintf(&b, "%d s: %s: %d arrived, %d throttled, %d rejected, %d served, share %.2f\n",
-						second+1, c.name, c.arrived, c.throttled, c.rejected, c.served, share)
+					fmt.Fprintf(&b, "%d s: %s: %d arrived, %d throttled, %d beyond limit, %d rejected, %d served, share %.2f\n",
+						second+1, c.name, c.arrived, c.throttled, c.beyond, c.rejected, c.served, share)
 					c.tally = tally{}
 				}
 			}
