Merge early rejection by adaptive throttling

Cause: a burst that cannot be served, or a customer beyond its limit, costs the nodes the processor time that serving needs (docs/OVERLOAD.md, part 5). On the merged tree the list of codes that stand for a lack of capacity is one, and an exchange is made by a function of its own.

--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -57,6 +57,16 @@
 	return false
 }
 
+// lacksCapacity reports whether a request that was not run with this code was refused by the fleet for want of capacity,
+// which may be over shortly.
+func lacksCapacity(code fault.Code) bool {
+	switch code {
+	case fault.Busy, fault.Overloaded, fault.DeadlineTooShort, fault.Suspect, fault.NoEndpoint, fault.Cold, fault.MaxRate:
+		return true
+	}
+	return false
+}
+
 // misrouted reports whether the request was refused because the sender's view was outdated or its link was down.
 func misrouted(end *peerpb.End) bool {
 	switch fault.Code(end.GetCode()) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -76,6 +76,7 @@
 	// budget bounds the memory that held answers take.
 	budget   *memory.Budget
 	inFlight inFlightRequests
+	early    *earlyRefusals
 
 	mu                sync.Mutex
 	refusalsByService map[string]*refusals
@@ -145,6 +146,7 @@
 		cfg: cfg, log: log, snapshot: snapshot, director: d, links: links, local: local, metrics: m,
 		limits: unlimited{}, crashes: noCrashes{}, clock: clock.Boot, splits: newSplits(), refusalsByService: make(map[string]*refusals), searches: make(map[string]*search), routeStats: newRouteStats(),
 		configIsNewest: func(context.Context) bool { return true }, budget: memory.New(defaultBudget),
+		early: newEarlyRefusals(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -190,7 +192,11 @@
 		return
 	}
 	serviceMetrics := g.metrics.Service(c.service.Key)
-	end := g.serve(w, r, c)
+	end, throttled := g.throttle(w, r, &c)
+	if !throttled {
+		end = g.serve(w, r, c)
+		g.recordCapacity(&c, end)
+	}
 	serviceMetrics.CountRequest(contract.OutcomeName(end.GetOutcome()), end.GetCode())
 	elapsed := time.Since(start)
 	serviceMetrics.Latency.RecordDuration(elapsed)
@@ -228,8 +234,7 @@
 	permit, wait, ok := g.limits.Take(r.Context(), c.customer)
 	if !ok {
 		end := peer.NotRun(fault.CustomerLimit, wait)
-		events.RequestRefused.Log(g.log).Str("request", c.id).Str("code", end.GetCode()).Str("customer", c.customer).
-			Dur("retry_after", wait).Send()
+		g.logBeyondLimit(&c, wait)
 		g.refuseCall(w, r, &c, end, details[fault.CustomerLimit])
 		return end
 	}
@@ -249,18 +254,13 @@
 		g.refuseCall(w, r, &c, end, details[fault.FatalRequest])
 		return end
 	}
+	g.forwardHeaders(&c, r)
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	x := &exchange{g: g, start: time.Now(), stopwatch: g.clock.StartStopwatch(), call: c, body: body, winner: new(winner), permit: permit, hasPermit: true}
-	x.winner.onFailure = func() { g.noteFailedCall(&c) }
-	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
-	x.answer.progress = &x.progress
-	x.reserveMemory(x.answer)
+	x := g.newExchange(w, c, body, permit)
 	defer x.releaseReservations()
 	g.inFlight.add(x)
 	defer g.inFlight.remove(x)
-	x.refusals, x.search = g.refusals(c.service.Key), g.search(c.service.Key)
-	x.answer.search = x.search
 	end := x.run(ctx)
 	if x.hasPermit {
 		x.permit.Return()
@@ -274,3 +274,16 @@
 	x.log(end)
 	return x.answer.finish(end)
 }
+
+// newExchange returns the exchange of a request that has a permit.
+func (g *Ingress) newExchange(w http.ResponseWriter, c call, body *requestBody, permit ratelimit.Permit) *exchange {
+	x := &exchange{
+		g: g, start: time.Now(), stopwatch: g.clock.StartStopwatch(), call: c, body: body, winner: new(winner), permit: permit, hasPermit: true,
+		refusals: g.refusals(c.service.Key), search: g.search(c.service.Key),
+	}
+	x.winner.onFailure = func() { g.noteFailedCall(&c) }
+	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
+	x.answer.progress, x.answer.search = &x.progress, x.search
+	x.reserveMemory(x.answer)
+	return x
+}
--- a/ingress/nestedcost_test.go
+++ b/ingress/nestedcost_test.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -41,13 +40,3 @@
 		b.ReportMetric(float64(local.asked)/calls, "asked/call")
 	}
 }
-
-// processorTime returns the processor time that the process has used.
-func processorTime(b *testing.B) time.Duration {
-	b.Helper()
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/ingress/rounds.go
+++ b/ingress/rounds.go
@@ -40,15 +40,6 @@
 	left, usual time.Duration
 }
 
-// lacksCapacity reports whether a code stands for a lack of capacity, which may be over shortly.
-func lacksCapacity(code fault.Code) bool {
-	switch code {
-	case fault.Busy, fault.Overloaded, fault.DeadlineTooShort, fault.Suspect, fault.NoEndpoint, fault.Cold, fault.MaxRate:
-		return true
-	}
-	return false
-}
-
 // next returns the state with one more round and the pause before it; ok is false when the call must not start over. The
 // last pause is shortened so that the usual time of the work remains after it.
 func (r rounds) next(end rejection) (after rounds, pause time.Duration, ok bool) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -59,6 +59,10 @@
 	Latency tally.Histogram
 	// Retries counts the retries of requests.
 	Retries tally.Counter
+	// Throttled counts the requests that were refused because the service rejects most requests of their route.
+	Throttled tally.Counter
+	// ThrottleShare is the largest share of requests that is refused for that reason now, among the service's routes.
+	ThrottleShare tally.Gauge
 	// Work is the time that endpoints took for requests, as measured by the ingress that sent them.
 	Work tally.Histogram
 	// nestedCalls counts the calls of endpoints' own work, nestedRounds the rounds in which these looked for capacity.
@@ -100,8 +104,8 @@
 	scope := m.root.Tagged(map[string]string{"service": service})
 	return &ServiceMetrics{
 		Latency: scope.Histogram("request_seconds", m.buckets),
-		Retries: scope.Counter("retries"),
-		Work:    scope.Histogram("work_seconds", m.buckets),
+		Retries: scope.Counter("retries"), Throttled: scope.Counter("throttled"), ThrottleShare: scope.Gauge("throttle_share"),
+		Work: scope.Histogram("work_seconds", m.buckets),
 
 		nestedCalls: scope.Counter("nested_calls"), nestedRounds: scope.Counter("nested_rounds"),
 		scope: scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -11,6 +11,7 @@
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
@@ -32,6 +33,7 @@
 	metrics  *metrics.Metrics
 	follower *configsync.Follower
 	egress   *egress.Egress
+	ingress  *ingress.Ingress
 	links    *peer.Manager
 	// events is nil if log lines are not counted.
 	events  eventCounter
@@ -85,6 +87,7 @@
 	s.sampleConfig(now)
 	s.sampleWork()
 	s.egress.LogSlotUse()
+	s.ingress.SampleThrottles()
 	s.sampleMemory()
 	s.sampleEvents()
 	s.logCalls()
