Retries: a service counts as refusing by its requests, not by its queues

Cause: each refusal by one endpoint's queue counted against the whole service. Above half of the last 50 answers a refused request was not sent to another endpoint, so that one or two full queues had requests refused that the other endpoints would have served.

Change: a request counts once, by how it ended. What says nothing of capacity still counts neither way.

Before and after: TestFullQueuesDoNotStopRetries, two of three endpoints full: 145 of 300 requests served before, 300 after. TestRefusingServiceGetsNoRetries: a service without room still gets no retries.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -262,6 +262,7 @@
 	g.inFlight.add(x)
 	defer g.inFlight.remove(x)
 	end := x.run(ctx)
+	x.refusals.record(end)
 	if x.hasPermit {
 		x.permit.Return()
 	}
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -83,12 +83,9 @@
 }
 
 // noteNestedRejection records a queue that had no room for a nested call. The rejection does not count as one of the route's
-// attempts, nor, after the first round, as overload of the service: one call would otherwise weigh as much as many requests.
+// attempts.
 func (x *exchange) noteNestedRejection(key string) {
 	x.rejecting = append(x.rejecting, key)
-	if x.rounds.restarts == 0 {
-		x.refusals.noteOverload()
-	}
 }
 
 // roundSpent reports whether a round after the first has asked as many endpoints as it may.
--- a/ingress/refusals.go
+++ b/ingress/refusals.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/retry"
 )
 
@@ -24,19 +26,24 @@
 	return r
 }
 
-// decide records whether an attempt met overload and reports whether another may follow.
+// decide reports whether another attempt may follow one.
 func (r *refusals) decide(a retry.Attempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Record(a.Overloaded)
 	return r.Decide(a)
 }
 
-// noteOverload records that an attempt met overload.
-func (r *refusals) noteOverload() {
+// record records how a request ended, if that tells whether the service has capacity. A request counts once, however
+// many endpoints refused it: counted by attempt, one full queue made the whole service count as refusing, and requests
+// that other endpoints would have served were refused.
+func (r *refusals) record(end *peerpb.End) {
+	refused := egressFull(end) || fault.Code(end.GetCode()) == fault.EndpointShed
+	if !refused && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Record(true)
+	r.Record(refused)
 }
 
 // refusing reports whether the service refuses most of its work.
