Breaker, egress: slow start of trials, chance and room in the load report

Cause: a suspect takes one trial at a time, so that its slots are idle while requests wait, and no node knows which suspect is likely to answer (docs/OVERLOAD.md, part 6).

Change: the breaker keeps a set of trials with IDs instead of one flag, and the egress attributes results, overdue and canceled trials by ID. With breaker.Config.SlowStart, which the setting suspect_room switches on, 2^k trials run after k successes in a row, at most the endpoint's slots; before the first success a second repeatable trial runs once the first is older than the median time of its kind. The interval between trials applies until the first success. What closes the breaker is unchanged. Load.success_chance and Load.trial_room are sent while the breaker is open.

Conclusion: the choosers can use chance and room.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -22,6 +22,9 @@
 	RequiredSuccesses, MaxRequiredSuccesses int
 	// OpeningWindow is how long an opening counts for the required successes.
 	OpeningWindow time.Duration
+	// SlowStart lets more than one trial run at once: their number doubles with each successful trial in a row, up to the
+	// endpoint's slots.
+	SlowStart bool
 }
 
 const (
@@ -73,8 +76,8 @@
 const (
 	// Closed takes every request.
 	Closed State = iota
-	// Trial (half-open) takes one trial request at a time: a repeatable one, or a non-repeatable one once an outage of
-	// the expected length is probably over.
+	// Trial (half-open) takes one trial request at a time, or more with Config.SlowStart: a repeatable one, or a
+	// non-repeatable one once an outage of the expected length is probably over.
 	Trial
 )
 
@@ -124,8 +127,10 @@
 	// trialInterval is the current minimum time between two trials, trialAt when the last one began.
 	trialInterval time.Duration
 	trialAt       time.Time
-	// trialRunning is set while a trial is in flight.
-	trialRunning bool
+	// trials are those in flight, lastTrial is the ID of the latest. slots is how many requests the endpoint runs at once.
+	trials    []trial
+	lastTrial TrialID
+	slots     int
 	// successShare is the moving average of successful trials since the breaker opened.
 	successShare float64
 }
@@ -166,6 +171,10 @@
 	b.score = 0
 	b.trialInterval = b.cfg.TrialInterval
 	b.closedAt = now
+	if b.cfg.SlowStart {
+		// If the breaker opens again, they are requests from before the opening.
+		b.trials = nil
+	}
 }
 
 // observeOutage updates the expected length of an outage with the length of one, measured from its opening.
@@ -197,43 +206,38 @@
 	b.successShare += (sample - b.successShare) * trialSmoothing
 }
 
-// WouldAllow reports whether Allow would let a request run, without using up the trial. A non-repeatable request may be
+// WouldAllow reports whether Allow would let a request run, without using up a trial. A non-repeatable request may be
 // a trial only once an outage of the expected length is probably over.
 func (b *Breaker) WouldAllow(now time.Time, repeatable bool) bool {
 	if b.state == Closed {
 		return true
 	}
-	if b.trialRunning || now.Sub(b.trialAt) < b.trialInterval {
+	if b.trialRoom(now, repeatable) == 0 {
 		return false
 	}
 	return repeatable || b.currentDownProbability(now) < maxTrialDownProbability
 }
 
-// Allow reports whether a request may run now, and whether it is a trial. A trial must end with Report or CancelTrial.
-func (b *Breaker) Allow(now time.Time, repeatable bool) (ok, trial bool) {
-	if !b.WouldAllow(now, repeatable) {
-		return false, false
+// Allow reports whether a request may run now, and as which trial, 0 for none. A trial must end with Report or
+// CancelTrial.
+func (b *Breaker) Allow(now time.Time, r Request) (ok bool, id TrialID) {
+	if !b.WouldAllow(now, r.Repeatable) {
+		return false, 0
 	}
 	if b.state == Closed {
-		return true, false
+		return true, 0
 	}
-	b.trialRunning = true
 	b.trialAt = now
-	return true, true
+	return true, b.beginTrial(now, r)
 }
 
 // CancelTrial ends a trial that did not run after all; it does nothing for a request that is no trial.
-func (b *Breaker) CancelTrial(trial bool) {
-	if trial {
-		b.trialRunning = false
-	}
-}
+func (b *Breaker) CancelTrial(id TrialID) { b.endTrial(id) }
 
-// Report records the result of a request; trial is what Allow returned for it.
-func (b *Breaker) Report(now time.Time, r Result, trial bool) {
-	if trial {
-		b.trialRunning = false
-	}
+// Report records the result of a request; id is what Allow returned for it. The second result of a trial counts like
+// that of a request that was no trial.
+func (b *Breaker) Report(now time.Time, r Result, id TrialID) {
+	trial := b.endTrial(id)
 	b.decayScore(now)
 	switch r {
 	case OK:
--- a/egress/breaker.go
+++ b/egress/breaker.go
@@ -22,15 +22,15 @@
 
 // allowDispatch is mayTake at the moment of the dispatch. A trial that it starts must end with releaseTrial or
 // finishRun.
-func (l *localEndpoint) allowDispatch(now time.Time, d *peerpb.Dispatch) (ok, trial bool) {
+func (l *localEndpoint) allowDispatch(now time.Time, d *peerpb.Dispatch) (ok bool, trial breaker.TrialID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ok, trial = l.breaker.Allow(now, d.GetCanary())
+	ok, trial = l.breaker.Allow(now, l.breakerRequest(d))
 	return ok || l.takesLastResort(d), trial
 }
 
-// releaseTrial ends a trial that was not dispatched.
-func (l *localEndpoint) releaseTrial(trial bool) {
+// releaseTrial ends a trial that was not dispatched; it does nothing for a request that is no trial.
+func (l *localEndpoint) releaseTrial(trial breaker.TrialID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.breaker.CancelTrial(trial)
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -146,6 +146,7 @@
 	if cfg.Breaker == (breaker.Config{}) {
 		cfg.Breaker = breaker.DefaultConfig()
 	}
+	cfg.Breaker.SlowStart = cfg.SuspectRoom
 	e := &Egress{
 		cfg: cfg, log: log, state: state,
 		keys:      newKeyStore(dedupe.NewStore(cfg.KeyWindow, cfg.KeyBytes), cfg.KeyWindow, cfg.ConvergenceTime),
--- a/egress/hang.go
+++ b/egress/hang.go
@@ -29,12 +29,12 @@
 
 // startMonitoring adds a dispatched request to the in-flight monitor, which is evaluated as long as requests are in
 // flight.
-func (e *Egress) startMonitoring(l *localEndpoint, now time.Time, id uint64, d *peerpb.Dispatch, sink peer.Sink, trial bool) {
+func (e *Egress) startMonitoring(l *localEndpoint, now time.Time, id uint64, d *peerpb.Dispatch, sink peer.Sink, trial breaker.TrialID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.monitor.Begin(now, id, workOf(d))
-	if trial {
-		l.trialID = id
+	if trial != 0 {
+		l.trials[id] = trial
 	}
 	if d.GetTellDue() {
 		l.dueSinks[id] = sink
@@ -88,21 +88,15 @@
 	return late
 }
 
-// wouldTrigger reports whether an evaluation at a time finds that the endpoint hangs or a trial has failed, if no
+// wouldTrigger reports whether an evaluation at a time finds that the endpoint hangs or that a trial has failed, if no
 // request ends before it; the lock must be held.
 func (l *localEndpoint) wouldTrigger(at time.Time) bool {
-	if l.trialOverdue(at) {
+	if len(l.overdueTrials(at)) > 0 {
 		return true
 	}
 	return l.breaker.State() == breaker.Closed && l.monitor.Score(at, l.survival) >= openScore
 }
 
-// trialOverdue reports whether the breaker's trial has taken too long by a time; the lock must be held.
-func (l *localEndpoint) trialOverdue(at time.Time) bool {
-	work, age, ok := l.monitor.Age(at, l.trialID)
-	return ok && l.survival(work, age) < overdueTrialShare
-}
-
 // survival returns the share of usual requests of this kind that take longer than an age; the lock must be held.
 func (l *localEndpoint) survival(w breaker.RequestClass, age time.Duration) float64 {
 	return l.latencies.For(w.Kind, w.UsualTime).Survival(age)
@@ -134,10 +128,7 @@
 func (l *localEndpoint) openIfHung(now time.Time) []peer.Sink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.trialOverdue(now) {
-		l.trialID = 0
-		l.breaker.Report(now, breaker.Overdue, true)
-	}
+	l.reportOverdueTrials(now)
 	if l.monitor.Score(now, l.survival) < openScore || !l.breaker.ForceOpen(now) {
 		return nil
 	}
@@ -152,22 +143,19 @@
 }
 
 // recordResult passes the result of a run to the in-flight monitor, the breaker and the latency model.
-func (l *localEndpoint) recordResult(id uint64, r result, service time.Duration, d *peerpb.Dispatch, trial bool) {
+func (l *localEndpoint) recordResult(id uint64, r result, service time.Duration, d *peerpb.Dispatch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	defer l.scheduleEvaluation(now)
 	delete(l.dueSinks, id)
 	// An overdue trial has already been counted as failed.
-	trial = trial && l.trialID == id
-	if trial {
-		l.trialID = 0
-	}
+	trialID, trial := l.takeTrial(id)
 	silent := l.isSilent(r, service, d)
 	l.monitor.End(now, id, !silent && !r.unanswered && !r.brokenOff)
 	res, known := breakerResult(r, silent, trial)
 	if !known {
-		l.breaker.CancelTrial(trial)
+		l.breaker.CancelTrial(trialID)
 		return
 	}
 	if res == breaker.OK {
@@ -177,7 +165,7 @@
 		l.breaker.ReportLastResort(res)
 	}
 	before := l.breaker.State()
-	l.breaker.Report(now, res, trial)
+	l.breaker.Report(now, res, trialID)
 	if l.openedByMonitor && l.monitor.Score(now, l.survival) < clearScore {
 		l.breaker.ForceClose(now)
 	}
--- a/egress/local.go
+++ b/egress/local.go
@@ -48,9 +48,11 @@
 
 	mu      sync.Mutex
 	breaker *breaker.Breaker
-	// monitor watches the in-flight requests; trialID is the one of them that is the breaker's trial, 0 for none.
+	// monitor watches the in-flight requests; trials are those of them that are trials of the breaker.
 	monitor breaker.InflightMonitor
-	trialID uint64
+	trials  trials
+	// suspectRoom is the setting Config.SuspectRoom.
+	suspectRoom bool
 	// dueSinks are the sinks of in-flight requests whose senders asked to be told when an answer is due.
 	dueSinks map[uint64]peer.Sink
 	// openedByMonitor is set while the breaker is open because of in-flight requests alone.
@@ -101,7 +103,7 @@
 		dueSinks:  make(map[uint64]peer.Sink),
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
-		maxRate: maxrate.NewLimiter(),
+		maxRate: maxrate.NewLimiter(), trials: make(trials), suspectRoom: cfg.SuspectRoom,
 	}
 }
 
@@ -115,6 +117,7 @@
 		l.startNewLife()
 	}
 	l.slots = int(row.Value.Slots)
+	l.breaker.SetSlots(l.slots)
 	l.maxWaiting = int(service.Value.Queue)
 	l.applyRateToQueue()
 	l.retryRatio = float64(service.Value.RetryBudget)
@@ -260,7 +263,7 @@
 
 // finishRun frees the slot and counts the run. A request that the endpoint did not run says nothing about its speed.
 func (l *localEndpoint) finishRun(id uint64, service time.Duration, r result, d *peerpb.Dispatch, trial bool) {
-	l.recordResult(id, r, service, d, trial)
+	l.recordResult(id, r, service, d)
 	if !r.sample {
 		service = 0
 	}
@@ -279,11 +282,13 @@
 func (l *localEndpoint) loadReport(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &peerpb.Load{
+	load := &peerpb.Load{
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.draining.Load(),
 		Trial: l.breaker.State() == breaker.Trial, ColdMicros: l.coldMicros(),
 		MaxRate: l.maxRateReport(),
 	}
+	l.reportSuspect(time.Now(), load)
+	return load
 }
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
@@ -46,33 +47,33 @@
 
 // runAdmissionChecks returns nil once a request holds a slot and its sender has confirmed the dispatch, otherwise the
 // refusal.
-func (e *Egress) runAdmissionChecks(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+func (e *Egress) runAdmissionChecks(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink) (trial breaker.TrialID, end *peerpb.End) {
 	if !l.mayTake(time.Now(), d) {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	if end := e.adoptLeaving(l, d); end != nil {
-		return false, end
+		return 0, end
 	}
 	e.adoptRate(l, d)
 	if end := l.refuseBeyondRate(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Queued()
 	}
 	if end := e.waitForSlot(ctx, l, d); end != nil {
-		return false, l.refusedForRate(end)
+		return 0, l.refusedForRate(end)
 	}
 	defer func() { l.logArrivals(time.Now(), e.log) }()
 	if end := l.takeRetry(time.Now(), d); end != nil {
 		l.freeSlot(0)
-		return false, end
+		return 0, end
 	}
 	admission, end := e.waitForRate(ctx, l, d)
 	if end != nil {
 		l.returnRetry(d)
 		l.freeSlot(0)
-		return false, end
+		return 0, end
 	}
 	trial, end = e.confirmDispatch(ctx, l, d, sink, admission)
 	if end != nil {
@@ -118,16 +119,16 @@
 // confirmation.
 func (e *Egress) confirmDispatch(
 	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink, admission rateAdmission,
-) (trial bool, end *peerpb.End) {
+) (trial breaker.TrialID, end *peerpb.End) {
 	if _, end := e.find(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if ctx.Err() != nil {
-		return false, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+		return 0, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
 	}
 	ok, trial := l.allowDispatch(time.Now(), d)
 	if !ok {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	due := l.answerDue(d)
 	p, isOffer := sink.(peer.Permitter)
@@ -135,11 +136,11 @@
 		if admission.lapsed(l.clock()) {
 			// The host was suspended meanwhile.
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
+			return 0, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
 		}
 		if !peer.AllowsDispatch(sink) {
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.Stopping, 0)
+			return 0, peer.NotRun(fault.Stopping, 0)
 		}
 		if due > 0 {
 			sink.Due(due)
@@ -162,5 +163,5 @@
 	}
 	e.answers.void(id)
 	l.releaseTrial(trial)
-	return false, end
+	return 0, end
 }
--- a/egress/serve_test.go
+++ b/egress/serve_test.go
@@ -27,8 +27,8 @@
 func (discardSink) Head(*peerpb.Head, bool) error { return nil }
 func (discardSink) Data([]byte, bool) error       { return nil }
 
-// newTestEgress returns an egress with one endpoint, which has an address and a phase.
-func newTestEgress(t *testing.T, address string, phase table.Phase) *Egress {
+// newTestEgress returns an egress with one endpoint, which has an address and a phase; change changes its configuration.
+func newTestEgress(t *testing.T, address string, phase table.Phase, change ...func(*Config)) *Egress {
 	t.Helper()
 	service, err := table.NewRow(table.KindService, "desk", nil)
 	if err != nil {
@@ -44,6 +44,9 @@
 	}
 	log := zerolog.Nop()
 	cfg := Config{Host: "h1", Hall: "hall-1", ProbeInterval: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20}
+	for _, c := range change {
+		c(&cfg)
+	}
 	return New(cfg, &log, func() *table.State { return s })
 }
 
--- a/egress/work.go
+++ b/egress/work.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -14,7 +15,7 @@
 
 // runAt runs a request that holds a slot, stores its answer if the sender may fetch it again, and frees the slot.
 func (e *Egress) runAt(
-	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
+	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial breaker.TrialID,
 ) *peerpb.End {
 	if d.GetClaim() != nil {
 		var cancel context.CancelFunc
@@ -44,10 +45,11 @@
 
 // endpointRun is one run of a request at an endpoint.
 type endpointRun struct {
-	e     *Egress
-	l     *localEndpoint
-	d     *peerpb.Dispatch
-	trial bool
+	e *Egress
+	l *localEndpoint
+	d *peerpb.Dispatch
+	// trial is the run as a trial of the breaker, 0 for none.
+	trial breaker.TrialID
 	// start is when the run began; id identifies it for the in-flight monitor.
 	start time.Time
 	id    uint64
@@ -75,9 +77,9 @@
 	e, l, d := run.e, run.l, run.d
 	e.running.End(d.GetRequestId(), d.GetRepeat())
 	run.serviceTime = time.Since(run.start) - r.stalledFor
-	l.finishRun(run.id, run.serviceTime, r, d, run.trial)
+	l.finishRun(run.id, run.serviceTime, r, d, run.trial != 0)
 	if r.cause != nil {
-		e.logFailure(l, d, r, run.serviceTime, run.trial)
+		e.logFailure(l, d, r, run.serviceTime, run.trial != 0)
 	}
 	e.logBreakerChange(l)
 	if r.unreachable {
