Choosers: suspects with room are asked by their chance, full ones are left alone

Cause: a request that finds no free slot asks endpoints that take only trials at random, waits in queues in which it cannot be in time, and meets suspects again; the idle slots of suspects that have recovered stay unknown.

Change: with the setting suspect_room a node keeps the chance and room of each suspect from the load reports. A request that found no free slot, and that no queue could serve within its latency target, goes to the suspect with the highest chance among those with room, at most three times; a non-repeatable one only where the endpoint's node takes it as a trial (a chance of 0.86, above the 0.6 of docs/OVERLOAD.md). A suspect that reported no room is left alone for 100 ms. A last resort goes to the highest chance, a non-repeatable one to none under 0.6, and after a full queue only if a suspect has a free slot. Impossible reports count as absent. Explanations and event 408 show chance and room.

go test of breaker, egress, balance, director, ingress, cli, node, trace and virtual passes; lint is clean.

--- a/breaker/trials.go
+++ b/breaker/trials.go
@@ -32,6 +32,9 @@
 // SetSlots sets how many requests the endpoint runs at once, which bounds its trials.
 func (b *Breaker) SetSlots(n int) { b.slots = n }
 
+// MinNonRepeatableChance is the SuccessChance from which a non-repeatable request may be a trial.
+const MinNonRepeatableChance = 1 - hangShare*maxTrialDownProbability
+
 // SuccessChance returns the chance that the endpoint answers a request sent now: a failing endpoint leaves hangShare of
 // its requests unanswered.
 func (b *Breaker) SuccessChance(now time.Time) float64 {
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -126,14 +126,25 @@
 			lines = append(lines, []string{
 				node.String(), e.Endpoint, e.Phase, strconv.FormatBool(e.Open), e.Test,
 				strconv.FormatFloat(e.Score, 'f', 1, 64), strconv.FormatFloat(e.Threshold, 'f', 1, 64),
-				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e), statedRate(e),
+				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e), statedRate(e), suspicion(e),
 			})
 		}
 	}
-	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE"}
+	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE", "SUSPECT"}
 	return a.printReport(values, head, lines)
 }
 
+// suspicion says how likely a suspect is to answer, and how many more requests it takes.
+func suspicion(e director.Explanation) string {
+	switch {
+	case !e.Trial:
+		return "-"
+	case e.SuccessChance == nil || e.TrialRoom == nil:
+		return "trials only"
+	}
+	return fmt.Sprintf("chance %.2f, room %d", *e.SuccessChance, *e.TrialRoom)
+}
+
 // statedRate says which rate an endpoint states, since when, and what that has cost.
 func statedRate(e director.Explanation) string {
 	r := e.MaxRate
--- a/director/director.go
+++ b/director/director.go
@@ -30,6 +30,9 @@
 	// Ejection is the ejection policy for whatever a service's row leaves open; the zero value means the default
 	// policy.
 	Ejection eject.Config
+	// SuspectRoom is the setting suspect_room of the section overload: requests that find no free slot go to suspects by
+	// their chance and room.
+	SuspectRoom bool
 }
 
 const (
--- a/director/pick.go
+++ b/director/pick.go
@@ -37,14 +37,17 @@
 	Regions region.Set
 	// ShortestWait picks the endpoint with the shortest expected wait instead of drawing one at random.
 	ShortestWait bool
+	// LastResort leaves in suspects that have just reported no room.
+	LastResort bool
 }
 
 // minColdShare is the smallest share of its usual weight that a cold endpoint has.
 const minColdShare = 0.05
 
 // Pick chooses an endpoint. It fails with Busy if some endpoint was passed over only because it has no free slot, even
-// one that Exclude names; otherwise with OutOfRegion if the request's data is restricted to some regions, else with
-// NoEndpoint. Done must follow a successful Pick.
+// one that Exclude names; otherwise with Suspect if one was passed over because it has just reported no room; otherwise
+// with OutOfRegion if the request's data is restricted to some regions, else with NoEndpoint. Done must follow a
+// successful Pick.
 func (d *Director) Pick(ctx context.Context, opts PickOptions) (Pick, error) {
 	v, err := d.view(ctx, opts.Service)
 	if err != nil {
@@ -75,14 +78,16 @@
 	if pick, ok := d.pickInRegion(v, opts, now); ok {
 		return pick, nil
 	}
-	return Pick{}, opts.pickError(set.busy)
+	return Pick{}, opts.pickError(set)
 }
 
-// pickError explains why no endpoint was picked; busy tells that some endpoint lacked only a free slot.
-func (opts PickOptions) pickError(busy bool) error {
+// pickError explains why no endpoint of a set was picked.
+func (opts PickOptions) pickError(set candidateSet) error {
 	switch {
-	case busy:
+	case set.busy:
 		return fault.New(fault.Busy, opts.Service, "no endpoint has a free slot")
+	case set.fullSuspect:
+		return fault.New(fault.Suspect, opts.Service, "every endpoint takes only trials and has no room for another")
 	case opts.Regions.IsRestricted():
 		return fault.New(fault.OutOfRegion, opts.Service, "no endpoint of a region where the data may be takes new work")
 	}
@@ -129,6 +134,8 @@
 	entryIndexes []int
 	// busy is set when some endpoint was skipped only because it has no free slot.
 	busy bool
+	// fullSuspect is set when some endpoint was skipped because it is a suspect without room.
+	fullSuspect bool
 }
 
 // addCandidate adds an available endpoint to the candidates unless it is ejected, or records that it lacks only a free
@@ -143,6 +150,10 @@
 		return
 	}
 	c := d.candidate(v, e, now)
+	if opts.skipsFull() && e.target.isFullSuspect(now) {
+		set.fullSuspect = true
+		return
+	}
 	if opts.RequireFreeSlot && c.RateWait > 0 {
 		return
 	}
@@ -226,6 +237,7 @@
 // pickEntry counts a request at the endpoint and returns the pick.
 func (v *view) pickEntry(e *entry, trial bool) Pick {
 	e.target.inFlight.Add(1)
+	e.target.countSent()
 	p := Pick{Endpoint: e.endpoint, Trial: trial, target: e.target, ReportAgeMillis: e.target.reportAgeMillis(time.Now())}
 	p.TypicalLatency = time.Duration(math.Float64frombits(e.target.latency.Load()))
 	p.ToldLeaving = e.target.saidLeaving()
--- a/director/report.go
+++ b/director/report.go
@@ -37,6 +37,9 @@
 		t.trialInFlight.Store(false)
 	}
 	t.applyLoad(now, r.Load)
+	if d.cfg.SuspectRoom && r.Load != nil {
+		t.suspect.Store(newSuspectReport(now, r.Load, int(r.Pick.Endpoint.Value.Slots)))
+	}
 	if r.Refused {
 		t.refusedAt.Store(now.UnixNano())
 	}
@@ -150,6 +153,10 @@
 	IdleMillis int64 `json:"idle_millis"`
 	// Trial is set while the endpoint's node accepts only trials.
 	Trial bool `json:"trial"`
+	// SuccessChance is the chance that a suspect answers a request, and TrialRoom how many more requests it takes, as its
+	// node last reported them; both are nil without a report.
+	SuccessChance *float64 `json:"success_chance,omitempty"`
+	TrialRoom     *int     `json:"trial_room,omitempty"`
 	// HeldByFloor is set when only the floor keeps the endpoint in use.
 	HeldByFloor bool `json:"held_by_floor"`
 	// InFlight is how many of this node's requests the endpoint holds.
@@ -224,7 +231,7 @@
 }
 
 func (d *Director) explain(e *entry, now time.Time) Explanation {
-	return Explanation{
+	x := Explanation{
 		Endpoint: e.endpoint.Key, Phase: e.verdict.Phase.String(), Test: e.verdict.Test,
 		Score: e.verdict.Score, Threshold: e.verdict.Threshold, Ejections: e.verdict.Ejections,
 		IdleMillis:  e.target.reportAgeMillis(now),
@@ -232,4 +239,8 @@
 		HeldByFloor: e.verdict.Phase == eject.LastChoice,
 		InFlight:    e.target.inFlight.Load(), Open: d.available(e, now), MaxRate: e.target.explainRate(now),
 	}
+	if r := e.target.suspect.Load(); r != nil {
+		x.SuccessChance, x.TrialRoom = &r.chance, &r.room
+	}
+	return x
 }
--- a/director/target.go
+++ b/director/target.go
@@ -25,6 +25,8 @@
 	trialOnlyAt atomic.Int64
 	// outOfRetriesAt is when the endpoint's retry budget was last used up.
 	outOfRetriesAt atomic.Int64
+	// suspect is the last report of the chance and room of a suspect, nil while there is none.
+	suspect atomic.Pointer[suspectReport]
 	// maxRate is the rate that the endpoint states, nil before the first load report.
 	maxRate atomic.Pointer[maxRate]
 	// coldUntil is when the endpoint stops being cold, by its own report or else by the estimate of this node.
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -107,6 +107,9 @@
 	if l != nil {
 		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
 			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
+		if load := end.GetLoad(); load != nil && load.SuccessChance != nil {
+			line.Float64("chance", load.GetSuccessChance()).Uint32("room", load.GetTrialRoom())
+		}
 		if m := end.GetLoad().GetMaxRate(); m != nil {
 			line.Float64("max_rate", m.GetRate()).Time("rate_since", time.UnixMilli(m.GetSinceMillis()).UTC()).
 				Uint64("rate_refused", m.GetRefused()).Uint64("rate_delayed", m.GetDelayed())
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -60,6 +60,8 @@
 	likelyOnly bool
 	// lastResortTries counts the endpoints asked as a last resort.
 	lastResortTries int
+	// suspectOffers counts the suspects that were asked because they had reported room.
+	suspectOffers int
 	// suspectSince is when all endpoints were first found to take only trials.
 	suspectSince time.Time
 	// offers counts the endpoints that were asked for a free slot, remoteOffers those of other halls, waits those in
@@ -163,7 +165,8 @@
 }
 
 // pick chooses the next endpoint. It first asks endpoints that seem to have a free slot, without waiting, then the
-// endpoint with the shortest queue wait, and if all endpoints are under suspicion, one of these.
+// suspects that have room, then the endpoint with the shortest queue wait, and if all endpoints are under suspicion, one
+// of these.
 func (x *exchange) pick(ctx context.Context) (director.Pick, bool, error) {
 	if x.lastResort {
 		return x.pickLast(ctx)
@@ -172,6 +175,9 @@
 		return pick, false, nil
 	}
 	x.offers = maxOffers
+	if pick, ok := x.pickSuspectWithRoom(ctx); ok {
+		return pick, false, nil
+	}
 	if x.waits++; x.waits > maxWaits {
 		return director.Pick{}, true, fault.New(fault.Overloaded, x.call.service.Key, "no endpoint that was asked has capacity in its queue")
 	}
@@ -185,7 +191,7 @@
 		opts.LocalHallOnly = false
 		pick, err = x.g.director.Pick(ctx, opts)
 	}
-	if err != nil && len(x.suspects) > 0 {
+	if err != nil && (len(x.suspects) > 0 || fault.CodeOf(err) == fault.Suspect) {
 		return x.pickSuspect(ctx)
 	}
 	return pick, true, err
@@ -379,7 +385,7 @@
 	if misrouted(end) {
 		return x.refreshConfig(ctx, end)
 	}
-	if egressFull(end) && len(x.suspects) > 0 && !x.lastResort {
+	if egressFull(end) && !x.lastResort && x.hasSuspects(ctx) {
 		x.lastResort, x.likelyOnly = true, true
 		return true
 	}
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -203,11 +203,15 @@
 	return w.Body.String()
 }
 
-func ingressWith(t *testing.T, s *table.State, local Local) *Ingress {
+func ingressWith(t *testing.T, s *table.State, local Local, change ...func(*Config, *director.Config)) *Ingress {
 	t.Helper()
 	log := zerolog.Nop()
 	state := func() *table.State { return s }
-	d := director.New(director.Config{Hall: "hall-1"}, &log, state,
+	cfg, directorConfig := Config{Host: "h1"}, director.Config{Hall: "hall-1"}
+	for _, c := range change {
+		c(&cfg, &directorConfig)
+	}
+	d := director.New(directorConfig, &log, state,
 		func(string) bool { return false }, func(string) bool { return true })
 	if err := d.Start(t.Context()); err != nil {
 		t.Fatal(err)
@@ -218,5 +222,5 @@
 		t.Fatal(err)
 	}
 	snap := &configsync.Snapshot{State: s, Ready: true}
-	return New(Config{Host: "h1"}, &log, func() *configsync.Snapshot { return snap }, d, nil, local, m)
+	return New(cfg, &log, func() *configsync.Snapshot { return snap }, d, nil, local, m)
 }
--- a/ingress/lastresort.go
+++ b/ingress/lastresort.go
@@ -64,6 +64,6 @@
 			opts.Exclude = append(slices.Clone(opts.Exclude), key)
 		}
 	}
-	pick, err := x.g.director.Pick(ctx, opts)
+	pick, err := x.g.director.PickLastResort(ctx, opts, x.call.repeatable)
 	return pick, true, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -168,7 +168,7 @@
 	d := director.New(director.Config{
 		Host: n.cfg.Node.ID, Hall: n.cfg.Node.Hall, HallHosts: func() []string { return follower.Snapshot().HallHosts },
 		RegionOf:     func(hall string) string { return follower.Snapshot().RegionOf(hall) },
-		InterHallRTT: interHallRTT, Ejection: n.ejectionConfig(),
+		InterHallRTT: interHallRTT, Ejection: n.ejectionConfig(), SuspectRoom: n.cfg.Overload.SuspectRoom,
 	}, n.log, follower.State, view.draining, view.usable)
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, follower: follower, limits: limits, tracker: tracker})
