--- a/director/capacity_test.go
+++ b/director/capacity_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -95,3 +97,36 @@
 		})
 	}
 }
+
+// BenchmarkCapacitySuspect reports the time in which a request that found no free slot chooses a suspect and its report
+// arrives, by the number of the service's endpoints, a third of which are suspects with room and the others full.
+func BenchmarkCapacitySuspect(b *testing.B) {
+	for _, n := range []int{8, 32, 128, 512} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := singleHallDirector(b, n)
+			d.cfg.SuspectRoom = true
+			v, err := d.view(b.Context(), "desk")
+			if err != nil {
+				b.Fatal(err)
+			}
+			chance := 0.5
+			suspect := &peerpb.Load{Trial: true, SuccessChance: &chance, TrialRoom: 1}
+			for i := range v.entries {
+				e := &v.entries[i]
+				e.target.latency.Store(math.Float64bits(float64(time.Second)))
+				if i%3 == 0 {
+					e.target.applyLoad(time.Now(), suspect)
+					e.target.suspect.Store(newSuspectReport(time.Now(), suspect, 1))
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p, ok := d.PickSuspect(b.Context(), SuspectOptions{PickOptions: PickOptions{Service: "desk", Repeatable: true}})
+				if !ok {
+					b.Fatal("no suspect was chosen")
+				}
+				d.Done(Report{Service: "desk", Pick: p, Load: suspect})
+			}
+		})
+	}
+}
--- a/director/suspect.go
+++ b/director/suspect.go
@@ -158,7 +158,8 @@
 // suspectsOf returns the suspects and the other endpoints that the options leave to choose. A suspect without a recent
 // report is neither: nothing is known of it.
 func (d *Director) suspectsOf(v *view, opts PickOptions, now time.Time) suspectSet {
-	var set suspectSet
+	n := len(v.entries)
+	set := suspectSet{suspects: make([]balance.Suspect, 0, n), entryIndexes: make([]int, 0, n), others: make([]balance.Candidate, 0, n)}
 	for i := range v.entries {
 		e := &v.entries[i]
 		if !opts.permits(e.endpoint.Key) || e.ejected() || !d.available(e, now) || !d.inAllowedRegion(e, opts) {
