--- a/breaker/trials_test.go
+++ b/breaker/trials_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 )
@@ -155,3 +156,15 @@
 		t.Fatalf("unanswered trials after %d successes with %d slots: got %d, want at most %d", successes, slots, got, limit)
 	}
 }
+
+// maxTrialBytes is the memory of one trial in flight that docs/CAPACITY.md states.
+const maxTrialBytes = 40
+
+// TestSizes guards against memory for each trial beyond what is stated.
+func TestSizes(t *testing.T) {
+	got := unsafe.Sizeof(trial{})
+	t.Logf("a trial in flight takes %d bytes", got)
+	if got > maxTrialBytes {
+		t.Errorf("trial: got %d bytes, want at most %d", got, maxTrialBytes)
+	}
+}
--- a/director/suspect_test.go
+++ b/director/suspect_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
@@ -178,3 +179,15 @@
 	}
 	return out.String()
 }
+
+// maxReportBytes is the memory of one suspect's report that docs/CAPACITY.md states.
+const maxReportBytes = 48
+
+// TestSizes guards against memory for each suspect beyond what is stated.
+func TestSizes(t *testing.T) {
+	got := unsafe.Sizeof(suspectReport{})
+	t.Logf("a report of a suspect takes %d bytes", got)
+	if got > maxReportBytes {
+		t.Errorf("report: got %d bytes, want at most %d", got, maxReportBytes)
+	}
+}
--- a/egress/status.go
+++ b/egress/status.go
@@ -16,6 +16,11 @@
 	Draining bool `json:"leaving"`
 	// Trial is set while its breaker lets only trials through.
 	Trial bool `json:"trial"`
+	// TrialsRunning is the number of trials in flight. SuccessChance is the chance that a suspect answers, nil unless the
+	// setting suspect_room is on, and TrialRoom how many more trials it takes.
+	TrialsRunning int      `json:"trials_running,omitempty"`
+	SuccessChance *float64 `json:"success_chance,omitempty"`
+	TrialRoom     int      `json:"trial_room,omitempty"`
 	// Service is the endpoint's service.
 	Service string `json:"service"`
 	// MaxRate is the rate that the endpoint states that it takes, in requests a second, nil for none.
@@ -39,6 +44,7 @@
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Draining: load.GetLeaving(), Trial: load.GetTrial(),
 			Arrivals: l.arrivalCounts(), Service: l.serviceName(), RateRefused: rate.Refused, RateDelayed: rate.Delayed,
+			TrialsRunning: l.runningTrials(), SuccessChance: load.SuccessChance, TrialRoom: int(load.GetTrialRoom()),
 		}
 		if limited {
 			status.MaxRate = &rate.Rate
--- a/egress/suspect.go
+++ b/egress/suspect.go
@@ -30,6 +30,13 @@
 	return id, ok
 }
 
+// runningTrials returns the number of trials in flight.
+func (l *localEndpoint) runningTrials() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.trials)
+}
+
 // overdueTrials returns the runs that are trials and have taken too long by a time, oldest first; the lock must be
 // held.
 func (l *localEndpoint) overdueTrials(at time.Time) []uint64 {
--- a/egress/suspect_test.go
+++ b/egress/suspect_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lynxplank/lynxplank/admission"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
@@ -144,3 +146,18 @@
 		t.Errorf("third request: got %q, want %q", got, want)
 	}
 }
+
+// maxSuspectBytes is what a load report of a suspect takes more than another, as docs/CAPACITY.md states.
+const maxSuspectBytes = 11
+
+// TestSizes guards against load reports that grow beyond what is stated.
+func TestSizes(t *testing.T) {
+	load := newSuspect(t, 4).loadReport(0, 0)
+	with := proto.Size(load)
+	load.SuccessChance, load.TrialRoom = nil, 0
+	got := with - proto.Size(load)
+	t.Logf("a load report of a suspect takes %d bytes more", got)
+	if got > maxSuspectBytes {
+		t.Errorf("load report: got %d bytes more, want at most %d", got, maxSuspectBytes)
+	}
+}
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -136,7 +136,7 @@
 // The gauges keep their outer names: draining endpoints are shown as leaving, retries as further sends, blocked requests as
 // barred.
 func (s *sampler) sampleWork() {
-	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
+	var busy, waiting, trials, trialsRunning, trialRoom, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
@@ -150,6 +150,8 @@
 		if e.Trial {
 			trials++
 		}
+		trialsRunning += float64(e.TrialsRunning)
+		trialRoom += float64(e.TrialRoom)
 		if e.Draining {
 			draining++
 		}
@@ -168,6 +170,8 @@
 	s.metrics.Gauge("slots_busy", busy)
 	s.metrics.Gauge("queued", waiting)
 	s.metrics.Gauge("endpoints_on_trial", trials)
+	s.metrics.Gauge("trials_running", trialsRunning)
+	s.metrics.Gauge("trial_room", trialRoom)
 	s.metrics.Gauge("endpoints_leaving", draining)
 	s.metrics.Gauge("sends_first", first)
 	s.metrics.Gauge("sends_further", retries)
