--- a/ingress/suspect_test.go
+++ b/ingress/suspect_test.go
@@ -83,7 +83,7 @@
 			return i < hangingEndpoints && time.Since(start)/spell%2 == 1
 		}))
 	}
-	s := fleetWithTarget(t, addresses)
+	s := withTarget(t, fleetWithTarget(t, addresses), 3*service)
 	log := zerolog.Nop()
 	local := &countingLocal{Egress: egress.New(egress.Config{
 		Host: "h1", ProbeInterval: time.Second, KeyWindow: time.Minute, KeyBytes: 1 << 20,
