Merge suspects as last-resort capacity

Cause: a third to half of a service's slots are those of endpoints with an open breaker, most of them idle while requests wait (docs/OVERLOAD.md, part 6). Conclusion: only with overload.suspect_room, which the template of the settings does not turn on yet.

--- a/egress/local.go
+++ b/egress/local.go
@@ -49,9 +49,11 @@
 
 	mu      sync.Mutex
 	breaker *breaker.Breaker
-	// monitor watches the in-flight requests; trialID is the one of them that is the breaker's trial, 0 for none.
+	// monitor watches the in-flight requests; trials are those of them that are trials of the breaker.
 	monitor breaker.InflightMonitor
-	trialID uint64
+	trials  trials
+	// suspectRoom is the setting Config.SuspectRoom.
+	suspectRoom bool
 	// dueSinks are the sinks of in-flight requests whose senders asked to be told when an answer is due.
 	dueSinks map[uint64]peer.Sink
 	// openedByMonitor is set while the breaker is open because of in-flight requests alone.
@@ -114,6 +116,7 @@
 		latencies: latency.NewModels(), retryBudget: retry.NewBudget(time.Now(), cfg.Retries.Window, cfg.ConvergenceTime),
 		arrivals: arrivals{loggedAt: time.Now()}, coldLimiter: coldstart.NewLimiter(c(), cfg.ColdLimit), clock: c,
 		maxRate: maxrate.NewLimiter(), reclaims: cfg.ReclaimSlots, nestedFirst: cfg.NestedFirst,
+		trials: make(trials), suspectRoom: cfg.SuspectRoom,
 	}
 	if cfg.ReclaimSlots {
 		l.use = slotuse.New(time.Now(), int(row.Value.Slots))
@@ -131,6 +134,7 @@
 		l.startNewLife()
 	}
 	l.slots = int(row.Value.Slots)
+	l.breaker.SetSlots(l.slots)
 	l.maxWaiting = int(service.Value.Queue)
 	l.applyRateToQueue()
 	l.noteLevels()
@@ -308,7 +312,7 @@
 
 // finishRun frees the slot and counts the run. A request that the endpoint did not run says nothing about its speed.
 func (l *localEndpoint) finishRun(id uint64, service time.Duration, r result, d *peerpb.Dispatch, trial bool) {
-	l.recordResult(id, r, service, d, trial)
+	l.recordResult(id, r, service, d)
 	// Nor does one that was ended for another request: it ended when that request came.
 	if !r.sample || r.reclaimed {
 		service = 0
@@ -335,11 +339,13 @@
 func (l *localEndpoint) loadReport(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &peerpb.Load{
+	load := &peerpb.Load{
 		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.draining.Load(),
 		Trial: l.breaker.State() == breaker.Trial, ColdMicros: l.coldMicros(),
 		MaxRate: l.maxRateReport(),
 	}
+	l.reportSuspect(time.Now(), load)
+	return load
 }
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
@@ -49,33 +50,33 @@
 // refusal. The id names the request in the endpoint's queue.
 func (e *Egress) runAdmissionChecks(
 	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, sink peer.Sink,
-) (trial bool, end *peerpb.End) {
+) (trial breaker.TrialID, end *peerpb.End) {
 	if !l.mayTake(time.Now(), d) {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	if end := e.adoptLeaving(l, d); end != nil {
-		return false, end
+		return 0, end
 	}
 	e.adoptRate(l, d)
 	if end := l.refuseBeyondRate(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Queued()
 	}
 	if end := e.waitForSlot(ctx, l, id, d); end != nil {
-		return false, l.refusedForRate(end)
+		return 0, l.refusedForRate(end)
 	}
 	defer func() { l.logArrivals(time.Now(), e.log) }()
 	if end := l.takeRetry(time.Now(), d); end != nil {
 		l.freeSlot(id, 0)
-		return false, end
+		return 0, end
 	}
 	admission, end := e.waitForRate(ctx, l, d)
 	if end != nil {
 		l.returnRetry(d)
 		l.freeSlot(id, 0)
-		return false, end
+		return 0, end
 	}
 	trial, end = e.confirmDispatch(ctx, l, d, sink, admission)
 	if end != nil {
@@ -109,6 +110,9 @@
 	if l != nil {
 		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
 			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
+		if load := end.GetLoad(); load != nil && load.SuccessChance != nil {
+			line.Float64("chance", load.GetSuccessChance()).Uint32("room", load.GetTrialRoom())
+		}
 		if m := end.GetLoad().GetMaxRate(); m != nil {
 			line.Float64("max_rate", m.GetRate()).Time("rate_since", time.UnixMilli(m.GetSinceMillis()).UTC()).
 				Uint64("rate_refused", m.GetRefused()).Uint64("rate_delayed", m.GetDelayed())
@@ -121,16 +125,16 @@
 // confirmation.
 func (e *Egress) confirmDispatch(
 	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink, admission rateAdmission,
-) (trial bool, end *peerpb.End) {
+) (trial breaker.TrialID, end *peerpb.End) {
 	if _, end := e.find(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if ctx.Err() != nil {
-		return false, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+		return 0, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
 	}
 	ok, trial := l.allowDispatch(time.Now(), d)
 	if !ok {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	due := l.answerDue(d)
 	p, isOffer := sink.(peer.Permitter)
@@ -138,11 +142,11 @@
 		if admission.lapsed(l.clock()) {
 			// The host was suspended meanwhile.
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
+			return 0, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
 		}
 		if !peer.AllowsDispatch(sink) {
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.Stopping, 0)
+			return 0, peer.NotRun(fault.Stopping, 0)
 		}
 		if due > 0 {
 			sink.Due(due)
@@ -165,5 +169,5 @@
 	}
 	e.answers.void(id)
 	l.releaseTrial(trial)
-	return false, end
+	return 0, end
 }
