Nested calls wait no longer than their answer is of use

Cause: a nested call waited until its own deadline, in queues and in rounds.

Change: the node of the endpoint knows the latency target of each request in flight; a nested call waits until that target is over, at least until its own. Dispatch.useful_micros (37) tells the queue.

--- a/egress/local.go
+++ b/egress/local.go
@@ -174,6 +174,10 @@
 func (l *localEndpoint) waitForSlot(ctx context.Context, id uint64, d *peerpb.Dispatch, s *table.State) *peerpb.End {
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
+	if until := usefulUntil(d, time.Now()); l.isNested(d) && !until.IsZero() && until.Before(deadline) {
+		// Waiting longer would hold the slot of the request that the call is made for, for an answer that is late anyway.
+		deadline = until
+	}
 	usual, mean := l.expectedDurations(d)
 	decided, end := l.enqueue(admission.Request{
 		ID: id, Customer: queueCustomer(d), Weight: float64(customer.Value.Weight), Deadline: deadline,
@@ -214,6 +218,16 @@
 	return time.Duration(d.GetBudgetMicros()) * time.Microsecond
 }
 
+// usefulUntil returns when the answer to a request loses most of its value, the zero time if that is not known: when its
+// latency target is over or, for a nested call, that of the request that it is made for.
+func usefulUntil(d *peerpb.Dispatch, now time.Time) time.Time {
+	useful := max(d.GetAimMicros(), d.GetUsefulMicros())
+	if useful == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(useful) * time.Microsecond)
+}
+
 // isNested reports whether a request is served as a nested call.
 func (l *localEndpoint) isNested(d *peerpb.Dispatch) bool { return l.nestedFirst && d.GetNested() }
 
--- a/egress/work.go
+++ b/egress/work.go
@@ -31,7 +31,7 @@
 	ctx, stopTracking := l.trackRun(ctx, run.id, run.start, d)
 	defer stopTracking()
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
-	e.running.Begin(d.GetRequestId(), d.GetRepeat())
+	e.running.Begin(d.GetRequestId(), d.GetRepeat(), usefulUntil(d, run.start))
 	hold := e.budget.NewReservation(d.GetCustomer())
 	defer hold.Release()
 	result := l.run(ctx, d, body, answerHooks{
--- a/inflight/requests.go
+++ b/inflight/requests.go
@@ -1,6 +1,9 @@
 package inflight
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Snapshot describes the in-flight requests of the endpoints beside a node. An ingress uses it to tell whether a call
 // that one of these endpoints makes belongs to a retry.
@@ -11,6 +14,9 @@
 	ForRequest bool
 	// RetryShare is the share of retries among them.
 	RetryShare float64
+	// UsefulUntil is when the answer to the request that was asked for loses most of its value, the zero time if that is
+	// not known.
+	UsefulUntil time.Time
 }
 
 // sends counts in-flight requests: first attempts and retries.
@@ -34,6 +40,8 @@
 // request is what is known of one in-flight request.
 type request struct {
 	sends sends
+	// usefulUntil is when its answer loses most of its value, zero if that is not known.
+	usefulUntil time.Time
 	// callFailed is set once a call that an endpoint made for the request was not served.
 	callFailed bool
 }
@@ -45,11 +53,21 @@
 	byRequest map[string]request
 }
 
-// Begin counts a request that is dispatched to an endpoint; retry is true unless it is the first attempt.
-func (r *Requests) Begin(id string, retry bool) { r.add(id, retry, 1) }
+// Begin counts a request that is dispatched to an endpoint; retry is true unless it is the first attempt. usefulUntil is
+// when its answer loses most of its value, the zero time if that is not known.
+func (r *Requests) Begin(id string, retry bool, usefulUntil time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.add(id, retry, 1)
+	same := r.byRequest[id]
+	same.usefulUntil = usefulUntil
+	r.byRequest[id] = same
+}
 
 // End counts a request that has ended and reports whether MarkCallFailed was called for it while it was in flight.
 func (r *Requests) End(id string, retry bool) (callFailed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.add(id, retry, -1).callFailed
 }
 
@@ -65,10 +83,8 @@
 	}
 }
 
-// add changes the counts by n and returns what is known of the request then.
+// add changes the counts by n and returns what is known of the request then; the lock must be held.
 func (r *Requests) add(id string, retry bool, n int) request {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.total = r.total.plus(retry, n)
 	same := r.byRequest[id]
 	same.sends = same.sends.plus(retry, n)
@@ -88,7 +104,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if same, ok := r.byRequest[id]; ok && id != "" {
-		return Snapshot{Total: r.total.total(), ForRequest: true, RetryShare: same.sends.retryShare()}
+		return Snapshot{Total: r.total.total(), ForRequest: true, RetryShare: same.sends.retryShare(), UsefulUntil: same.usefulUntil}
 	}
 	return Snapshot{Total: r.total.total(), RetryShare: r.total.retryShare()}
 }
--- a/inflight/requests_test.go
+++ b/inflight/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // TestMarksEndWithTheirRequests guards against marks of failed calls that outlive their requests, that reach another request
@@ -10,13 +11,13 @@
 func TestMarksEndWithTheirRequests(t *testing.T) {
 	var r Requests
 	r.MarkCallFailed("a")
-	r.Begin("a", false)
+	r.Begin("a", false, time.Time{})
 	if r.End("a", false) {
 		t.Error("marked before it began: got marked, want not")
 	}
-	r.Begin("a", false)
-	r.Begin("a", true)
-	r.Begin("b", false)
+	r.Begin("a", false, time.Time{})
+	r.Begin("a", true, time.Time{})
+	r.Begin("b", false, time.Time{})
 	r.MarkCallFailed("a")
 	if !r.End("a", false) || !r.End("a", true) {
 		t.Error("two sends of a marked request: got one not marked, want both marked")
@@ -24,7 +25,7 @@
 	if r.End("b", false) {
 		t.Error("another request: got marked, want not")
 	}
-	r.Begin("a", false)
+	r.Begin("a", false, time.Time{})
 	if r.End("a", false) {
 		t.Error("a later request of the same id: got marked, want not")
 	}
@@ -37,11 +38,11 @@
 func BenchmarkMarkedRequest(b *testing.B) {
 	var r Requests
 	for i := range 1000 {
-		r.Begin(fmt.Sprint("other-", i), false)
+		r.Begin(fmt.Sprint("other-", i), false, time.Time{})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Begin("a", false)
+		r.Begin("a", false, time.Time{})
 		r.MarkCallFailed("a")
 		r.End("a", false)
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -46,9 +46,11 @@
 	fromRetryChance float64
 	// nested is set for a call that the endpoint beside this node makes while it handles another request, if the setting
 	// is on; parent is the id of that request, "" if only the route tells that it is such a call.
-	nested  bool
-	parent  string
-	timeout time.Duration
+	// usefulUntil is when an answer to it loses most of its value for that request, zero if that is not known.
+	nested      bool
+	parent      string
+	usefulUntil time.Time
+	timeout     time.Duration
 	// fingerprint identifies what the request asks for; it is the same each time the request is sent.
 	fingerprint poison.Fingerprint
 	key         string
@@ -139,7 +141,7 @@
 	if work.ForRequest {
 		c.fromRetry = work.RetryShare > 0
 		if c.nested {
-			c.parent = parent
+			c.parent, c.usefulUntil = parent, work.UsefulUntil
 		}
 		return
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -349,7 +349,7 @@
 		Priority: x.call.rank(x.g.snapshot().State), Keyed: x.call.hasCustomerKey, AimMicros: x.latencyTargetLeft().Microseconds(),
 		MaxRate: pick.MaxRate, ToldLeaving: pick.ToldLeaving,
 		UsualMicros: x.g.routeStats.medianTime(x.call.route.Key, x.latencyTarget()).Microseconds(), Content: x.call.fingerprint[:],
-		Nested: x.call.nested,
+		Nested: x.call.nested, UsefulMicros: x.usefulLeft(deadline).Microseconds(),
 	}
 	if len(x.body.data) <= inlineBody {
 		d.Body = x.body.data
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -45,7 +46,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	next, pause, ok := x.rounds.next(rejection{
-		code: cause, outcome: end.GetOutcome(), mayHaveRun: x.ran || x.mayHaveRun, left: x.timeLeft(deadline),
+		code: cause, outcome: end.GetOutcome(), mayHaveRun: x.ran || x.mayHaveRun, left: cmp.Or(x.usefulLeft(deadline), x.timeLeft(deadline)),
 		usual: x.g.routeStats.medianTime(x.call.route.Key, x.latencyTarget()),
 	})
 	if !ok || !x.pause(ctx, pause) || !x.takePermit(ctx) {
@@ -56,6 +57,17 @@
 	return true
 }
 
+// usefulLeft returns how long an answer to a nested call is of use: until the latency target of the request that it is made
+// for is over, and at least until its own is. It is 0 for other requests and where that target is not known. A call that
+// waits longer keeps a slot of its caller's endpoint for an answer that is late.
+func (x *exchange) usefulLeft(deadline time.Time) time.Duration {
+	if !x.call.nested || x.call.usefulUntil.IsZero() {
+		return 0
+	}
+	useful := max(time.Until(x.call.usefulUntil), x.latencyTargetLeft(), time.Microsecond)
+	return min(useful, x.timeLeft(deadline))
+}
+
 // pause waits and reports whether the request may go on: it may not once its context has ended or the node dispatches
 // nothing any more.
 func (x *exchange) pause(ctx context.Context, d time.Duration) bool {
