Egress: slots of runs that an outage has swallowed are reclaimed after it

Cause: once a breaker has closed and the endpoint answers again, rule (d) kept repeatable runs from the outage: the endpoint had answered something since they began.

Change: a run without an answer when the breaker closes is abandoned, and qualifies as with an open breaker.

Ruled out: reporting room for reclaimable slots at suspects (trial of the emulator, no gain).

--- a/egress/hang.go
+++ b/egress/hang.go
@@ -144,6 +144,7 @@
 	if before != breaker.Closed && l.breaker.State() == breaker.Closed {
 		l.openedByMonitor = false
 		l.monitor.Reset()
+		l.runs.breakerClosed()
 	}
 }
 
--- a/egress/reclaim.go
+++ b/egress/reclaim.go
@@ -28,6 +28,9 @@
 	// answering is set once an answer has begun, ended once the run was chosen to be ended.
 	answering bool
 	ended     bool
+	// abandoned is set for a run that began before the breaker closed and had no answer by then: the outage has swallowed
+	// it, and answers to later requests say nothing of it.
+	abandoned bool
 	// cancel ends the run; the decisions here do not use it.
 	cancel func()
 }
@@ -77,6 +80,13 @@
 	return !r.ended
 }
 
+// breakerClosed records that the breaker has closed after an outage.
+func (s *runSet) breakerClosed() {
+	for _, r := range s.runs {
+		r.abandoned = r.abandoned || r.silent()
+	}
+}
+
 func (s *runSet) end(id uint64) {
 	s.runs = slices.DeleteFunc(s.runs, func(r *trackedRun) bool { return r.id == id })
 }
@@ -84,8 +94,8 @@
 // reclaim chooses the run to be ended for a request that needs a slot: the oldest one that qualifies, nil if none does.
 // survival must return 1 for kinds of requests that the model does not know.
 //
-// A run does not qualify while the breaker is closed and the endpoint has answered anything since the run began. An
-// endpoint that is only slow must not lose its runs: while its last answer was overdue, all of them are kept for
+// A run that began after the last outage does not qualify while the breaker is closed and the endpoint has answered
+// anything since the run began. An endpoint that is only slow must not lose its runs: while its last answer was overdue, all of them are kept for
 // slowFactor times as long, else only the oldest one, whose answer would show that the endpoint is slow.
 func (s *runSet) reclaim(now time.Time, breakerOpen bool, survival breaker.Survival) *trackedRun {
 	witnessed := s.slow
@@ -98,7 +108,7 @@
 		if isWitness || s.slow && !r.overdue(now, slowFactor, survival) {
 			continue
 		}
-		if r.endable && (breakerOpen || !s.lastAnswer.After(r.start)) {
+		if r.endable && (breakerOpen || r.abandoned || !s.lastAnswer.After(r.start)) {
 			r.ended = true
 			return r
 		}
--- a/egress/reclaimscript_test.go
+++ b/egress/reclaimscript_test.go
@@ -27,6 +27,7 @@
 //	begin id=N kind=K [unrepeatable] [claimed] [streamed]   starts a run
 //	answer id=N [failed]                 begins the answer to a run
 //	done id=N                            ends a run
+//	closes                               has the breaker close after an outage
 //	need open|closed                     prints which run is ended for a request that needs a slot, by the breaker's state
 //	wait for=40ms                        lets time pass
 //	load open|closed|off slots=N every=5ms kind=K takes=T [hangs=N] for=D   has requests arrive at an endpoint that answers
@@ -53,6 +54,8 @@
 					return "ends none\n"
 				}
 				return fmt.Sprintf("ends %d after %v\n", r.id, s.now.Sub(r.start))
+			case "closes":
+				s.runs.breakerClosed()
 			case "load":
 				return s.load(t, d)
 			case "wait":
