--- a/cli/reports.go
+++ b/cli/reports.go
@@ -17,6 +17,7 @@
 
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/ratelimit"
 	"github.com/lynxplank/lynxplank/settings"
@@ -126,12 +127,52 @@
 			lines = append(lines, []string{
 				node.String(), e.Endpoint, e.Phase, strconv.FormatBool(e.Open), e.Test,
 				strconv.FormatFloat(e.Score, 'f', 1, 64), strconv.FormatFloat(e.Threshold, 'f', 1, 64),
-				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e), statedRate(e),
+				strconv.FormatBool(e.HeldByFloor), strconv.Itoa(e.Ejections), evacuation(e), statedRate(e), suspicion(e),
 			})
 		}
 	}
-	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE"}
-	return a.printReport(values, head, lines)
+	head := []string{"NODE", "ENDPOINT", "PHASE", "OPEN", "TEST", "SCORE", "THRESHOLD", "HELD BY FLOOR", "EJECTIONS", "EVACUATED", "MAX RATE", "SUSPECT"}
+	if err := a.printReport(values, head, lines); err != nil {
+		return err
+	}
+	return a.printThrottles(f.Arg(0))
+}
+
+// printThrottles prints, for each node and route of a service, the requests of the last 2 s and the throttled share. It
+// skips nodes of a version without throttles, and prints nothing in a format for programs, whose output is one list.
+func (a *app) printThrottles(service string) error {
+	if a.format != "table" {
+		return nil
+	}
+	var lines [][]string
+	for _, node := range a.cfg.Nodes {
+		var list []ingress.Throttle
+		if err := a.askNode(node, operator.PathThrottles+"?service="+url.QueryEscape(service), &list); err != nil {
+			continue
+		}
+		for _, t := range list {
+			lines = append(lines, []string{
+				node.String(), t.Route, strconv.Itoa(t.Requests), strconv.Itoa(t.Accepted), strconv.Itoa(t.Throttled),
+				strconv.FormatFloat(t.Share, 'f', 2, 64),
+			})
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	fmt.Fprintln(a.out)
+	return printTable(a.out, []string{"NODE", "ROUTE", "REQUESTS", "ACCEPTED", "THROTTLED", "SHARE"}, lines)
+}
+
+// suspicion says how likely a suspect is to answer, and how many more requests it takes.
+func suspicion(e director.Explanation) string {
+	switch {
+	case !e.Trial:
+		return "-"
+	case e.SuccessChance == nil || e.TrialRoom == nil:
+		return "trials only"
+	}
+	return fmt.Sprintf("chance %.2f, room %d", *e.SuccessChance, *e.TrialRoom)
 }
 
 // statedRate says which rate an endpoint states, since when, and what that has cost.
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
@@ -22,7 +23,8 @@
 	}
 	e.updateColdReport(l)
 	stopwatch := e.clock.StartStopwatch()
-	trial, end := e.runAdmissionChecks(ctx, l, d, sink)
+	id := e.nextID.Add(1)
+	trial, end := e.runAdmissionChecks(ctx, l, id, d, sink)
 	if end != nil {
 		end.Load = l.loadReport(0, e.cfg.Incarnation)
 		e.logRefusal(l, d, end)
@@ -30,7 +32,7 @@
 	}
 	ctx, cancel := subtractSuspension(ctx, stopwatch)
 	defer cancel()
-	return e.runAt(ctx, l, d, body, sink, trial)
+	return e.runAt(ctx, l, id, d, body, sink, trial)
 }
 
 // subtractSuspension moves the deadline of a request forward by the time for which the host was suspended while the
@@ -45,40 +47,42 @@
 }
 
 // runAdmissionChecks returns nil once a request holds a slot and its sender has confirmed the dispatch, otherwise the
-// refusal.
-func (e *Egress) runAdmissionChecks(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink) (trial bool, end *peerpb.End) {
+// refusal. The id names the request in the endpoint's queue.
+func (e *Egress) runAdmissionChecks(
+	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, sink peer.Sink,
+) (trial breaker.TrialID, end *peerpb.End) {
 	if !l.mayTake(time.Now(), d) {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	if end := e.adoptLeaving(l, d); end != nil {
-		return false, end
+		return 0, end
 	}
 	e.adoptRate(l, d)
 	if end := l.refuseBeyondRate(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if p, ok := sink.(peer.Permitter); ok && d.GetWait() {
 		p.Queued()
 	}
-	if end := e.waitForSlot(ctx, l, d); end != nil {
-		return false, l.refusedForRate(end)
+	if end := e.waitForSlot(ctx, l, id, d); end != nil {
+		return 0, l.refusedForRate(end)
 	}
 	defer func() { l.logArrivals(time.Now(), e.log) }()
 	if end := l.takeRetry(time.Now(), d); end != nil {
-		l.freeSlot(0)
-		return false, end
+		l.freeSlot(id, 0)
+		return 0, end
 	}
 	admission, end := e.waitForRate(ctx, l, d)
 	if end != nil {
 		l.returnRetry(d)
-		l.freeSlot(0)
-		return false, end
+		l.freeSlot(id, 0)
+		return 0, end
 	}
 	trial, end = e.confirmDispatch(ctx, l, d, sink, admission)
 	if end != nil {
 		l.returnAdmission(admission)
 		l.returnRetry(d)
-		l.freeSlot(0)
+		l.freeSlot(id, 0)
 		return trial, end
 	}
 	l.countDispatch(time.Now(), d)
@@ -87,11 +91,11 @@
 }
 
 // waitForSlot waits for a slot of the endpoint, at most until Close, and returns the refusal if there is none.
-func (e *Egress) waitForSlot(ctx context.Context, l *localEndpoint, d *peerpb.Dispatch) *peerpb.End {
+func (e *Egress) waitForSlot(ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch) *peerpb.End {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(e.closeCtx, cancel)()
-	end := l.waitForSlot(ctx, e.nextID.Add(1), d, e.state())
+	end := l.waitForSlot(ctx, id, d, e.state())
 	if end != nil && e.closeCtx.Err() != nil {
 		return peer.NotRun(fault.Draining, drainRetryAfter)
 	}
@@ -106,6 +110,9 @@
 	if l != nil {
 		line.Uint32("busy", end.GetLoad().GetBusy()).Uint32("queued", end.GetLoad().GetQueued()).
 			Uint32("slots", end.GetLoad().GetSlots()).Str("breaker", l.breakerState().String())
+		if load := end.GetLoad(); load != nil && load.SuccessChance != nil {
+			line.Float64("chance", load.GetSuccessChance()).Uint32("room", load.GetTrialRoom())
+		}
 		if m := end.GetLoad().GetMaxRate(); m != nil {
 			line.Float64("max_rate", m.GetRate()).Time("rate_since", time.UnixMilli(m.GetSinceMillis()).UTC()).
 				Uint64("rate_refused", m.GetRefused()).Uint64("rate_delayed", m.GetDelayed())
@@ -118,16 +125,16 @@
 // confirmation.
 func (e *Egress) confirmDispatch(
 	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, sink peer.Sink, admission rateAdmission,
-) (trial bool, end *peerpb.End) {
+) (trial breaker.TrialID, end *peerpb.End) {
 	if _, end := e.find(d); end != nil {
-		return false, end
+		return 0, end
 	}
 	if ctx.Err() != nil {
-		return false, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
+		return 0, peer.NotRun(fault.DeadlineTooShort, shortRetryAfter)
 	}
 	ok, trial := l.allowDispatch(time.Now(), d)
 	if !ok {
-		return false, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
+		return 0, peer.NotRun(fault.Suspect, l.breakerRetryAfter(time.Now()))
 	}
 	due := l.answerDue(d)
 	p, isOffer := sink.(peer.Permitter)
@@ -135,11 +142,11 @@
 		if admission.lapsed(l.clock()) {
 			// The host was suspended meanwhile.
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
+			return 0, peer.NotRun(fault.OfferLapsed, shortRetryAfter)
 		}
 		if !peer.AllowsDispatch(sink) {
 			l.releaseTrial(trial)
-			return false, peer.NotRun(fault.Stopping, 0)
+			return 0, peer.NotRun(fault.Stopping, 0)
 		}
 		if due > 0 {
 			sink.Due(due)
@@ -162,5 +169,5 @@
 	}
 	e.answers.void(id)
 	l.releaseTrial(trial)
-	return false, end
+	return 0, end
 }
--- a/egress/status.go
+++ b/egress/status.go
@@ -16,6 +16,11 @@
 	Draining bool `json:"leaving"`
 	// Trial is set while its breaker lets only trials through.
 	Trial bool `json:"trial"`
+	// TrialsRunning is the number of trials in flight. SuccessChance is the chance that a suspect answers, nil unless the
+	// setting suspect_room is on, and TrialRoom how many more trials it takes.
+	TrialsRunning int      `json:"trials_running,omitempty"`
+	SuccessChance *float64 `json:"success_chance,omitempty"`
+	TrialRoom     int      `json:"trial_room,omitempty"`
 	// Service is the endpoint's service.
 	Service string `json:"service"`
 	// MaxRate is the rate that the endpoint states that it takes, in requests a second, nil for none.
@@ -23,6 +28,10 @@
 	// RateRefused and RateDelayed count the requests that were refused, and that had to wait, because of a stated rate.
 	RateRefused uint64 `json:"rate_refused,omitempty"`
 	RateDelayed uint64 `json:"rate_delayed,omitempty"`
+	// NestedStarts counts the nested calls that started, Displaced the waiting requests that were refused for the place of
+	// one.
+	NestedStarts uint64 `json:"nested_starts,omitempty"`
+	Displaced    uint64 `json:"displaced,omitempty"`
 	// Arrivals counts what was dispatched to it since the node started.
 	Arrivals Arrivals `json:"arrivals"`
 }
@@ -35,10 +44,13 @@
 	for _, l := range e.endpoints {
 		load := l.loadReport(0, 0)
 		rate, limited := l.maxRateStatus()
+		counts := l.queueCounts()
 		status := Status{
 			Endpoint: l.key, Busy: int(load.GetBusy()), Waiting: int(load.GetQueued()),
 			Finished: load.GetFinished(), Failed: load.GetFailed(), Draining: load.GetLeaving(), Trial: load.GetTrial(),
 			Arrivals: l.arrivalCounts(), Service: l.serviceName(), RateRefused: rate.Refused, RateDelayed: rate.Delayed,
+			TrialsRunning: l.runningTrials(), SuccessChance: load.SuccessChance, TrialRoom: int(load.GetTrialRoom()),
+			NestedStarts: counts.NestedStarts, Displaced: counts.Displaced,
 		}
 		if limited {
 			status.MaxRate = &rate.Rate
--- a/egress/work.go
+++ b/egress/work.go
@@ -6,15 +6,16 @@
 	"net/http"
 	"time"
 
+	"github.com/lynxplank/lynxplank/breaker"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/peer"
 )
 
-// runAt runs a request that holds a slot, stores its answer if the sender may fetch it again, and frees the slot.
+// runAt runs a request that holds a slot under an id, stores its answer if the sender may fetch it again, and frees the slot.
 func (e *Egress) runAt(
-	ctx context.Context, l *localEndpoint, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial bool,
+	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial breaker.TrialID,
 ) *peerpb.End {
 	if d.GetClaim() != nil {
 		var cancel context.CancelFunc
@@ -26,7 +27,7 @@
 	if stored {
 		sink = recording
 	}
-	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: e.nextID.Add(1)}
+	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: id}
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
 	e.running.Begin(d.GetRequestId(), d.GetRepeat())
 	hold := e.budget.NewReservation(d.GetCustomer())
@@ -44,11 +45,12 @@
 
 // endpointRun is one run of a request at an endpoint.
 type endpointRun struct {
-	e     *Egress
-	l     *localEndpoint
-	d     *peerpb.Dispatch
-	trial bool
-	// start is when the run began; id identifies it for the in-flight monitor.
+	e *Egress
+	l *localEndpoint
+	d *peerpb.Dispatch
+	// trial is the run as a trial of the breaker, 0 for none.
+	trial breaker.TrialID
+	// start is when the run began; id identifies it for the queue and the in-flight monitor.
 	start time.Time
 	id    uint64
 	// sentAt is start by the egress's clock.
@@ -75,9 +77,9 @@
 	e, l, d := run.e, run.l, run.d
 	e.running.End(d.GetRequestId(), d.GetRepeat())
 	run.serviceTime = time.Since(run.start) - r.stalledFor
-	l.finishRun(run.id, run.serviceTime, r, d, run.trial)
+	l.finishRun(run.id, run.serviceTime, r, d, run.trial != 0)
 	if r.cause != nil {
-		e.logFailure(l, d, r, run.serviceTime, run.trial)
+		e.logFailure(l, d, r, run.serviceTime, run.trial != 0)
 	}
 	e.logBreakerChange(l)
 	if r.unreachable {
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -7,9 +7,11 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lynxplank/lynxplank/admission"
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/egress"
 	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/ingress"
 	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/peer"
@@ -31,6 +33,7 @@
 	metrics  *metrics.Metrics
 	follower *configsync.Follower
 	egress   *egress.Egress
+	ingress  *ingress.Ingress
 	links    *peer.Manager
 	// events is nil if log lines are not counted.
 	events  eventCounter
@@ -83,6 +86,7 @@
 func (s *sampler) sample(now time.Time) {
 	s.sampleConfig(now)
 	s.sampleWork()
+	s.ingress.SampleThrottles()
 	s.sampleMemory()
 	s.sampleEvents()
 	s.logCalls()
@@ -136,8 +140,9 @@
 // The gauges keep their outer names: draining endpoints are shown as leaving, retries as further sends, blocked requests as
 // barred.
 func (s *sampler) sampleWork() {
-	var busy, waiting, trials, draining, first, retries, callsOfRetries, outOfRetries float64
+	var busy, waiting, trials, trialsRunning, trialRoom, draining, first, retries, callsOfRetries, outOfRetries float64
 	rates := make(map[string]metrics.MaxRates)
+	nested := make(map[string]admission.Counts)
 	for _, e := range s.egress.Statuses() {
 		r := rates[e.Service]
 		if e.MaxRate != nil {
@@ -145,11 +150,15 @@
 		}
 		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
 		rates[e.Service] = r
+		n := nested[e.Service]
+		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
 			trials++
 		}
+		trialsRunning += float64(e.TrialsRunning)
+		trialRoom += float64(e.TrialRoom)
 		if e.Draining {
 			draining++
 		}
@@ -161,6 +170,9 @@
 	for service, r := range rates {
 		s.metrics.Service(service).SetMaxRates(r)
 	}
+	for service, n := range nested {
+		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
+	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
@@ -168,6 +180,8 @@
 	s.metrics.Gauge("slots_busy", busy)
 	s.metrics.Gauge("queued", waiting)
 	s.metrics.Gauge("endpoints_on_trial", trials)
+	s.metrics.Gauge("trials_running", trialsRunning)
+	s.metrics.Gauge("trial_room", trialRoom)
 	s.metrics.Gauge("endpoints_leaving", draining)
 	s.metrics.Gauge("sends_first", first)
 	s.metrics.Gauge("sends_further", retries)
--- a/virtual/overload_exchange.go
+++ b/virtual/overload_exchange.go
@@ -41,18 +41,25 @@
 	sends, begun int
 	// reached is set once an endpoint may have had the request, over once the request has ended.
 	reached, over bool
+	// callLost is set once a run failed because its nested call was not served; pause is until the next start of a call.
+	callLost bool
+	pause    retry.Backoff
 }
 
 // search is what a request has met in looking for an endpoint.
 type search struct {
 	tried, declined, suspects, hedgeDeclined endpointSet
-	offers, waits, lastResortTries           int
+	offers, waits, suspectOffers             int
+	lastResortTries                          int
 	lastResort, likelyOnly                   bool
 	suspectSince                             time.Time
 }
 
 func (f *fleet) newExchange(c *class, n *node) *exchange {
-	return &exchange{fleet: f, n: n, class: c, id: f.newID(), target: f.now.Add(c.target), deadline: f.now.Add(c.deadline)}
+	return &exchange{
+		fleet: f, n: n, class: c, id: f.newID(), target: f.now.Add(c.target), deadline: f.now.Add(c.deadline),
+		pause: retry.Backoff{Initial: minCallPause, Max: maxCallPause},
+	}
 }
 
 // newCall returns the nested call of a run.
@@ -68,6 +75,10 @@
 
 // begin looks for an endpoint and bounds the time until the request ends.
 func (x *exchange) begin() {
+	if x.throttled() {
+		x.settle(false)
+		return
+	}
 	x.after(x.deadline.Sub(x.now)+2*hop, func() { x.finish(false) })
 	x.next()
 }
@@ -82,14 +93,17 @@
 		return
 	}
 	x.offers = maxOffers
+	if x.askSuspect() {
+		return
+	}
 	switch x.waits++; {
 	case x.waits > maxWaits:
-		x.finish(false)
+		x.giveUp()
 	case x.ask(pickOptions{exclude: x.tried | x.suspects, shortest: true}):
-	case x.suspects != 0:
+	case x.suspects != 0 || x.Parts.SuspectRoom && len(x.suspectsOf(x.tried).suspects) > 0:
 		x.waitForSuspect()
 	default:
-		x.finish(false)
+		x.giveUp()
 	}
 }
 
@@ -113,10 +127,15 @@
 // askLast asks a suspect as a last resort.
 func (x *exchange) askLast() {
 	x.lastResort = true
-	x.lastResortTries++
-	if x.lastResortTries > maxLastResortTries || !x.ask(pickOptions{exclude: x.tried | x.declined&^x.suspects}) {
-		x.finish(false)
+	var s *server
+	if x.lastResortTries++; x.lastResortTries <= maxLastResortTries {
+		s = x.pickLast()
+	}
+	if s == nil {
+		x.giveUp()
+		return
 	}
+	x.send(s, true, false)
 }
 
 // ask offers the request to an endpoint; false if there is none.
@@ -128,14 +147,19 @@
 	return s != nil
 }
 
+// canary reports whether the request may be a trial now.
+func (x *exchange) canary() bool { return x.class.repeatable && x.sends == 0 }
+
 // send offers the request to an endpoint.
 func (x *exchange) send(s *server, wait, hedge bool) {
 	a := &attempt{
-		x: x, s: s, id: x.newID(), wait: wait, hedge: hedge, repeat: x.reached || hedge, canary: x.class.repeatable && x.sends == 0,
+		x: x, s: s, id: x.newID(), wait: wait, hedge: hedge, repeat: x.reached || hedge, canary: x.canary(),
 		lastResort: x.lastResort, likelyOnly: x.likelyOnly || !x.class.repeatable,
 	}
 	x.running = append(x.running, a)
-	x.n.views[x.service][s.index].inFlight++
+	v := &x.n.views[x.service][s.index]
+	v.inFlight++
+	v.room--
 	if x.counted {
 		x.result.Offers++
 	}
@@ -144,7 +168,7 @@
 
 // hedge sends the request to a second endpoint while the first attempt is unanswered.
 func (x *exchange) hedge(first *attempt) {
-	if x.over || first.s.running[first.id] == nil || len(x.running)+x.sends >= maxSends || x.n.refusals[x.service].Refusing() {
+	if x.over || !first.running || len(x.running)+x.sends >= maxSends || x.n.refusals[x.service].Refusing() {
 		return
 	}
 	exclude := x.tried | x.declined | x.hedgeDeclined
@@ -162,6 +186,7 @@
 	x.running = slices.DeleteFunc(x.running, func(other *attempt) bool { return other == a })
 	notRun := e.outcome == peerpb.Outcome_OUTCOME_NOT_RUN
 	x.reached = x.reached || !notRun
+	x.callLost = x.callLost || e.failed && e.outcome == peerpb.Outcome_OUTCOME_RAN
 	switch {
 	case x.over:
 	case !e.failed:
@@ -188,11 +213,15 @@
 		x.next()
 		return
 	}
-	if full && x.suspects != 0 && !x.lastResort {
+	if full && !x.lastResort && x.hasSuspects() {
 		x.likelyOnly = true
 		x.askLast()
 		return
 	}
+	if full && x.nestedFirst() {
+		x.next()
+		return
+	}
 	x.sends++
 	r := &x.n.refusals[x.service]
 	r.Record(full)
@@ -204,7 +233,7 @@
 		x.next()
 		return
 	}
-	x.finish(false)
+	x.giveUp()
 }
 
 // afterDeclined asks another endpoint after one that had no free slot or took only trials.
@@ -227,10 +256,15 @@
 		return
 	}
 	x.over = true
+	x.recordCapacity(served)
 	for _, a := range x.running {
 		x.after(hop, func() { a.s.cancel(a) })
 	}
-	served = served && !x.now.After(x.deadline)
+	x.settle(served && !x.now.After(x.deadline))
+}
+
+// settle counts the end of the request and tells the run that made it.
+func (x *exchange) settle(served bool) {
 	if x.counted {
 		x.result.count(x, served, served && !x.now.After(x.target))
 	}
--- a/virtual/overload_node.go
+++ b/virtual/overload_node.go
@@ -8,6 +8,7 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/latency"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/throttle"
 )
 
 // The values of director/target.go and ingress/routes.go.
@@ -34,6 +35,8 @@
 	views    [2][]view
 	times    *latency.Models
 	refusals [2]retry.Refusals
+	// throttles are used with part 5.
+	throttles *throttle.Table
 }
 
 // view is what a node knows of an endpoint. suspectAt is when it last reported that it takes only trials, zero if it
@@ -41,12 +44,15 @@
 type view struct {
 	inFlight, held                   int
 	reportedAt, refusedAt, suspectAt time.Time
-	latency                          time.Duration
-	success                          float64
+	// chance and room are what the endpoint reported at suspectAt.
+	chance  float64
+	room    int
+	latency time.Duration
+	success float64
 }
 
 func newNode(f *fleet) *node {
-	n := &node{fleet: f, times: latency.NewModels()}
+	n := &node{fleet: f, times: latency.NewModels(), throttles: throttle.NewTable()}
 	for service, servers := range f.servers {
 		for range servers {
 			n.views[service] = append(n.views[service], view{success: 1})
@@ -60,11 +66,11 @@
 	return n.times.For(c.name, c.target/latencyTargetDivisor).Quantile(median)
 }
 
-// pickOptions restricts the choice of an endpoint to one that seems to have a free slot, or the one with the shortest
-// wait.
+// pickOptions restricts the choice of an endpoint to one that seems to have a free slot, or to the one with the shortest
+// wait; lastResort leaves in suspects without room.
 type pickOptions struct {
-	exclude            endpointSet
-	needFree, shortest bool
+	exclude                        endpointSet
+	needFree, shortest, lastResort bool
 }
 
 // pick chooses an endpoint of the request's service, nil if there is none.
@@ -73,14 +79,15 @@
 	candidates := make([]balance.Candidate, 0, len(n.views[x.service]))
 	for i := range n.views[x.service] {
 		v := &n.views[x.service][i]
-		outstanding := v.outstanding(n.now)
-		if o.exclude.has(i) || o.needFree && (outstanding >= slotsPerEndpoint || v.refusing(n.now, x)) {
+		c := v.candidate(n.now)
+		if o.exclude.has(i) || o.needFree && (c.Outstanding >= c.Slots || v.refusing(n.now, x)) {
+			continue
+		}
+		if n.Parts.SuspectRoom && !o.lastResort && v.asSuspect(n.now).Full() {
 			continue
 		}
 		indexes[len(candidates)] = i
-		candidates = append(candidates, balance.Candidate{
-			Weight: slotsPerEndpoint, Slots: slotsPerEndpoint, Outstanding: outstanding, Latency: v.latency, SuccessRate: v.success,
-		})
+		candidates = append(candidates, c)
 	}
 	choose := balance.Choose
 	if o.shortest {
@@ -94,8 +101,14 @@
 
 // refusing reports whether the endpoint has just reported that it would refuse such a request.
 func (v *view) refusing(now time.Time, x *exchange) bool {
-	canary := x.class.repeatable && x.sends == 0
-	return now.Sub(v.refusedAt) < refusedTTL || !canary && now.Sub(v.suspectAt) < trialOnlyTTL
+	return now.Sub(v.refusedAt) < refusedTTL || !x.canary() && now.Sub(v.suspectAt) < trialOnlyTTL
+}
+
+// candidate describes the endpoint to the load balancer.
+func (v *view) candidate(now time.Time) balance.Candidate {
+	return balance.Candidate{
+		Weight: slotsPerEndpoint, Slots: slotsPerEndpoint, Outstanding: v.outstanding(now), Latency: v.latency, SuccessRate: v.success,
+	}
 }
 
 // outstanding estimates how many requests the endpoint holds, as director/target.go does.
@@ -112,7 +125,7 @@
 func (n *node) learn(a *attempt, e end) {
 	v := &n.views[a.x.service][a.s.index]
 	v.inFlight--
-	v.held, v.reportedAt, v.suspectAt = e.held, n.now, time.Time{}
+	v.held, v.reportedAt, v.suspectAt, v.chance, v.room = e.held, n.now, time.Time{}, e.chance, e.room
 	if e.suspect {
 		v.suspectAt = n.now
 	}
@@ -123,7 +136,7 @@
 	if ran && !e.failed {
 		n.times.Observe(a.x.class.name, e.service)
 	}
-	if e.suspect || !ran && e.code != fault.DeadlineExceeded {
+	if e.suspect || !ran && e.code != fault.DeadlineExceeded && e.code != fault.EndpointHung {
 		return
 	}
 	success := 0.0
--- /dev/null
+++ b/virtual/overload_parts.go
@@ -0,0 +1,99 @@
+package virtual
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/throttle"
+)
+
+const (
+	// The values of egress/reclaim.go.
+	reclaimShare = 0.02
+	slowFactor   = 4
+	// minCallPause and maxCallPause bound the pauses after which a nested call starts over.
+	minCallPause = 50 * time.Millisecond
+	maxCallPause = 200 * time.Millisecond
+)
+
+// reclaim ends the oldest run that holds a slot without prospect of an answer, as egress/reclaim.go does (part 4).
+func (s *server) reclaim() {
+	if !s.Parts.ReclaimSlots {
+		return
+	}
+	overdue := func(a *attempt, slowdown time.Duration) bool {
+		return s.survival(requestClass(a.x), s.now.Sub(a.started)/slowdown) <= reclaimShare
+	}
+	witnessed := s.lateAnswer
+	i := slices.IndexFunc(s.running, func(a *attempt) bool {
+		if !overdue(a, 1) {
+			return false
+		}
+		isWitness := !witnessed && !overdue(a, slowFactor)
+		witnessed = witnessed || isWitness
+		if isWitness || s.lateAnswer && !overdue(a, slowFactor) {
+			return false
+		}
+		return a.x.class.repeatable && (s.breaker.State() != breaker.Closed || !s.answeredAt.After(a.started))
+	})
+	if i >= 0 {
+		s.finish(s.running[i], end{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, code: fault.EndpointHung, failed: true})
+	}
+}
+
+// nestedFirst reports whether the request is treated as a nested call (parts 2 and 3).
+func (x *exchange) nestedFirst() bool { return x.parent != nil && x.Parts.NestedFirst }
+
+// giveUp ends a request that found no capacity, but has a nested call that has not run start over after a pause, as
+// ingress/rounds.go does (part 3).
+func (x *exchange) giveUp() {
+	spare := x.deadline.Sub(x.now) - x.n.usualTime(x.class)
+	if !x.nestedFirst() || x.reached || spare < minCallPause {
+		x.finish(false)
+		return
+	}
+	x.after(min(x.pause.Next(), spare), func() {
+		if !x.over {
+			x.search = search{suspectSince: x.suspectSince}
+			x.next()
+		}
+	})
+}
+
+// throttle returns the node's throttle for such requests, nil for none (part 5).
+func (x *exchange) throttle() *throttle.Throttle {
+	if x.parent != nil || !x.Parts.EarlyRefusal {
+		return nil
+	}
+	return x.n.throttles.Get(throttle.Key{Service: strconv.Itoa(x.service), Route: x.class.name})
+}
+
+// throttled reports whether the request is rejected at once.
+func (x *exchange) throttled() bool {
+	t := x.throttle()
+	if t == nil || !t.Throttles(x.now, x.random.Float64()) {
+		return false
+	}
+	t.RecordThrottled(x.now, x.random.Float64())
+	return true
+}
+
+// recordCapacity counts the end of a request that was not throttled.
+func (x *exchange) recordCapacity(served bool) {
+	result := throttle.Inconclusive
+	switch {
+	case x.callLost && x.Parts.NestedFirst:
+		result = throttle.Lost
+	case served || x.callLost:
+		result = throttle.Accepted
+	case !x.reached:
+		result = throttle.Rejected
+	}
+	if t := x.throttle(); t != nil {
+		t.Record(x.now, result, 0)
+	}
+}
--- a/virtual/overload_server.go
+++ b/virtual/overload_server.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,12 +32,17 @@
 	monitor   breaker.InflightMonitor
 	latencies *latency.Models
 	budget    *retry.Budget
-	// waiting and running are the attempts in the queue and at the endpoint.
-	waiting, running map[uint64]*attempt
-	hanging          bool
-	// openedByMonitor and trialID are as in the egress.
+	// waiting are the attempts in the queue, running those at the endpoint, in the order in which they began.
+	waiting map[uint64]*attempt
+	running []*attempt
+	hanging bool
+	// checkAt is when the queue is checked next for requests that can no longer be answered in time.
+	checkAt time.Time
+	// openedByMonitor is as in the egress.
 	openedByMonitor bool
-	trialID         uint64
+	// answeredAt is when the endpoint last answered, lateAnswer whether that answer was overdue.
+	answeredAt time.Time
+	lateAnswer bool
 }
 
 // attempt is one send of a request.
@@ -47,8 +53,10 @@
 	// wait lets the attempt queue, repeat has it take from the retry budget, hedge marks a second concurrent one.
 	wait, repeat, hedge            bool
 	canary, lastResort, likelyOnly bool
-	trial, hung                    bool
-	started                        time.Time
+	running, hung                  bool
+	// trial is 0 for an attempt that is no trial, or is overdue as such.
+	trial   breaker.TrialID
+	started time.Time
 }
 
 // end is how an attempt ended, with the endpoint's load.
@@ -59,14 +67,20 @@
 	service time.Duration
 	held    int
 	suspect bool
+	// chance and room are what a suspect reports.
+	chance float64
+	room   int
 }
 
 func newServer(f *fleet, index, servers int) *server {
+	cfg := breaker.DefaultConfig()
+	cfg.SlowStart = f.Parts.SuspectRoom
 	s := &server{
-		fleet: f, index: index, breaker: breaker.New(breaker.DefaultConfig()), latencies: latency.NewModels(),
+		fleet: f, index: index, breaker: breaker.New(cfg), latencies: latency.NewModels(),
 		queue:  admission.NewQueue(slotsPerEndpoint, overloadQueueLength, f.newRandom(uint64(100*servers+index))), //nolint:gosec // small
-		budget: retry.NewBudget(f.now, retryWindow, 0), waiting: make(map[uint64]*attempt), running: make(map[uint64]*attempt),
+		budget: retry.NewBudget(f.now, retryWindow, 0), waiting: make(map[uint64]*attempt),
 	}
+	s.breaker.SetSlots(slotsPerEndpoint)
 	slack := retry.FleetSlack{Slack: overloadRetrySlack, Window: retryWindow, MaxShare: overloadRetrySlack}
 	s.budget.SetSlack(f.now, slack.EndpointShare(servers, index))
 	s.scheduleSpell()
@@ -92,10 +106,10 @@
 		s.refuse(a, fault.Suspect)
 		return
 	}
-	x := a.x
+	x, model := a.x, s.model(requestClass(a.x))
 	r := admission.Request{
 		ID: a.id, Customer: strconv.Itoa(x.customer), Priority: x.class.rank, NoWait: !a.wait, TargetTime: x.target, Deadline: x.deadline,
-		ServiceTime: s.model(requestClass(x)).Quantile(expectedQuantile),
+		Kind: x.class.name, ServiceTime: model.Quantile(expectedQuantile), SlotTime: model.Mean(), Nested: x.nestedFirst(),
 	}
 	if x.parent != nil {
 		r.Customer = "request " + strconv.FormatUint(x.id, 10)
@@ -103,6 +117,9 @@
 	s.waiting[a.id] = a
 	d, evicted := s.queue.Offer(s.now, r)
 	s.apply(append(evicted, d))
+	if d.Action == admission.Wait || d.Code == fault.Busy {
+		s.reclaim()
+	}
 }
 
 // takesLastResort reports whether the endpoint accepts an attempt although its breaker is open.
@@ -110,7 +127,7 @@
 	return a.lastResort && (!a.likelyOnly || s.breaker.LikelyToSucceed())
 }
 
-// apply carries out the decisions of the queue.
+// apply carries out decisions of the queue and schedules its next check.
 func (s *server) apply(list []admission.Decision) {
 	for _, d := range list {
 		a := s.waiting[d.ID]
@@ -122,16 +139,24 @@
 			delete(s.waiting, d.ID)
 			s.refuse(a, d.Code)
 		case admission.Wait:
-			s.after(d.Until.Sub(s.now), func() { s.apply(s.queue.Expire(s.now)) })
 		}
 	}
+	at, ok := s.queue.NextCheck(s.now)
+	if ok && !at.Equal(s.checkAt) {
+		s.after(at.Sub(s.now), func() {
+			if s.checkAt.Equal(at) {
+				s.apply(s.queue.Expire(s.now))
+			}
+		})
+	}
+	s.checkAt = at
 }
 
 // dispatch begins an attempt that holds a slot, unless the retry budget or the breaker forbids it.
 func (s *server) dispatch(a *attempt) {
 	code := fault.RetryBudget
 	if !a.repeat || s.budget.Take(s.now) {
-		ok, trial := s.breaker.Allow(s.now, a.canary)
+		ok, trial := s.breaker.Allow(s.now, breaker.Request{Repeatable: a.canary, MedianTime: s.model(requestClass(a.x)).Quantile(median)})
 		if a.trial = trial; ok || s.takesLastResort(a) {
 			s.begin(a)
 			return
@@ -142,7 +167,7 @@
 		}
 	}
 	s.refuse(a, code)
-	s.apply(s.queue.Done(s.now, 0))
+	s.apply(s.queue.Done(s.now, a.id, 0))
 }
 
 // begin starts the work of an attempt.
@@ -152,11 +177,8 @@
 	if !a.repeat {
 		s.budget.CountRequest(s.now, overloadRetryShare)
 	}
-	a.started, s.running[a.id] = s.now, a
+	a.started, a.running, s.running = s.now, true, append(s.running, a)
 	s.monitor.Begin(s.now, a.id, requestClass(x))
-	if a.trial {
-		s.trialID = a.id
-	}
 	a.hung = s.hanging && s.random.Float64() < unansweredShare
 	if !a.hung {
 		s.after(x.work, func() { s.worked(a) })
@@ -172,7 +194,7 @@
 // worked ends an attempt whose own work is done, after its nested call if it makes one.
 func (s *server) worked(a *attempt) {
 	answer := func(served bool) { s.finish(a, end{outcome: peerpb.Outcome_OUTCOME_RAN, failed: !served}) }
-	if a.x.callWork == 0 || s.running[a.id] == nil {
+	if a.x.callWork == 0 || !a.running {
 		answer(true)
 		return
 	}
@@ -197,21 +219,24 @@
 
 // finish ends a running attempt and frees its slot; it does nothing for one that has ended.
 func (s *server) finish(a *attempt, e end) {
-	if s.running[a.id] == nil {
+	if !a.running {
 		return
 	}
-	delete(s.running, a.id)
+	a.running, s.running = false, slices.DeleteFunc(s.running, func(other *attempt) bool { return other == a })
 	e.service = s.now.Sub(a.started)
 	if a.hung && a.x.counted {
 		s.result.HungSeconds += e.service.Seconds()
 	}
+	if e.outcome == peerpb.Outcome_OUTCOME_RAN {
+		s.answeredAt, s.lateAnswer = s.now, !e.failed && s.survivalOf(a) <= reclaimShare
+	}
 	s.record(a, e)
 	s.reply(a, e)
 	service := e.service
 	if e.code == fault.Canceled || e.code == fault.EndpointHung {
 		service = 0 // says nothing about the endpoint's speed
 	}
-	s.apply(s.queue.Done(s.now, service))
+	s.apply(s.queue.Done(s.now, a.id, service))
 }
 
 func (s *server) refuse(a *attempt, code fault.Code) {
@@ -221,5 +246,8 @@
 // reply tells the sender of an attempt how it ended, and the endpoint's load.
 func (s *server) reply(a *attempt, e end) {
 	e.held, e.suspect = s.queue.Busy()+s.queue.Waiting(), s.breaker.State() == breaker.Trial
+	if e.suspect && s.Parts.SuspectRoom {
+		e.chance, e.room = s.breaker.SuccessChance(s.now), min(s.breaker.TrialRoom(s.now), max(0, slotsPerEndpoint-e.held))
+	}
 	s.after(hop, func() { a.x.ended(a, e) })
 }
