--- a/node/sampler.go
+++ b/node/sampler.go
@@ -141,17 +141,9 @@
 // barred.
 func (s *sampler) sampleWork() {
 	var busy, waiting, trials, trialsRunning, trialRoom, draining, first, retries, callsOfRetries, outOfRetries float64
-	rates := make(map[string]metrics.MaxRates)
-	nested := make(map[string]admission.Counts)
-	for _, e := range s.egress.Statuses() {
-		r := rates[e.Service]
-		if e.MaxRate != nil {
-			r.Endpoints++
-		}
-		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
-		rates[e.Service] = r
-		n := nested[e.Service]
-		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
+	statuses := s.egress.Statuses()
+	s.sampleServices(statuses)
+	for _, e := range statuses {
 		busy += float64(e.Busy)
 		waiting += float64(e.Waiting)
 		if e.Trial {
@@ -167,12 +159,6 @@
 		callsOfRetries += e.Arrivals.CallsOfRetries
 		outOfRetries += float64(e.Arrivals.RetriesRefused)
 	}
-	for service, r := range rates {
-		s.metrics.Service(service).SetMaxRates(r)
-	}
-	for service, n := range nested {
-		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
-	}
 	suspected, blocked := s.tracker.Counts()
 	s.metrics.Gauge("fatal_suspected", float64(suspected))
 	s.metrics.Gauge("fatal_barred", float64(blocked))
@@ -192,6 +178,28 @@
 	s.metrics.Gauge("peer_bytes", float64(s.links.Bytes()))
 }
 
+// sampleServices updates the gauges that sum up the endpoints of a service beside this node.
+func (s *sampler) sampleServices(statuses []egress.Status) {
+	rates := make(map[string]metrics.MaxRates)
+	nested := make(map[string]admission.Counts)
+	for _, e := range statuses {
+		r := rates[e.Service]
+		if e.MaxRate != nil {
+			r.Endpoints++
+		}
+		r.Refused, r.Delayed = r.Refused+float64(e.RateRefused), r.Delayed+float64(e.RateDelayed)
+		rates[e.Service] = r
+		n := nested[e.Service]
+		nested[e.Service] = admission.Counts{NestedStarts: n.NestedStarts + e.NestedStarts, Displaced: n.Displaced + e.Displaced}
+	}
+	for service, r := range rates {
+		s.metrics.Service(service).SetMaxRates(r)
+	}
+	for service, n := range nested {
+		s.metrics.Service(service).SetNested(n.NestedStarts, n.Displaced)
+	}
+}
+
 // sampleEvents adds the log lines of each event since the last sample to the metrics.
 func (s *sampler) sampleEvents() {
 	if s.events == nil {
