Slots of hanging endpoints: the ingress gives them up, not the egress

An egress ended a repeatable run for another request 1.03 s after the node that had taken the request from its caller got its stop signal; that node could not send it again, and the caller got 502.

Change: the egress asks the sender (Due.release). The ingress cancels the send unless its answer has begun or its node stops. An answer that begins before the cancellation arrives is passed on; before, it was dropped.

Ruled out: telling the egresses of the stop: whatever message they get, an end may cross it.

Before and after: TestStoppingSenderKeepsItsRun, TestSlotIsYielded; without the check of the stop in mayYield the case "repeatable on a stopping node" fails.

--- a/egress/answerstore.go
+++ b/egress/answerstore.go
@@ -177,6 +177,9 @@
 // ReportOverdue implements peer.Sink.
 func (s *storingSink) ReportOverdue() { s.Sink.ReportOverdue() }
 
+// YieldSlot implements peer.SlotYielder.
+func (s *storingSink) YieldSlot() { peer.RequestSlot(s.Sink) }
+
 // Due implements peer.Sink.
 func (s *storingSink) Due(in time.Duration) { s.Sink.Due(in) }
 
--- a/egress/hung.go
+++ b/egress/hung.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/breaker"
@@ -14,7 +16,7 @@
 	"github.com/lynxplank/lynxplank/upstream"
 )
 
-// errReclaimed is the cause with which the context of a run is canceled when the run is ended for another request.
+// errReclaimed is why a run was ended whose sender gave up its slot.
 var errReclaimed = fault.New(fault.EndpointHung, "slot", "endpoint did not answer, and another request needs the slot")
 
 // newTrackedRun returns a run of the request. One whose body is streamed cannot be sent again.
@@ -25,20 +27,31 @@
 	}
 }
 
-// trackRun adds a run to those of its endpoint and returns a context that ends with errReclaimed when the run is ended
-// for another request.
-func (l *localEndpoint) trackRun(ctx context.Context, id uint64, start time.Time, d *peerpb.Dispatch) (context.Context, context.CancelFunc) {
+// slotRequested is the context key of a run's flag that its sender was asked to give up the slot.
+type slotRequested struct{}
+
+// trackRun adds a run to those of its endpoint and returns its context, which tells whether its sender was asked to give
+// up the slot.
+func (l *localEndpoint) trackRun(ctx context.Context, id uint64, start time.Time, d *peerpb.Dispatch, sink peer.Sink) context.Context {
 	if !l.reclaims {
-		return ctx, func() {}
+		return ctx
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := newTrackedRun(id, start, d)
-	r.cancel = func() { cancel(errReclaimed) }
+	r, requested := newTrackedRun(id, start, d), new(atomic.Bool)
+	r.requestSlot = func() {
+		requested.Store(true)
+		peer.RequestSlot(sink)
+	}
 	l.runs.begin(r)
 	l.use.Begin(start, id, d.GetRoute(), r.class)
-	return ctx, func() { cancel(nil) }
+	return context.WithValue(ctx, slotRequested{}, requested)
+}
+
+// gaveUpSlot reports whether the sender of a run canceled it after it was asked to give up the slot.
+func gaveUpSlot(ctx context.Context) bool {
+	requested, ok := ctx.Value(slotRequested{}).(*atomic.Bool)
+	return ok && requested.Load() && errors.Is(ctx.Err(), context.Canceled)
 }
 
 // untrackRun removes a run that is done, and counts it if it was ended for another request.
@@ -62,18 +75,17 @@
 	return l.reclaimed
 }
 
-// noteAnswer records that the answer to a run has begun; it reports false if the run was ended at the same moment, so
-// that its connection is closed already.
-func (l *localEndpoint) noteAnswer(id uint64, a contract.Answer, resp *upstream.Response) bool {
+// noteAnswer records that the answer to a run has begun.
+func (l *localEndpoint) noteAnswer(id uint64, a contract.Answer, resp *upstream.Response) {
 	if !l.reclaims {
-		return true
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	success := !a.NotRun && !a.Foreign && resp.StatusCode < http.StatusInternalServerError
 	now := time.Now()
 	l.use.Answer(now, id, l.lateAfter)
-	return l.runs.answered(now, id, success, l.knownSurvival)
+	l.runs.answered(now, id, success, l.knownSurvival)
 }
 
 // knownSurvival is survival by the endpoint's own answers: 1 for a kind of request of which it has answered too few. The
@@ -85,11 +97,11 @@
 	return l.survival(class, age)
 }
 
-// reclaimTime is the time in which the slot of a run that is ended becomes free: its connection is closed at once.
-const reclaimTime = 10 * time.Millisecond
+// reclaimTime is the time in which the sender of a run gives up its slot: a round trip between regions (20 ms one way).
+const reclaimTime = 40 * time.Millisecond
 
-// reclaimHungSlot ends a run at an endpoint that hangs, if no slot is free and one qualifies; the lock must be held. The
-// queue then expects the slot to be free shortly: by its usual estimate the run would hold it for as long as it is
+// reclaimHungSlot asks for the slot of a run at an endpoint that hangs, if no slot is free and one qualifies; the lock must
+// be held. The queue then expects the slot to be free shortly: by its usual estimate the run would hold it for as long as it is
 // overdue, and the request that needs the slot would be refused.
 func (l *localEndpoint) reclaimHungSlot(now time.Time) bool {
 	if !l.reclaims || l.queue.Busy() < l.slots {
@@ -99,7 +111,7 @@
 	if r == nil {
 		return false
 	}
-	r.cancel()
+	r.requestSlot()
 	l.queue.Pause(now, r.id, reclaimTime)
 	return true
 }
@@ -107,10 +119,10 @@
 // reclaimedResult is the result of a run that was ended for another request. For the breaker, the monitor and the
 // directors it is a request that the endpoint left unanswered.
 func reclaimedResult(err error) result {
-	r := result{end: peer.Unknown(fault.EndpointHung), sample: true, failed: true, unanswered: true, reclaimed: true, cause: err}
+	r := result{end: peer.Unknown(fault.EndpointHung), sample: true, failed: true, unanswered: true, reclaimed: true, cause: errReclaimed}
 	if fault.CodeOf(err) == fault.EndpointUnreachable {
 		// The endpoint has not taken the connection, so the request has not run.
-		r.end = peer.NotRun(fault.EndpointUnreachable, shortRetryAfter)
+		r.end, r.cause = peer.NotRun(fault.EndpointUnreachable, shortRetryAfter), err
 	}
 	return r
 }
--- a/egress/reclaim.go
+++ b/egress/reclaim.go
@@ -31,8 +31,8 @@
 	// abandoned is set for a run that began before the breaker closed and had no answer by then: the outage has swallowed
 	// it, and answers to later requests say nothing of it.
 	abandoned bool
-	// cancel ends the run; the decisions here do not use it.
-	cancel func()
+	// requestSlot asks the run's sender to give up the slot; the decisions here do not use it.
+	requestSlot func()
 }
 
 // silent reports whether the endpoint has the whole request and has not begun to answer it.
@@ -65,19 +65,17 @@
 	return s.runs[i]
 }
 
-// answered records that the answer to a run has begun; it reports false if the run was chosen to be ended before. An
-// answer that only reports a failure is no proof that late answers of the endpoint are worth waiting for.
-func (s *runSet) answered(now time.Time, id uint64, success bool, survival breaker.Survival) bool {
+// answered records that the answer to a run has begun. An answer that only reports a failure is no proof that late answers of the endpoint are worth waiting for.
+func (s *runSet) answered(now time.Time, id uint64, success bool, survival breaker.Survival) {
 	r := s.find(id)
 	if r == nil {
-		return true
+		return
 	}
 	r.answering = true
 	s.lastAnswer = now
 	if !r.streamed {
 		s.slow = success && r.overdue(now, 1, survival)
 	}
-	return !r.ended
 }
 
 // breakerClosed records that the breaker has closed after an outage.
--- a/egress/reclaim_test.go
+++ b/egress/reclaim_test.go
@@ -128,6 +128,29 @@
 	return ends
 }
 
+// yieldingSink cancels its request when it is asked to give up the slot, unless its node stops.
+type yieldingSink struct {
+	discardSink
+	cancel   context.CancelFunc
+	stopping bool
+	asked    *atomic.Int64
+}
+
+// YieldSlot implements peer.SlotYielder.
+func (s yieldingSink) YieldSlot() {
+	s.asked.Add(1)
+	if !s.stopping {
+		s.cancel()
+	}
+}
+
+// serveYielding serves a request whose sender gives up its slot if it is asked to.
+func serveYielding(ctx context.Context, e *Egress, d *peerpb.Dispatch) *peerpb.End {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return e.Serve(ctx, d, strings.NewReader(""), yieldingSink{cancel: cancel, asked: new(atomic.Int64)})
+}
+
 // serveFor serves a request that has a deadline.
 func serveFor(t *testing.T, e *Egress, d *peerpb.Dispatch, deadline time.Duration) *peerpb.End {
 	t.Helper()
@@ -146,7 +169,7 @@
 			h := new(hangingEndpoint)
 			e, l, log := startHanging(t, reclaims, h)
 			ends := occupy(t, h, func(ctx context.Context) *peerpb.End {
-				return e.Serve(ctx, lookup(), strings.NewReader(""), discardSink{})
+				return serveYielding(ctx, e, lookup())
 			})
 			h.hangs.Store(false)
 			finished, failed := l.finished.Load(), l.failed.Load()
@@ -192,7 +215,7 @@
 	h := new(hangingEndpoint)
 	e, l, log := startHanging(t, true, h)
 	ends := occupy(t, h, func(ctx context.Context) *peerpb.End {
-		return e.Serve(ctx, lookup(), strings.NewReader(""), discardSink{})
+		return serveYielding(ctx, e, lookup())
 	})
 	h.hangs.Store(false)
 	l.mu.Lock()
@@ -229,7 +252,9 @@
 			e, l, log := startHanging(t, true, h)
 			// The claim itself counts as granted.
 			ends := occupy(t, h, func(ctx context.Context) *peerpb.End {
-				return e.admitAndRun(ctx, d, strings.NewReader(""), discardSink{})
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
+				return e.admitAndRun(ctx, d, strings.NewReader(""), yieldingSink{cancel: cancel, asked: new(atomic.Int64)})
 			})
 			if got, want := l.breakerState(), breaker.Trial; got != want {
 				t.Fatalf("breaker: got %v, want %v", got, want)
@@ -253,7 +278,7 @@
 	h := &hangingEndpoint{persists: true}
 	e, _, log := startHanging(t, true, h)
 	occupy(t, h, func(ctx context.Context) *peerpb.End {
-		return e.Serve(ctx, lookup(), strings.NewReader(""), discardSink{})
+		return serveYielding(ctx, e, lookup())
 	})
 	h.hangs.Store(false)
 	end := serveFor(t, e, lookup(), time.Second)
@@ -264,3 +289,24 @@
 		t.Errorf("lines on reclaimed slots: got %d, want %d", got, want)
 	}
 }
+
+// TestStoppingSenderKeepsItsRun guards against work that is cut off while the node of its caller stops: the sender of a
+// run that holds a slot in vain is asked for the slot and declines, and the run goes on.
+func TestStoppingSenderKeepsItsRun(t *testing.T) {
+	h := new(hangingEndpoint)
+	e, _, log := startHanging(t, true, h)
+	asked := new(atomic.Int64)
+	ends := occupy(t, h, func(ctx context.Context) *peerpb.End {
+		return e.Serve(ctx, lookup(), strings.NewReader(""), yieldingSink{stopping: true, asked: asked})
+	})
+	serveFor(t, e, lookup(), 500*time.Millisecond)
+	if got := asked.Load(); got == 0 {
+		t.Errorf("senders asked for a slot: got %d, want at least 1", got)
+	}
+	if got, want := len(ends), 0; got != want {
+		t.Errorf("ended runs: got %d, want %d", got, want)
+	}
+	if got := log.lines("421"); len(got) > 0 {
+		t.Errorf("lines on reclaimed slots: got %v, want none", got)
+	}
+}
--- a/egress/reclaimscript_test.go
+++ b/egress/reclaimscript_test.go
@@ -119,9 +119,10 @@
 	t.Helper()
 	id := scanID(t, d)
 	success := !d.HasArg("failed")
-	if !s.runs.answered(s.now, id, success, s.l.knownSurvival) {
+	if r := s.runs.find(id); r != nil && r.ended {
 		d.Fatalf(t, "run %d was ended before", id)
 	}
+	s.runs.answered(s.now, id, success, s.l.knownSurvival)
 	if r := s.runs.find(id); success {
 		s.l.latencies.Observe(r.class.Kind, s.now.Sub(r.start))
 	}
--- a/egress/run.go
+++ b/egress/run.go
@@ -69,9 +69,8 @@
 // answerHooks holds the sink for one run's answer and the callbacks for the events of the run.
 type answerHooks struct {
 	sink peer.Sink
-	// onHead is called with the head of the endpoint's answer before any part of the answer is passed on. It returns false
-	// if the run was ended at the same moment.
-	onHead func(contract.Answer, *upstream.Response) bool
+	// onHead is called with the head of the endpoint's answer before any part of the answer is passed on.
+	onHead func(contract.Answer, *upstream.Response)
 	// hold accounts for what is buffered of the answer while its caller reads slower than the endpoint answers.
 	hold *memory.Reservation
 	// onProgress is called when a part of the answer has arrived.
@@ -93,14 +92,8 @@
 		return r
 	}
 	answer := l.contract.Answer(resp.StatusCode, resp.Header)
-	wanted := h.onHead(answer, resp)
+	h.onHead(answer, resp)
 	l.reportedLoad.Store(&answer.Load)
-	if !wanted {
-		resp.Close()
-		r := reclaimedResult(errReclaimed)
-		h.onDone(r)
-		return r
-	}
 	if answer.NotRun || answer.Foreign {
 		r := rejectedAnswer(resp, answer)
 		resp.Close()
@@ -170,7 +163,7 @@
 
 // noAnswerResult is the result of a run that got no answer.
 func noAnswerResult(ctx context.Context, err error) result {
-	if errors.Is(context.Cause(ctx), errReclaimed) {
+	if gaveUpSlot(ctx) {
 		return reclaimedResult(err)
 	}
 	code := fault.CodeOf(err)
--- a/egress/slots_test.go
+++ b/egress/slots_test.go
@@ -108,13 +108,12 @@
 	resp := &upstream.Response{Response: &http.Response{StatusCode: http.StatusOK}}
 	ended := result{end: &peerpb.End{}}
 	for id := range uint64(slots) {
-		l.trackRun(b.Context(), id, time.Now(), d)
+		l.trackRun(b.Context(), id, time.Now(), d, discardSink{})
 	}
 	b.ReportAllocs()
 	for id := uint64(slots); b.Loop(); id++ {
-		_, stop := l.trackRun(b.Context(), id, time.Now(), d)
+		l.trackRun(b.Context(), id, time.Now(), d, discardSink{})
 		l.noteAnswer(id-slots, contract.Answer{}, resp)
 		l.untrackRun(id-slots, ended)
-		stop()
 	}
 }
--- a/egress/work.go
+++ b/egress/work.go
@@ -28,8 +28,7 @@
 		sink = recording
 	}
 	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: id}
-	ctx, stopTracking := l.trackRun(ctx, run.id, run.start, d)
-	defer stopTracking()
+	ctx = l.trackRun(ctx, run.id, run.start, d, sink)
 	e.startMonitoring(l, run.start, run.id, d, sink, trial)
 	e.running.Begin(d.GetRequestId(), d.GetRepeat(), usefulUntil(d, run.start))
 	hold := e.budget.NewReservation(d.GetCustomer())
@@ -64,13 +63,12 @@
 	callFailed bool
 }
 
-// noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer. It
-// reports false if the run was ended at the same moment.
-func (run *endpointRun) noteHead(a contract.Answer, resp *upstream.Response) bool {
+// noteHead applies what the head of the answer states of the endpoint, before the sender can act on the answer.
+func (run *endpointRun) noteHead(a contract.Answer, resp *upstream.Response) {
 	run.e.noteUnreadFields(run.l, run.l.contract.Unread(resp.Header))
 	run.e.noteMaxRate(run.l, run.sentAt, a)
 	run.e.noteLeaving(run.l, a)
-	return run.l.noteAnswer(run.id, a, resp)
+	run.l.noteAnswer(run.id, a, resp)
 }
 
 func (run *endpointRun) noteProgress() { run.l.noteProgress(run.id) }
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/contract"
@@ -56,6 +58,9 @@
 	// search records the result of the send's offer, unless the offer waits for a slot.
 	search *search
 	waits  bool
+	// cancel cancels the send, nil for one that cannot be canceled; yielded is set once that was done to give up its slot.
+	cancel  context.CancelFunc
+	yielded atomic.Bool
 }
 
 func newAnswer(w http.ResponseWriter, c call, ct contract.Contract, win *winner) *answer {
@@ -101,6 +106,24 @@
 	a.late.note()
 }
 
+// YieldSlot implements peer.SlotYielder. The slot is kept once the answer has begun, and while the node stops: its
+// requests must not be cut off then.
+func (a *answer) YieldSlot() {
+	if a.cancel == nil || !a.progress.mayYield() {
+		return
+	}
+	a.yielded.Store(true)
+	a.cancel()
+}
+
+// asYielded changes the end of a send that was canceled to give up its slot.
+func (a *answer) asYielded(end *peerpb.End) *peerpb.End {
+	if a.yielded.Load() && fault.Code(end.GetCode()) == fault.Canceled {
+		end.Code = string(fault.EndpointHung)
+	}
+	return end
+}
+
 // Due implements peer.Sink.
 func (a *answer) Due(in time.Duration) { a.due.set(in) }
 
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -103,6 +103,7 @@
 	x := h.x
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{pick: pick, answer: x.newAnswer(), offset: time.Since(x.start), isHedge: isHedge, cancel: cancel}
+	a.answer.cancel = cancel
 	a.answer.late.begin(func() { x.g.director.ReportOverdue(x.call.service.Key, pick) })
 	d := x.buildDispatch(ctx, pick, nil)
 	x.markSend(d, wait)
@@ -111,7 +112,7 @@
 	d.Repeat = d.Repeat || isHedge
 	h.running = append(h.running, a)
 	go func() {
-		a.end = x.deliver(ctx, pick.Endpoint, d, a.answer)
+		a.end = a.answer.asYielded(x.deliver(ctx, pick.Endpoint, d, a.answer))
 		h.finished <- a
 	}()
 	return a
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -43,6 +43,8 @@
 	answering bool
 	endpoint  string
 	closed    bool
+	// stopping is set once the node has begun to stop.
+	stopping bool
 	// cancelWaits cancels the waits that may end early, by send; the key is nil for the pick of an endpoint.
 	cancelWaits map[*answer]context.CancelFunc
 	// cancelRecoveries cancels the wait for answers that can be asked for again: those under a key, and those whose
@@ -103,6 +105,20 @@
 	return true
 }
 
+// mayYield reports whether a dispatched send may be canceled for another request that needs its slot.
+func (p *progress) mayYield() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.stopping && !p.answering
+}
+
+// beginStop records that the node has begun to stop.
+func (p *progress) beginStop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping = true
+}
+
 // endDispatch records that a dispatched send has ended.
 func (p *progress) endDispatch() {
 	p.mu.Lock()
@@ -202,6 +218,7 @@
 
 // closeBefore closes the request's progress when too little time for typical work is left before end.
 func (x *exchange) closeBefore(end time.Time) {
+	x.progress.beginStop()
 	work := x.g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget())
 	left := time.Until(end) - max(work, minWorkTime)
 	if left <= 0 {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -48,6 +48,22 @@
 	Committed() bool
 }
 
+// SlotYielder is a Sink whose ingress decides whether a dispatched request gives up its slot. Only the ingress knows whether
+// it may: a request must not be cut off while its caller's node stops.
+type SlotYielder interface {
+	Sink
+	// YieldSlot asks for the request to be canceled, because its endpoint hangs and another request needs the slot.
+	YieldSlot()
+}
+
+// RequestSlot asks the ingress of a dispatched request to give up the request's slot; it does not wait. It does nothing
+// for a sink that is no SlotYielder.
+func RequestSlot(sink Sink) {
+	if y, ok := sink.(SlotYielder); ok {
+		go y.YieldSlot()
+	}
+}
+
 // AllowsDispatch returns the consent of a sink that is a DispatchGate, and true for any other sink.
 func AllowsDispatch(sink Sink) bool {
 	gate, ok := sink.(DispatchGate)
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -150,6 +150,10 @@
 		case *peerpb.Frame_Late:
 			sink.ReportOverdue()
 		case *peerpb.Frame_Due:
+			if k.Due.GetRelease() {
+				RequestSlot(sink)
+				continue
+			}
 			sink.Due(0)
 		case *peerpb.Frame_Head:
 			err = sink.Head(k.Head, false)
--- a/peer/sink.go
+++ b/peer/sink.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// YieldSlot implements SlotYielder.
+func (s *streamSink) YieldSlot() {
+	_ = s.put(&peerpb.Frame{Kind: &peerpb.Frame_Due{Due: &peerpb.Due{Release: true}}}, false)
+}
+
 // Head implements Sink.
 func (s *streamSink) Head(h *peerpb.Head, soon bool) error {
 	return s.put(&peerpb.Frame{Kind: &peerpb.Frame_Head{Head: h}}, soon)
