--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -13,6 +13,8 @@
 	// not paused; pausedAt is when it was paused.
 	yieldsWithin time.Duration
 	pausedAt     time.Time
+	// releaseBy is when it is expected to have given up its slot, zero if it was not asked to.
+	releaseBy time.Time
 }
 
 // active returns the request that holds a slot under an id, nil if there is none.
@@ -32,6 +34,14 @@
 	}
 }
 
+// ExpectRelease records that a running request was asked to give up its slot and is expected to do so by a time. After that
+// time, which passes if it keeps the slot, the usual estimate applies again.
+func (q *Queue) ExpectRelease(id uint64, by time.Time) {
+	if a := q.active(id); a != nil {
+		a.releaseBy = by
+	}
+}
+
 // Resume records that a paused request proceeds. The pause does not count as part of its service time.
 func (q *Queue) Resume(now time.Time, id uint64) {
 	if a := q.active(id); a != nil && a.yieldsWithin > 0 {
@@ -91,6 +101,9 @@
 	if a.yieldsWithin > 0 {
 		return a.yieldsWithin
 	}
+	if now.Before(a.releaseBy) {
+		return a.releaseBy.Sub(now)
+	}
 	left := q.slotTime(&a.Request) - now.Sub(a.since)
 	return max(left, -left)
 }
--- a/admission/line.go
+++ b/admission/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -79,6 +80,15 @@
 		clear(l.finishTags)
 		return
 	}
+	// While nothing waits, no start moves the virtual time. Without this step the tags of customers that send one request
+	// each, such as nested calls without a customer's key, stayed until the endpoint was idle.
+	if len(l.finishTags) > 0 {
+		lowest := math.Inf(1)
+		for _, f := range l.finishTags {
+			lowest = min(lowest, f)
+		}
+		l.virtualTime = max(l.virtualTime, lowest)
+	}
 	for c, f := range l.finishTags {
 		if f <= l.virtualTime {
 			delete(l.finishTags, c)
--- a/director/capacity_test.go
+++ b/director/capacity_test.go
@@ -116,7 +116,8 @@
 				e.target.latency.Store(math.Float64bits(float64(time.Second)))
 				if i%3 == 0 {
 					e.target.applyLoad(time.Now(), suspect)
-					e.target.suspect.Store(newSuspectReport(time.Now(), suspect, 1))
+					report, _ := newSuspectReport(time.Now(), suspect, 1)
+					e.target.suspect.Store(report)
 				}
 			}
 			b.ReportAllocs()
--- a/director/report.go
+++ b/director/report.go
@@ -37,9 +37,7 @@
 		t.trialInFlight.Store(false)
 	}
 	t.applyLoad(now, r.Load)
-	if d.cfg.SuspectRoom && r.Load != nil {
-		t.suspect.Store(newSuspectReport(now, r.Load, int(r.Pick.Endpoint.Value.Slots)))
-	}
+	d.applySuspectReport(now, r)
 	if r.Refused {
 		t.refusedAt.Store(now.UnixNano())
 	}
--- a/director/suspect.go
+++ b/director/suspect.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxplank/lynxplank/balance"
 	"github.com/lynxplank/lynxplank/breaker"
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 )
@@ -35,14 +36,32 @@
 	sent   atomic.Int64
 }
 
-// newSuspectReport returns the suspect's part of a load report, nil if it has none or an impossible one: a chance that
-// is not a number from 0 to 1, or more room than slots.
-func newSuspectReport(now time.Time, load *peerpb.Load, slots int) *suspectReport {
+// newSuspectReport returns the suspect's part of a load report, nil if it has none or an impossible one; badField names
+// the field that makes it impossible.
+func newSuspectReport(now time.Time, load *peerpb.Load, slots int) (report *suspectReport, badField string) {
 	chance := load.GetSuccessChance()
-	if !load.GetTrial() || load.SuccessChance == nil || !(chance >= 0 && chance <= 1) || int64(load.GetTrialRoom()) > int64(slots) {
-		return nil
+	switch {
+	case !load.GetTrial() || load.SuccessChance == nil:
+		return nil, ""
+	case !(chance >= 0 && chance <= 1):
+		return nil, "success_chance"
+	case int64(load.GetTrialRoom()) > int64(slots):
+		return nil, "trial_room"
+	}
+	return &suspectReport{chance: chance, room: int(load.GetTrialRoom()), at: now}, ""
+}
+
+// applySuspectReport records the suspect's part of the load report of an exchange, and logs an impossible one.
+func (d *Director) applySuspectReport(now time.Time, r Report) {
+	if !d.cfg.SuspectRoom || r.Load == nil {
+		return
+	}
+	report, badField := newSuspectReport(now, r.Load, int(r.Pick.Endpoint.Value.Slots))
+	r.Pick.target.suspect.Store(report)
+	if badField != "" {
+		events.BadLoadReport.Log(d.log).Str("endpoint", r.Pick.Endpoint.Key).Str("field", badField).
+			Float64("success_chance", r.Load.GetSuccessChance()).Uint32("trial_room", r.Load.GetTrialRoom()).Send()
 	}
-	return &suspectReport{chance: chance, room: int(load.GetTrialRoom()), at: now}
 }
 
 // asSuspect returns the endpoint as the load balancer sees a suspect, false without a report.
--- a/egress/hung.go
+++ b/egress/hung.go
@@ -27,9 +27,12 @@
 	}
 }
 
-// slotRequested is the context key of a run's flag that its sender was asked to give up the slot.
+// slotRequested is the context key of the time at which a run's sender was asked to give up the slot, nil before that.
 type slotRequested struct{}
 
+// maxReleaseDelay is how long after that a cancellation counts as the release of the slot. Later the caller has left.
+const maxReleaseDelay = time.Second
+
 // trackRun adds a run to those of its endpoint and returns its context, which tells whether its sender was asked to give
 // up the slot.
 func (l *localEndpoint) trackRun(ctx context.Context, id uint64, start time.Time, d *peerpb.Dispatch, sink peer.Sink) context.Context {
@@ -38,9 +41,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, requested := newTrackedRun(id, start, d), new(atomic.Bool)
+	r, requested := newTrackedRun(id, start, d), new(atomic.Pointer[time.Time])
 	r.requestSlot = func() {
-		requested.Store(true)
+		now := time.Now()
+		requested.Store(&now)
 		peer.RequestSlot(sink)
 	}
 	l.runs.begin(r)
@@ -50,8 +54,12 @@
 
 // gaveUpSlot reports whether the sender of a run canceled it after it was asked to give up the slot.
 func gaveUpSlot(ctx context.Context) bool {
-	requested, ok := ctx.Value(slotRequested{}).(*atomic.Bool)
-	return ok && requested.Load() && errors.Is(ctx.Err(), context.Canceled)
+	requested, ok := ctx.Value(slotRequested{}).(*atomic.Pointer[time.Time])
+	if !ok || !errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	at := requested.Load()
+	return at != nil && time.Since(*at) < maxReleaseDelay
 }
 
 // untrackRun removes a run that is done, and counts it if it was ended for another request.
@@ -104,7 +112,7 @@
 // be held. The queue then expects the slot to be free shortly: by its usual estimate the run would hold it for as long as it is
 // overdue, and the request that needs the slot would be refused.
 func (l *localEndpoint) reclaimHungSlot(now time.Time) bool {
-	if !l.reclaims || l.queue.Busy() < l.slots {
+	if !l.reclaims || l.queue.Busy() != l.slots {
 		return false
 	}
 	r := l.runs.reclaim(now, l.breaker.State() != breaker.Closed, l.knownSurvival)
@@ -112,7 +120,8 @@
 		return false
 	}
 	r.requestSlot()
-	l.queue.Pause(now, r.id, reclaimTime)
+	l.releaseBy = now.Add(reclaimTime)
+	l.queue.ExpectRelease(r.id, l.releaseBy)
 	return true
 }
 
--- a/egress/local.go
+++ b/egress/local.go
@@ -97,6 +97,8 @@
 	reclaims  bool
 	runs      runSet
 	reclaimed uint64
+	// releaseBy is when the last run that was asked for its slot is expected to have given it up.
+	releaseBy time.Time
 	// use accounts for the slots, nil while the setting is off.
 	use *slotuse.Meter
 	// queueCheck runs the next check of the queue; nil before the first request waited.
@@ -174,9 +176,9 @@
 func (l *localEndpoint) waitForSlot(ctx context.Context, id uint64, d *peerpb.Dispatch, s *table.State) *peerpb.End {
 	customer, _ := s.Customer(d.GetCustomer())
 	deadline, _ := ctx.Deadline()
-	if until := usefulUntil(d, time.Now()); l.isNested(d) && !until.IsZero() && until.Before(deadline) {
+	if useful := time.Duration(d.GetUsefulMicros()) * time.Microsecond; l.isNested(d) && d.GetUsefulMicros() > 0 && useful < time.Until(deadline) {
 		// Waiting longer would hold the slot of the request that the call is made for, for an answer that is late anyway.
-		deadline = until
+		deadline = time.Now().Add(useful)
 	}
 	usual, mean := l.expectedDurations(d)
 	decided, end := l.enqueue(admission.Request{
@@ -221,8 +223,8 @@
 // usefulUntil returns when the answer to a request loses most of its value, the zero time if that is not known: when its
 // latency target is over or, for a nested call, that of the request that it is made for.
 func usefulUntil(d *peerpb.Dispatch, now time.Time) time.Time {
-	useful := max(d.GetAimMicros(), d.GetUsefulMicros())
-	if useful == 0 {
+	useful := min(max(d.GetAimMicros(), d.GetUsefulMicros()), d.GetBudgetMicros())
+	if useful <= 0 {
 		return time.Time{}
 	}
 	return now.Add(time.Duration(useful) * time.Microsecond)
@@ -259,10 +261,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	// A request that may not wait is refused as busy all the same: the slot is free a little later.
-	reclaimed := l.reclaimHungSlot(now)
+	reclaimed := !r.NoWait && l.reclaimHungSlot(now)
 	decision, evicted := l.queue.Offer(now, r)
 	l.deliver(evicted)
+	if r.NoWait && decision.Code == fault.Busy && !now.Before(l.releaseBy) {
+		// The request stays refused: the slot is free a little later. Of many such offers one asks for a slot at a time.
+		reclaimed = l.reclaimHungSlot(now)
+	}
 	if decision.Action != admission.Run && !reclaimed {
 		l.reclaimStalledSlot()
 	}
--- a/egress/offer.go
+++ b/egress/offer.go
@@ -23,8 +23,8 @@
 	}
 	e.updateColdReport(l)
 	stopwatch := e.clock.StartStopwatch()
-	id := e.nextID.Add(1)
-	trial, end := e.runAdmissionChecks(ctx, l, id, d, sink)
+	a := admitted{id: e.nextID.Add(1), usefulUntil: usefulUntil(d, time.Now())}
+	a.trial, end = e.runAdmissionChecks(ctx, l, a.id, d, sink)
 	if end != nil {
 		end.Load = l.loadReport(0, e.cfg.Incarnation)
 		e.logRefusal(l, d, end)
@@ -32,7 +32,7 @@
 	}
 	ctx, cancel := subtractSuspension(ctx, stopwatch)
 	defer cancel()
-	return e.runAt(ctx, l, id, d, body, sink, trial)
+	return e.runAt(ctx, l, a, d, body, sink)
 }
 
 // subtractSuspension moves the deadline of a request forward by the time for which the host was suspended while the
--- a/egress/work.go
+++ b/egress/work.go
@@ -13,9 +13,18 @@
 	"github.com/lynxplank/lynxplank/upstream"
 )
 
-// runAt runs a request that holds a slot under an id, stores its answer if the sender may fetch it again, and frees the slot.
+// admitted describes a request that holds a slot of its endpoint.
+type admitted struct {
+	// id names the request in the endpoint's queue, trial is its trial of the breaker, 0 for none.
+	id    uint64
+	trial breaker.TrialID
+	// usefulUntil is when its answer loses most of its value, the zero time if that is not known.
+	usefulUntil time.Time
+}
+
+// runAt runs an admitted request, stores its answer if the sender may fetch it again, and frees the slot.
 func (e *Egress) runAt(
-	ctx context.Context, l *localEndpoint, id uint64, d *peerpb.Dispatch, body io.Reader, sink peer.Sink, trial breaker.TrialID,
+	ctx context.Context, l *localEndpoint, a admitted, d *peerpb.Dispatch, body io.Reader, sink peer.Sink,
 ) *peerpb.End {
 	if d.GetClaim() != nil {
 		var cancel context.CancelFunc
@@ -27,10 +36,10 @@
 	if stored {
 		sink = recording
 	}
-	run := &endpointRun{e: e, l: l, d: d, trial: trial, start: time.Now(), sentAt: e.clock(), id: id}
+	run := &endpointRun{e: e, l: l, d: d, trial: a.trial, start: time.Now(), sentAt: e.clock(), id: a.id}
 	ctx = l.trackRun(ctx, run.id, run.start, d, sink)
-	e.startMonitoring(l, run.start, run.id, d, sink, trial)
-	e.running.Begin(d.GetRequestId(), d.GetRepeat(), usefulUntil(d, run.start))
+	e.startMonitoring(l, run.start, run.id, d, sink, a.trial)
+	e.running.Begin(d.GetRequestId(), d.GetRepeat(), a.usefulUntil)
 	hold := e.budget.NewReservation(d.GetCustomer())
 	defer hold.Release()
 	result := l.run(ctx, d, body, answerHooks{
--- a/events/events.go
+++ b/events/events.go
@@ -68,6 +68,7 @@
 	SlotsUsed         = Event{419, "slots used", zerolog.InfoLevel}
 	RequestsThrottled = Event{420, "requests throttled", zerolog.WarnLevel}
 	SlotReclaimed     = Event{421, "slot reclaimed", zerolog.InfoLevel}
+	BadLoadReport     = Event{422, "load report out of range", zerolog.WarnLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -88,7 +89,7 @@
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
 	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
-	SlotsUsed, RequestsThrottled, SlotReclaimed,
+	SlotsUsed, RequestsThrottled, SlotReclaimed, BadLoadReport,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
 }
 
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/contract"
@@ -58,9 +57,11 @@
 	// search records the result of the send's offer, unless the offer waits for a slot.
 	search *search
 	waits  bool
-	// cancel cancels the send, nil for one that cannot be canceled; yielded is set once that was done to give up its slot.
-	cancel  context.CancelFunc
-	yielded atomic.Bool
+	// cancel cancels the send, nil for one that is not canceled to give up its slot. yielded is set once that was done,
+	// received once an answer has begun to arrive; progress guards both.
+	cancel   context.CancelFunc
+	yielded  bool
+	received bool
 }
 
 func newAnswer(w http.ResponseWriter, c call, ct contract.Contract, win *winner) *answer {
@@ -109,16 +110,12 @@
 // YieldSlot implements peer.SlotYielder. The slot is kept once the answer has begun, and while the node stops: its
 // requests must not be cut off then.
 func (a *answer) YieldSlot() {
-	if a.cancel == nil || !a.progress.mayYield() {
-		return
-	}
-	a.yielded.Store(true)
-	a.cancel()
+	a.progress.yield(a)
 }
 
 // asYielded changes the end of a send that was canceled to give up its slot.
 func (a *answer) asYielded(end *peerpb.End) *peerpb.End {
-	if a.yielded.Load() && fault.Code(end.GetCode()) == fault.Canceled {
+	if a.progress.gaveUpSlot(a) && fault.Code(end.GetCode()) == fault.Canceled {
 		end.Code = string(fault.EndpointHung)
 	}
 	return end
@@ -129,6 +126,9 @@
 
 // Head implements peer.Sink.
 func (a *answer) Head(h *peerpb.Head, _ bool) error {
+	if !a.progress.receive(a) {
+		return fault.New(fault.Canceled, "answer", "the send has given up its slot")
+	}
 	a.head = h
 	if a.mayReplace && h.GetStatus() >= http.StatusInternalServerError || short(h) {
 		a.held = h
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -137,7 +137,7 @@
 	parent := contract.ParentOf(c.id)
 	work := g.local.Work(parent)
 	routeOrigin := g.routeStats.countArrival(c.route.Key, work.Total == 0)
-	c.nested = g.cfg.NestedFirst && (work.ForRequest || routeOrigin == fromEndpoint)
+	c.nested = g.cfg.NestedFirst && (work.ForRequest || routeOrigin == fromEndpoint && g.routeTellsNested(c))
 	if work.ForRequest {
 		c.fromRetry = work.RetryShare > 0
 		if c.nested {
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -86,7 +86,7 @@
 // beginRound forgets which endpoints lacked capacity. What ran, what was spent of attempts and retries, how long the call
 // has waited for its own hall and for suspects, and the endpoints that had the request stay as they are.
 func (x *exchange) beginRound() {
-	x.offers, x.remoteOffers, x.waits, x.lastResortTries = 0, 0, 0, 0
+	x.offers, x.remoteOffers, x.waits, x.lastResortTries, x.suspectOffers = 0, 0, 0, 0, 0
 	x.declined, x.suspects, x.limited = nil, nil, nil
 	x.lastResort, x.likelyOnly = false, false
 	x.tried = slices.DeleteFunc(slices.Clone(x.tried), func(key string) bool { return slices.Contains(x.rejecting, key) })
--- a/ingress/nested_test.go
+++ b/ingress/nested_test.go
@@ -222,6 +222,9 @@
 		g.cfg.NestedFirst = !d.HasArg("off")
 		if d.HasArg("by-route") {
 			local.forRequest = ""
+			for range minIdle {
+				g.routeStats.countArrival("other", true)
+			}
 			for range minCalls {
 				g.routeStats.countArrival("all", false)
 			}
--- a/ingress/nestedcost_test.go
+++ b/ingress/nestedcost_test.go
@@ -23,6 +23,9 @@
 		// More calls than one parent may have: only the route tells whose they are.
 		local.forRequest = ""
 		g := nestedIngress(b, endpoints, "400ms", local)
+		for range minIdle {
+			g.routeStats.countArrival("other", true)
+		}
 		for range minCalls {
 			g.routeStats.countArrival("all", false)
 		}
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -105,11 +105,33 @@
 	return true
 }
 
-// mayYield reports whether a dispatched send may be canceled for another request that needs its slot.
-func (p *progress) mayYield() bool {
+// yield cancels a dispatched send for another request that needs its slot, unless an answer has begun to arrive or the
+// node stops.
+//
+// Invariant: of yield and receive, only the first call for a send has an effect, so that no answer that has begun is cut.
+func (p *progress) yield(send *answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopping || p.answering || send.received || send.cancel == nil {
+		return
+	}
+	send.yielded = true
+	send.cancel()
+}
+
+// receive records that the answer to a send begins to arrive; it returns false if the send was canceled for its slot.
+func (p *progress) receive(send *answer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	send.received = true
+	return !send.yielded
+}
+
+// gaveUpSlot reports whether a send was canceled for its slot.
+func (p *progress) gaveUpSlot(send *answer) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.stopping && !p.answering
+	return send.yielded
 }
 
 // beginStop records that the node has begun to stop.
--- a/ingress/rounds.go
+++ b/ingress/rounds.go
@@ -13,6 +13,9 @@
 	// 200 ms at the services that work calls.
 	firstRoundPause = 50 * time.Millisecond
 	maxRoundPause   = 200 * time.Millisecond
+	// maxRestarts bounds the rounds after the first: a lack of capacity that lasts longer than their pauses, 350 ms, is not
+	// passing, and the requests that make the calls would hold the slots of their own service meanwhile.
+	maxRestarts = 3
 	// unknownWorkTime stands in for the usual time of work of which none has been served yet.
 	unknownWorkTime = 50 * time.Millisecond
 	// maxRoundAsks bounds the endpoints that a nested call asks in each round after the first.
@@ -44,7 +47,10 @@
 // last pause is shortened so that the usual time of the work remains after it.
 func (r rounds) next(end rejection) (after rounds, pause time.Duration, ok bool) {
 	spare := end.left - cmp.Or(end.usual, unknownWorkTime)
-	if end.mayHaveRun || end.outcome != peerpb.Outcome_OUTCOME_NOT_RUN || !lacksCapacity(end.code) || spare < firstRoundPause {
+	if r.restarts >= maxRestarts || spare < firstRoundPause {
+		return r, 0, false
+	}
+	if end.mayHaveRun || end.outcome != peerpb.Outcome_OUTCOME_NOT_RUN || !lacksCapacity(end.code) {
 		return r, 0, false
 	}
 	pause = firstRoundPause
--- a/ingress/routes.go
+++ b/ingress/routes.go
@@ -27,6 +27,8 @@
 	times    *latency.Models
 	sizes    *simplelru.LRU[string, float64]
 	arrivals *simplelru.LRU[string, arrivals]
+	// idleArrivals counts the requests of all routes that arrived while the local endpoint was idle.
+	idleArrivals int
 }
 
 func newRouteStats() *routeStats {
@@ -49,10 +51,21 @@
 	defer r.mu.Unlock()
 	counts, _ := r.arrivals.Get(route)
 	counts = counts.with(idle)
+	if idle {
+		r.idleArrivals++
+	}
 	r.arrivals.Add(route, counts)
 	return counts.origin()
 }
 
+// hasSeenIdle reports whether enough requests have arrived while the local endpoint was idle to tell which routes only that
+// endpoint uses.
+func (r *routeStats) hasSeenIdle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.idleArrivals >= minIdle
+}
+
 // record records the work time and the size of one served request.
 func (r *routeStats) record(route string, work time.Duration, bytes int) {
 	r.mu.Lock()
--- a/ingress/throttle.go
+++ b/ingress/throttle.go
@@ -89,7 +89,15 @@
 // isNested reports whether the endpoint beside this node makes the request while it handles another one. Throttling it
 // would lose the work of its parent.
 func (g *Ingress) isNested(c *call) bool {
-	return g.local.Work(contract.ParentOf(c.id)).ForRequest || g.routeStats.origin(c.route.Key) == fromEndpoint
+	return g.local.Work(contract.ParentOf(c.id)).ForRequest ||
+		g.routeStats.origin(c.route.Key) == fromEndpoint && g.routeTellsNested(c)
+}
+
+// routeTellsNested reports whether the route of a call may tell that the endpoint beside this node makes it. An endpoint
+// that has not been idle since the node started, as after a restart under load, tells nothing: all routes look as if only
+// it used them. It has no customer's key.
+func (g *Ingress) routeTellsNested(c *call) bool {
+	return !c.hasCustomerKey && g.routeStats.hasSeenIdle()
 }
 
 // origin returns the origin of a route's requests.
--- a/ingress/throttle_test.go
+++ b/ingress/throttle_test.go
@@ -208,6 +208,14 @@
 	for range minCalls {
 		g.routeStats.countArrival("all", false)
 	}
+	busy := call{id: "other", route: route{}}
+	busy.route.Key = "all"
+	if got, want := g.isNested(&busy), false; got != want {
+		t.Errorf("call on a node whose endpoint was never idle: got nested %v, want %v", got, want)
+	}
+	for range minIdle {
+		g.routeStats.countArrival("other", true)
+	}
 	c := call{id: "other", route: route{}}
 	c.route.Key = "all"
 	if got, want := g.isNested(&c), true; got != want {
--- a/peer/sending.go
+++ b/peer/sending.go
@@ -150,11 +150,7 @@
 		case *peerpb.Frame_Late:
 			sink.ReportOverdue()
 		case *peerpb.Frame_Due:
-			if k.Due.GetRelease() {
-				RequestSlot(sink)
-				continue
-			}
-			sink.Due(0)
+			x.handleDue(sink, k.Due)
 		case *peerpb.Frame_Head:
 			err = sink.Head(k.Head, false)
 		case *peerpb.Frame_Data:
@@ -182,6 +178,16 @@
 	x.clearReadDeadline()
 }
 
+// handleDue passes the report that an answer is due, or the request for the slot of a dispatched request, to the sink.
+func (x *ingressExchange) handleDue(sink Sink, d *peerpb.Due) {
+	switch {
+	case !d.GetRelease():
+		sink.Due(0)
+	case x.dispatched:
+		RequestSlot(sink)
+	}
+}
+
 // reportDue passes the time within which an answer is due to the sink, if the grant contains it.
 func reportDue(sink Sink, g *peerpb.Grant) {
 	if due := g.GetDueMicros(); due > 0 {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -161,6 +161,21 @@
 	ctx         context.Context //nolint:containedctx // one exchange's life
 	credit      atomic.Int64
 	creditAdded chan struct{}
+	// cancel cancels ctx.
+	cancel context.CancelFunc
+}
+
+// YieldSlot implements SlotYielder. An answer that can be run again is of no use to an ingress whose link is gone: it is
+// not asked for over another link.
+func (v *egressExchange) YieldSlot() {
+	select {
+	case <-v.streamEnded:
+		if v.offer.GetRepeatable() {
+			v.cancel()
+		}
+	default:
+		v.streamSink.YieldSlot()
+	}
 }
 
 // Data implements Sink; it waits until the caller has read enough of the earlier data.
@@ -219,7 +234,7 @@
 	defer func() { _ = pr.Close() }()
 	v := &egressExchange{
 		streamSink: newStreamSink(stream), offer: d, goFrames: make(chan *peerpb.Go, 1), streamEnded: make(chan struct{}),
-		ctx: ctx, creditAdded: make(chan struct{}, 1),
+		ctx: ctx, creditAdded: make(chan struct{}, 1), cancel: cancel,
 	}
 	v.credit.Store(unlimited)
 	if credit := d.GetCredit(); credit > 0 {
--- a/virtual/overload_exchange.go
+++ b/virtual/overload_exchange.go
@@ -44,6 +44,8 @@
 	// callLost is set once a run failed because its nested call was not served; pause is until the next start of a call.
 	callLost bool
 	pause    retry.Backoff
+	// restarts counts the times a call has started over.
+	restarts int
 }
 
 // search is what a request has met in looking for an endpoint.
--- a/virtual/overload_parts.go
+++ b/virtual/overload_parts.go
@@ -18,6 +18,8 @@
 	// minCallPause and maxCallPause bound the pauses after which a nested call starts over.
 	minCallPause = 50 * time.Millisecond
 	maxCallPause = 200 * time.Millisecond
+	// maxRestarts bounds how often it does.
+	maxRestarts = 3
 )
 
 // reclaim ends the oldest run that holds a slot without prospect of an answer, as egress/reclaim.go does (part 4).
@@ -68,10 +70,11 @@
 // ingress/rounds.go does (part 3).
 func (x *exchange) giveUp() {
 	spare := x.usefulUntil().Sub(x.now) - x.n.usualTime(x.class)
-	if !x.nestedFirst() || x.reached || spare < minCallPause {
+	if !x.nestedFirst() || x.reached || spare < minCallPause || x.restarts >= maxRestarts {
 		x.finish(false)
 		return
 	}
+	x.restarts++
 	x.after(min(x.pause.Next(), spare), func() {
 		if !x.over {
 			x.search = search{suspectSince: x.suspectSince}
