Soak: runs with nested calls play all parts of the section overload

Cause: the soak switched on nested_first alone; slot reclamation, early rejection and the use of suspects were in no soak. Change: -nested turns all four settings on. Conclusion: the parts are in the soak.

--- a/soak/nested.go
+++ b/soak/nested.go
@@ -1,8 +1,8 @@
 package soak
 
 const (
-	// nestedSettings switch the part on that these runs test.
-	nestedSettings = "overload: {nested_first: true}\n"
+	// nestedSettings switch on the parts that these runs test.
+	nestedSettings = "overload: {nested_first: true, reclaim_slots: true, early_refusal: true, suspect_room: true}\n"
 	// nestedRoute is for the endpoints' own calls alone: with the product's contract, only the route tells them from others.
 	nestedRoute = "  nested: {service: " + serviceName + ", prefix: /nested}\n"
 )
