Log where a revision came from and how long a failed read lasted

Change: event 200 names the peer of a pulled revision; event 213 reports each failed read of the platform with its duration.

--- a/configsync/activate.go
+++ b/configsync/activate.go
@@ -25,7 +25,7 @@
 	r := s.Revisions()
 	events.RevisionActivated.Log(f.log).Uint64("revision", r[table.SourceRows]).
 		Uint64("config", r[table.SourceConfig]).Uint64("hosts", r[table.SourceHosts]).
-		Uint64("fatal", r[table.SourcePoison]).Uint64("halls", r[table.SourceHalls]).Send()
+		Uint64("fatal", r[table.SourcePoison]).Uint64("halls", r[table.SourceHalls]).Str("peer", f.pulledFrom).Send()
 }
 
 // apply activates a delta on top of the active state.
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -137,7 +137,9 @@
 
 	// pulling is true while a pull is in flight; there is at most one at a time.
 	pulling bool
-	sources map[table.Source]*sourceState
+	// pulledFrom is the peer whose answer is being applied, empty while a read of the platform is.
+	pulledFrom string
+	sources    map[table.Source]*sourceState
 	// lastPeerMessage is when this node last received a message from a peer, or found its link to a peer usable.
 	lastPeerMessage time.Time
 	// wanted holds, by peer address, the revisions that peers have and this node lacks.
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -19,11 +21,14 @@
 	// poisonRequests holds the rows of the requests during which endpoints crashed.
 	poisonRequests *table.State
 	// at is the store version that the read shows.
-	at  uint64
-	err error
+	at uint64
+	// err is the error of a read that failed, took how long that read lasted.
+	err  error
+	took time.Duration
 }
 
 func (m productRead) apply(_ context.Context, f *Follower) {
+	f.logFailedRead(table.SourceRows, m.err, m.took)
 	err := m.err
 	if err == nil {
 		f.activateHostsRead(m)
@@ -50,12 +55,15 @@
 	halls  *table.State
 	// at is the store version that the read shows.
 	at uint64
-	// invalid is the error of a configuration that cannot be decoded, err the error of a read that failed.
+	// invalid is the error of a configuration that cannot be decoded, err the error of a read that failed, took how long
+	// that read lasted.
 	invalid error
 	err     error
+	took    time.Duration
 }
 
 func (m configRead) apply(_ context.Context, f *Follower) {
+	f.logFailedRead(table.SourceConfig, m.err, m.took)
 	err := m.err
 	if m.config != nil {
 		err = f.activateConfig(*m.config)
@@ -69,3 +77,11 @@
 	}
 	f.checkReady()
 }
+
+// logFailedRead logs a read of the platform that failed, with the time that it lasted: a read that waits for a change on a
+// connection without signs of life lasts for seconds, one that the platform refuses ends at once.
+func (f *Follower) logFailedRead(source table.Source, err error, took time.Duration) {
+	if err != nil {
+		events.ReadFailed.Log(f.log).Str("plane", source.String()).Dur("after", took).Err(err).Send()
+	}
+}
--- a/configsync/pull.go
+++ b/configsync/pull.go
@@ -196,7 +196,9 @@
 	err := m.err
 	if err == nil {
 		f.lastPeerMessage = time.Now()
+		f.pulledFrom = m.address
 		err = f.applyParts(m.parts)
+		f.pulledFrom = ""
 	}
 	if code := fault.CodeOf(err); code == fault.BadRow || code == fault.Protocol {
 		f.recordSourceStatus(table.SourceRows, err)
--- a/configsync/read.go
+++ b/configsync/read.go
@@ -114,12 +114,13 @@
 
 // poll reads once and returns the result and the delay until the next read.
 func (r *productReader) poll(ctx context.Context) (productRead, time.Duration) {
+	start := time.Now()
 	records, err := r.advance(ctx)
 	if err != nil {
 		if fault.CodeOf(err) == fault.Gone {
 			r.loaded = false
 		}
-		return productRead{err: err}, r.backoff.Next()
+		return productRead{err: err, took: time.Since(start)}, r.backoff.Next()
 	}
 	r.backoff.Reset()
 	m := productRead{state: r.state, poisonRequests: r.poisonRequests.state, at: r.cursor, hosts: hostList{
--- a/configsync/readconfig.go
+++ b/configsync/readconfig.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
@@ -53,9 +54,10 @@
 
 // poll reads the operators' table once.
 func (r *configReader) poll(ctx context.Context) configRead {
+	start := time.Now()
 	recs, err := r.f.records(ctx, platform.TableOperators, r.loaded, r.cursor)
 	if err != nil {
-		return configRead{err: err}
+		return configRead{err: err, took: time.Since(start)}
 	}
 	// The cursor moves past a configuration that cannot be decoded as well: the next one may be valid, and reading this
 	// one again would fail again.
--- a/events/events.go
+++ b/events/events.go
@@ -40,6 +40,7 @@
 	EntrySkipped        = Event{210, "entry left out", zerolog.WarnLevel}
 	HallEvacuated       = Event{211, "hall evacuated", zerolog.WarnLevel}
 	HallReturned        = Event{212, "hall taken back", zerolog.InfoLevel}
+	ReadFailed          = Event{213, "read of the platform failed", zerolog.InfoLevel}
 	LinkUp              = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect         = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed          = Event{302, "link closed", zerolog.InfoLevel}
@@ -83,7 +84,7 @@
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	LinesSuppressed, BodyMemoryExhausted, RequestOutlasts, StopRepeated,
-	RevisionActivated, PlatformLost, PlatformBack, BadTable, ConfigReady,
+	RevisionActivated, PlatformLost, PlatformBack, ReadFailed, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntrySkipped, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
