--- a/demo/hops_test.go
+++ b/demo/hops_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/relay"
 )
 
 // hopMark is how the name of a request says which halls its data may pass: those of the halls that are named, by their numbers.
@@ -24,7 +25,7 @@
 }
 
 // watch looks at what passes a host's link for requests whose data may not be in its hall.
-func (h *hops) watch(p *Proxy, host, hall string) {
+func (h *hops) watch(p *relay.Proxy, host, hall string) {
 	p.Tap(func(bytes []byte) {
 		for _, m := range hopMark.FindAllSubmatch(bytes, -1) {
 			h.mu.Lock()
@@ -52,14 +53,14 @@
 }
 
 // startBound starts a fleet of eight nodes in four halls with these routes and customers.
-func startBound(t *testing.T, h *hops) (*Fleet, map[string]*Proxy) {
+func startBound(t *testing.T, h *hops) (*Fleet, map[string]*relay.Proxy) {
 	t.Helper()
 	f, err := NewFleet(binaries, t.TempDir(), 8, 4, "")
 	check(t, err)
 	t.Cleanup(f.Close)
-	proxies := make(map[string]*Proxy)
+	proxies := make(map[string]*relay.Proxy)
 	for _, m := range f.Members {
-		p, err := NewProxy(m.Peers)
+		p, err := relay.New(m.Peers)
 		check(t, err)
 		t.Cleanup(p.Close)
 		h.watch(p, m.Host, m.Hall)
@@ -156,7 +157,7 @@
 }
 
 // disturb does something to the fleet for a moment.
-func disturb(t *testing.T, f *Fleet, proxies map[string]*Proxy, random *rand.Rand) {
+func disturb(t *testing.T, f *Fleet, proxies map[string]*relay.Proxy, random *rand.Rand) {
 	t.Helper()
 	m := f.Members[random.IntN(len(f.Members))]
 	hall := fmt.Sprintf("hall-%d", 1+random.IntN(4))
@@ -177,7 +178,7 @@
 		time.Sleep(moment)
 		check(t, m.Pause(false))
 	case 3:
-		way := Direction(random.IntN(int(directions)))
+		way := relay.Direction(random.IntN(int(relay.Directions)))
 		proxies[m.Host].Hold(way, true)
 		time.Sleep(moment)
 		proxies[m.Host].Hold(way, false)
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -18,6 +18,7 @@
 	"github.com/lynxplank/lynxplank/operator"
 	"github.com/lynxplank/lynxplank/settings"
 	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/relay"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
 
@@ -103,7 +104,7 @@
 	for _, path := range files {
 		t.Run(filepath.Base(path), func(t *testing.T) {
 			t.Parallel()
-			s := &scenario{proxies: make(map[string]*Proxy), marks: make(map[string]int), ratesStatedAt: make(map[string]time.Time)}
+			s := &scenario{proxies: make(map[string]*relay.Proxy), marks: make(map[string]int), ratesStatedAt: make(map[string]time.Time)}
 			datadriven.RunTest(t, path, s.run)
 		})
 	}
@@ -112,7 +113,7 @@
 type scenario struct {
 	fleet   *Fleet
 	how     backend.Behaviour
-	proxies map[string]*Proxy
+	proxies map[string]*relay.Proxy
 	loads   []*Load
 	sent    int
 	held    sync.WaitGroup
@@ -168,7 +169,7 @@
 	must(t, d, err)
 	t.Cleanup(f.Close)
 	for _, m := range f.Members {
-		p, err := NewProxy(m.Peers)
+		p, err := relay.New(m.Peers)
 		must(t, d, err)
 		t.Cleanup(p.Close)
 		s.proxies[m.Host] = p
@@ -375,7 +376,7 @@
 
 func (s *scenario) link(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	way := map[string]Direction{"to": To, "from": From}[word(t, d, "way", "to")]
+	way := map[string]relay.Direction{"to": relay.To, "from": relay.From}[word(t, d, "way", "to")]
 	s.proxies[s.member(t, d).Host].Hold(way, d.Cmd == "cut")
 	return ""
 }
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/relay"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
 
@@ -85,16 +86,16 @@
 		time.Sleep(a.For)
 		p.Slow(0)
 	case CutLinkOf:
-		cut(p, demo.From, a.For)
+		cut(p, relay.From, a.For)
 	case CutStore:
-		cut(r.stores[a.On], demo.To, a.For)
+		cut(r.stores[a.On], relay.To, a.For)
 	default:
-		cut(p, demo.To, a.For)
+		cut(p, relay.To, a.For)
 	}
 }
 
 // cut holds the bytes of one direction for some time.
-func cut(p *demo.Proxy, direction demo.Direction, length time.Duration) {
+func cut(p *relay.Proxy, direction relay.Direction, length time.Duration) {
 	p.Hold(direction, true)
 	time.Sleep(length)
 	p.Hold(direction, false)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,7 @@
 
 	"github.com/lynxplank/lynxplank/demo"
 	"github.com/lynxplank/lynxplank/standin/backend"
+	"github.com/lynxplank/lynxplank/standin/relay"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
 
@@ -67,8 +68,8 @@
 	plan  []Action
 	fleet *demo.Fleet
 	// links stand before each node's peers listener, stores before the store for each node.
-	links  []*demo.Proxy
-	stores []*demo.Proxy
+	links  []*relay.Proxy
+	stores []*relay.Proxy
 	// start is when the callers began.
 	start time.Time
 	// procs, ends and rows keep the actions on one process, one endpoint and one row apart, platform those on the store.
@@ -132,12 +133,12 @@
 // proxy puts a proxy before each node's peers and before the store for each node.
 func (r *run) proxy() error {
 	for _, m := range r.fleet.Members {
-		link, err := demo.NewProxy(m.Peers)
+		link, err := relay.New(m.Peers)
 		if err != nil {
 			return err
 		}
 		r.links = append(r.links, link)
-		toStore, err := demo.NewProxy(r.fleet.PlatformAddress())
+		toStore, err := relay.New(r.fleet.PlatformAddress())
 		if err != nil {
 			return err
 		}
@@ -200,9 +201,9 @@
 // heal takes back whatever an action may have left.
 func (r *run) heal() {
 	for i, m := range r.fleet.Members {
-		for _, p := range []*demo.Proxy{r.links[i], r.stores[i]} {
-			p.Hold(demo.To, false)
-			p.Hold(demo.From, false)
+		for _, p := range []*relay.Proxy{r.links[i], r.stores[i]} {
+			p.Hold(relay.To, false)
+			p.Hold(relay.From, false)
 			p.Slow(0)
 		}
 		r.must("endpoint", m.Behave(r.behaviour(normal())))
--- a/demo/proxy.go
+++ b/standin/relay/relay.go
@@ -1,10 +1,13 @@
-package demo
+package relay
 
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/lynxplank/lynxplank/fault"
 )
 
@@ -17,7 +20,8 @@
 	To Direction = iota
 	// From is the way back.
 	From
-	directions
+	// Directions is the number of directions.
+	Directions
 )
 
 // Proxy stands on the way to one address and can hold the bytes of one direction, as a link does that is cut one way:
@@ -27,14 +31,22 @@
 	to       string
 	mu       sync.Mutex
 	cond     *sync.Cond
-	held     [directions]bool
+	held     [Directions]bool
 	delay    time.Duration
 	conns    []*net.TCPConn
-	tap      func(bytes []byte)
+	// pairs are the connections that are not silent.
+	pairs []pair
+	tap   func(bytes []byte)
+}
+
+// pair is one relayed connection: in is the accepted side, out the dialed one.
+type pair struct {
+	in, out *net.TCPConn
+	silent  *atomic.Bool
 }
 
-// NewProxy returns a proxy on a port of loopback; Unavailable when there is none.
-func NewProxy(to string) (*Proxy, error) {
+// New returns a proxy on a port of loopback; Unavailable when there is none.
+func New(to string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, to, "no port for a proxy")
@@ -59,28 +71,43 @@
 			_ = in.Close()
 			continue
 		}
-		p.keep(in, out)
-		go p.copy(To, out, in)
-		go p.copy(From, in, out)
+		c, ok := p.keep(in, out)
+		if !ok {
+			continue
+		}
+		go p.copy(To, c, c.out, c.in)
+		go p.copy(From, c, c.in, c.out)
 	}
 }
 
-func (p *Proxy) keep(conns ...net.Conn) {
+// keep records a relayed connection; false if it is not over TCP.
+func (p *Proxy) keep(in, out net.Conn) (pair, bool) {
+	tcpIn, okIn := in.(*net.TCPConn)
+	tcpOut, okOut := out.(*net.TCPConn)
+	if !okIn || !okOut {
+		return pair{}, false
+	}
+	c := pair{in: tcpIn, out: tcpOut, silent: new(atomic.Bool)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			p.conns = append(p.conns, tcp)
-		}
-	}
+	p.conns = append(p.conns, tcpIn, tcpOut)
+	p.pairs = append(p.pairs, c)
+	return c, true
 }
 
-func (p *Proxy) copy(direction Direction, dst, src net.Conn) {
-	defer func() { _, _ = dst.Close(), src.Close() }()
+func (p *Proxy) copy(direction Direction, c pair, dst, src net.Conn) {
+	defer func() {
+		if !c.silent.Load() {
+			_, _ = dst.Close(), src.Close()
+		}
+	}()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
 		p.wait(direction)
+		if c.silent.Load() {
+			return
+		}
 		p.tapped(buf[:n])
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
@@ -135,6 +162,48 @@
 	p.cond.Broadcast()
 }
 
+// Silence makes every open connection silent for good, as after the loss of a firewall's state: bytes that come on it are
+// neither passed on nor acknowledged, and it is not ended. New connections work.
+func (p *Proxy) Silence() error { return p.SilenceShare(1, func() float64 { return 0 }) }
+
+// SilenceShare makes a share of the open connections silent, those for which draw returns less than the share.
+func (p *Proxy) SilenceShare(share float64, draw func() float64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var open []pair
+	for _, c := range p.pairs {
+		if draw() >= share {
+			open = append(open, c)
+			continue
+		}
+		c.silent.Store(true)
+		for _, side := range []*net.TCPConn{c.in, c.out} {
+			if err := dropIncoming(side); err != nil {
+				return fault.Wrap(err, fault.Internal, p.to, "connection cannot be silenced")
+			}
+		}
+	}
+	p.pairs = open
+	return nil
+}
+
+// dropIncoming has the kernel drop all segments that arrive for a connection. A connection that has ended is left alone.
+func dropIncoming(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	var failed error
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop}) //nolint:gosec // a descriptor
+	})
+	if err != nil {
+		return nil
+	}
+	return failed
+}
+
 // Reset breaks every connection; what was on its way is lost.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
