Links: a suspect link is raced by a new one

Callers saw refusals (no_endpoint) for eight seconds after the connections between nodes had gone silent without a reset, and changes of the configuration were not pulled over such links.

Cause: a suspect link got no new work, and was the only link to its peer until it was closed after ten echo timeouts. Nobody opened another, although a new connection worked. Class: an unanswered connection stands for its peer.

Change: package liveness judges a connection by the times of questions and answers (Fresh, Suspect, Replace, Dead) without a clock or network. A link that stays suspect for a few round trips gets a candidate beside it; the first echo on the candidate proves that the peer lives, and makes it the link. Openings are spaced by a doubling interval with jitter and bounded by 32 at a time; Renew no longer opens a link for each call. Two suspect links have all others verified at once. A heartbeat longer than cut_after is refused by the settings.

Why it works: a kernel that accepts the connection of a frozen process sends no echo, so only a living peer is proved.

Tests for begun answers on a replaced link, a frozen peer, idle links, bounds as properties.

--- a/events/events.go
+++ b/events/events.go
@@ -44,6 +44,7 @@
 	LinkUp              = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect         = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed          = Event{302, "link closed", zerolog.InfoLevel}
+	LinkReplaced        = Event{305, "link replaced", zerolog.InfoLevel}
 	PeerRefused         = Event{303, "peer refused", zerolog.WarnLevel}
 	PeerGarbled         = Event{304, "peer sent unreadable bytes", zerolog.WarnLevel}
 	PhaseChanged        = Event{400, "endpoint phase changed", zerolog.InfoLevel}
@@ -86,7 +87,7 @@
 	LinesSuppressed, BodyMemoryExhausted, RequestOutlasts, StopRepeated,
 	RevisionActivated, PlatformLost, PlatformBack, ReadFailed, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntrySkipped, HallEvacuated, HallReturned,
-	LinkUp, LinkSuspect, LinkClosed, PeerRefused, PeerGarbled,
+	LinkUp, LinkSuspect, LinkClosed, LinkReplaced, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
 	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
--- a/peer/control.go
+++ b/peer/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/liveness"
 )
 
 // The heartbeats of one session. The dialer sends a heartbeat every interval; the acceptor answers each one with an echo
@@ -95,7 +96,7 @@
 		if wait <= 0 {
 			return true
 		}
-		tick.Reset(wait)
+		tick.Reset(min(wait, s.timeToNextCheck(time.Now())))
 		select {
 		case <-s.done:
 			return false
@@ -136,7 +137,10 @@
 
 // idleFactor returns the factor by which the heartbeat interval grows while this link is idle.
 func (s *Session) idleFactor() time.Duration {
-	if s.pinned.Load() {
+	switch {
+	case s.watched.Load():
+		return 1
+	case s.pinned.Load():
 		return pinnedIdleFactor
 	}
 	return unpinnedIdleFactor
@@ -179,37 +183,51 @@
 // recordEcho handles the echo of a heartbeat: it measures the round trip and ends a suspicion. An echo older than the
 // pending heartbeat is ignored.
 func (s *Session) recordEcho(seq uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pending == 0 || seq < s.pending {
+	if !s.acceptEcho(seq) {
 		return
 	}
 	s.m.markReachable(s.address)
-	s.roundTrip.Store(int64(time.Since(s.pendingAt)))
-	s.pending = 0
 	if s.suspect.CompareAndSwap(true, false) {
 		events.LinkUp.Log(s.m.log).Str("peer", s.address).Send()
 	}
+	s.m.promote(s)
 }
 
-// checkLink marks the link as suspect if an echo is overdue. It returns false if the link should be closed: if no echo
-// arrived for closeFactor times the echo timeout, or if it carries no request and either its peer drains or the link is
-// not pinned and was idle for the idle timeout.
-func (s *Session) checkLink(now time.Time) bool {
+// acceptEcho records the echo of a heartbeat; false if it is older than the pending one.
+func (s *Session) acceptEcho(seq uint64) bool {
 	s.mu.Lock()
-	waiting := time.Duration(0)
-	if s.pending != 0 {
-		waiting = now.Sub(s.pendingAt)
+	defer s.mu.Unlock()
+	if s.pending == 0 || seq < s.pending {
+		return false
 	}
-	s.mu.Unlock()
+	now := time.Now()
+	s.echoAt.Store(now.UnixNano())
+	s.roundTrip.Store(int64(now.Sub(s.pendingAt)))
+	s.pending = 0
+	s.path = s.path.WithAnswer()
+	return true
+}
+
+// checkLink marks the link as suspect if an echo is overdue, and has a new one opened beside it once it is suspect for long
+// enough. It returns false if the link should be closed: if no echo arrived for closeFactor times the echo timeout, or if it
+// carries no request and is superseded, its peer drains, or it is not pinned and was idle for the idle timeout.
+func (s *Session) checkLink(now time.Time) bool {
+	state, waiting := s.state(now)
 	if waiting > s.m.cfg.EchoTimeout {
 		s.markSuspect("no echo for " + waiting.String())
 	}
-	if waiting > closeFactor*s.m.cfg.EchoTimeout {
+	switch state {
+	case liveness.Dead:
 		return false
+	case liveness.Replace:
+		s.openBeside(now)
+	default:
 	}
 	if s.inFlight.Load() > 0 {
 		return true
 	}
-	return !s.draining.Load() && (s.pinned.Load() || now.Sub(s.lastUse()) < s.m.cfg.IdleTimeout)
+	if s.superseded.Load() || s.draining.Load() {
+		return false
+	}
+	return s.pinned.Load() || now.Sub(s.lastUse()) < s.m.cfg.IdleTimeout
 }
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -12,20 +12,38 @@
 	"github.com/lynxplank/lynxplank/fault"
 )
 
-// Session returns the link to a peer and dials it if there is none; concurrent callers share one dial.
+// Session returns the link to a peer and dials it if there is none; concurrent callers share one dial. While the link is
+// suspect and a new one was opened beside it, it returns the new one.
 func (m *Manager) Session(ctx context.Context, address string) (*Session, error) {
 	m.mu.Lock()
-	if s := m.sessions[address]; s != nil {
+	s := m.sessions[address]
+	if s == nil || s.suspect.Load() {
+		if c := m.candidates[address]; c != nil {
+			s = c
+		}
+	}
+	if s != nil {
 		m.mu.Unlock()
 		return s, nil
 	}
+	d := m.dialLocked(address)
+	m.mu.Unlock()
+	return d.wait(ctx, address)
+}
+
+// dialLocked returns the dial in progress to a peer, or begins one. The caller must hold m.mu.
+func (m *Manager) dialLocked(address string) *dial {
 	d := m.dialing[address]
 	if d == nil {
 		d = &dial{done: make(chan struct{})}
 		m.dialing[address] = d
 		go m.dial(address, d)
 	}
-	m.mu.Unlock()
+	return d
+}
+
+// wait returns the link once it is open.
+func (d *dial) wait(ctx context.Context, address string) (*Session, error) {
 	select {
 	case <-d.done:
 		return d.session, d.err
@@ -34,16 +52,17 @@
 	}
 }
 
-// Renew returns a link to a peer. A suspect link is replaced by a new one and left to its heartbeats, which decide when
-// it is closed.
+// Renew returns a link to a peer that is not known to be suspect: beside a suspect one it opens a new one.
 func (m *Manager) Renew(ctx context.Context, address string) (*Session, error) {
 	m.mu.Lock()
-	if s := m.sessions[address]; s != nil && s.suspect.Load() {
-		delete(m.sessions, address)
-		m.suspects[address] = true
+	s := m.sessions[address]
+	if s == nil || !s.suspect.Load() || m.candidates[address] != nil {
+		m.mu.Unlock()
+		return m.Session(ctx, address)
 	}
+	d := m.dialLocked(address)
 	m.mu.Unlock()
-	return m.Session(ctx, address)
+	return d.wait(ctx, address)
 }
 
 // Pin returns the link to a peer and keeps it open while it is idle.
@@ -61,16 +80,20 @@
 	s, err := m.connect(address)
 	m.mu.Lock()
 	delete(m.dialing, address)
+	var unproven *Session
 	switch {
 	case err != nil:
 		// Callers that wait for the dial must find the peer unreachable once it has failed.
 		m.markUnreachableLocked(address)
 	case !m.closed.Load():
-		m.sessions[address] = s
+		unproven = m.addLocked(s)
 	}
 	m.mu.Unlock()
 	d.session, d.err = s, err
 	close(d.done)
+	if unproven != nil {
+		unproven.supersede()
+	}
 	if err != nil {
 		return
 	}
@@ -102,7 +125,9 @@
 	// The kernel of a frozen peer still accepts connections: if the last link was suspect when it ended, the new one
 	// starts out suspect, until its first echo.
 	m.mu.Lock()
-	s.suspect.Store(m.suspects[address])
+	if m.suspects[address] {
+		s.startSuspect()
+	}
 	delete(m.suspects, address)
 	m.mu.Unlock()
 	return s, nil
@@ -131,10 +156,13 @@
 func (m *Manager) removeSession(s *Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s.suspect.Load() {
+	if s.suspect.Load() && !s.superseded.Load() {
 		m.suspects[s.address] = true
 	}
 	if m.sessions[s.address] == s {
 		delete(m.sessions, s.address)
 	}
+	if m.candidates[s.address] == s {
+		delete(m.candidates, s.address)
+	}
 }
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -92,9 +92,13 @@
 	bytes        atomic.Uint64
 
 	mu sync.Mutex
-	// sessions are the dialed links by the peer's address, dialing the links that are being opened.
-	sessions map[string]*Session
-	dialing  map[string]*dial
+	// sessions are the dialed links by the peer's address, dialing the links that are being opened. candidates are links
+	// opened beside a suspect one that have not carried an echo yet.
+	sessions   map[string]*Session
+	dialing    map[string]*dial
+	candidates map[string]*Session
+	// verifiedAt is when all links were last verified because several were suspect.
+	verifiedAt time.Time
 	// suspects are the peers whose last link was suspect when it ended or was replaced.
 	suspects map[string]bool
 	// unreachable are the peers that cannot be reached, redialing is set while a timer for redialing them is running.
@@ -129,6 +133,7 @@
 		cfg: cfg, log: log,
 		sessions:       make(map[string]*Session),
 		dialing:        make(map[string]*dial),
+		candidates:     make(map[string]*Session),
 		suspects:       make(map[string]bool),
 		unreachable:    make(map[string]*outage),
 		accepted:       make(map[*yamux.Session]net.Conn),
@@ -147,6 +152,9 @@
 
 // Start begins to accept connections from peers.
 func (m *Manager) Start(ctx context.Context) error {
+	if err := m.bounds(minOfferTimeout).Validate(); err != nil {
+		return err
+	}
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", m.cfg.Listen)
 	if err != nil {
@@ -194,7 +202,7 @@
 func (m *Manager) dialed() []*Session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Collect(maps.Values(m.sessions))
+	return slices.Concat(slices.Collect(maps.Values(m.sessions)), slices.Collect(maps.Values(m.candidates)))
 }
 
 // awaitPeersClosed gives the peers, which know that this node drains, a few heartbeat intervals to read their last
--- a/peer/reach.go
+++ b/peer/reach.go
@@ -115,6 +115,21 @@
 	return !s.suspect.Load() && !s.draining.Load()
 }
 
+// LastHeard returns when a peer last proved that its link works, the zero time if there is no link or no proof.
+func (m *Manager) LastHeard(address string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sessions[address]
+	if s == nil {
+		return time.Time{}
+	}
+	last := max(s.echoAt.Load(), s.answeredAt.Load())
+	if last == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, last)
+}
+
 // LinkHealthy reports whether a link to a peer is open and not suspect.
 func (m *Manager) LinkHealthy(address string) bool {
 	m.mu.Lock()
--- /dev/null
+++ b/peer/replace.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lynxplank/lynxplank/events"
+	"github.com/lynxplank/lynxplank/liveness"
+)
+
+// The replacement of links. A connection may go silent for good without a reset while new ones work, so a suspect link is
+// raced by a new one. The first echo on the new link proves that the peer lives, which a kernel that accepts the connection
+// of a frozen process does not; from then on it is the link to the peer, and the old one keeps what has begun on it.
+
+const (
+	// maxOpenings bounds the links that are being opened beside suspect ones at the same time.
+	maxOpenings = 32
+	// minSuspects is the number of links suspect at the same time from which the others are verified: one peer may have
+	// failed by itself.
+	minSuspects = 2
+)
+
+// bounds returns the times after which the link changes its state.
+func (s *Session) bounds() liveness.Bounds { return s.m.bounds(s.offerTimeout()) }
+
+// bounds returns the times after which a link changes its state, given how long an offer on it may stay unanswered.
+func (m *Manager) bounds(offerTimeout time.Duration) liveness.Bounds {
+	timeout := m.cfg.EchoTimeout
+	return liveness.Bounds{
+		Answer: timeout, Race: offerTimeout, Retry: timeout, MaxRetry: max(timeout, maxRedialDelay), Close: closeFactor * timeout,
+	}
+}
+
+// jitter returns a random number from 0 to 1.
+func jitter() float64 { return rand.Float64() } //nolint:gosec // spreads the openings of links, no secret
+
+// recordSuspicion records since when the link is suspect.
+func (s *Session) recordSuspicion(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.path = s.path.WithSuspicion(s.bounds(), at, jitter())
+}
+
+// startSuspect makes a new link suspect until its first echo.
+func (s *Session) startSuspect() {
+	s.suspect.Store(true)
+	s.recordSuspicion(time.Now())
+}
+
+// asked returns when the oldest heartbeat without an echo was sent, zero for none. The caller must hold s.mu.
+func (s *Session) asked() time.Time {
+	if s.pending == 0 {
+		return time.Time{}
+	}
+	return s.pendingAt
+}
+
+// state returns the state of the link and how long a heartbeat has waited for its echo.
+func (s *Session) state(now time.Time) (state liveness.State, waiting time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked := s.asked()
+	if !asked.IsZero() {
+		waiting = now.Sub(asked)
+	}
+	return s.path.State(s.bounds(), asked, now), waiting
+}
+
+// timeToNextCheck returns the time until the state of the link may change.
+func (s *Session) timeToNextCheck(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.path.Next(s.bounds(), s.asked())
+	if next.IsZero() {
+		return s.idleFactor() * s.m.cfg.Heartbeat
+	}
+	return max(next.Sub(now), time.Millisecond)
+}
+
+// openBeside has a new link opened beside this suspect one.
+func (s *Session) openBeside(now time.Time) {
+	opened := s.m.openBeside(s)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if opened {
+		s.path = s.path.WithOpening(s.bounds(), now, jitter())
+		return
+	}
+	s.path = s.path.WithPostponement(s.bounds(), now, jitter())
+}
+
+// openBeside begins to open a link beside a suspect one, unless that is no longer the link to its peer or too many links are
+// being opened.
+func (m *Manager) openBeside(s *Session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.sessions[s.address]
+	if current == nil {
+		current = m.candidates[s.address]
+	}
+	if current != s || len(m.dialing) >= maxOpenings || m.closed.Load() {
+		return false
+	}
+	m.dialLocked(s.address)
+	return true
+}
+
+// addLocked adds a new link: as the link to its peer, or as a candidate if there is one already. It returns the candidate
+// that it takes the place of, nil for none. The caller must hold m.mu.
+func (m *Manager) addLocked(s *Session) (unproven *Session) {
+	if m.sessions[s.address] == nil && m.candidates[s.address] == nil {
+		m.sessions[s.address] = s
+		return nil
+	}
+	s.startSuspect()
+	unproven = m.candidates[s.address]
+	m.candidates[s.address] = s
+	return unproven
+}
+
+// promote makes a candidate the link to its peer after its first echo; if the link that it was opened beside has recovered, the
+// candidate is not needed.
+func (m *Manager) promote(s *Session) {
+	m.mu.Lock()
+	if m.candidates[s.address] != s {
+		m.mu.Unlock()
+		return
+	}
+	delete(m.candidates, s.address)
+	old := m.sessions[s.address]
+	surplus := old
+	if old != nil && !old.suspect.Load() {
+		surplus = s
+	} else {
+		m.sessions[s.address] = s
+		if old != nil {
+			s.pinned.Store(old.pinned.Load())
+			s.watched.Store(old.watched.Load())
+		}
+	}
+	m.mu.Unlock()
+	if surplus == nil {
+		return
+	}
+	if surplus == old {
+		events.LinkReplaced.Log(m.log).Str("peer", s.address).Send()
+	}
+	surplus.supersede()
+}
+
+// supersede leaves a link to what has begun on it: it gets nothing new and is closed when that has ended.
+//
+// Invariant: no answer of which a caller has received a part is cut because another link to the peer works.
+func (s *Session) supersede() {
+	s.superseded.Store(true)
+	s.released.Store(true)
+	s.wakeBeat()
+}
+
+// verifyLinks has a heartbeat sent at once on every link if several are suspect: what they share may have failed, and an idle
+// link would notice that seconds later. It does so at most once in the echo timeout.
+func (m *Manager) verifyLinks(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.verifiedAt) < m.cfg.EchoTimeout {
+		return
+	}
+	suspects := 0
+	for _, s := range m.sessions {
+		if s.suspect.Load() {
+			suspects++
+		}
+	}
+	if suspects < minSuspects {
+		return
+	}
+	m.verifiedAt = now
+	for _, s := range m.sessions {
+		if !s.suspect.Load() {
+			s.beatNow()
+		}
+	}
+}
+
+// Watch monitors the links to some peers while they are idle as closely as links with requests, and no others.
+func (m *Manager) Watch(addresses []string) {
+	watched := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		watched[a] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, s := range m.sessions {
+		if s.watched.Swap(watched[address]) != watched[address] {
+			s.wakeBeat()
+		}
+	}
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -12,6 +12,7 @@
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/liveness"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -26,9 +27,12 @@
 	suspect  atomic.Bool
 	draining atomic.Bool
 	pinned   atomic.Bool
-	// released is set once the link begins no exchange any more.
-	released atomic.Bool
-	inFlight atomic.Int64
+	// watched is set if the link is monitored while it is idle as one with requests is.
+	watched atomic.Bool
+	// released is set once the link begins no exchange any more, superseded once another link to the peer is in use.
+	released   atomic.Bool
+	superseded atomic.Bool
+	inFlight   atomic.Int64
 	// usedAt is when the last exchange on the link began, in nanoseconds since 1970; roundTrip is the time from the last
 	// heartbeat to its echo, in nanoseconds.
 	usedAt    atomic.Int64
@@ -37,6 +41,8 @@
 	// was made, both in nanoseconds since 1970.
 	busyAt     atomic.Int64
 	answeredAt atomic.Int64
+	// echoAt is when the last echo arrived, in nanoseconds since 1970.
+	echoAt atomic.Int64
 	// urgent is set if a heartbeat is to be sent at once.
 	urgent atomic.Bool
 	// done is closed with the link; wake makes the control stream recompute the time of the next heartbeat.
@@ -48,6 +54,8 @@
 	// pending is the sequence number of the first heartbeat without an echo, 0 for none; pendingAt is when it was sent.
 	pending   uint64
 	pendingAt time.Time
+	// path tells since when the link is suspect and when a new one is opened beside it.
+	path liveness.Path
 	// streams are the streams of the exchanges of whose answers no caller has received a part, with whether they are
 	// offers. committed counts the other exchanges.
 	streams   map[net.Conn]bool
@@ -125,10 +133,14 @@
 	if !s.suspect.CompareAndSwap(false, true) {
 		return
 	}
-	s.m.markUnreachable(s.address)
+	s.recordSuspicion(time.Now())
+	if !s.superseded.Load() {
+		s.m.markUnreachable(s.address)
+	}
 	events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Str("reason", reason).Send()
 	s.interruptOffers()
 	s.beatNow()
+	s.m.verifyLinks(time.Now())
 }
 
 // interruptOffers ends the offers in flight on a suspect link; the answers of dispatched requests are fetched over another
@@ -235,13 +247,18 @@
 	if err := WriteFrame(stream, &peerpb.Frame{Kind: &peerpb.Frame_Pull{Pull: ask}}); err != nil {
 		return nil, err
 	}
+	_ = stream.SetReadDeadline(time.Now().Add(s.m.cfg.pullTimeout()))
 	r := NewFrameReader(stream)
 	var parts []*peerpb.Delta
 	for {
 		f, err := r.Read()
 		if err != nil {
+			if parts == nil && ctx.Err() == nil && isTransport(err) {
+				s.markSuspect("pull not answered")
+			}
 			return nil, fault.Wrap(err, fault.LinkLost, s.address, "link broke while changes were read")
 		}
+		_ = stream.SetReadDeadline(time.Time{})
 		d := f.GetDelta()
 		if d == nil {
 			return nil, fault.New(fault.Protocol, s.address, "peer did not answer the pull with changes")
@@ -253,6 +270,10 @@
 	}
 }
 
+// pullTimeout is how long the first frame of the answer to a pull may take: half of the echo timeout, so that there is time for
+// another pull over a new link.
+func (c Config) pullTimeout() time.Duration { return c.EchoTimeout / 2 }
+
 // Confirm asks the peer for the newest version of the platform's configuration; it returns false if the peer does not
 // know it or does not answer.
 func (s *Session) Confirm(ctx context.Context) (config uint64, known bool) {
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -80,3 +80,109 @@
 		}
 	}
 }
+
+// TestReplacedLinkKeepsBegunAnswers guards against answers that are cut in the middle because another link to the peer took the
+// place of the one on which they come.
+func TestReplacedLinkKeepsBegunAnswers(t *testing.T) {
+	h := halves{release: make(chan struct{})}
+	m, address := startManager(t, nil)
+	m.Handle(h)
+	p := relayTo(t, address)
+	caller, _ := startManager(t, nil)
+	s := session(t, caller, p.Address())
+	answer := beginAnswer(t, s)
+	p.Stall(true)
+	for end := time.Now().Add(5 * time.Second); session(t, caller, p.Address()) == s || !caller.Usable(p.Address()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("stalled link: got it in use after 5 s, want it replaced")
+		}
+	}
+	p.Stall(false)
+	close(h.release)
+	outcome, body := answer()
+	checkWhole(t, outcome, body)
+	select {
+	case <-s.done:
+	case <-time.After(5 * time.Second):
+		t.Error("replaced link: got it open after its last answer, want it closed")
+	}
+}
+
+// TestFrozenPeerIsNotTakenForWell guards against a peer that counts as well because its kernel accepts a connection, and against
+// a storm of connections to it.
+func TestFrozenPeerIsNotTakenForWell(t *testing.T) {
+	_, address := startManager(t, nil)
+	p := relayTo(t, address)
+	caller, _ := startManager(t, nil)
+	session(t, caller, p.Address())
+	p.Hold(relay.To, true)
+	p.Hold(relay.From, true)
+	frozen := time.Now()
+	time.Sleep(2 * caller.cfg.EchoTimeout)
+	const frozenFor = 900 * time.Millisecond
+	for time.Since(frozen) < frozenFor {
+		if caller.Usable(p.Address()) {
+			t.Fatalf("frozen peer after %v: got it usable, want it not", time.Since(frozen))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got, limit := p.Accepted(), 6; got > limit {
+		t.Errorf("connections to the frozen peer in %v: got %d, want at most %d", frozenFor, got, limit)
+	}
+	p.Hold(relay.To, false)
+	p.Hold(relay.From, false)
+	for end := time.Now().Add(2 * time.Second); !caller.Usable(p.Address()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("peer that goes on: got it unusable after 2 s, want it usable")
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if dialed, _ := caller.Links(); dialed == 1 && !caller.hasCandidate(p.Address()) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("links to the peer: got more than one after 5 s, want one")
+		}
+	}
+}
+
+// hasCandidate reports whether a link beside the one to a peer is open.
+func (m *Manager) hasCandidate(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.candidates[address] != nil || m.dialing[address] != nil
+}
+
+// TestIdleLinksAreVerified guards against idle links whose silence shows only with the next request: two suspect links have all
+// others verified at once.
+func TestIdleLinksAreVerified(t *testing.T) {
+	h := halves{release: make(chan struct{})}
+	close(h.release)
+	m, _ := startTimed(t, echoHandler{})
+	var relays []*relay.Proxy
+	for range 6 {
+		_, address := startTimed(t, h)
+		p := relayTo(t, address)
+		relays = append(relays, p)
+		if _, err := m.Pin(t.Context(), p.Address()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, p := range relays {
+		if err := p.Silence(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	silent := time.Now()
+	offerOnce(t, m, relays[0].Address())
+	offerOnce(t, m, relays[1].Address())
+	for _, p := range relays {
+		for p.Accepted() < 2 || !m.Usable(p.Address()) {
+			if time.Since(silent) > 2*time.Second {
+				t.Fatal("idle link: got it in use 2 s after it went silent, want it replaced")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -172,7 +172,7 @@
 	// SeedsPort replaces the port of each seed, for seeds whose listed address is that of another listener; 0 keeps the port.
 	SeedsPort int `yaml:"seeds_port" validate:"min=0,max=65535"`
 	// Heartbeat is the time between heartbeats.
-	Heartbeat Duration `yaml:"heartbeat" validate:"min=10000000"`
+	Heartbeat Duration `yaml:"heartbeat" validate:"min=10000000,ltefield=CutAfter"`
 	// CutAfter is the time after which a silent link gets no new requests.
 	CutAfter Duration `yaml:"cut_after" validate:"min=30000000"`
 	// IdleClose is the time after which a link without requests is closed.
--- a/settings/load.go
+++ b/settings/load.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
@@ -172,12 +173,26 @@
 		return "want " + bound(f) + " or more"
 	case "max", "lte":
 		return "want " + bound(f) + " or less"
+	case "ltefield":
+		return "want no more than " + keyOf(f.Param())
 	case "oneof":
 		return "want one of " + strings.ReplaceAll(f.Param(), " ", ", ")
 	}
 	return "breaks the rule " + f.Tag() + " " + f.Param()
 }
 
+// keyOf returns the key in the file of a field named in a rule.
+func keyOf(name string) string {
+	var key strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			key.WriteByte('_')
+		}
+		key.WriteRune(unicode.ToLower(r))
+	}
+	return key.String()
+}
+
 func bound(f validator.FieldError) string { return f.Param() }
 
 // field is a key or list element of the file, with its path and line.
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -34,6 +34,7 @@
 	held     [Directions]bool
 	delay    time.Duration
 	conns    []*net.TCPConn
+	accepted int
 	// pairs are the connections that are not silent.
 	pairs []pair
 	tap   func(bytes []byte)
@@ -43,6 +44,8 @@
 type pair struct {
 	in, out *net.TCPConn
 	silent  *atomic.Bool
+	// stalled is set while the connection's bytes are held; the proxy's lock guards it.
+	stalled *bool
 }
 
 // New returns a proxy on a port of loopback; Unavailable when there is none.
@@ -87,11 +90,12 @@
 	if !okIn || !okOut {
 		return pair{}, false
 	}
-	c := pair{in: tcpIn, out: tcpOut, silent: new(atomic.Bool)}
+	c := pair{in: tcpIn, out: tcpOut, silent: new(atomic.Bool), stalled: new(bool)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns = append(p.conns, tcpIn, tcpOut)
 	p.pairs = append(p.pairs, c)
+	p.accepted++
 	return c, true
 }
 
@@ -104,7 +108,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
-		p.wait(direction)
+		p.wait(direction, c)
 		if c.silent.Load() {
 			return
 		}
@@ -120,10 +124,10 @@
 	}
 }
 
-// wait returns once the direction is not held, after the link's delay.
-func (p *Proxy) wait(direction Direction) {
+// wait returns once neither the direction nor the connection is held, after the link's delay.
+func (p *Proxy) wait(direction Direction, c pair) {
 	p.mu.Lock()
-	for p.held[direction] {
+	for p.held[direction] || *c.stalled {
 		p.cond.Wait()
 	}
 	delay := p.delay
@@ -131,6 +135,13 @@
 	time.Sleep(delay)
 }
 
+// Accepted returns the number of connections accepted so far.
+func (p *Proxy) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
 // Tap shows f all bytes that pass, piece by piece.
 func (p *Proxy) Tap(f func(bytes []byte)) {
 	p.mu.Lock()
@@ -162,6 +173,17 @@
 	p.cond.Broadcast()
 }
 
+// Stall holds the bytes of the connections that are open now, and acknowledges them; new connections work. Without on, all
+// connections go on.
+func (p *Proxy) Stall(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.pairs {
+		*c.stalled = on
+	}
+	p.cond.Broadcast()
+}
+
 // Silence makes every open connection silent for good, as after the loss of a firewall's state: bytes that come on it are
 // neither passed on nor acknowledged, and it is not ended. New connections work.
 func (p *Proxy) Silence() error { return p.SilenceShare(1, func() float64 { return 0 }) }
@@ -196,7 +218,7 @@
 	var failed error
 	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop}) //nolint:gosec // a descriptor
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
 	if err != nil {
 		return nil
@@ -220,6 +242,7 @@
 func (p *Proxy) Close() {
 	p.Hold(To, false)
 	p.Hold(From, false)
+	p.Stall(false)
 	_ = p.listener.Close()
 	p.Reset()
 }
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -116,7 +116,7 @@
 }
 
 func records(r platform.WireReply) platform.Records {
-	out := platform.Records{Version: r.Version, More: r.More}
+	out := platform.Records{Version: r.Version, More: r.More, Now: time.Duration(r.Now * float64(time.Second))}
 	for _, row := range r.Rows {
 		out.Records = append(out.Records, record(row))
 	}
