Configuration: the readers of a hall read in turn, each time on a new connection

Cause: all readers of all halls waited for the change on connections that had gone silent. Keep-alive was the only sign that could end the wait; its interval of 500 ms is a second to the kernel, which makes 4.0 s, and the transport then repeats the read silently. No reader was better off than another. Pulls from peers went over links that were as silent, one after the other. Class: an unanswered connection stands for its peer.

Change: calls to the store use new connections. The readers of a hall end their waits in turn by the store's clock, one in each third of 3 s, so that one of them looks on a new connection within a second. A read that is overdue is left to its timeout and another is made beside it. A node monitors the link to its hall's first reader, a reader those to the other readers, while idle.

--- a/configsync/activate.go
+++ b/configsync/activate.go
@@ -94,9 +94,10 @@
 
 // activateHostsRead activates the list of hosts that a read of the store has returned. A read of the whole table shows
 // a removal only by the host's absence, so the list is activated even if its newest announcement is older than the
-// active revision. A read of an older store version than the newest known list is dropped; another read follows.
+// active revision. A read of an older store version than the newest known list is dropped, and another read follows; a read
+// without changes leaves the list as it is.
 func (f *Follower) activateHostsRead(m productRead) {
-	if m.at < f.hosts.revision {
+	if m.at < f.hosts.revision || m.unchanged && m.hosts.revision == f.hosts.revision {
 		return
 	}
 	revision := max(f.hosts.revision, m.hosts.revision)
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -35,7 +35,8 @@
 	Seeds []string
 	// RetryInterval is the initial interval between reads of a platform that fails; it doubles up to MaxRetryInterval.
 	RetryInterval, MaxRetryInterval time.Duration
-	// LongPollTimeout is how long one read waits for a change.
+	// LongPollTimeout is how long one read waits for a change. The readers of a hall begin their reads in turn, so that one of
+	// them begins in each LongPollTimeout divided by their number.
 	LongPollTimeout time.Duration
 	// Readers is the number of nodes in a hall that read the product's table, which changes with every host that is
 	// added or removed.
@@ -145,7 +146,9 @@
 	// wanted holds, by peer address, the revisions that peers have and this node lacks.
 	wanted     map[string]pendingPull
 	seedsAsked map[string]bool
-	startedAt  time.Time
+	// pullDue expires when the next pending pull is due.
+	pullDue   *time.Timer
+	startedAt time.Time
 	// hosts is the newest list of hosts read from the store or received from a peer.
 	hosts hostList
 }
@@ -175,7 +178,7 @@
 		confirms: sharedCheck{now: clock.Boot}, skippedList: skipped.New(log),
 		messages: make(chan message, messageBacklog), done: make(chan struct{}),
 		sources: map[table.Source]*sourceState{table.SourceRows: {}},
-		wanted:  make(map[string]pendingPull), seedsAsked: make(map[string]bool),
+		wanted:  make(map[string]pendingPull), seedsAsked: make(map[string]bool), pullDue: time.NewTimer(tickInterval),
 	}
 	if cfg.WithConfig {
 		f.sources[table.SourceConfig] = &sourceState{}
@@ -247,6 +250,8 @@
 			return
 		case m := <-f.messages:
 			m.apply(ctx, f)
+		case <-f.pullDue.C:
+			f.pullNext(ctx)
 		case <-tick.C:
 			f.tick(ctx)
 		}
@@ -265,6 +270,7 @@
 		f.askSeeds(ctx)
 	}
 	f.keepLinks(ctx, now, snap, reader)
+	f.watchReaders(snap)
 	f.pullNext(ctx)
 }
 
--- a/configsync/links.go
+++ b/configsync/links.go
@@ -20,6 +20,22 @@
 
 func (f *Follower) isSelf(h table.HostInfo) bool { return h.ID == f.cfg.Host }
 
+// watchReaders has the links closely monitored over which this node receives the changes that it does not read itself: on a
+// reader the links to the hall's other readers, on any other node the one to the first reader.
+func (f *Follower) watchReaders(snap *Snapshot) {
+	readers := snap.ranked.readers(f.cfg.Hall, max(f.cfg.Readers, f.cfg.ConfigReaders), f.reachable)
+	if !slices.ContainsFunc(readers, f.isSelf) {
+		readers = readers[:min(1, len(readers))]
+	}
+	var addresses []string
+	for _, h := range readers {
+		if !f.isSelf(h) {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	f.links.Watch(addresses)
+}
+
 // reachable reports whether a host is this node or has a usable link. Nodes whose views differ make a few more reads;
 // nothing else depends on it.
 func (f *Follower) reachable(h table.HostInfo) bool { return f.isSelf(h) || f.links.Usable(h.Address) }
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -16,8 +16,10 @@
 
 // productRead is the result of one read of the product's table.
 type productRead struct {
-	state *table.State
-	hosts hostList
+	// unchanged is true if the read returned no record.
+	unchanged bool
+	state     *table.State
+	hosts     hostList
 	// poisonRequests holds the rows of the requests during which endpoints crashed.
 	poisonRequests *table.State
 	// at is the store version that the read shows.
--- a/configsync/pull.go
+++ b/configsync/pull.go
@@ -63,26 +63,28 @@
 	return ""
 }
 
-// pullNext pulls from a peer that has a later revision, preferably from this hall; at most one pull is in flight.
+// pullNext pulls from a peer that has a later revision; at most one pull is in flight.
 func (f *Follower) pullNext(ctx context.Context) {
 	if f.pulling {
 		return
 	}
 	now := time.Now()
-	best := ""
+	best, next := "", time.Time{}
 	for address, w := range f.wanted {
 		if !f.State().Revisions().Behind(w.revisions) {
 			delete(f.wanted, address)
 			continue
 		}
-		if now.Sub(w.since) < f.pullDelayFor(w.revisions) || now.Before(w.notBefore) {
+		if due := latest(w.since.Add(f.pullDelayFor(w.revisions)), w.notBefore); now.Before(due) {
+			next = earliest(next, due)
 			continue
 		}
-		if best == "" || f.inOwnHall(address) {
+		if best == "" || f.isBetterSource(address, best) {
 			best = address
 		}
 	}
 	if best == "" {
+		f.pullAgainAt(next)
 		return
 	}
 	w := f.wanted[best]
@@ -94,6 +96,38 @@
 	f.pull(ctx, best)
 }
 
+// isBetterSource reports whether a pull is rather made from peer a than from peer b: from this hall, and over a link that has
+// proved itself more recently, as the other may have gone silent.
+func (f *Follower) isBetterSource(a, b string) bool {
+	if inHall := f.inOwnHall(a); inHall != f.inOwnHall(b) {
+		return inHall
+	}
+	return f.links.LastHeard(a).After(f.links.LastHeard(b))
+}
+
+// pullAgainAt has pullNext run at a time, if that is not zero.
+func (f *Follower) pullAgainAt(at time.Time) {
+	if !at.IsZero() {
+		f.pullDue.Reset(time.Until(at))
+	}
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// earliest returns the earlier of two times, of which the first may be zero for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // pullDelayFor returns how long this node waits to read the revisions of a peer itself before it pulls them: 0 if it
 // lacks changes of a source that it does not read.
 func (f *Follower) pullDelayFor(shown table.Revisions) time.Duration {
@@ -176,7 +210,7 @@
 }
 
 func (f *Follower) pullFrom(ctx context.Context, address string, from table.Revisions) ([]*peerpb.Delta, error) {
-	s, err := f.links.Session(ctx, address)
+	s, err := f.links.Renew(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/configsync/read.go
+++ b/configsync/read.go
@@ -48,18 +48,6 @@
 	}
 }
 
-// records waits for changes of a table after the cursor, or reads the whole table if it was not loaded yet.
-func (f *Follower) records(ctx context.Context, name string, loaded bool, cursor uint64) (platform.Records, error) {
-	if !loaded {
-		return f.platform.All(platform.WithReason(ctx, platform.ReasonLoad), name)
-	}
-	reason := platform.ReasonHosts
-	if name == platform.TableOperators {
-		reason = platform.ReasonConfig
-	}
-	return f.platform.Feed(platform.WithReason(ctx, reason), name, cursor, f.cfg.LongPollTimeout)
-}
-
 // productReader reads the product's table: the operators' rows, the announcements of the nodes and the poison requests.
 // One goroutine owns it.
 type productReader struct {
@@ -81,15 +69,16 @@
 	// removal that was dropped since.
 	removed []removedHost
 	base    uint64
-	// backoff spaces the reads while the platform fails.
+	// backoff spaces the reads while the platform fails, turns orders those of the hall's readers.
 	backoff retry.Backoff
+	turns   readerTurns
 }
 
 // readProduct keeps reading the product's table until the node stops.
 func (f *Follower) readProduct(ctx context.Context) {
 	r := &productReader{
 		f: f, rows: changes.NewReader(f.platform, changes.WithSkipHandler(f.noteSkipped)), state: table.NewState(), poisonRequests: newRowSource(table.SourcePoison),
-		backoff: retry.Backoff{Initial: f.cfg.RetryInterval, Max: f.cfg.MaxRetryInterval},
+		backoff: retry.Backoff{Initial: f.cfg.RetryInterval, Max: f.cfg.MaxRetryInterval}, turns: f.newTurns(platform.TableOwn, f.cfg.Readers),
 	}
 	for {
 		wait := f.cfg.RetryInterval
@@ -123,7 +112,7 @@
 		return productRead{err: err, took: time.Since(start)}, r.backoff.Next()
 	}
 	r.backoff.Reset()
-	m := productRead{state: r.state, poisonRequests: r.poisonRequests.state, at: r.cursor, hosts: hostList{
+	m := productRead{unchanged: records == 0, state: r.state, poisonRequests: r.poisonRequests.state, at: r.cursor, hosts: hostList{
 		hosts: sortedByID(slices.Collect(maps.Values(r.hosts))), revision: r.revision, base: r.base, removed: slices.Clone(r.removed),
 	}.trimmed()}
 	// Keep the removals of the trimmed list, so that the reader drops the same ones and holds each only once.
@@ -134,7 +123,7 @@
 // advance waits for the changes since the last read and applies them, or reads the whole table; it returns the number
 // of records read.
 func (r *productReader) advance(ctx context.Context) (records int, err error) {
-	recs, err := r.f.records(ctx, platform.TableOwn, r.loaded, r.cursor)
+	recs, err := r.turns.records(ctx, platform.TableOwn, r.loaded, r.cursor)
 	if err != nil {
 		return 0, err
 	}
--- a/configsync/readconfig.go
+++ b/configsync/readconfig.go
@@ -20,14 +20,16 @@
 	// cursor is the store version up to which the table was read; loaded is false until the whole table was read.
 	cursor uint64
 	loaded bool
-	// backoff spaces the reads while the platform fails.
+	// backoff spaces the reads while the platform fails, turns orders those of the hall's readers.
 	backoff retry.Backoff
+	turns   readerTurns
 }
 
 // readConfig keeps reading the table of the platform's operators until the node stops.
 func (f *Follower) readConfig(ctx context.Context) {
 	r := &configReader{
 		f: f, halls: newRowSource(table.SourceHalls), backoff: retry.Backoff{Initial: f.cfg.RetryInterval, Max: f.cfg.MaxRetryInterval},
+		turns: f.newTurns(platform.TableOperators, f.cfg.ConfigReaders),
 	}
 	for {
 		wait := f.cfg.RetryInterval
@@ -55,7 +57,7 @@
 // poll reads the operators' table once.
 func (r *configReader) poll(ctx context.Context) configRead {
 	start := time.Now()
-	recs, err := r.f.records(ctx, platform.TableOperators, r.loaded, r.cursor)
+	recs, err := r.turns.records(ctx, platform.TableOperators, r.loaded, r.cursor)
 	if err != nil {
 		return configRead{err: err, took: time.Since(start)}
 	}
--- /dev/null
+++ b/configsync/turns.go
@@ -0,0 +1,129 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lynxplank/lynxplank/platform"
+)
+
+const (
+	// feedSlack is how much longer than its wait a read may take before another is made beside it: several round trips
+	// and the time of the store for its answer.
+	feedSlack = 200 * time.Millisecond
+	// minTurn is the shortest wait of a read, as a fraction of the time between the turns of two readers: a read that ends
+	// shortly before its turn is not followed by one that ends at it.
+	minTurn = 4
+)
+
+// readerTurns makes the reads of one table. A connection to the store may go silent without a reset, so the readers of a hall
+// read in turn, each time on a new connection: the one whose turn comes next finds a change that a silent connection
+// withholds from the others. The turns follow the store's clock, which all readers share. One goroutine owns it.
+type readerTurns struct {
+	f *Follower
+	// readers is the number of readers in the hall, period the time in which each of them has one turn.
+	readers int
+	period  time.Duration
+	// phase shifts the turns of this table in this hall, so that not all halls read at the same moment.
+	phase time.Duration
+	// storeTime is the store's clock as last stated, at the local time readAt.
+	storeTime time.Duration
+	readAt    time.Time
+}
+
+func (f *Follower) newTurns(table string, readers int) readerTurns {
+	readers = max(1, readers)
+	period := max(f.cfg.LongPollTimeout, time.Millisecond)
+	phase := xxhash.Sum64String(table+"\x00"+f.cfg.Hall) % uint64(period)
+	return readerTurns{f: f, readers: readers, period: period, phase: time.Duration(phase), readAt: time.Now()} //nolint:gosec // less than period
+}
+
+// noteClock records the store's clock as an answer states it.
+func (r *readerTurns) noteClock(recs platform.Records) {
+	if recs.Now > 0 {
+		r.storeTime, r.readAt = recs.Now, time.Now()
+	}
+}
+
+// records waits for changes of a table after the cursor, or reads the whole table if it was not loaded yet.
+func (r *readerTurns) records(ctx context.Context, name string, loaded bool, cursor uint64) (platform.Records, error) {
+	if !loaded {
+		recs, err := r.f.platform.All(platform.WithReason(ctx, platform.ReasonLoad), name)
+		r.noteClock(recs)
+		return recs, err
+	}
+	reason := platform.ReasonHosts
+	if name == platform.TableOperators {
+		reason = platform.ReasonConfig
+	}
+	recs, err := r.feed(platform.WithReason(ctx, reason), name, cursor)
+	r.noteClock(recs)
+	return recs, err
+}
+
+// feedResult is the result of one of the reads that are in flight at the same time.
+type feedResult struct {
+	// number counts the reads, from 1.
+	number int
+	recs   platform.Records
+	err    error
+}
+
+// feed waits for changes of a table after the cursor. A read that gives no answer when its wait is over is left to its timeout,
+// and another is made beside it; the first answer counts, and the failure of the newest read.
+func (r *readerTurns) feed(ctx context.Context, name string, cursor uint64) (platform.Records, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan feedResult)
+	begun := 0
+	begin := func() <-chan time.Time {
+		begun++
+		number, wait := begun, r.wait(time.Now())
+		go func() {
+			recs, err := r.f.platform.Feed(ctx, name, cursor, wait)
+			select {
+			case results <- feedResult{number: number, recs: recs, err: err}:
+			case <-ctx.Done():
+			}
+		}()
+		return time.After(wait + feedSlack)
+	}
+	overdue := begin()
+	for {
+		select {
+		case <-overdue:
+			overdue = begin()
+		case res := <-results:
+			if res.err == nil || res.number == begun {
+				return res.recs, res.err
+			}
+		}
+	}
+}
+
+// wait returns how long a read that begins now waits for a change: until the next turn of this reader.
+func (r *readerTurns) wait(now time.Time) time.Duration {
+	at := r.storeTime + now.Sub(r.readAt) + r.phase
+	return turnWait(at, r.period, r.f.readerIndex(r.readers), r.readers)
+}
+
+// turnWait returns the time to the next turn of a reader, given the time on the shared clock, the time in which each reader has
+// one turn, and the reader's place among all.
+func turnWait(at, period time.Duration, index, readers int) time.Duration {
+	step := period / time.Duration(readers)
+	wait := period - (at-step*time.Duration(index)+period)%period
+	if wait < step/minTurn {
+		wait += period
+	}
+	return wait
+}
+
+// readerIndex returns the turn of this node among the hall's readers of a table. It does not depend on which of them this node
+// can reach; the fallback readers take the turns of those that they replace only by chance.
+func (f *Follower) readerIndex(readers int) int {
+	rank := slices.IndexFunc(f.Snapshot().ranked.byHall[f.cfg.Hall], f.isSelf)
+	return max(0, rank) % readers
+}
