Connections to endpoints that go silent are given up

Callers saw requests wait for their whole time on a kept connection to an endpoint that had gone silent without a reset (TestSilentConnectionsAreGivenUp: 8.0 s, its deadline, before).

Nothing bounded the time in which sent bytes are acknowledged, and the other kept connections were tried one after the other.

Change: package dialer opens connections with whole-second keep-alive and TCP_USER_TIMEOUT; the pool gives up after 1 s without acknowledgement (the endpoint is beside the node, and a suspended process's kernel acknowledges) and drops the other kept connections. The run ends as unknown and is no sample of the endpoint's health: the next request on a new connection is.

Measured: the test ends within 2 s, the next request is answered on a new connection.

--- a/egress/run.go
+++ b/egress/run.go
@@ -177,6 +177,10 @@
 			end: peer.NotRun(code, shortRetryAfter), sample: true, failed: true, brokenOff: true, unreachable: true, cause: err,
 		}
 	}
+	if upstream.IsSilent(err) {
+		// The connection has failed and not the endpoint, of which the next request on a new one tells.
+		return result{end: peer.Unknown(code), cause: err}
+	}
 	return result{
 		end: peer.Unknown(code), sample: !canceled, failed: !canceled, brokenOff: code == fault.EndpointCut,
 		unanswered: code == fault.DeadlineExceeded || code == fault.Canceled, cause: err,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lynxplank/lynxplank/dialer"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/memory"
 )
@@ -16,19 +17,25 @@
 const (
 	// connectTimeout bounds a new connection to an endpoint beside this node, which takes about a millisecond.
 	connectTimeout = time.Second
+	// ackTimeout bounds the time in which an endpoint beside this node acknowledges what it was sent; its kernel does so
+	// within milliseconds even while the endpoint is suspended.
+	ackTimeout = time.Second
 	// mostIdle bounds the connections kept for one endpoint.
 	mostIdle = 64
 )
 
 // Pool keeps connections to endpoints; it is safe for concurrent use.
 type Pool struct {
-	mu sync.Mutex
+	dialer *net.Dialer
+	mu     sync.Mutex
 	// idle are the kept connections by the endpoint's address, the one used last at the end.
 	idle map[string][]*conn
 }
 
 // NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+func NewPool() *Pool {
+	return &Pool{dialer: dialer.New(connectTimeout, ackTimeout), idle: make(map[string][]*conn)}
+}
 
 // Do sends a request and returns the start of its answer. It fails with EndpointUnreachable when the request was provably
 // not handed over, and with EndpointCut or Canceled when it may have been.
@@ -45,11 +52,18 @@
 	}
 	if err != nil {
 		resp.discard()
+		if IsSilent(err) {
+			p.dropIdle(r.Address)
+		}
 		return nil, cut(ctx, r, err)
 	}
 	return resp, nil
 }
 
+// IsSilent reports whether a request failed because its connection had gone silent: the endpoint may have received it, and nothing
+// is known of the endpoint itself.
+func IsSilent(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // cut says how a request ended whose connection broke off after the request may have been handed over.
 func cut(ctx context.Context, r Request, err error) error {
 	if ctx.Err() == context.Canceled {
@@ -77,8 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +124,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// dropIdle closes the kept connections to an address: what silenced one of them has probably silenced all.
+func (p *Pool) dropIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // CloseIdle closes the connections that carry nothing.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
