--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -27,6 +27,8 @@
 	stops := flag.Int("stops", 0, "series of signals that stop nodes, under work that may outlast their grace")
 	suspensions := flag.Int("suspensions", 0, "planned stops of nodes whose processes are suspended meanwhile")
 	rates := flag.Int("rates", 0, "times in which endpoints state how many requests a second they take")
+	silences := flag.Int("silences", 0, "times in which open connections go silent without a reset")
+	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
 	flag.Parse()
@@ -35,6 +37,7 @@
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
+			Silences: *silences, Calm: *calm,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -64,6 +67,9 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d actions, %d drains, %d rows and %d rates checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes, report.Rates)
 	demo.Print(out, demo.Check(report.Results, report.Records))
+	if cfg.Silences > 0 {
+		fmt.Fprintf(out, "changes at a silence checked on %d nodes\n", report.Silences)
+	}
 	if cfg.Nested {
 		fmt.Fprintf(out, "nested calls: %+v\n", report.Nested)
 	}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -214,7 +214,8 @@
 	RetryInterval Duration `yaml:"retry" validate:"min=10000000"`
 	// MaxRetryInterval is the maximum up to which that time doubles while the platform keeps failing.
 	MaxRetryInterval Duration `yaml:"retry_most" validate:"min=10000000"`
-	// Wait is how long one call waits for a change (long poll).
+	// Wait is how long one call waits for a change (long poll); in this time each reader of a hall looks once on a new
+	// connection.
 	Wait Duration `yaml:"wait" validate:"min=10000000"`
 	// Readers is the number of nodes of a hall that read the product's table from the platform.
 	Readers int `yaml:"readers" validate:"min=1"`
@@ -298,7 +299,7 @@
 		Operators: Operators{Listener: listener},
 		Platform: Platform{
 			Timeout: Duration(2 * time.Second), RetryInterval: Duration(250 * time.Millisecond),
-			MaxRetryInterval: Duration(time.Second), Wait: Duration(10 * time.Second), Readers: 2, ConfigReaders: 2,
+			MaxRetryInterval: Duration(time.Second), Wait: Duration(2 * time.Second), Readers: 2, ConfigReaders: 2,
 		},
 		Endpoints: Endpoints{
 			ProbePath: "/healthz", ProbeEvery: Duration(5 * time.Second),
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -37,6 +37,8 @@
 		r.stopSeries(a)
 	case StateRate:
 		r.stateRate(a)
+	case SilenceLinks, SilenceStore, SilenceSome, SilenceAll:
+		r.silence(a)
 	}
 }
 
@@ -126,13 +128,7 @@
 	defer r.rows[a.On].Unlock()
 	key := r.fleet.Members[a.On].Key()
 	_, err := r.fleet.Ctl("set", "endpoint", key, "weight="+a.Weight)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err != nil {
-		r.unknown[key] = true
-		return
-	}
-	r.weights[key], r.unknown[key] = a.Weight, false
+	r.noteWeight(key, a.Weight, err)
 }
 
 // drain has an operator drain an endpoint and looks, unless something kept its node from hearing of it, whether new work
@@ -189,7 +185,8 @@
 			if a.On == on {
 				return true
 			}
-		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate:
+		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate,
+			SilenceLinks, SilenceStore, SilenceSome, SilenceAll:
 		}
 	}
 	return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -70,6 +70,8 @@
 	Series Series
 	// Rate is what an endpoint states that it takes, in requests a second.
 	Rate float64
+	// Share is the part of the connections that go silent.
+	Share float64
 }
 
 // String tells the action in one line.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,10 @@
 	Suspensions int
 	// Rates is how often an endpoint states, for some seconds, how many requests a second it takes.
 	Rates int
+	// Silences is how often open connections go silent without a reset.
+	Silences int
+	// Calm leaves out the faults that Plan draws.
+	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
 	Nested bool
 }
@@ -46,6 +50,8 @@
 	Records []map[string]backend.Run
 	// Drains counts the drains that could be checked, Changes the rows whose value in force was, Rates the stated rates.
 	Drains, Changes, Rates int
+	// Silences counts the nodes for which it could be checked that a change at the moment of a silence was in force in time.
+	Silences int
 	// Nested counts the calls that endpoints made.
 	Nested NestedCalls
 	// Fatal is how often each fatal request began to run until all was healed.
@@ -112,9 +118,13 @@
 		procs: make([]sync.Mutex, cfg.Members), ends: make([]sync.Mutex, cfg.Members), rows: make([]sync.Mutex, cfg.Members),
 		weights: make(map[string]string), unknown: make(map[string]bool),
 	}
+	if cfg.Calm {
+		r.plan = nil
+	}
 	r.plan = append(r.plan, PlanStops(cfg.Seed, cfg.Members, cfg.Stops, cfg.Length)...)
 	r.plan = append(r.plan, PlanSuspensions(cfg.Seed, cfg.Members, cfg.Suspensions, cfg.Length)...)
 	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
+	r.plan = append(r.plan, PlanSilences(cfg.Seed, cfg.Members, cfg.Silences, cfg.Length)...)
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
