--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -68,6 +68,8 @@
 //	stop on=h1 [signals=N] [gap=4s]                                 signals to stop in series; waits for the exit and prints its code
 //	cut, heal on=h1 way=to|from                                     one direction of every link dialed to the node
 //	slow on=h1 ms=N                                                 delays every link dialed to the node, both ways
+//	silence                                                         open connections of the nodes to each other, and to the store of a relayed fleet,
+//	                                                                go silent without a reset; new ones work
 //	platform up|down
 //	leaving on=h1                                                   the operator drains the host; waits until all know
 //	hall name=hall-1 evacuated=yes|no [but=h1]                      waits until every running node, but for one, knows so
@@ -114,6 +116,8 @@
 	fleet   *Fleet
 	how     backend.Behaviour
 	proxies map[string]*relay.Proxy
+	// stores is before the store for all nodes, nil unless the fleet is relayed.
+	stores  *relay.Proxy
 	loads   []*Load
 	sent    int
 	held    sync.WaitGroup
@@ -135,7 +139,7 @@
 		"warm": s.warm, "closed": s.closed, "signal": s.signal, "ended": s.ended, "pause": s.pause,
 		"cut": s.link, "heal": s.link, "slow": s.slow, "platform": s.platform, "leaving": s.leaving, "hall": s.hall,
 		"slowly": s.slowly, "memory": s.memory, "inforce": s.inForce, "fatal": s.fatal, "arrival": s.arrival, "lift": s.lift, "check": s.check,
-		"load": s.runLoad, "kept": s.kept,
+		"load": s.runLoad, "kept": s.kept, "silence": s.silence,
 	}
 	step := steps[d.Cmd]
 	if step == nil {
@@ -176,6 +180,9 @@
 	}
 	f.PeerAddress = func(m *Member) string { return s.proxies[m.Host].Address() }
 	s.fleet = f
+	if d.HasArg("relayed") {
+		s.relayStore(t, d)
+	}
 	s.how = backend.Behaviour{WorkMillis: float64(number(t, d, "work", 4))}
 	cells := "floor: 50%, false_ejections: 1"
 	if queue := word(t, d, "queue", ""); queue != "" {
@@ -185,6 +192,28 @@
 	return "ready\n"
 }
 
+// relayStore has the nodes find the store behind a relay.
+func (s *scenario) relayStore(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	p, err := relay.New(s.fleet.PlatformAddress())
+	must(t, d, err)
+	t.Cleanup(p.Close)
+	s.stores = p
+	s.fleet.StoreAddress = func(*Member) string { return p.Address() }
+}
+
+// silence makes all open connections of the nodes to each other and to the store silent.
+func (s *scenario) silence(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	if s.stores != nil {
+		must(t, d, s.stores.Silence())
+	}
+	for _, p := range s.proxies {
+		must(t, d, p.Silence())
+	}
+	return ""
+}
+
 func (s *scenario) member(t *testing.T, d *datadriven.TestData) *Member {
 	t.Helper()
 	name := word(t, d, "on", "")
