Watched links are spread over the readers of a hall

Cause: every node of a hall watched the link to its first reader. With 167 nodes a hall (3,500 in 21) that reader would answer 332 heartbeats a second: by the slope of docs/CAPACITY.md (0.047% of a core and 0.22 KiB/s for a link that beats four times a second) 3.9% of a core and 18 KiB/s.

Change: a node watches one of the hall's readers, chosen by its name, and less often where more than 32 nodes come to a reader. Worked out: 56 links that beat once a second, 0.66% and 3.1 KiB/s. The trace shows replaced links.

Measured: TestConfigurationAfterSilence passes; worked out, not run, at 3,500. Conclusion: within the limit of control for a reader.

--- a/configsync/links.go
+++ b/configsync/links.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -20,12 +22,21 @@
 
 func (f *Follower) isSelf(h table.HostInfo) bool { return h.ID == f.cfg.Host }
 
+// maxWatchers is the number of nodes that watch a reader at the shortest interval; each node of a large hall watches its reader
+// less often, so that the heartbeats cost a reader no more.
+const maxWatchers = 32
+
 // watchReaders has the links closely monitored over which this node receives the changes that it does not read itself: on a
-// reader the links to the hall's other readers, on any other node the one to the first reader.
+// reader the links to the hall's other readers, on any other node the one to one of the readers.
 func (f *Follower) watchReaders(snap *Snapshot) {
 	readers := snap.ranked.readers(f.cfg.Hall, max(f.cfg.Readers, f.cfg.ConfigReaders), f.reachable)
+	if len(readers) == 0 {
+		return
+	}
+	factor := 1 + len(snap.HallHosts)/(maxWatchers*len(readers))
 	if !slices.ContainsFunc(readers, f.isSelf) {
-		readers = readers[:min(1, len(readers))]
+		i := xxhash.Sum64String(f.cfg.Host) % uint64(len(readers))
+		readers = readers[i : i+1]
 	}
 	var addresses []string
 	for _, h := range readers {
@@ -33,7 +44,7 @@
 			addresses = append(addresses, h.Address)
 		}
 	}
-	f.links.Watch(addresses)
+	f.links.Watch(addresses, factor)
 }
 
 // reachable reports whether a host is this node or has a usable link. Nodes whose views differ make a few more reads;
--- a/peer/control.go
+++ b/peer/control.go
@@ -137,10 +137,10 @@
 
 // idleFactor returns the factor by which the heartbeat interval grows while this link is idle.
 func (s *Session) idleFactor() time.Duration {
-	switch {
-	case s.watched.Load():
-		return 1
-	case s.pinned.Load():
+	if factor := s.watched.Load(); factor > 0 {
+		return time.Duration(factor)
+	}
+	if s.pinned.Load() {
 		return pinnedIdleFactor
 	}
 	return unpinnedIdleFactor
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -182,11 +182,12 @@
 	}
 }
 
-// Watch monitors the links to some peers while they are idle as closely as links with requests, and no others.
-func (m *Manager) Watch(addresses []string) {
-	watched := make(map[string]bool, len(addresses))
+// Watch monitors the links to some peers closely while they are idle, and no others: a heartbeat is sent every heartbeat interval
+// times factor, which is positive and less than that of other idle links.
+func (m *Manager) Watch(addresses []string, factor int) {
+	watched := make(map[string]int32, len(addresses))
 	for _, a := range addresses {
-		watched[a] = true
+		watched[a] = int32(min(max(1, factor), pinnedIdleFactor))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/session.go
+++ b/peer/session.go
@@ -27,8 +27,9 @@
 	suspect  atomic.Bool
 	draining atomic.Bool
 	pinned   atomic.Bool
-	// watched is set if the link is monitored while it is idle as one with requests is.
-	watched atomic.Bool
+	// watched is the factor by which the heartbeat interval grows while the link is idle, if it is monitored more closely
+	// than other idle links, else 0.
+	watched atomic.Int32
 	// released is set once the link begins no exchange any more, superseded once another link to the peer is in use.
 	released   atomic.Bool
 	superseded atomic.Bool
--- a/trace/line.go
+++ b/trace/line.go
@@ -141,7 +141,8 @@
 	switch event {
 	case events.NodeStarted.Number, events.NodeStopping.Number, events.NodeStopped.Number, events.RevisionActivated.Number,
 		events.PlatformLost.Number, events.PlatformBack.Number, events.ConfigReady.Number, events.HostReaped.Number,
-		events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number, events.PhaseChanged.Number,
+		events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number,
+		events.LinkReplaced.Number, events.PhaseChanged.Number,
 		events.EndpointAnnounced.Number, events.EndpointLeaving.Number, events.BreakerChanged.Number,
 		events.MaxRateChanged.Number:
 		return true
--- a/trace/story.go
+++ b/trace/story.go
@@ -133,7 +133,7 @@
 // group maps events that replace each other, such as link up and link closed, to one number.
 func group(event int) int {
 	switch event {
-	case events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number:
+	case events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number, events.LinkReplaced.Number:
 		return events.LinkUp.Number
 	case events.PlatformLost.Number, events.PlatformBack.Number:
 		return events.PlatformLost.Number
