Idle links are checked with their heartbeats, unless they are watched or verified

Cause: each heartbeat on an idle link set a timer for its echo, so that a node was woken once more for each of its links every four seconds.

Change: only suspect, watched, verified and used links are checked between their heartbeats.

--- a/peer/control.go
+++ b/peer/control.go
@@ -205,6 +205,7 @@
 	s.roundTrip.Store(int64(now.Sub(s.pendingAt)))
 	s.pending = 0
 	s.path = s.path.WithAnswer()
+	s.verifying.Store(false)
 	return true
 }
 
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -66,12 +66,14 @@
 	return s.path.State(s.bounds(), asked, now), waiting
 }
 
-// timeToNextCheck returns the time until the state of the link may change.
+// timeToNextCheck returns the time until the state of the link may change. An idle link that is neither suspect nor watched nor
+// being verified is checked with its next heartbeat only: a check of its own for each would wake a node for each of its links.
 func (s *Session) timeToNextCheck(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.path.Next(s.bounds(), s.asked())
-	if next.IsZero() {
+	closely := s.suspect.Load() || s.watched.Load() > 0 || s.verifying.Load() || s.inFlight.Load() > 0
+	if next.IsZero() || !closely {
 		return s.idleFactor() * s.m.cfg.Heartbeat
 	}
 	return max(next.Sub(now), time.Millisecond)
@@ -177,6 +179,7 @@
 	m.verifiedAt = now
 	for _, s := range m.sessions {
 		if !s.suspect.Load() {
+			s.verifying.Store(true)
 			s.beatNow()
 		}
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -30,6 +30,8 @@
 	// watched is the factor by which the heartbeat interval grows while the link is idle, if it is monitored more closely
 	// than other idle links, else 0.
 	watched atomic.Int32
+	// verifying is set from when the link is to be verified until its next echo.
+	verifying atomic.Bool
 	// released is set once the link begins no exchange any more, superseded once another link to the peer is in use.
 	released   atomic.Bool
 	superseded atomic.Bool
