A link to a frozen peer goes on with the intervals of the one before

A new candidate began its intervals anew; once the link that it was opened beside had been closed, each candidate opened the next one after a few round trips, and so on while the peer did not answer.

Change: a candidate takes over the schedule of the link that it stands beside, and an opening is recorded before it begins. A link that is not responsible for its peer looks again after the retry interval.

--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -78,9 +78,9 @@
 	return p
 }
 
-// WithPostponement returns the path after a new connection could not be opened at the given time.
-func (p Path) WithPostponement(b Bounds, at time.Time, jitter float64) Path {
-	p.replaceAt = at.Add(spread(b.Race, jitter))
+// WithPostponement returns the path after no new connection could be opened at the given time; the next attempt follows after wait.
+func (p Path) WithPostponement(at time.Time, wait time.Duration, jitter float64) Path {
+	p.replaceAt = at.Add(spread(wait, jitter))
 	return p
 }
 
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -47,6 +47,18 @@
 	s.recordSuspicion(time.Now())
 }
 
+// startSuspectBeside makes a new link suspect until its first echo. It goes on with the intervals of the link that it was opened
+// beside, which may end before it: otherwise each link to a frozen peer would begin them anew.
+func (s *Session) startSuspectBeside(other *Session) {
+	s.suspect.Store(true)
+	other.mu.Lock()
+	path := other.path
+	other.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.path = path.WithSuspicion(s.bounds(), time.Now(), jitter())
+}
+
 // asked returns when the oldest heartbeat without an echo was sent, zero for none. The caller must hold s.mu.
 func (s *Session) asked() time.Time {
 	if s.pending == 0 {
@@ -79,32 +91,39 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
-// openBeside has a new link opened beside this suspect one.
+// openBeside has a new link opened beside this suspect one. The opening is recorded first, as the new link goes on from there.
 func (s *Session) openBeside(now time.Time) {
-	opened := s.m.openBeside(s)
+	b := s.bounds()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if opened {
-		s.path = s.path.WithOpening(s.bounds(), now, jitter())
+	before := s.path
+	s.path = before.WithOpening(b, now, jitter())
+	s.mu.Unlock()
+	wait := s.m.openBeside(s, b)
+	if wait == 0 {
 		return
 	}
-	s.path = s.path.WithPostponement(s.bounds(), now, jitter())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.path = before.WithPostponement(now, wait, jitter())
 }
 
-// openBeside begins to open a link beside a suspect one, unless that is no longer the link to its peer or too many links are
-// being opened.
-func (m *Manager) openBeside(s *Session) bool {
+// openBeside begins to open a link beside a suspect one and returns 0, or returns after which time to try again: another link is
+// responsible for the peer, or too many links are being opened.
+func (m *Manager) openBeside(s *Session, b liveness.Bounds) (wait time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	current := m.sessions[s.address]
 	if current == nil {
 		current = m.candidates[s.address]
 	}
-	if current != s || len(m.dialing) >= maxOpenings || m.closed.Load() {
-		return false
+	switch {
+	case current != s || m.closed.Load():
+		return b.Retry
+	case len(m.dialing) >= maxOpenings:
+		return b.Race
 	}
 	m.dialLocked(s.address)
-	return true
+	return 0
 }
 
 // addLocked adds a new link: as the link to its peer, or as a candidate if there is one already. It returns the candidate
@@ -114,8 +133,12 @@
 		m.sessions[s.address] = s
 		return nil
 	}
-	s.startSuspect()
 	unproven = m.candidates[s.address]
+	beside := m.sessions[s.address]
+	if beside == nil {
+		beside = unproven
+	}
+	s.startSuspectBeside(beside)
 	m.candidates[s.address] = s
 	return unproven
 }
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// TestLongFrozenPeerIsNotStormed guards against a new connection every few round trips to a peer that stays frozen for longer than
+// it takes to close a link to it: each new link must go on with the intervals of the one before.
+func TestLongFrozenPeerIsNotStormed(t *testing.T) {
+	_, address := startManager(t, nil)
+	p := relayTo(t, address)
+	caller, _ := startManager(t, nil)
+	session(t, caller, p.Address())
+	p.Hold(relay.To, true)
+	p.Hold(relay.From, true)
+	const frozenFor = 3 * time.Second
+	time.Sleep(frozenFor)
+	if got, limit := p.Accepted(), 8; got > limit {
+		t.Errorf("connections to the frozen peer in %v: got %d, want at most %d", frozenFor, got, limit)
+	}
+}
+
 // hasCandidate reports whether a link beside the one to a peer is open.
 func (m *Manager) hasCandidate(address string) bool {
 	m.mu.Lock()
--- a/virtual/silence.go
+++ b/virtual/silence.go
@@ -145,7 +145,7 @@
 			r.open(n, l)
 			l.path = l.path.WithOpening(r.Bounds, now, r.random.Float64())
 		} else {
-			l.path = l.path.WithPostponement(r.Bounds, now, r.random.Float64())
+			l.path = l.path.WithPostponement(now, r.Bounds.Race, r.random.Float64())
 		}
 	}
 	r.clock.after(max(l.path.Next(r.Bounds, time.Time{}).Sub(now), time.Millisecond), func() { r.check(n, l) })
