A candidate is kept until a slow peer can have answered it

Cause: while a candidate link was open, the next one took its place 0.8, 1.6 and 3.2 s later.

Change: nothing is opened beside a link while a candidate younger than the longest interval (4 s) is open. A dial that fails leaves no candidate and is repeated as before.

The soak at such load was not repeated on this code. Conclusion: fewer connections to peers that are slow or frozen.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -118,7 +118,7 @@
 		return nil, fault.Wrap(err, fault.LinkDown, address, "cannot open the yamux session")
 	}
 	s := &Session{
-		m: m, address: address, mux: mux, conn: c,
+		m: m, address: address, mux: mux, conn: c, openedAt: time.Now(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]bool),
 	}
 	s.usedAt.Store(time.Now().UnixNano())
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -98,7 +98,7 @@
 	before := s.path
 	s.path = before.WithOpening(b, now, jitter())
 	s.mu.Unlock()
-	wait := s.m.openBeside(s, b)
+	wait := s.m.openBeside(s, b, now)
 	if wait == 0 {
 		return
 	}
@@ -108,8 +108,9 @@
 }
 
 // openBeside begins to open a link beside a suspect one and returns 0, or returns after which time to try again: another link is
-// responsible for the peer, or too many links are being opened.
-func (m *Manager) openBeside(s *Session, b liveness.Bounds) (wait time.Duration) {
+// responsible for the peer, a candidate may still be answered, or too many links are being opened. A peer that is short of
+// processor time answers late, and would answer none of the candidates if each took the place of the one before.
+func (m *Manager) openBeside(s *Session, b liveness.Bounds, now time.Time) (wait time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	current := m.sessions[s.address]
@@ -117,7 +118,7 @@
 		current = m.candidates[s.address]
 	}
 	switch {
-	case current != s || m.closed.Load():
+	case current != s || m.closed.Load() || m.candidates[s.address].isYounger(b.MaxRetry, now):
 		return b.Retry
 	case len(m.dialing) >= maxOpenings:
 		return b.Race
@@ -126,6 +127,11 @@
 	return 0
 }
 
+// isYounger reports whether the link, if there is one, was opened less than a time ago.
+func (s *Session) isYounger(age time.Duration, now time.Time) bool {
+	return s != nil && now.Sub(s.openedAt) < age
+}
+
 // addLocked adds a new link: as the link to its peer, or as a candidate if there is one already. It returns the candidate
 // that it takes the place of, nil for none. The caller must hold m.mu.
 func (m *Manager) addLocked(s *Session) (unproven *Session) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -22,6 +22,8 @@
 	address string
 	mux     *yamux.Session
 	conn    net.Conn
+	// openedAt is when the link was opened.
+	openedAt time.Time
 	// suspect is set from the first sign that the link is cut until the next echo, draining while the peer reports that it
 	// drains, and pinned if the link stays open while it is idle.
 	suspect  atomic.Bool
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -162,6 +162,36 @@
 	}
 }
 
+// TestSlowPeerAnswersItsCandidate guards against candidates that take each other's place before a peer which needs longer than the
+// echo timeout for an answer has given one.
+func TestSlowPeerAnswersItsCandidate(t *testing.T) {
+	_, address := startManager(t, nil)
+	p := relayTo(t, address)
+	caller, _ := startManager(t, nil)
+	session(t, caller, p.Address())
+	if err := p.Silence(); err != nil {
+		t.Fatal(err)
+	}
+	// One round trip takes four echo timeouts.
+	p.Slow(2 * caller.cfg.EchoTimeout)
+	for start := time.Now(); !caller.hasEchoed(p.Address()); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 2*time.Second {
+			t.Fatal("slow peer: got no echo on a candidate within 2 s, want one")
+		}
+	}
+	if got, limit := p.Accepted(), 3; got > limit {
+		t.Errorf("connections to the slow peer: got %d, want at most %d", got, limit)
+	}
+}
+
+// hasEchoed reports whether the link to a peer is one that was opened beside another and has carried an echo.
+func (m *Manager) hasEchoed(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sessions[address]
+	return s != nil && s.echoAt.Load() > 0 && m.candidates[address] == nil && s.roundTrip.Load() > int64(m.cfg.EchoTimeout)
+}
+
 // hasCandidate reports whether a link beside the one to a peer is open.
 func (m *Manager) hasCandidate(address string) bool {
 	m.mu.Lock()
--- a/virtual/silence.go
+++ b/virtual/silence.go
@@ -74,6 +74,8 @@
 	asked     time.Time
 	suspect   bool
 	replaced  bool
+	// openedAt is when a link was last opened beside this one, zero for never.
+	openedAt time.Time
 }
 
 // Run simulates the silence.
@@ -141,10 +143,14 @@
 		return
 	}
 	if l.path.State(r.Bounds, time.Time{}, now) == liveness.Replace {
-		if n.opening < r.MaxOpenings {
+		switch young := !l.openedAt.IsZero() && now.Sub(l.openedAt) < r.Bounds.MaxRetry; {
+		case young:
+			l.path = l.path.WithPostponement(now, r.Bounds.Retry, r.random.Float64())
+		case n.opening < r.MaxOpenings:
+			l.openedAt = now
 			r.open(n, l)
 			l.path = l.path.WithOpening(r.Bounds, now, r.random.Float64())
-		} else {
+		default:
 			l.path = l.path.WithPostponement(now, r.Bounds.Race, r.random.Float64())
 		}
 	}
