Links: one rule bounds the candidates

Change: the taking over goes; nothing is opened beside a candidate younger than 4 s, whichever link is responsible.

Conclusion: less code, the same bounds.

--- a/peer/replace.go
+++ b/peer/replace.go
@@ -47,18 +47,6 @@
 	s.recordSuspicion(time.Now())
 }
 
-// startSuspectBeside makes a new link suspect until its first echo. It goes on with the intervals of the link that it was opened
-// beside, which may end before it: otherwise each link to a frozen peer would begin them anew.
-func (s *Session) startSuspectBeside(other *Session) {
-	s.suspect.Store(true)
-	other.mu.Lock()
-	path := other.path
-	other.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.path = path.WithSuspicion(s.bounds(), time.Now(), jitter())
-}
-
 // asked returns when the oldest heartbeat without an echo was sent, zero for none. The caller must hold s.mu.
 func (s *Session) asked() time.Time {
 	if s.pending == 0 {
@@ -91,20 +79,17 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
-// openBeside has a new link opened beside this suspect one. The opening is recorded first, as the new link goes on from there.
+// openBeside has a new link opened beside this suspect one.
 func (s *Session) openBeside(now time.Time) {
 	b := s.bounds()
-	s.mu.Lock()
-	before := s.path
-	s.path = before.WithOpening(b, now, jitter())
-	s.mu.Unlock()
 	wait := s.m.openBeside(s, b, now)
-	if wait == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.path = before.WithPostponement(now, wait, jitter())
+	if wait > 0 {
+		s.path = s.path.WithPostponement(now, wait, jitter())
+		return
+	}
+	s.path = s.path.WithOpening(b, now, jitter())
 }
 
 // openBeside begins to open a link beside a suspect one and returns 0, or returns after which time to try again: another link is
@@ -139,12 +124,8 @@
 		m.sessions[s.address] = s
 		return nil
 	}
+	s.startSuspect()
 	unproven = m.candidates[s.address]
-	beside := m.sessions[s.address]
-	if beside == nil {
-		beside = unproven
-	}
-	s.startSuspectBeside(beside)
 	m.candidates[s.address] = s
 	return unproven
 }
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -147,7 +147,7 @@
 }
 
 // TestLongFrozenPeerIsNotStormed guards against a new connection every few round trips to a peer that stays frozen for longer than
-// it takes to close a link to it: each new link must go on with the intervals of the one before.
+// it takes to close a link to it: once that one is closed, each new link must leave its peer as much time.
 func TestLongFrozenPeerIsNotStormed(t *testing.T) {
 	_, address := startManager(t, nil)
 	p := relayTo(t, address)
