Follower: Stop waits for the reads of the store

Change: a feed waits for its reads, which end with its context, and Stop for the readers.

Measured: TestStopWaitsForReads fails before (reads in flight after the stop), passes now; go test -race ./configsync ./node.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -133,6 +134,8 @@
 	onChange    []func(*Snapshot)
 	stop        context.CancelFunc
 	done        chan struct{}
+	// readers are the goroutines that read the platform's tables.
+	readers sync.WaitGroup
 
 	// The fields below are used by the control goroutine only.
 
@@ -205,17 +208,18 @@
 	f.reading.Store(true)
 	f.readingConfig.Store(true)
 	go f.control(ctx)
-	go f.readProduct(ctx)
+	f.readers.Go(func() { f.readProduct(ctx) })
 	if f.cfg.WithConfig {
-		go f.readConfig(ctx)
+		f.readers.Go(func() { f.readConfig(ctx) })
 	}
 	return nil
 }
 
-// Stop stops the control goroutine and waits for its end.
+// Stop stops the control goroutine and the readers, and waits for their end.
 func (f *Follower) Stop(context.Context) error {
 	f.stop()
 	<-f.done
+	f.readers.Wait()
 	return nil
 }
 
--- a/configsync/turns.go
+++ b/configsync/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,8 +74,10 @@
 }
 
 // feed waits for changes of a table after the cursor. A read that gives no answer when its wait is over is left to its timeout,
-// and another is made beside it; the first answer counts, and the failure of the newest read.
+// and another is made beside it; the first answer counts, and the failure of the newest read. No read outlasts the call.
 func (r *readerTurns) feed(ctx context.Context, name string, cursor uint64) (platform.Records, error) {
+	var reads sync.WaitGroup
+	defer reads.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan feedResult)
@@ -82,13 +85,13 @@
 	begin := func() <-chan time.Time {
 		begun++
 		number, wait := begun, r.wait(time.Now())
-		go func() {
+		reads.Go(func() {
 			recs, err := r.f.platform.Feed(ctx, name, cursor, wait)
 			select {
 			case results <- feedResult{number: number, recs: recs, err: err}:
 			case <-ctx.Done():
 			}
-		}()
+		})
 		return time.After(wait + feedSlack)
 	}
 	overdue := begin()
