--- a/egress/rate.go
+++ b/egress/rate.go
@@ -194,7 +194,7 @@
 	change := l.maxRate.Adopt(l.clock(), d.GetMaxRate())
 	l.applyRateToQueue()
 	l.mu.Unlock()
-	e.logRateChange(l, change, d.GetMaxRate())
+	e.logRateChange(l, change, d.GetMaxRate(), rateFromSender)
 }
 
 // noteMaxRate applies what an answer states of the endpoint's rate.
@@ -215,15 +215,22 @@
 		l.applyRateToQueue()
 	}
 	l.mu.Unlock()
-	e.logRateChange(l, change, a.MaxRate.Rate)
+	e.logRateChange(l, change, a.MaxRate.Rate, rateFromAnswer)
 }
 
+// The sources of a stated rate in the log.
+const (
+	rateFromAnswer = "answer"
+	rateFromSender = "sender"
+)
+
 // logRateChange logs that the rate which an endpoint states begins, changes or ends.
-func (e *Egress) logRateChange(l *localEndpoint, change maxrate.Change, rate float64) {
+func (e *Egress) logRateChange(l *localEndpoint, change maxrate.Change, rate float64, source string) {
 	if change == maxrate.NoChange {
 		return
 	}
-	events.MaxRateChanged.Log(e.log).Str("endpoint", l.key).Str("service", l.serviceName()).Stringer("change", change).Float64("max_rate", rate).Send()
+	events.MaxRateChanged.Log(e.log).Str("endpoint", l.key).Str("service", l.serviceName()).Stringer("change", change).Float64("max_rate", rate).
+		Str("source", source).Send()
 }
 
 // maxRateStatus returns what operators are shown of the stated rate; ok is false while there is none.
--- a/events/events.go
+++ b/events/events.go
@@ -27,6 +27,7 @@
 	BodyMemoryExhausted = Event{110, "no room for bodies", zerolog.WarnLevel}
 	RequestOutlasts     = Event{111, "request outlasts planned stop", zerolog.WarnLevel}
 	StopRepeated        = Event{112, "stop signal repeated", zerolog.InfoLevel}
+	ProcessPaused       = Event{113, "process was paused", zerolog.InfoLevel}
 	RevisionActivated   = Event{200, "revision in force", zerolog.InfoLevel}
 	PlatformLost        = Event{201, "platform does not answer", zerolog.WarnLevel}
 	PlatformBack        = Event{202, "platform answers again", zerolog.InfoLevel}
@@ -84,7 +85,7 @@
 // All lists every event.
 var All = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
-	LinesSuppressed, BodyMemoryExhausted, RequestOutlasts, StopRepeated,
+	LinesSuppressed, BodyMemoryExhausted, RequestOutlasts, StopRepeated, ProcessPaused,
 	RevisionActivated, PlatformLost, PlatformBack, ReadFailed, BadTable, ConfigReady,
 	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntrySkipped, HallEvacuated, HallReturned,
 	LinkUp, LinkSuspect, LinkClosed, LinkReplaced, PeerRefused, PeerGarbled,
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/lynxplank/lynxplank/announce"
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/director"
 	"github.com/lynxplank/lynxplank/egress"
@@ -37,6 +38,8 @@
 
 // The kernel names of a node's components, by which they are looked up.
 const (
+	// Pauses is the clock.PauseMonitor.
+	Pauses = "pauses"
 	// Links is the peer.Manager.
 	Links = "links"
 	// Follower is the configsync.Follower.
@@ -85,6 +88,8 @@
 	stopping atomic.Bool
 	// grace tracks the time limits of the planned stop.
 	grace *grace
+	// pauses detects when the process did not run.
+	pauses *clock.PauseMonitor
 	// announced holds the endpoints that announce themselves; nil if endpoints are rows of the table.
 	announced *registry.Registry
 	// budget limits the memory that request and answer bodies may use.
@@ -117,6 +122,10 @@
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
 	n.skipped = skipped.New(n.log)
+	n.pauses = clock.NewPauseMonitor(clock.Boot, func(p clock.Pause) {
+		events.ProcessPaused.Log(n.log).Dur("for", p.Duration()).Send()
+	})
+	n.kernel.Register(Pauses, n.pauses)
 	n.budget = memory.New(cfg.Memory.Bodies())
 	if err := n.build(); err != nil {
 		return nil, err
--- a/node/stop.go
+++ b/node/stop.go
@@ -76,7 +76,8 @@
 // the start of the stop, a rolling restart of a third of a fleet took 4 of 10 healthy endpoints out of use for two seconds.
 func (n *Node) Stop() error {
 	start := time.Now()
-	events.NodeStopping.Log(n.log).Send()
+	signalAge := n.pauses.SignalAge()
+	events.NodeStopping.Log(n.log).Dur("signal_age", signalAge).Send()
 	n.stopping.Store(true)
 	ctx, cancel := n.grace.begin()
 	defer cancel()
--- a/trace/line.go
+++ b/trace/line.go
@@ -139,7 +139,7 @@
 // changesView reports whether an event changes a node's local view of the fleet, or the node's own state.
 func changesView(event int) bool {
 	switch event {
-	case events.NodeStarted.Number, events.NodeStopping.Number, events.NodeStopped.Number, events.RevisionActivated.Number,
+	case events.NodeStarted.Number, events.NodeStopping.Number, events.NodeStopped.Number, events.ProcessPaused.Number, events.RevisionActivated.Number,
 		events.PlatformLost.Number, events.PlatformBack.Number, events.ConfigReady.Number, events.HostReaped.Number,
 		events.LinkUp.Number, events.LinkSuspect.Number, events.LinkClosed.Number,
 		events.LinkReplaced.Number, events.PhaseChanged.Number,
