A planned stop counts from the earliest time of its signal

Cause: the node counted its grace from when it noticed the signal. A process that is suspended between the two notices it when it runs again, while whoever stops it counts on: the kill came 1.4 s after the notice in place of 3 s. Change: the guaranteed end counts from the beginning of a pause that has just ended, by a monitor of the process's own ticks; the notice takes its part of what is left. Why it works: the signal can't have been sent before the process last ran without receiving it.

--- a/node/stop.go
+++ b/node/stop.go
@@ -22,26 +22,28 @@
 	// most, unless it is killed earlier.
 	guaranteed, maxTime time.Duration
 
-	mu    sync.Mutex
-	began time.Time
-	timer *time.Timer
+	mu sync.Mutex
+	// signaledAt is the earliest time at which the first stop signal may have been sent.
+	signaledAt time.Time
+	timer      *time.Timer
 }
 
 func newGrace(cfg settings.Stop) *grace {
 	return &grace{guaranteed: cfg.Grace.Std() - cfg.Margin.Std(), maxTime: cfg.Grace.Std() + cfg.Overrun.Std()}
 }
 
-// begin starts the planned stop's clock and returns a context that is cancelled after maxTime.
-func (g *grace) begin() (context.Context, context.CancelFunc) {
+// begin starts the planned stop's clock and returns a context that is cancelled after maxTime. The stop signal may have been
+// sent signalAge ago.
+func (g *grace) begin(signalAge time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.began = time.Now()
+	g.signaledAt = time.Now().Add(-signalAge)
 	g.timer = time.AfterFunc(g.maxTime, cancel)
 	return ctx, cancel
 }
 
-// renew lets maxTime count from now and returns how long ago the stop began, false if it has not begun.
+// renew lets maxTime count from now and returns how long ago the first stop signal was sent, false if there was none.
 //
 // The sender of a repeated stop signal waits for the whole grace period again. A stop that counted from the first signal
 // alone would cut off requests that still have time.
@@ -52,15 +54,27 @@
 		return 0, false
 	}
 	g.timer.Reset(g.maxTime)
-	return time.Since(g.began), true
+	return time.Since(g.signaledAt), true
 }
 
 // guaranteedEnd returns the time until which the node is certain not to be killed. It counts from the first signal, as the node
 // may be killed when the grace of that signal is over.
+//
+// Invariant: it counts from the earliest time at which that signal may have been sent. The sender's clock runs on while the
+// node is paused and can't receive the signal.
 func (g *grace) guaranteedEnd() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.began.Add(g.guaranteed)
+	return g.signaledAt.Add(g.guaranteed)
+}
+
+// scale returns the part of a duration of the planned stop that fits the guaranteed time which is left.
+func (g *grace) scale(d time.Duration) time.Duration {
+	if g.guaranteed <= 0 {
+		return d
+	}
+	left := min(max(0, time.Until(g.guaranteedEnd())), g.guaranteed)
+	return time.Duration(float64(d) * left.Seconds() / g.guaranteed.Seconds())
 }
 
 // Stop runs the planned stop. The node closes each caller's connection with its next answer and serves as before for the
@@ -79,8 +93,9 @@
 	signalAge := n.pauses.SignalAge()
 	events.NodeStopping.Log(n.log).Dur("signal_age", signalAge).Send()
 	n.stopping.Store(true)
-	ctx, cancel := n.grace.begin()
+	ctx, cancel := n.grace.begin(signalAge)
 	defer cancel()
+	notice := n.grace.scale(n.cfg.Stop.Notice.Std())
 	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
 	if err != nil {
 		return err
@@ -94,7 +109,7 @@
 	if err := n.withdrawWithEndpoint(); err != nil {
 		return err
 	}
-	n.awaitNotice(ctx, start)
+	n.awaitNotice(ctx, notice-time.Since(start))
 	if err := n.announceStop(); err != nil {
 		return err
 	}
@@ -150,8 +165,8 @@
 
 // awaitNotice waits until the notice period is over, while the node keeps serving: callers learn only after some seconds that
 // the node is stopping, and may send new requests on their connections until then.
-func (n *Node) awaitNotice(ctx context.Context, start time.Time) {
-	notice := time.NewTimer(n.cfg.Stop.Notice.Std() - time.Since(start))
+func (n *Node) awaitNotice(ctx context.Context, left time.Duration) {
+	notice := time.NewTimer(left)
 	defer notice.Stop()
 	select {
 	case <-ctx.Done():
