--- a/maxrate/limiter.go
+++ b/maxrate/limiter.go
@@ -298,11 +298,12 @@
 	}
 }
 
-// Wait returns how long a request that comes now would have to wait, behind others that wait for an admission.
+// Wait returns how long a request that comes now would have to wait, behind others that wait for an admission, or until that
+// is known.
 func (l *Limiter) Wait(now time.Time, others int) time.Duration {
 	wait := time.Duration(0)
 	if !l.IsOpen(now) {
-		wait = l.opening(now).Sub(now)
+		wait = min(l.opening(now).Sub(now), l.untilNews(now))
 	}
 	if l.phase == limited {
 		wait = max(wait, l.bucket.Wait(now, 1+others))
