Before the first answer: four requests on a first start, refusals that send elsewhere

Change: a process of which neither the store nor a peer knows an earlier life may send four openings at once; an endpoint that takes no opening is reported as busy, and a request that may wait is refused as out of time. The window of starts is 4.3 s, so that delayed arrivals stay within 4 s. TestRefusalsBeforeFirstAnswer guards the refusals.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -94,8 +94,10 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*localEndpoint
-	// life is what is known of the starts of this node.
-	life maxrate.Life
+	// life is what is known of the starts of this node; recordChecked is set once it includes whether the store held an
+	// announcement of this node when the process started.
+	life          maxrate.Life
+	recordChecked bool
 }
 
 const (
@@ -203,10 +205,7 @@
 	e.observeHall(snap.State)
 	hallRegion := snap.RegionOf(e.cfg.Hall)
 	e.region.Store(&hallRegion)
-	if len(snap.Hosts) <= 1 && snap.Ready {
-		// No peer could tell of an earlier life.
-		e.NoteEarlierLife(0)
-	}
+	e.observeLife(snap)
 	snap.State.Services(func(v table.ServiceView) {
 		for _, row := range v.Endpoints {
 			if row.Value.Host == e.cfg.Host {
--- a/egress/local.go
+++ b/egress/local.go
@@ -360,12 +360,22 @@
 	return l.queue.Counts()
 }
 
+// busySlots returns how many slots senders learn to be busy: all while an endpoint that has not answered yet takes no further
+// request, or senders would ask for its free slots in vain; the lock must be held.
+func (l *localEndpoint) busySlots() int {
+	busy, now := l.queue.Busy(), l.clock()
+	if !l.maxRate.IsOpen(now) && l.maxRate.Wait(now, 0) > 0 {
+		return max(busy, l.slots)
+	}
+	return busy
+}
+
 // loadReport returns the load that directors learn of, with the service time of the latest run.
 func (l *localEndpoint) loadReport(service time.Duration, incarnation uint64) *peerpb.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	load := &peerpb.Load{
-		Slots: uint32(l.slots), Busy: uint32(l.queue.Busy()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
+		Slots: uint32(l.slots), Busy: uint32(l.busySlots()), Queued: uint32(l.queue.Waiting()), //nolint:gosec // small
 		Finished: l.finished.Load(), Failed: l.failed.Load(),
 		ServiceMicros: service.Microseconds(), Incarnation: incarnation, Leaving: l.draining.Load(),
 		Trial: l.breaker.State() == breaker.Trial, ColdMicros: l.coldMicros(),
--- a/egress/rate.go
+++ b/egress/rate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/coldstart"
+	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/contract"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
@@ -81,7 +82,7 @@
 // latestSend returns until when a request may wait before it is sent: not at all, unless it may wait for a slot.
 func (l *localEndpoint) latestSend(d *peerpb.Dispatch) time.Time {
 	now := l.clock()
-	if d.GetExchange() != 0 && !d.GetWait() {
+	if mayNotWait(d) {
 		return now
 	}
 	left := latencyTarget(d)
@@ -103,19 +104,25 @@
 	if ok {
 		return a, 0, nil
 	}
-	return a, retryAfter, l.rateRefusal(retryAfter)
+	return a, retryAfter, l.rateRefusal(d, retryAfter)
 }
 
 // rateRefusal returns the refusal of a request that the limiter does not admit; the lock must be held. While the endpoint is
-// not known to state a rate, it is as if it had no free slot.
-func (l *localEndpoint) rateRefusal(retryAfter time.Duration) *peerpb.End {
+// not known to state a rate, it is as if it had no free slot, now or in time.
+func (l *localEndpoint) rateRefusal(d *peerpb.Dispatch, retryAfter time.Duration) *peerpb.End {
 	code := fault.MaxRate
 	if _, limited := l.maxRate.Limit(); !limited {
-		code = fault.Busy
+		code = fault.DeadlineTooShort
+		if mayNotWait(d) {
+			code = fault.Busy
+		}
 	}
 	return peer.NotRun(code, max(retryAfter, shortRetryAfter))
 }
 
+// mayNotWait reports whether a request is refused at once if it can't be sent.
+func mayNotWait(d *peerpb.Dispatch) bool { return d.GetExchange() != 0 && !d.GetWait() }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -161,7 +168,7 @@
 // refuseBeyondRate returns the refusal of a request that may not wait and that the stated rate does not admit now, nil for
 // another one.
 func (l *localEndpoint) refuseBeyondRate(d *peerpb.Dispatch) *peerpb.End {
-	if d.GetExchange() == 0 || d.GetWait() {
+	if !mayNotWait(d) {
 		return nil
 	}
 	l.mu.Lock()
@@ -171,7 +178,7 @@
 	if wait == 0 {
 		return nil
 	}
-	return l.rateRefusal(max(wait, l.maxRate.Refuse(now)))
+	return l.rateRefusal(d, max(wait, l.maxRate.Refuse(now)))
 }
 
 // applyRateToQueue fits the queue to the stated rate; the lock must be held.
@@ -185,8 +192,7 @@
 		slots = min(slots, running+1)
 	}
 	if now := l.clock(); !l.maxRate.IsOpen(now) {
-		// One waits to be the next opening.
-		slots = min(slots, l.maxRate.Openings(now)+1)
+		slots = min(slots, l.maxRate.Concurrency(now))
 	}
 	l.queue.SetLimits(slots, l.maxWaiting)
 	l.queue.SetPace(pace)
@@ -225,7 +231,7 @@
 	if _, limited := l.maxRate.Limit(); !limited || l.maxRate.Wait(now, 0) == 0 {
 		return end
 	}
-	return l.rateRefusal(l.maxRate.Refuse(now))
+	return peer.NotRun(fault.MaxRate, l.maxRate.Refuse(now))
 }
 
 // unknownStatementAge is the age of a statement of which a sender does not tell the age: longer than any counts as recent.
@@ -347,3 +353,22 @@
 		l.mu.Unlock()
 	}
 }
+
+// observeLife applies what a snapshot shows of earlier lives of this node.
+func (e *Egress) observeLife(snap *configsync.Snapshot) {
+	if !snap.Ready {
+		return
+	}
+	e.mu.Lock()
+	first := !e.recordChecked
+	e.recordChecked = true
+	e.mu.Unlock()
+	// This process may have announced itself already.
+	if stored := snap.StoredAnnouncement; first && (stored.Version == 0 || stored.Incarnation == e.cfg.Incarnation) {
+		e.updateLife(maxrate.Life.WithoutRecord)
+	}
+	if len(snap.Hosts) <= 1 {
+		// No peer could tell of an earlier life.
+		e.NoteEarlierLife(0)
+	}
+}
--- a/egress/starts_test.go
+++ b/egress/starts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
 	"github.com/lynxplank/lynxplank/maxrate"
@@ -173,3 +174,41 @@
 		t.Error("life: got the zero value, want that of a process with peers")
 	}
 }
+
+// TestRefusalsBeforeFirstAnswer guards against senders that ask an endpoint over and over which does not answer after a start
+// of its node: a refusal says that no slot is free, to a request that may wait that its time is too short.
+func TestRefusalsBeforeFirstAnswer(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer close(release)
+	e := startNode(t, strings.TrimPrefix(server.URL, "http://"))
+	e.NoteEarlierLife(time.Second)
+	started := make(chan struct{})
+	wg.Go(func() {
+		d := lookupWithin(5 * time.Second)
+		d.BudgetMicros = (10 * time.Second).Microseconds()
+		close(started)
+		serve(t, e, d)
+	})
+	<-started
+	// No news is expected any more.
+	time.Sleep(600 * time.Millisecond)
+	for _, c := range []struct {
+		name string
+		wait bool
+		want fault.Code
+	}{{"may not wait", false, fault.Busy}, {"may wait", true, fault.DeadlineTooShort}} {
+		d := lookupWithin(100 * time.Millisecond)
+		d.Exchange, d.Wait = 1, c.wait
+		end := serve(t, e, d)
+		if got, want := end.GetCode(), string(c.want); got != want {
+			t.Errorf("%s: got %q, want %q", c.name, got, want)
+		}
+		if got, want := end.GetLoad().GetBusy(), end.GetLoad().GetSlots(); got < want {
+			t.Errorf("%s: busy slots: got %d, want %d", c.name, got, want)
+		}
+	}
+}
--- a/maxrate/fleet_test.go
+++ b/maxrate/fleet_test.go
@@ -95,7 +95,7 @@
 func newFleet(seed uint64) *fleet {
 	r := rand.New(rand.NewPCG(seed, 0))
 	return &fleet{
-		random: r, now: time.Unix(1000, 0), limiter: NewLimiter(NewLife(time.Unix(1000, 0)).WithEarlier(time.Time{})), slots: 1 + r.IntN(8), demand: 1 + r.IntN(6),
+		random: r, now: time.Unix(1000, 0), limiter: NewLimiter(NewLife(time.Unix(1000, 0)).WithEarlier(time.Time{}).WithoutRecord()), slots: 1 + r.IntN(8), demand: 1 + r.IntN(6),
 		told: make([]told, 3+r.IntN(58)),
 	}
 }
--- a/maxrate/life.go
+++ b/maxrate/life.go
@@ -5,10 +5,12 @@
 const (
 	// seriesWindow is how long after a start of the node another one counts as in a series: the window of the bound and the
 	// time from an admission to its arrival.
-	seriesWindow = 4200 * time.Millisecond
+	seriesWindow = 4300 * time.Millisecond
 	// openingInterval is the time between two requests that find out what the endpoint states, unless the node is certain that
 	// no earlier life of it has sent any within seriesWindow. Two of them and a burst stay within the bound.
 	openingInterval = seriesWindow / 2
+	// firstOpenings is how many such requests may be sent at once if no earlier life of the node can have sent any.
+	firstOpenings = 4
 	// secondOpeningDelay is how long the first such request may remain unanswered before a second one is sent.
 	secondOpeningDelay = 300 * time.Millisecond
 	// peerTimeout is how long after its start a process expects peers to tell of earlier lives of its node.
@@ -27,6 +29,8 @@
 	// none.
 	earlier time.Time
 	known   bool
+	// unrecorded is set if the store held no announcement of the node when this process started.
+	unrecorded bool
 }
 
 // NewLife returns the life of a process that does not know yet whether another one preceded it.
@@ -42,6 +46,15 @@
 	return l
 }
 
+// WithoutRecord returns the life of a process that found no announcement of its node in the store.
+func (l Life) WithoutRecord() Life {
+	l.unrecorded = true
+	return l
+}
+
+// isFirst reports whether neither the store nor a peer knows of an earlier life.
+func (l Life) isFirst() bool { return l.unrecorded && l.known && l.earlier.IsZero() }
+
 // inSeries reports whether an earlier process may have sent requests within seriesWindow before this one.
 func (l Life) inSeries() bool {
 	return !l.known || !l.earlier.IsZero() && l.started.Sub(l.earlier) < seriesWindow
--- a/maxrate/limiter.go
+++ b/maxrate/limiter.go
@@ -207,7 +207,7 @@
 // opening returns the earliest time of the next opening.
 func (l *Limiter) opening(now time.Time) time.Time {
 	n := len(l.openings)
-	if n == 0 {
+	if n == 0 || l.life.isFirst() && n < firstOpenings {
 		return later(now, l.life.opensAt())
 	}
 	delay := openingInterval
@@ -229,15 +229,18 @@
 	return math.MaxInt64
 }
 
-// Openings returns how many openings have been sent.
-func (l *Limiter) Openings(now time.Time) int {
+// Concurrency returns how many requests may be at the endpoint before its first answer, or wait to be the next opening.
+func (l *Limiter) Concurrency(now time.Time) int {
 	sent := 0
 	for _, at := range l.openings {
 		if !at.After(now) {
 			sent++
 		}
 	}
-	return sent
+	if l.life.isFirst() {
+		return max(firstOpenings, sent+1)
+	}
+	return sent + 1
 }
 
 func later(a, b time.Time) time.Time {
--- a/maxrate/limiter_test.go
+++ b/maxrate/limiter_test.go
@@ -14,7 +14,8 @@
 
 // TestScripts runs testdata/limiter. Commands, each at a time in ms since the start:
 //
-//	new [earlier=N] [alone]            a limiter that knows nothing; its node was started before, N ms ago, or no peer says so
+//	new [earlier=N] [alone] [first]    a limiter that knows nothing; its node was started before, N ms ago, or no peer has told;
+//	                                   with first the store knows of no earlier start either
 //	answer at=N sent=N [rate=R|bad]    an answer to a request that was sent at a time; prints what changes
 //	adopt at=N stated=N [rate=R]       a sender tells what the endpoint stated to it at a time
 //	peer at=N [earlier=N]              a peer says when it first heard of an earlier life of the node, or that it knows of none
@@ -41,6 +42,9 @@
 			} else if !d.HasArg("alone") {
 				life = life.WithEarlier(time.Time{})
 			}
+			if d.HasArg("first") {
+				life = life.WithoutRecord()
+			}
 			l = NewLimiter(life)
 			return ""
 		case "peer":
--- a/peer/lives.go
+++ b/peer/lives.go
@@ -7,8 +7,8 @@
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 )
 
-// lifeMemory is how long a node remembers when it first heard of the lives of a peer.
-const lifeMemory = time.Minute
+// maxLives is how many peers' lives are remembered.
+const maxLives = 4096
 
 // life is what a node remembers of the starts of a peer.
 type life struct {
@@ -30,10 +30,8 @@
 	if ok && known.incarnation == incarnation {
 		return known.earlierAt
 	}
-	for name, other := range l {
-		if now.Sub(other.heardAt) > lifeMemory {
-			delete(l, name)
-		}
+	if !ok && len(l) >= maxLives {
+		delete(l, l.oldest())
 	}
 	next := life{incarnation: incarnation, heardAt: now}
 	if ok {
@@ -43,6 +41,17 @@
 	return next.earlierAt
 }
 
+// oldest returns the peer that was heard of first.
+func (l lives) oldest() string {
+	name, at := "", time.Time{}
+	for peer, known := range l {
+		if at.IsZero() || known.heardAt.Before(at) {
+			name, at = peer, known.heardAt
+		}
+	}
+	return name
+}
+
 // WithEarlierLifeHook calls f with what a peer to which this node has opened a link knows of the node's life before this
 // process: how long ago it first heard of it, 0 if it knows of none; f must not block.
 func WithEarlierLifeHook(f func(heardAgo time.Duration)) Option {
--- a/peer/lives_test.go
+++ b/peer/lives_test.go
@@ -1,12 +1,13 @@
 package peer
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
 
 // TestLivesTellOfTheEarlierStart checks that a peer is told when the life before its present one was first heard of, on each
-// link of the present one, and that lives are forgotten after a minute.
+// link of the present one, and that the number of lives is bounded.
 func TestLivesTellOfTheEarlierStart(t *testing.T) {
 	start := time.Unix(1000, 0)
 	l := make(lives)
@@ -29,8 +30,13 @@
 			t.Errorf("life %d at %v: got %v, want %v", c.incarnation, c.at, got, want)
 		}
 	}
-	l.hear(start.Add(4*time.Second+lifeMemory+1), "h2", 1)
-	if got, want := len(l), 1; got != want {
-		t.Errorf("lives after %v: got %d, want %d", lifeMemory, got, want)
+	for i := range maxLives {
+		l.hear(start.Add(5*time.Second), strconv.Itoa(i), 1)
+	}
+	if got, want := len(l), maxLives; got != want {
+		t.Errorf("lives: got %d, want %d", got, want)
+	}
+	if _, ok := l["h1"]; ok {
+		t.Error("the peer that was heard of first: got remembered, want forgotten")
 	}
 }
