Idle links are verified though the first silent link is already replaced

Idle links are verified once two links are suspect, which was looked for at one instant. A silent link is replaced 0.15 s after its offer; one whose offer has longer, after a slow first echo, becomes suspect later than that, and no two are ever suspect together. Callers may have met the other links with their next requests, each 60 to 300 ms late; reports of changes over them came up to 8 s late. Class: a coincidence judged at an instant, of events that are noticed one after the other. Looked for elsewhere (ejection, reports of ended endpoints, reaping, kept connections): those count over a window or need one event. Change: a link that has taken the place of a silent one counts for as long as an idle link may be without a heartbeat (8 s), after which each has had one of its own. TestIdleLinksAreVerified does and checks the same as before; its steps are functions now, which the new test uses. Conclusion: the order in which silences are noticed no longer matters.

--- a/peer/control.go
+++ b/peer/control.go
@@ -151,7 +151,7 @@
 // acceptorReadTimeout is how long the acceptor waits for a heartbeat before it closes the link: long enough for a frozen
 // peer to resume on the same link, and for several heartbeats of an idle link to be delayed.
 func (c Config) acceptorReadTimeout() time.Duration {
-	return max(closeFactor*c.EchoTimeout, 2*unpinnedIdleFactor*c.Heartbeat)
+	return max(closeFactor*c.EchoTimeout, 2*c.maxIdleInterval())
 }
 
 // listen reads the heartbeats of the acceptor until the control stream ends, then releases the session.
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -97,7 +97,7 @@
 	sessions   map[string]*Session
 	dialing    map[string]*dial
 	candidates map[string]*Session
-	// verifiedAt is when all links were last verified because several were suspect.
+	// verifiedAt is when all links were last verified because several were silent.
 	verifiedAt time.Time
 	// suspects are the peers whose last link was suspect when it ended or was replaced.
 	suspects map[string]bool
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -15,9 +15,8 @@
 const (
 	// maxOpenings bounds the links that are being opened beside suspect ones at the same time.
 	maxOpenings = 32
-	// minSuspects is the number of links suspect at the same time from which the others are verified: one peer may have
-	// failed by itself.
-	minSuspects = 2
+	// minSilent is the number of silent links from which the others are verified: one peer may have failed by itself.
+	minSilent = 2
 )
 
 // bounds returns the times after which the link changes its state.
@@ -146,6 +145,7 @@
 	} else {
 		m.sessions[s.address] = s
 		if old != nil {
+			s.replacedAt = time.Now()
 			s.pinned.Store(old.pinned.Load())
 			s.watched.Store(old.watched.Load())
 		}
@@ -169,7 +169,7 @@
 	s.wakeBeat()
 }
 
-// verifyLinks has a heartbeat sent at once on every link if several are suspect: what they share may have failed, and an idle
+// verifyLinks has a heartbeat sent at once on every link if several are silent: what they share may have failed, and an idle
 // link would notice that seconds later. It does so at most once in the echo timeout.
 func (m *Manager) verifyLinks(now time.Time) {
 	m.mu.Lock()
@@ -177,13 +177,13 @@
 	if now.Sub(m.verifiedAt) < m.cfg.EchoTimeout {
 		return
 	}
-	suspects := 0
+	silent := 0
 	for _, s := range m.sessions {
-		if s.suspect.Load() {
-			suspects++
+		if s.isSilent(now) {
+			silent++
 		}
 	}
-	if suspects < minSuspects {
+	if silent < minSilent {
 		return
 	}
 	m.verifiedAt = now
@@ -195,6 +195,15 @@
 	}
 }
 
+// isSilent reports whether the link is suspect or has lately taken the place of a silent one: links that fail together are
+// noticed one after the other, and the first may be replaced by then. The caller must hold s.m.mu.
+func (s *Session) isSilent(now time.Time) bool {
+	return s.suspect.Load() || now.Sub(s.replacedAt) < s.m.cfg.maxIdleInterval()
+}
+
+// maxIdleInterval is the longest time between two heartbeats on a link. After it every link has been verified anyway.
+func (c Config) maxIdleInterval() time.Duration { return unpinnedIdleFactor * c.Heartbeat }
+
 // Watch monitors the links to some peers closely while they are idle, and no others: a heartbeat is sent every heartbeat interval
 // times factor, which is positive and less than that of other idle links.
 func (m *Manager) Watch(addresses []string, factor int) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -24,6 +24,8 @@
 	conn    net.Conn
 	// openedAt is when the link was opened.
 	openedAt time.Time
+	// replacedAt is when the link took the place of a silent one, zero if it did not; guarded by m.mu.
+	replacedAt time.Time
 	// suspect is set from the first sign that the link is cut until the next echo, draining while the peer reports that it
 	// drains, and pinned if the link stays open while it is idle.
 	suspect  atomic.Bool
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -199,14 +199,13 @@
 	return m.candidates[address] != nil || m.dialing[address] != nil
 }
 
-// TestIdleLinksAreVerified guards against idle links whose silence shows only with the next request: two suspect links have all
-// others verified at once.
-func TestIdleLinksAreVerified(t *testing.T) {
+// pinRelayed starts n peers behind relays and opens a link to each, which stays open while it is idle.
+func pinRelayed(t *testing.T, m *Manager, n int) []*relay.Proxy {
+	t.Helper()
 	h := halves{release: make(chan struct{})}
 	close(h.release)
-	m, _ := startTimed(t, echoHandler{})
 	var relays []*relay.Proxy
-	for range 6 {
+	for range n {
 		_, address := startTimed(t, h)
 		p := relayTo(t, address)
 		relays = append(relays, p)
@@ -215,14 +214,22 @@
 		}
 	}
 	time.Sleep(100 * time.Millisecond)
+	return relays
+}
+
+// silenceAll makes all connections through the relays silent.
+func silenceAll(t *testing.T, relays []*relay.Proxy) {
+	t.Helper()
 	for _, p := range relays {
 		if err := p.Silence(); err != nil {
 			t.Fatal(err)
 		}
 	}
-	silent := time.Now()
-	offerOnce(t, m, relays[0].Address())
-	offerOnce(t, m, relays[1].Address())
+}
+
+// awaitReplaced waits until the links through the relays are replaced, at most 2 s from the given time.
+func awaitReplaced(t *testing.T, m *Manager, relays []*relay.Proxy, silent time.Time) {
+	t.Helper()
 	for _, p := range relays {
 		for p.Accepted() < 2 || !m.Usable(p.Address()) {
 			if time.Since(silent) > 2*time.Second {
@@ -232,3 +239,51 @@
 		}
 	}
 }
+
+// TestIdleLinksAreVerified guards against idle links whose silence shows only with the next request: two suspect links have all
+// others verified at once.
+func TestIdleLinksAreVerified(t *testing.T) {
+	m, _ := startTimed(t, echoHandler{})
+	relays := pinRelayed(t, m, 6)
+	silenceAll(t, relays)
+	silent := time.Now()
+	offerOnce(t, m, relays[0].Address())
+	offerOnce(t, m, relays[1].Address())
+	awaitReplaced(t, m, relays, silent)
+}
+
+// TestIdleLinksAreVerifiedAfterReplacement guards against idle links that stay silent because the first of two silent links is
+// replaced before the second one is suspect.
+func TestIdleLinksAreVerifiedAfterReplacement(t *testing.T) {
+	m, _ := startTimed(t, echoHandler{})
+	relays := pinRelayed(t, m, 6)
+	silenceAll(t, relays)
+	for _, p := range relays[:2] {
+		silent := time.Now()
+		offerOnce(t, m, p.Address())
+		awaitReplaced(t, m, []*relay.Proxy{p}, silent)
+	}
+	awaitReplaced(t, m, relays, time.Now())
+}
+
+// TestReplacementIsForgotten guards against heartbeats on all links because of silences that have nothing to do with each other.
+func TestReplacementIsForgotten(t *testing.T) {
+	m, _ := startTimed(t, echoHandler{})
+	relays := pinRelayed(t, m, 1)
+	address := relays[0].Address()
+	silenceAll(t, relays)
+	silent := time.Now()
+	offerOnce(t, m, address)
+	awaitReplaced(t, m, relays, silent)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sessions[address]
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {m.cfg.maxIdleInterval() - 1, true}, {m.cfg.maxIdleInterval(), false}} {
+		if got := s.isSilent(s.replacedAt.Add(c.after)); got != c.want {
+			t.Errorf("link %v after its replacement: got silent %v, want %v", c.after, got, c.want)
+		}
+	}
+}
