Soak: a broken run tells when the signals of its planned stops were sent

In the one with logs the node says nothing from its stop signal until the kill, 3 s later, 1.63 s of which it is suspended by the plan. Whether it was resumed late or did not run can't be told from the logs.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -83,6 +83,9 @@
 		for _, a := range report.Plan {
 			fmt.Fprintln(out, a)
 		}
+		for _, line := range report.Stops {
+			fmt.Fprintln(out, "stop of", line)
+		}
 	}
 	return len(report.Broken) == 0
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,8 @@
 type Report struct {
 	// Plan is what was done.
 	Plan []Action
+	// Stops are the signals that were sent in series, a line for each stop, with the times of day in UTC.
+	Stops []string
 	// Results are what the callers were told.
 	Results []demo.Result
 	// Records are what the endpoints have run.
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -138,6 +140,7 @@
 func (r *run) signalAndWait(a Action) {
 	m := r.fleet.Members[a.On]
 	var from, kill time.Time
+	var sent []string
 	ended := false
 	for _, s := range a.Series.Signals {
 		pause := s.After
@@ -152,6 +155,7 @@
 			ended = r.ended(m, stopGrace)
 			break
 		}
+		sent = append(sent, signalAt(s.Number))
 		if s.Number != syscall.SIGTERM {
 			continue
 		}
@@ -165,14 +169,22 @@
 	stop := stopped{on: a.On, from: from}
 	if !ended && !r.ended(m, time.Until(kill)) {
 		stop.kill = time.Now()
+		sent = append(sent, signalAt(syscall.SIGKILL))
 		r.must("kill", m.KillNode())
 	}
 	stop.until = time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stops = append(r.stops, stop)
+	r.report.Stops = append(r.report.Stops, fmt.Sprintf("%s: %s; over %s", m.Host, strings.Join(sent, ", "), timeOfDay(stop.until)))
 }
 
+// signalAt describes a signal that was sent now.
+func signalAt(s syscall.Signal) string { return fmt.Sprintf("%v %s", s, timeOfDay(time.Now())) }
+
+// timeOfDay formats a time like those in the nodes' logs.
+func timeOfDay(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
 // ended waits for a node's end, which has to be with 0, and tells whether it came within a limit.
 func (r *run) ended(m *demo.Member, limit time.Duration) bool {
 	ended, err := m.Ended(limit)
