--- a/demo/load.go
+++ b/demo/load.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lynxplank/lynxplank/header"
@@ -62,9 +64,10 @@
 
 // Close is a connection that a node closed without an answer.
 type Close struct {
-	// Node is the callers' address, Sent when the request was sent, At when the close was seen.
-	Node     string
-	Sent, At time.Time
+	// Node is the callers' address, Sent when the send began, Wrote when the request was last written to a connection, the zero
+	// time if it was not, and At when the close was seen.
+	Node            string
+	Sent, Wrote, At time.Time
 }
 
 // Load sends requests of all kinds to the fleet's nodes.
@@ -184,7 +187,14 @@
 	}
 	r.Whole, r.Own, r.Status, r.Code, r.ComesBack = false, false, 0, "", false
 	sent := time.Now()
-	resp, err := l.client.Do(req)
+	var wrote atomic.Pointer[time.Time]
+	resp, err := l.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if now := time.Now(); info.Err == nil {
+				wrote.Store(&now)
+			}
+		},
+	})))
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
@@ -192,7 +202,11 @@
 			return false
 		}
 		r.Told = "unknown"
-		r.Closes = append(r.Closes, Close{Node: target, Sent: sent, At: time.Now()})
+		c := Close{Node: target, Sent: sent, At: time.Now()}
+		if at := wrote.Load(); at != nil {
+			c.Wrote = *at
+		}
+		r.Closes = append(r.Closes, c)
 		return true
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -27,7 +27,7 @@
 	lateStart = 400 * time.Millisecond
 	// slowest bounds how many times as long as usual the work of slow endpoints takes: with normalWork about the deadline.
 	slowest = 180
-	// crossing is how long before a close a request may have been sent without having been read.
+	// crossing is how long before a close a request may have been written without having been read.
 	crossing = time.Second
 	// stopsSeed and suspensionsSeed keep these draws apart from those of Plan and from each other.
 	stopsSeed, suspensionsSeed = 1 << 41, 1 << 42
@@ -193,14 +193,15 @@
 }
 
 // judgeStops looks for connections that a stopping node closed without an answer: one that was not killed may close none, and one that was only
-// those of requests that an endpoint had.
+// those of requests that an endpoint had. The time counts from when the request was written: callers share this machine, and a
+// caller that gets no CPU writes its request long after it began to send it.
 func (r *run) judgeStops() {
 	for _, result := range r.report.Results {
 		for _, c := range result.Closes {
 			i := slices.IndexFunc(r.stops, func(s stopped) bool {
 				return r.fleet.Members[s.on].Callers == c.Node && c.At.After(s.from) && c.At.Before(s.until.Add(crossing))
 			})
-			if i < 0 || r.stops[i].closedAt(c).Sub(c.Sent) < crossing {
+			if i < 0 || c.Wrote.IsZero() || r.stops[i].closedAt(c).Sub(c.Wrote) < crossing {
 				continue
 			}
 			started := 0
@@ -209,11 +210,21 @@
 			}
 			switch s := r.stops[i]; {
 			case !s.killed():
-				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself", result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
+				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself (%s)",
+					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
 			case started == 0:
-				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it",
-					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host)
+				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it (%s)",
+					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
 			}
 		}
 	}
 }
+
+// timesOf describes when a request was sent and its connection closed.
+func timesOf(c demo.Close) string {
+	wrote := "never"
+	if !c.Wrote.IsZero() {
+		wrote = timeOfDay(c.Wrote)
+	}
+	return fmt.Sprintf("sent %s, written %s, close seen %s", timeOfDay(c.Sent), wrote, timeOfDay(c.At))
+}
