Logs and metrics: when a request's slot was given up, and what became of it

Change: 501, 503 and 504 have slot_yielded_ago and stopping; the counter lynxplank_yielded_requests by result.

--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -45,6 +45,8 @@
 	closed    bool
 	// stopping is set once the node has begun to stop.
 	stopping bool
+	// yieldedAt is when a send last gave up its slot, the zero time if none did.
+	yieldedAt time.Time
 	// cancelWaits cancels the waits that may end early, by send; the key is nil for the pick of an endpoint.
 	cancelWaits map[*answer]context.CancelFunc
 	// cancelRecoveries cancels the wait for answers that can be asked for again: those under a key, and those whose
@@ -116,9 +118,17 @@
 		return
 	}
 	send.yielded = true
+	p.yieldedAt = time.Now()
 	send.cancel()
 }
 
+// lastYield returns when a send last gave up its slot, the zero time if none did, and whether the node stops.
+func (p *progress) lastYield() (at time.Time, stopping bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.yieldedAt, p.stopping
+}
+
 // receive records that the answer to a send begins to arrive; it returns false if the send was canceled for its slot.
 func (p *progress) receive(send *answer) bool {
 	p.mu.Lock()
--- a/ingress/trail.go
+++ b/ingress/trail.go
@@ -8,6 +8,7 @@
 
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/metrics"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -66,6 +67,11 @@
 	}
 }
 
+// yieldResults name what became of a request of which a send gave up its slot.
+var yieldResults = map[events.Event]metrics.YieldResult{
+	events.RequestServed: metrics.YieldServed, events.ServedLate: metrics.YieldLate, events.RequestFailed: metrics.YieldFailed,
+}
+
 // log logs how a request ended, what decided it, and the revisions of the configuration and of the host list that it
 // used. In the log, the fingerprint is called content and the latency target aim.
 func (x *exchange) log(end *peerpb.End) {
@@ -87,6 +93,10 @@
 	if code := end.GetCode(); code != "" {
 		e.Str("code", code)
 	}
+	if yieldedAt, stopping := x.progress.lastYield(); !yieldedAt.IsZero() {
+		e.Dur("slot_yielded_ago", time.Since(yieldedAt)).Bool("stopping", stopping)
+		x.g.metrics.Service(x.call.service.Key).CountYielded(yieldResults[event])
+	}
 	if x.call.nested {
 		e.Bool("nested", true).Int("rounds", x.rounds.count())
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -67,7 +67,9 @@
 	Work tally.Histogram
 	// nestedCalls counts the calls of endpoints' own work, nestedRounds the rounds in which these looked for capacity.
 	nestedCalls, nestedRounds tally.Counter
-	scope                     tally.Scope
+	// yielded counts the requests of which a send gave up its slot, by what became of them.
+	yielded map[YieldResult]tally.Counter
+	scope   tally.Scope
 
 	mu sync.RWMutex
 	// requests counts requests and sends counts sends of requests to endpoints, both by outcome and code. The outer name of the
@@ -107,11 +109,30 @@
 		Retries: scope.Counter("retries"), Throttled: scope.Counter("throttled"), ThrottleShare: scope.Gauge("throttle_share"),
 		Work: scope.Histogram("work_seconds", m.buckets),
 
+		yielded:     newYieldCounters(scope),
 		nestedCalls: scope.Counter("nested_calls"), nestedRounds: scope.Counter("nested_rounds"),
 		scope: scope, requests: make(map[string]tally.Counter), sends: make(map[string]tally.Counter),
 	}
 }
 
+// YieldResult is what became of a request of which a send gave up its slot at an endpoint.
+type YieldResult string
+
+// The results.
+const (
+	YieldServed YieldResult = "served"
+	YieldLate   YieldResult = "late"
+	YieldFailed YieldResult = "failed"
+)
+
+func newYieldCounters(scope tally.Scope) map[YieldResult]tally.Counter {
+	counters := make(map[YieldResult]tally.Counter)
+	for _, r := range []YieldResult{YieldServed, YieldLate, YieldFailed} {
+		counters[r] = scope.Tagged(map[string]string{"result": string(r)}).Counter("yielded_requests")
+	}
+	return counters
+}
+
 func (m *Metrics) newStoreCalls(kind string) *StoreCalls {
 	scope := m.root.Tagged(map[string]string{"call": kind})
 	return &StoreCalls{latency: scope.Histogram("store_seconds", m.buckets), scope: scope}
@@ -183,6 +204,9 @@
 	s.scope.Gauge("max_rate_delayed").Update(r.Delayed)
 }
 
+// CountYielded counts a request of which a send gave up its slot at an endpoint, by what became of it.
+func (s *ServiceMetrics) CountYielded(r YieldResult) { s.yielded[r].Inc(1) }
+
 // SetReclaimedSlots sets the number of runs that were ended because other requests needed their slots.
 func (s *ServiceMetrics) SetReclaimedSlots(n float64) { s.scope.Gauge("reclaimed_slots").Update(n) }
 
