Failing test: a request ends because its slot was given up

Cause: an ingress that gives up a slot ends the send, and answers the caller by itself where no other endpoint takes the request at once.

--- /dev/null
+++ b/ingress/givenup_test.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lynxplank/lynxplank/fault"
+	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/inflight"
+	"github.com/lynxplank/lynxplank/peer"
+	"github.com/lynxplank/lynxplank/table"
+)
+
+// scriptedRun is what an endpoint does with a run, in times from its beginning.
+type scriptedRun struct {
+	// asks are when the endpoint's node asks for the slot; answers is when the endpoint answers, breaks when it breaks off.
+	asks            []time.Duration
+	answers, breaks time.Duration
+}
+
+// slotEndpoints simulates the endpoints of a service, of which no second one has a free slot for a while.
+type slotEndpoints struct {
+	start time.Time
+	// freeAt is the time from the start at which other slots are free, by the number of runs begun before.
+	freeAt []time.Duration
+
+	mu   sync.Mutex
+	runs []scriptedRun
+	log  []string
+	begun,
+	working int
+}
+
+// Serve implements Local. The first run begins at once.
+func (s *slotEndpoints) Serve(ctx context.Context, d *peerpb.Dispatch, _ io.Reader, sink peer.Sink) *peerpb.End {
+	run, n, end := s.admit(d, sink)
+	if end != nil {
+		return end
+	}
+	for _, at := range run.asks {
+		time.AfterFunc(at, func() { peer.RequestSlot(sink) })
+	}
+	never := time.Hour
+	if run.answers == 0 {
+		run.answers = never
+	}
+	if run.breaks == 0 {
+		run.breaks = never
+	}
+	select {
+	case <-ctx.Done():
+		s.ended(n, "given up")
+		return peer.Unknown(fault.Canceled)
+	case <-time.After(run.breaks):
+		s.ended(n, "broke off")
+		return peer.Unknown(fault.EndpointCut)
+	case <-time.After(run.answers):
+		s.ended(n, "answered")
+		return serveAs(ctx, "answers", sink)
+	}
+}
+
+// admit begins a run, or returns a refusal.
+func (s *slotEndpoints) admit(d *peerpb.Dispatch, sink peer.Sink) (scriptedRun, int, *peerpb.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	free := s.begun < len(s.freeAt) && time.Since(s.start) >= s.freeAt[s.begun]
+	switch {
+	case !free && d.GetWait():
+		return scriptedRun{}, 0, peer.NotRun(fault.DeadlineTooShort, 0)
+	case !free || s.begun >= len(s.runs):
+		return scriptedRun{}, 0, peer.NotRun(fault.Busy, 0)
+	case !peer.AllowsDispatch(sink):
+		return scriptedRun{}, 0, peer.NotRun(fault.Stopping, 0)
+	}
+	s.begun++
+	s.working++
+	s.log = append(s.log, fmt.Sprintf("%v: run %d begins, ahead of new work %v", time.Since(s.start).Round(50*time.Millisecond), s.begun, d.GetNested()))
+	return s.runs[s.begun-1], s.begun, nil
+}
+
+func (s *slotEndpoints) ended(n int, how string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working--
+	s.log = append(s.log, fmt.Sprintf("%v: run %d %s", time.Since(s.start).Round(50*time.Millisecond), n, how))
+}
+
+// Settle implements Local.
+func (*slotEndpoints) Settle(*peerpb.Settle) {}
+
+// Work implements Local.
+func (*slotEndpoints) Work(string) inflight.Snapshot { return inflight.Snapshot{} }
+
+// NoteCallFailed implements Local.
+func (*slotEndpoints) NoteCallFailed(string) {}
+
+// drawRequest draws an order of the requests for slots, of the notice of a stop and of the moment at which other slots are free.
+// Each run that keeps its slot is answered.
+func drawRequest(random *rand.Rand) (s *slotEndpoints, attempts int, notice time.Duration) {
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	s = &slotEndpoints{start: time.Now(), freeAt: []time.Duration{0}}
+	attempts = 1 + random.IntN(3)
+	free := upTo(time.Second)
+	for range attempts {
+		run := scriptedRun{answers: 100*time.Millisecond + upTo(2*time.Second)}
+		for range random.IntN(3) {
+			run.asks = append(run.asks, upTo(time.Second))
+		}
+		s.runs, s.freeAt = append(s.runs, run), append(s.freeAt, free)
+	}
+	if random.IntN(2) == 0 {
+		notice = 1 + upTo(time.Second)
+	}
+	return s, attempts, notice
+}
+
+// TestGivenUpSlotEndsNoRequest guards against requests that a node answers by itself after it gave up their slots at hanging
+// endpoints, in particular where a stop signal had been sent and was noticed only after that.
+func TestGivenUpSlotEndsNoRequest(t *testing.T) {
+	const cases = 300
+	for seed := range uint64(cases) {
+		var got, drawn string
+		synctest.Test(t, func(t *testing.T) {
+			s, attempts, notice := drawRequest(rand.New(rand.NewPCG(seed, 0))) //nolint:gosec // seeded on purpose
+			drawn = fmt.Sprintf("%d attempts, notice after %v", attempts, notice)
+			got = s.serveOne(t, fleet(t, 4, attempts), 10*time.Second, notice)
+		})
+		if want := `caller has 200 "ok"`; !strings.Contains(got, want) {
+			t.Errorf("seed %d, %s: got %s, want %s", seed, drawn, got, want)
+		}
+	}
+}
+
+// serveOne serves one request and returns its answer and the events at the endpoints.
+func (s *slotEndpoints) serveOne(t *testing.T, state *table.State, deadline, notice time.Duration) string {
+	t.Helper()
+	g := ingressWith(t, state, s)
+	g.clock = time.Now
+	if notice > 0 {
+		const grace = 5 * time.Second
+		stop := time.AfterFunc(notice, func() { g.StopDispatchBefore(time.Now().Add(grace)) })
+		defer stop.Stop()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("GET", "http://desk.example/", nil)
+	r.RequestURI = "/"
+	aborted := serveCaller(g, w, r.WithContext(ctx))
+	at := time.Since(s.start).Round(50 * time.Millisecond)
+	cancel()
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(append(slices.Clone(s.log), fmt.Sprintf("%v: caller has %d %q%s", at, w.Code, bodyOf(w), aborted)), "\n") + "\n"
+}
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -229,6 +229,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	snap := &configsync.Snapshot{State: s, Ready: true}
 	return New(cfg, &log, func() *configsync.Snapshot { return snap }, d, nil, local, m)
 }
