A request does not end with the slot that it gives up

What callers saw: 502 (endpoint_hung, deadline_too_short, suspect) for a repeatable request at which an endpoint was at work, around a stop of the node that took it. Cause: the ingress gives up a slot for another request and ends the send; where no endpoint takes the request at once, it answers by itself. It refuses to do so while the node stops, but a stop counts from when the process has noticed the signal. No node can know that no signal is on its way. A broken link to the endpoint's node ended repeatable requests in the same way. Change: a send gives up its slot only if another send of the request is at work, or the request may be dispatched again within its attempts and its time. Such a request, and a repeatable one whose link broke, looks for a slot in rounds until its deadline, whatever the share of refusals; on a stopping node it goes ahead of new work and until the grace is over. Else the slot is kept. Why it works: no end of a request follows from the give-up, whenever the signal came; between signal and notice there is none to go wrong. Residual: without any slot until the grace is over such a request ends as stopping.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -91,7 +91,7 @@
 func (a *answer) sendEnded() {
 	if a.dispatched {
 		a.dispatched = false
-		a.progress.endDispatch()
+		a.progress.endDispatch(a)
 	}
 }
 
@@ -107,8 +107,7 @@
 	a.late.note()
 }
 
-// YieldSlot implements peer.SlotYielder. The slot is kept once the answer has begun, and while the node stops: its
-// requests must not be cut off then.
+// YieldSlot implements peer.SlotYielder.
 func (a *answer) YieldSlot() {
 	a.progress.yield(a)
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/ratelimit"
+	"github.com/lynxplank/lynxplank/retry"
 )
 
 const (
@@ -48,11 +49,14 @@
 	reservations []*memory.Reservation
 	// tried are the endpoints that had the request, or refused it for a lasting reason.
 	tried []string
-	// rejecting are those of tried that lacked only capacity or a link, rounds the rounds of a nested call, askedBefore
-	// the endpoints that it asked in its earlier rounds.
-	rejecting   []string
-	rounds      rounds
-	askedBefore int
+	// rejecting are those of tried that lacked only capacity or a link, rounds the rounds of a nested call. isLaterRound
+	// is set in every round but the first, askedBefore counts the endpoints that were asked in earlier rounds.
+	rejecting    []string
+	rounds       rounds
+	isLaterRound bool
+	askedBefore  int
+	// resumePause is the pause before the next round of a request of which this system has ended a send.
+	resumePause retry.Backoff
 	// countedNested is set while the call counts as one of its parent's nested calls.
 	countedNested bool
 	// declined are the endpoints that had no free slot, or took only trials, when they were asked in this round.
@@ -115,13 +119,11 @@
 func (x *exchange) runAnywhere(ctx context.Context) *peerpb.End {
 	for {
 		end, cause := x.runRound(ctx)
-		if x.startOver(ctx, end, cause) {
+		if x.resume(ctx, end) || x.startOver(ctx, end, cause) {
 			continue
 		}
-		if x.call.nested {
-			end = x.asStoppingIfUnsent(ctx, end)
-		}
-		return x.withOverallOutcome(end)
+		end = x.asStoppingIfUnsent(ctx, end)
+		return x.withOverallOutcome(x.asExpired(ctx, end))
 	}
 }
 
@@ -330,6 +332,9 @@
 	if end.GetEnded() {
 		x.crashes++
 	}
+	if linkLost(end) && x.call.repeatable {
+		x.progress.interrupt()
+	}
 	x.ran = x.ran || end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN
 	x.mayHaveRun = x.mayHaveRun || end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN
 }
@@ -349,6 +354,9 @@
 		UsualMicros: x.g.routeStats.medianTime(x.call.route.Key, x.latencyTarget()).Microseconds(), Content: x.call.fingerprint[:],
 		Nested: x.call.nested, UsefulMicros: x.usefulLeft(deadline).Microseconds(),
 	}
+	if x.progress.isUrgent() {
+		d.Nested, d.UsefulMicros = true, 0
+	}
 	if len(x.body.data) <= inlineBody {
 		d.Body = x.body.data
 	} else {
--- a/ingress/givenup_test.go
+++ b/ingress/givenup_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -13,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
+
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/inflight"
@@ -22,9 +25,13 @@
 
 // scriptedRun is what an endpoint does with a run, in times from its beginning.
 type scriptedRun struct {
-	// asks are when the endpoint's node asks for the slot; answers is when the endpoint answers, breaks when it breaks off.
+	// due is when the answer is due, 0 if that is not told; asks are when the endpoint's node asks for the slot; answers is
+	// when the endpoint answers, breaks when it breaks off.
+	due             time.Duration
 	asks            []time.Duration
 	answers, breaks time.Duration
+	// loses is when the link to the endpoint's node breaks.
+	loses time.Duration
 }
 
 // slotEndpoints simulates the endpoints of a service, of which no second one has a free slot for a while.
@@ -46,6 +53,9 @@
 	if end != nil {
 		return end
 	}
+	if run.due > 0 {
+		sink.Due(run.due)
+	}
 	for _, at := range run.asks {
 		time.AfterFunc(at, func() { peer.RequestSlot(sink) })
 	}
@@ -56,6 +66,9 @@
 	if run.breaks == 0 {
 		run.breaks = never
 	}
+	if run.loses == 0 {
+		run.loses = never
+	}
 	select {
 	case <-ctx.Done():
 		s.ended(n, "given up")
@@ -63,6 +76,9 @@
 	case <-time.After(run.breaks):
 		s.ended(n, "broke off")
 		return peer.Unknown(fault.EndpointCut)
+	case <-time.After(run.loses):
+		s.ended(n, "lost its link")
+		return peer.Unknown(fault.LinkLost)
 	case <-time.After(run.answers):
 		s.ended(n, "answered")
 		return serveAs(ctx, "answers", sink)
@@ -131,7 +147,7 @@
 	for seed := range uint64(cases) {
 		var got, drawn string
 		synctest.Test(t, func(t *testing.T) {
-			s, attempts, notice := drawRequest(rand.New(rand.NewPCG(seed, 0))) //nolint:gosec // seeded on purpose
+			s, attempts, notice := drawRequest(rand.New(rand.NewPCG(seed, 0)))
 			drawn = fmt.Sprintf("%d attempts, notice after %v", attempts, notice)
 			got = s.serveOne(t, fleet(t, 4, attempts), 10*time.Second, notice)
 		})
@@ -141,6 +157,66 @@
 	}
 }
 
+// parseRuns reads one run a line: due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME.
+func parseRuns(t testing.TB, lines string) []scriptedRun {
+	t.Helper()
+	var runs []scriptedRun
+	for line := range strings.Lines(lines) {
+		var run scriptedRun
+		for _, word := range strings.Fields(line) {
+			name, value, _ := strings.Cut(word, "=")
+			switch name {
+			case "due":
+				run.due = parseDuration(t, value)
+			case "asks":
+				for at := range strings.SplitSeq(value, ",") {
+					run.asks = append(run.asks, parseDuration(t, at))
+				}
+			case "answers":
+				run.answers = parseDuration(t, value)
+			case "breaks":
+				run.breaks = parseDuration(t, value)
+			case "loses":
+				run.loses = parseDuration(t, value)
+			}
+		}
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+// TestGivenUpSlots guards against requests that end with their slots, and against slots of hanging endpoints that are kept
+// although the request is served elsewhere.
+//
+// Each case of testdata/givenup has one request and its runs in their order, by a fake clock:
+//
+//	request [attempts=N] [deadline=TIME] [free=(TIME...)] [notice=TIME]
+//	due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME
+//
+// free is when a slot for each further run is free, notice when the node notices its stop, for which it has a grace of 5 s.
+// The output is what the endpoints saw, and the caller's answer.
+func TestGivenUpSlots(t *testing.T) {
+	datadriven.RunTest(t, "testdata/givenup", func(t *testing.T, d *datadriven.TestData) string {
+		attempts, deadline, notice := 2, "10s", "0s"
+		d.MaybeScanArgs(t, "attempts", &attempts)
+		d.MaybeScanArgs(t, "deadline", &deadline)
+		d.MaybeScanArgs(t, "notice", &notice)
+		var out string
+		synctest.Test(t, func(t *testing.T) {
+			s := &slotEndpoints{start: time.Now(), runs: parseRuns(t, d.Input), freeAt: []time.Duration{0}}
+			for _, arg := range d.CmdArgs {
+				if arg.Key == "free" {
+					for _, at := range arg.Vals {
+						s.freeAt = append(s.freeAt, parseDuration(t, at))
+					}
+				}
+			}
+			out = s.serveOne(t, fleet(t, 3, attempts), parseDuration(t, deadline), parseDuration(t, notice))
+		})
+		return out
+	})
+}
+
 // serveOne serves one request and returns its answer and the events at the endpoints.
 func (s *slotEndpoints) serveOne(t *testing.T, state *table.State, deadline, notice time.Duration) string {
 	t.Helper()
@@ -154,7 +230,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	defer cancel()
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest("GET", "http://desk.example/", nil)
+	r := httptest.NewRequest(http.MethodGet, "http://desk.example/", nil)
 	r.RequestURI = "/"
 	aborted := serveCaller(g, w, r.WithContext(ctx))
 	at := time.Since(s.start).Round(50 * time.Millisecond)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/poison"
 	"github.com/lynxplank/lynxplank/ratelimit"
+	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -259,6 +260,8 @@
 	defer cancel()
 	x := g.newExchange(w, c, body, permit)
 	defer x.releaseReservations()
+	deadline, _ := ctx.Deadline()
+	x.allowResends(deadline)
 	g.inFlight.add(x)
 	defer g.inFlight.remove(x)
 	end := x.run(ctx)
@@ -281,6 +284,7 @@
 	x := &exchange{
 		g: g, start: time.Now(), stopwatch: g.clock.StartStopwatch(), call: c, body: body, winner: new(winner), permit: permit, hasPermit: true,
 		refusals: g.refusals(c.service.Key), search: g.search(c.service.Key),
+		resumePause: retry.Backoff{Initial: firstResumePause, Max: maxResumePause},
 	}
 	x.winner.onFailure = func() { g.noteFailedCall(&c) }
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -91,18 +91,18 @@
 	x.lastResort, x.likelyOnly = false, false
 	x.tried = slices.DeleteFunc(slices.Clone(x.tried), func(key string) bool { return slices.Contains(x.rejecting, key) })
 	x.rejecting = nil
-	x.askedBefore = x.trail.count
+	x.isLaterRound, x.askedBefore = true, x.trail.count
 }
 
-// noteNestedRejection records a queue that had no room for a nested call. The rejection does not count as one of the route's
-// attempts.
-func (x *exchange) noteNestedRejection(key string) {
+// noteRejection records a queue that had no room for a request that may look for one again in a later round. The rejection
+// does not count as one of the route's attempts.
+func (x *exchange) noteRejection(key string) {
 	x.rejecting = append(x.rejecting, key)
 }
 
 // roundSpent reports whether a round after the first has asked as many endpoints as it may.
 func (x *exchange) roundSpent() bool {
-	return x.rounds.restarts > 0 && x.trail.count-x.askedBefore >= maxRoundAsks
+	return x.isLaterRound && x.trail.count-x.askedBefore >= maxRoundAsks
 }
 
 // noteFailedCall marks the parent of a nested call that was not served. It must run before the endpoint learns of that,
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -38,13 +38,22 @@
 // Invariant: once it is closed, the request is dispatched to no endpoint.
 type progress struct {
 	mu sync.Mutex
-	// running counts the sends that endpoints may be working on.
-	running   int
+	// running counts the sends that endpoints may be working on, dispatches all that have begun.
+	running    int
+	dispatches int
+	// atWork are the running sends that have not given up their slots.
+	atWork    map[*answer]struct{}
 	answering bool
 	endpoint  string
 	closed    bool
 	// stopping is set once the node has begun to stop.
 	stopping bool
+	// mayResend reports whether the request may be dispatched again after so many dispatches; nil for one that may not be
+	// repeated. hasTime reports whether it has the time for that.
+	mayResend func(dispatches int) bool
+	hasTime   func() bool
+	// interrupted is set once this system has ended a send at which an endpoint may have been working.
+	interrupted bool
 	// yieldedAt is when a send last gave up its slot, the zero time if none did.
 	yieldedAt time.Time
 	// cancelWaits cancels the waits that may end early, by send; the key is nil for the pick of an endpoint.
@@ -103,25 +112,70 @@
 	}
 	delete(p.cancelWaits, send)
 	p.running++
+	p.dispatches++
 	p.endpoint = send.endpoint
+	if p.atWork == nil {
+		p.atWork = make(map[*answer]struct{})
+	}
+	p.atWork[send] = struct{}{}
 	return true
 }
 
-// yield cancels a dispatched send for another request that needs its slot, unless an answer has begun to arrive or the
-// node stops.
+// yield cancels a dispatched send for another request that needs its slot, unless an answer has begun to arrive, the node
+// stops, or the request could not be served without this send.
+//
+// Invariant: no request ends because a send gave up its slot. A stop signal may have been sent that the process has not
+// noticed yet, and a stopping node must cut off no request that an endpoint works on. So another send is at work, or the
+// request is dispatched again as soon as a slot is found.
 //
 // Invariant: of yield and receive, only the first call for a send has an effect, so that no answer that has begun is cut.
 func (p *progress) yield(send *answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stopping || p.answering || send.received || send.cancel == nil {
+	if _, ok := p.atWork[send]; !ok || p.stopping || p.answering || send.received || send.cancel == nil {
+		return
+	}
+	if len(p.atWork) == 1 && (!p.resendable() || !p.hasTime()) {
 		return
 	}
-	send.yielded = true
-	p.yieldedAt = time.Now()
+	delete(p.atWork, send)
+	send.yielded, p.interrupted, p.yieldedAt = true, true, time.Now()
 	send.cancel()
 }
 
+// interrupt records that a send ended by a failure between this node and the endpoint, which may work on.
+func (p *progress) interrupt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interrupted = true
+}
+
+// wasInterrupted reports whether this system has ended a send at which an endpoint may have been working.
+func (p *progress) wasInterrupted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interrupted
+}
+
+// isUrgent reports whether the request must find another endpoint before its node ends.
+func (p *progress) isUrgent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interrupted && p.stopping
+}
+
+// mayDispatchAgain reports whether the request may be dispatched once more.
+func (p *progress) mayDispatchAgain() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resendable()
+}
+
+// resendable is mayDispatchAgain with the lock held.
+func (p *progress) resendable() bool {
+	return !p.closed && p.mayResend != nil && p.mayResend(p.dispatches)
+}
+
 // lastYield returns when a send last gave up its slot, the zero time if none did, and whether the node stops.
 func (p *progress) lastYield() (at time.Time, stopping bool) {
 	p.mu.Lock()
@@ -152,10 +206,11 @@
 }
 
 // endDispatch records that a dispatched send has ended.
-func (p *progress) endDispatch() {
+func (p *progress) endDispatch(send *answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running--
+	delete(p.atWork, send)
 }
 
 // beginAnswer records that an answer begins to go to the caller.
@@ -252,6 +307,10 @@
 func (x *exchange) closeBefore(end time.Time) {
 	x.progress.beginStop()
 	work := x.g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget())
+	if x.progress.wasInterrupted() {
+		// Its run was cut off, perhaps after the stop signal, so that work with little time is better than none.
+		work = 0
+	}
 	left := time.Until(end) - max(work, minWorkTime)
 	if left <= 0 {
 		x.progress.close()
--- a/ingress/retries.go
+++ b/ingress/retries.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	x.sends++
-	if !x.refusals.decide(x.retryAttempt(ctx, pick, end)) {
+	if !x.allowsRetry(ctx, pick, end) {
 		return false
 	}
 	x.g.metrics.Service(x.call.service.Key).Retries.Inc(1)
@@ -45,16 +45,27 @@
 	return true
 }
 
+// allowsRetry reports whether another send may follow an end that concerns the request itself.
+func (x *exchange) allowsRetry(ctx context.Context, pick director.Pick, end *peerpb.End) bool {
+	if x.progress.wasInterrupted() && awaitsSlot(end) {
+		// The endpoint may take the request in a later round, when it no longer hangs or its link is up again.
+		x.rejecting = append(x.rejecting, pick.Endpoint.Key)
+		return x.progress.mayDispatchAgain()
+	}
+	return x.refusals.decide(x.retryAttempt(ctx, pick, end))
+}
+
 // afterFull handles a queue that had no room, and reports whether to ask another endpoint whatever the retry policy says.
 func (x *exchange) afterFull(ctx context.Context, key string) bool {
-	if x.call.nested {
-		x.noteNestedRejection(key)
+	keepsAsking := x.call.nested || x.progress.wasInterrupted()
+	if keepsAsking {
+		x.noteRejection(key)
 	}
 	if !x.lastResort && x.hasSuspects(ctx) {
 		x.lastResort, x.likelyOnly = true, true
 		return true
 	}
-	return x.call.nested
+	return keepsAsking
 }
 
 // afterMisrouted handles a refusal because of an outdated view or a link that is down, and reports whether to send the
