Soak and emulator: endpoints that hang, slots that are given up, and stops together

Cause: no run of the soak had endpoints that hang, full slots and stops at once: slots were given up with -nested alone, and no check looked at what became of the requests. Change: -hangs draws endpoints that hang by spells, with reclaim_slots on, beside any other fault; a request that a running node ends for want of a slot after it gave one up breaks a promise (from event 501). The emulator gives up slots by the new rule.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -28,6 +28,7 @@
 	suspensions := flag.Int("suspensions", 0, "planned stops of nodes whose processes are suspended meanwhile")
 	rates := flag.Int("rates", 0, "times in which endpoints state how many requests a second they take")
 	silences := flag.Int("silences", 0, "times in which open connections go silent without a reset")
+	hangs := flag.Int("hangs", 0, "times in which endpoints hang by spells and requests give up their slots")
 	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
@@ -37,7 +38,7 @@
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
-			Silences: *silences, Calm: *calm,
+			Silences: *silences, Hangs: *hangs, Calm: *calm,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -70,6 +71,9 @@
 	if cfg.Silences > 0 {
 		fmt.Fprintf(out, "changes at a silence checked on %d nodes\n", report.Silences)
 	}
+	if cfg.Hangs > 0 {
+		fmt.Fprintf(out, "requests that gave up a slot: %d\n", report.Yielded)
+	}
 	if cfg.Nested {
 		fmt.Fprintf(out, "nested calls: %+v\n", report.Nested)
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -93,6 +93,9 @@
 	if err := r.judgeLogs(); err != nil {
 		return err
 	}
+	if err := r.judgeHangs(); err != nil {
+		return err
+	}
 	return r.judgeRows()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,8 @@
 	Rates int
 	// Silences is how often open connections go silent without a reset.
 	Silences int
+	// Hangs is how often an endpoint hangs by spells, with the nodes' setting to give up slots on.
+	Hangs int
 	// Calm leaves out the faults that Plan draws.
 	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
@@ -56,6 +58,8 @@
 	Silences int
 	// Nested counts the calls that endpoints made.
 	Nested NestedCalls
+	// Yielded counts the requests that gave up a slot at a hanging endpoint, as far as the nodes' logs name them.
+	Yielded int
 	// Fatal is how often each fatal request began to run until all was healed.
 	Fatal []int
 	// Broken says which promises were broken; empty when all were kept.
@@ -99,8 +103,11 @@
 	if cfg.Stops+cfg.Suspensions > 0 {
 		settings = stopSettings
 	}
-	if cfg.Nested {
+	switch {
+	case cfg.Nested:
 		settings += nestedSettings
+	case cfg.Hangs > 0:
+		settings += hangSettings
 	}
 	return settings
 }
@@ -127,6 +134,7 @@
 	r.plan = append(r.plan, PlanSuspensions(cfg.Seed, cfg.Members, cfg.Suspensions, cfg.Length)...)
 	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
 	r.plan = append(r.plan, PlanSilences(cfg.Seed, cfg.Members, cfg.Silences, cfg.Length)...)
+	r.plan = append(r.plan, PlanHangs(cfg.Seed, cfg.Members, cfg.Hangs, cfg.Length)...)
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
--- a/virtual/overload_exchange.go
+++ b/virtual/overload_exchange.go
@@ -46,21 +46,26 @@
 	pause    retry.Backoff
 	// restarts counts the times a call has started over.
 	restarts int
+	// interrupted is set once an attempt gave up its slot; resumePause is until the next round of such a request.
+	interrupted bool
+	resumePause retry.Backoff
 }
 
 // search is what a request has met in looking for an endpoint.
 type search struct {
 	tried, declined, suspects, hedgeDeclined endpointSet
-	offers, waits, suspectOffers             int
-	lastResortTries                          int
-	lastResort, likelyOnly                   bool
-	suspectSince                             time.Time
+	// rejecting are those of tried that may take the request in a later round.
+	rejecting                    endpointSet
+	offers, waits, suspectOffers int
+	lastResortTries              int
+	lastResort, likelyOnly       bool
+	suspectSince                 time.Time
 }
 
 func (f *fleet) newExchange(c *class, n *node) *exchange {
 	return &exchange{
 		fleet: f, n: n, class: c, id: f.newID(), target: f.now.Add(c.target), deadline: f.now.Add(c.deadline),
-		pause: retry.Backoff{Initial: minCallPause, Max: maxCallPause},
+		pause: retry.Backoff{Initial: minCallPause, Max: maxCallPause}, resumePause: retry.Backoff{Initial: firstResumePause, Max: maxResumePause},
 	}
 }
 
@@ -220,7 +225,8 @@
 		x.askLast()
 		return
 	}
-	if full && x.nestedFirst() {
+	if full && x.nestedFirst() || x.looksOn(full, e) {
+		x.rejecting = x.rejecting.with(a.s.index)
 		x.next()
 		return
 	}
--- a/virtual/overload_parts.go
+++ b/virtual/overload_parts.go
@@ -20,9 +20,12 @@
 	maxCallPause = 200 * time.Millisecond
 	// maxRestarts bounds how often it does.
 	maxRestarts = 3
+	// The values of ingress/resume.go.
+	firstResumePause = 50 * time.Millisecond
+	maxResumePause   = 400 * time.Millisecond
 )
 
-// reclaim ends the oldest run that holds a slot without prospect of an answer, as egress/reclaim.go does (part 4).
+// reclaim asks for the slot of the oldest run that holds it without prospect of an answer, as egress/reclaim.go does (part 4).
 func (s *server) reclaim() {
 	if !s.Parts.ReclaimSlots {
 		return
@@ -32,7 +35,7 @@
 	}
 	witnessed := s.lateAnswer
 	i := slices.IndexFunc(s.running, func(a *attempt) bool {
-		if !overdue(a, 1) {
+		if a.asked || !overdue(a, 1) {
 			return false
 		}
 		isWitness := !witnessed && !overdue(a, slowFactor)
@@ -43,10 +46,43 @@
 		return a.x.class.repeatable && (s.breaker.State() != breaker.Closed || a.abandoned || !s.answeredAt.After(a.started))
 	})
 	if i >= 0 {
-		s.finish(s.running[i], end{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, code: fault.EndpointHung, failed: true})
+		s.running[i].asked = true
+		s.running[i].x.yield(s.running[i])
 	}
 }
 
+// yield gives up the slot of an attempt if the request is served elsewhere or may be sent again, as ingress/progress.go
+// does.
+func (x *exchange) yield(a *attempt) {
+	isElsewhere := slices.ContainsFunc(x.running, func(b *attempt) bool { return b != a && b.running })
+	hasTime := x.deadline.Sub(x.now) > x.n.usualTime(x.class)
+	if !isElsewhere && (x.begun >= maxSends || !hasTime) {
+		return
+	}
+	x.interrupted = true
+	a.s.finish(a, end{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, code: fault.EndpointHung, failed: true})
+}
+
+// looksOn reports whether a request of which an attempt gave up its slot asks another endpoint, whatever the retry policy says.
+func (x *exchange) looksOn(full bool, e end) bool {
+	return x.interrupted && (full || e.code == fault.EndpointHung && x.begun < maxSends)
+}
+
+// resume has a request of which an attempt gave up its slot look for another one after a pause, as ingress/resume.go does;
+// false if it may not be sent again.
+func (x *exchange) resume() bool {
+	if !x.interrupted || x.begun >= maxSends {
+		return false
+	}
+	x.after(x.resumePause.Next(), func() {
+		if !x.over {
+			x.search = search{suspectSince: x.suspectSince, tried: x.tried &^ x.rejecting}
+			x.next()
+		}
+	})
+	return true
+}
+
 // nestedFirst reports whether the request is treated as a nested call (parts 2 and 3).
 func (x *exchange) nestedFirst() bool { return x.parent != nil && x.Parts.NestedFirst }
 
@@ -69,6 +105,9 @@
 // giveUp ends a request that found no capacity, but has a nested call that has not run start over after a pause, as
 // ingress/rounds.go does (part 3).
 func (x *exchange) giveUp() {
+	if x.resume() {
+		return
+	}
 	spare := x.usefulUntil().Sub(x.now) - x.n.usualTime(x.class)
 	if !x.nestedFirst() || x.reached || spare < minCallPause || x.restarts >= maxRestarts {
 		x.finish(false)
--- a/virtual/overload_server.go
+++ b/virtual/overload_server.go
@@ -53,8 +53,8 @@
 	// wait lets the attempt queue, repeat has it take from the retry budget, hedge marks a second concurrent one.
 	wait, repeat, hedge            bool
 	canary, lastResort, likelyOnly bool
-	// abandoned marks a run that had no answer when the breaker closed.
-	running, hung, abandoned bool
+	// abandoned marks a run that had no answer when the breaker closed, asked one that was asked for its slot.
+	running, hung, abandoned, asked bool
 	// trial is 0 for an attempt that is no trial, or is overdue as such.
 	trial   breaker.TrialID
 	started time.Time
