Requests that gave up a slot: end by caller or deadline named as such, longer pauses

Cause: plays of busy-stops show 501 with deadline_too_short where the caller had left at its own limit, and up to 12 offers each 400 ms from such a request.

--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -16,7 +16,7 @@
 const (
 	// firstResumePause and maxResumePause bound the pauses between the rounds in which such a request looks for a slot.
 	firstResumePause = 50 * time.Millisecond
-	maxResumePause   = 400 * time.Millisecond
+	maxResumePause   = 800 * time.Millisecond
 )
 
 // allowResends lets a repeatable request be dispatched again before a deadline, as often as its route allows. The functions
@@ -58,10 +58,13 @@
 	return false
 }
 
-// asExpired changes the end of a request that looked for a slot until its deadline.
+// asExpired changes the end of a request that looked for a slot until its deadline, or until its caller left.
 func (x *exchange) asExpired(ctx context.Context, end *peerpb.End) *peerpb.End {
-	if ctx.Err() != context.DeadlineExceeded || !x.progress.wasInterrupted() || !awaitsSlot(end) {
+	if ctx.Err() == nil || !x.progress.wasInterrupted() || !awaitsSlot(end) {
 		return end
 	}
-	return peer.Unknown(fault.DeadlineExceeded)
+	if ctx.Err() == context.DeadlineExceeded {
+		return peer.Unknown(fault.DeadlineExceeded)
+	}
+	return peer.Unknown(fault.Canceled)
 }
--- a/virtual/overload_parts.go
+++ b/virtual/overload_parts.go
@@ -22,7 +22,7 @@
 	maxRestarts = 3
 	// The values of ingress/resume.go.
 	firstResumePause = 50 * time.Millisecond
-	maxResumePause   = 400 * time.Millisecond
+	maxResumePause   = 800 * time.Millisecond
 )
 
 // reclaim asks for the slot of the oldest run that holds it without prospect of an answer, as egress/reclaim.go does (part 4).
