A request whose route or key is gone does not look for a slot

Change: such an end is final, as before. Measured: TestAwaitsSlot. Conclusion: what is known to be impossible is refused at once.

--- a/ingress/givenup_test.go
+++ b/ingress/givenup_test.go
@@ -240,3 +240,27 @@
 	defer s.mu.Unlock()
 	return strings.Join(append(slices.Clone(s.log), fmt.Sprintf("%v: caller has %d %q%s", at, w.Code, bodyOf(w), aborted)), "\n") + "\n"
 }
+
+// TestAwaitsSlot guards against a request that looks for a slot although none can be granted: its route or key is gone, or it
+// has ended endpoints.
+func TestAwaitsSlot(t *testing.T) {
+	for _, c := range []struct {
+		end  *peerpb.End
+		want bool
+	}{
+		{peer.Unknown(fault.EndpointHung), true},
+		{peer.Unknown(fault.LinkLost), true},
+		{peer.NotRun(fault.DeadlineTooShort, 0), true},
+		{peer.NotRun(fault.LinkDown, 0), true},
+		{peer.NotRun(fault.Stale, 0), false},
+		{peer.NotRun(fault.UnknownToken, 0), false},
+		{peer.NotRun(fault.OutOfRegion, 0), false},
+		{peer.NotRun(fault.FatalRequest, 0), false},
+		{peer.Unknown(fault.EndpointCut), false},
+		{peer.Unknown(fault.DeadlineExceeded), false},
+	} {
+		if got := awaitsSlot(c.end); got != c.want {
+			t.Errorf("%s: got %v, want %v", endName(c.end), got, c.want)
+		}
+	}
+}
--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -34,13 +34,16 @@
 	}
 }
 
-// awaitsSlot reports whether an end leaves it open that another endpoint serves the request: no endpoint had it, or its send
-// was ended by this system.
+// awaitsSlot reports whether an end leaves it open that another endpoint serves the request: its send was ended by this
+// system, or it has not run for a reason that may pass.
 func awaitsSlot(end *peerpb.End) bool {
-	if fault.Code(end.GetCode()) == fault.FatalRequest {
+	switch fault.Code(end.GetCode()) {
+	case fault.FatalRequest, fault.Stale, fault.UnknownToken, fault.OutOfRegion:
 		return false
+	case fault.EndpointHung:
+		return true
 	}
-	return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN || linkLost(end) || fault.Code(end.GetCode()) == fault.EndpointHung
+	return end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN || linkLost(end)
 }
 
 // resume begins another round, after a pause, for a request of which this system has ended a send and for which no slot was
