--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -26,6 +26,7 @@
 	fatal := flag.Int("fatal", 0, "requests that end the endpoints that run them")
 	stops := flag.Int("stops", 0, "series of signals that stop nodes, under work that may outlast their grace")
 	suspensions := flag.Int("suspensions", 0, "planned stops of nodes whose processes are suspended meanwhile")
+	stacks := flag.Bool("stacks", false, "nodes that outlive the grace of a stop write the stacks of their goroutines to their logs (see -keep)")
 	rates := flag.Int("rates", 0, "times in which endpoints state how many requests a second they take")
 	silences := flag.Int("silences", 0, "times in which open connections go silent without a reset")
 	hangs := flag.Int("hangs", 0, "times in which endpoints hang by spells and requests give up their slots")
@@ -38,7 +39,7 @@
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
-			Silences: *silences, Hangs: *hangs, Calm: *calm,
+			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Calm: *calm,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,8 @@
 	Stops int
 	// Suspensions is how many planned stops besides have their node's process suspended meanwhile.
 	Suspensions int
+	// Stacks has nodes that outlive the grace of a planned stop write the stacks of their goroutines to their logs.
+	Stacks bool
 	// Rates is how often an endpoint states, for some seconds, how many requests a second it takes.
 	Rates int
 	// Silences is how often open connections go silent without a reset.
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -29,6 +29,8 @@
 	slowest = 180
 	// crossing is how long before a close a request may have been written without having been read.
 	crossing = time.Second
+	// stacksTime is how long a node may take to write its stacks.
+	stacksTime = 300 * time.Millisecond
 	// stopsSeed and suspensionsSeed keep these draws apart from those of Plan and from each other.
 	stopsSeed, suspensionsSeed = 1 << 41, 1 << 42
 	// latestSuspension is how long after its stop signal a node is suspended at the most, longestSuspension for how long.
@@ -170,7 +172,7 @@
 	if !ended && !r.ended(m, time.Until(kill)) {
 		stop.kill = time.Now()
 		sent = append(sent, signalAt(syscall.SIGKILL))
-		r.must("kill", m.KillNode())
+		r.kill(m)
 	}
 	stop.until = time.Now()
 	r.mu.Lock()
@@ -179,6 +181,16 @@
 	r.report.Stops = append(r.report.Stops, fmt.Sprintf("%s: %s; over %s", m.Host, strings.Join(sent, ", "), timeOfDay(stop.until)))
 }
 
+// kill ends a node that has outlived its grace, after it wrote the stacks of its goroutines if that is asked for.
+func (r *run) kill(m *demo.Member) {
+	if r.cfg.Stacks && m.Signal(syscall.SIGQUIT) == nil {
+		if ended, _ := m.Ended(stacksTime); ended {
+			return
+		}
+	}
+	r.must("kill", m.KillNode())
+}
+
 // signalAt describes a signal that was sent now.
 func signalAt(s syscall.Signal) string { return fmt.Sprintf("%v %s", s, timeOfDay(time.Now())) }
 
