Soak: the verdict on given-up slots is tested, and reads logs to their end

Cause: read again: the scanner's error was not looked at, and no test showed that the verdict can fail. Change: both. Measured: TestJudgeFindsEndedRequests. Conclusion: harness only.

--- a/soak/hangs.go
+++ b/soak/hangs.go
@@ -63,14 +63,15 @@
 	return nil
 }
 
-// judgeYields does that for the log of one node.
+// judgeYields looks for such requests in the log of one node.
 func (r *run) judgeYields(name string) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, name, "log cannot be read")
 	}
 	defer func() { _ = file.Close() }()
-	for lines := bufio.NewScanner(file); lines.Scan(); {
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
 		var l logLine
 		// Lines of the runtime are not JSON.
 		if json.Unmarshal(lines.Bytes(), &l) != nil || l.YieldedAgo == nil {
@@ -81,5 +82,8 @@
 			r.breaks("slot: request %s was ended as %s after %.0f ms, %.0f ms after it had given up a slot", l.Request, l.Code, l.AfterMillis, *l.YieldedAgo)
 		}
 	}
+	if err := lines.Err(); err != nil {
+		return fault.Wrap(err, fault.Unavailable, name, "log cannot be read to its end")
+	}
 	return nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -129,6 +130,33 @@
 	}
 }
 
+// TestJudgeFindsEndedRequests checks that the verdict on requests that gave up a slot can fail.
+func TestJudgeFindsEndedRequests(t *testing.T) {
+	for _, c := range []struct {
+		line   string
+		broken bool
+	}{
+		{line: `{"event":501,"request":"r","code":"deadline_too_short","after":300.5,"slot_yielded_ago":2.5,"stopping":false}`, broken: true},
+		{line: `{"event":501,"request":"r","code":"endpoint_hung","after":300,"slot_yielded_ago":0,"stopping":false}`, broken: true},
+		{line: `{"event":501,"request":"r","code":"stopping","after":300,"slot_yielded_ago":5000,"stopping":true}`},
+		{line: `{"event":501,"request":"r","code":"deadline_exceeded","after":3000,"slot_yielded_ago":2000,"stopping":false}`},
+		{line: `{"event":504,"request":"r","after":300,"slot_yielded_ago":200,"stopping":false}`},
+		{line: `{"event":501,"request":"r","code":"deadline_too_short","after":300}`},
+	} {
+		name := filepath.Join(t.TempDir(), "h1.log")
+		if err := os.WriteFile(name, []byte(c.line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r := &run{}
+		if err := r.judgeYields(name); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(r.report.Broken) > 0; got != c.broken {
+			t.Errorf("%s: got broken %v, want %v", c.line, got, c.broken)
+		}
+	}
+}
+
 func record(call string) map[string]backend.Run {
 	return map[string]backend.Run{call: {Started: 1, Finished: 1}}
 }
