Comment: the bound of a round holds for every request with rounds

Cause: read again as a newcomer: the comment named nested calls alone, and requests that gave up a slot have rounds too. Change: comment only. Measured: linter; TestRounds, TestGivenUpSlots. Conclusion: no change of behaviour.

--- a/ingress/rounds.go
+++ b/ingress/rounds.go
@@ -18,7 +18,7 @@
 	maxRestarts = 3
 	// unknownWorkTime stands in for the usual time of work of which none has been served yet.
 	unknownWorkTime = 50 * time.Millisecond
-	// maxRoundAsks bounds the endpoints that a nested call asks in each round after the first.
+	// maxRoundAsks bounds the endpoints that a request asks in each round after the first.
 	maxRoundAsks = maxOffers + maxWaits + maxLastResortTries
 )
 
