--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -123,10 +123,29 @@
 		a.scheduleWrite()
 	}
 	if snap.Ready {
-		a.loadedOnce.Do(func() { close(a.loaded) })
+		a.loadedOnce.Do(func() {
+			logRecord(a.log, snap.StoredAnnouncement)
+			close(a.loaded)
+		})
 	}
 }
 
+// logRecord logs what the store holds of this host when the process first reads it.
+func logRecord(log *zerolog.Logger, h table.HostInfo) {
+	events.HostRecordFound.Log(log).Uint64("version", h.Version).
+		Int("endpoints", len(h.Endpoints)).Int("draining", drainingCount(h.Endpoints)).Send()
+}
+
+// drainingCount returns how many of the endpoints drain or leave.
+func drainingCount(endpoints []table.Announced) (n int) {
+	for _, e := range endpoints {
+		if e.Value.Phase != table.Active {
+			n++
+		}
+	}
+	return n
+}
+
 // adopt records an announcement that is already in the store as if this process had written it, with the incarnation
 // that it has there. The caller holds the lock. An announcement that differs only in its incarnation need not be
 // written again: the nodes of a fleet that restarts all at once would queue for seconds to write what the store already
@@ -271,10 +290,13 @@
 		return err
 	}
 	a.storedVersion, a.storedValue = reply.Version, w.Value
+	var written table.HostInfo
+	_ = json.Unmarshal(w.Value, &written) // for the log only; a withdrawn announcement has no value
 	if a.incarnation == 0 {
 		a.incarnation = a.cfg.Host.Incarnation
 	}
-	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).Send()
+	events.Announced.Log(a.log).Uint64("version", reply.Version).Bool("withdrawn", w.Delete).
+		Int("endpoints", len(written.Endpoints)).Int("draining", drainingCount(written.Endpoints)).Send()
 	return nil
 }
 
