A late heartbeat does not shut the present endpoint out for good

One heartbeat of an incarnation that the process did not know decided for good against one that it knew, and after a restart it knew none.

Change: an incarnation that another one replaces before it has drained is kept apart from those that drained or left (registry/replaced.go), in the store too, so that its late heartbeats are ignored after a restart. One that drained or left never comes back.

The order of the first case of registry/testdata/replaced, followed by 98 heartbeats of the present endpoint, leaves the wrong one active on the code before.

Tests changed, as strict as before: the argument is a pair of lists now, and the scripts print both; in testdata/beats and recover incarnations that had not drained moved from the line of ended ones to that of replaced ones, no announced line changed.

--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -114,10 +114,10 @@
 	return nil
 }
 
-// Announce replaces the endpoints in the announcement, and the keys of the incarnations that ended last.
-func (a *Announcer) Announce(endpoints []table.Announced, ended []string) {
+// Announce replaces the endpoints in the announcement, and their earlier incarnations.
+func (a *Announcer) Announce(endpoints []table.Announced, past table.PastIncarnations) {
 	a.mu.Lock()
-	a.desired.Endpoints, a.desired.Ended = endpoints, ended
+	a.desired.Endpoints, a.desired.PastIncarnations = endpoints, past
 	a.generation++
 	a.mu.Unlock()
 	a.scheduleWrite()
--- a/configsync/wire.go
+++ b/configsync/wire.go
@@ -78,7 +78,8 @@
 
 func hostToWire(h table.HostInfo) *peerpb.Host {
 	host := &peerpb.Host{
-		Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving, Version: h.Version, Incarnation: h.Incarnation, Ended: h.Ended,
+		Id: h.ID, Hall: h.Hall, Address: h.Address, Leaving: h.Leaving, Version: h.Version, Incarnation: h.Incarnation,
+		Ended: h.Ended, Replaced: h.Replaced,
 	}
 	for _, e := range h.Endpoints {
 		host.Endpoints = append(host.Endpoints, toWire(table.Encode(table.KindEndpoint, e.Key, table.Meta{}, e.Value)))
@@ -89,7 +90,8 @@
 func hostFromWire(h *peerpb.Host) table.HostInfo {
 	info := table.HostInfo{
 		ID: h.GetId(), Hall: h.GetHall(), Address: h.GetAddress(), Leaving: h.GetLeaving(),
-		Version: h.GetVersion(), Incarnation: h.GetIncarnation(), Ended: h.GetEnded(),
+		Version: h.GetVersion(), Incarnation: h.GetIncarnation(),
+		PastIncarnations: table.PastIncarnations{Ended: h.GetEnded(), Replaced: h.GetReplaced()},
 	}
 	for _, r := range h.GetEndpoints() {
 		// A row written by another version of the program that cannot be decoded is skipped.
--- a/node/node.go
+++ b/node/node.go
@@ -257,13 +257,15 @@
 
 // newRegistry returns the registry of the endpoints beside a host. The announcer stores what it is told, publish makes it
 // active on this node.
-func newRegistry(host table.HostInfo, log *zerolog.Logger, a *announce.Announcer, publish func(table.HostInfo)) *registry.Registry {
-	return registry.New(host.ID, host.Hall, log, func(endpoints []table.Announced, ended []string) {
+func newRegistry(
+	host table.HostInfo, log *zerolog.Logger, a *announce.Announcer, publish func(table.HostInfo), opts ...registry.Option,
+) *registry.Registry {
+	return registry.New(host.ID, host.Hall, log, func(endpoints []table.Announced, past table.PastIncarnations) {
 		info := host
-		info.Endpoints, info.Ended = endpoints, ended
+		info.Endpoints, info.PastIncarnations = endpoints, past
 		publish(info)
-		a.Announce(endpoints, ended)
-	}, registry.WithStore(a.AwaitStored))
+		a.Announce(endpoints, past)
+	}, append(opts, registry.WithStore(a.AwaitStored))...)
 }
 
 // Kernel returns the kernel that holds the node's components.
--- a/registry/recover.go
+++ b/registry/recover.go
@@ -17,16 +17,22 @@
 func (r *Registry) Recover(record table.HostInfo, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	endedBefore, liveBefore := slices.Clone(r.ended), r.list()
+	pastBefore, liveBefore := r.past(), r.list()
 	for _, key := range record.Ended {
 		r.end(key)
 	}
 	maps.DeleteFunc(r.live, func(key string, _ Endpoint) bool { return r.hasEnded(Instance(key)) })
 	maps.DeleteFunc(r.earlier, func(key string, _ table.Announced) bool { return r.hasEnded(Instance(key)) })
+	for _, key := range record.Replaced {
+		// An incarnation may have taken its place back since a peer received the record.
+		if _, known := r.live[key]; complete && !known {
+			r.replace(key)
+		}
+	}
 	for _, a := range record.Endpoints {
 		r.recoverEndpoint(a)
 	}
-	if !slices.Equal(endedBefore, r.ended) || !slices.Equal(liveBefore, r.list()) {
+	if !pastBefore.Equal(r.past()) || !slices.Equal(liveBefore, r.list()) {
 		r.notify()
 	}
 	if !complete || r.recovered {
@@ -47,7 +53,7 @@
 	old, known := r.live[a.Key]
 	switch b := (Heartbeat{Instance: name, Born: born, Address: a.Value.Address}); {
 	case a.Value.Phase == table.Active:
-		if !known && !r.isSuperseded(b) {
+		if !known && !r.isSuperseded(b) && !r.hasReplacement(a.Key) {
 			r.earlier[a.Key] = a
 		}
 	case known:
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -74,9 +74,11 @@
 	mu sync.Mutex
 	// live holds the current incarnations by key, draining ones included.
 	live map[string]Endpoint
-	// ended holds the keys of the last incarnations that were replaced by another or that left before their first
-	// heartbeat here, oldest first. A key with a start time stands for all incarnations of that name up to then.
+	// ended holds the keys of the last incarnations that drained or left and are not current any more, oldest first. A key
+	// with a start time stands for all incarnations of that name up to then.
 	ended []string
+	// replaced holds the last incarnations that had not drained when another one took their place, oldest first.
+	replaced []replacedIncarnation
 	// earlier holds the active endpoints that an earlier run of this node had announced and that have not reported to
 	// this run.
 	earlier map[string]table.Announced
@@ -86,8 +88,8 @@
 	held      []Heartbeat
 }
 
-// ChangeFunc receives all endpoints, and the keys of the incarnations that ended last, oldest first.
-type ChangeFunc func(endpoints []table.Announced, ended []string)
+// ChangeFunc receives all endpoints, and what later runs of the node have to know of earlier incarnations.
+type ChangeFunc func(endpoints []table.Announced, past table.PastIncarnations)
 
 // Option configures a Registry in New.
 type Option func(*Registry)
@@ -97,6 +99,9 @@
 	return func(r *Registry) { r.recovered, r.awaitStored = false, f }
 }
 
+// WithClock replaces the clock.
+func WithClock(c clock.Clock) Option { return func(r *Registry) { r.clock = c } }
+
 // New returns an empty registry for a host. onChange is called after each change and must not block.
 func New(host, hall string, log *zerolog.Logger, onChange ChangeFunc, opts ...Option) *Registry {
 	r := &Registry{
@@ -116,9 +121,9 @@
 // Beat records a heartbeat; the error is BadRequest if it is invalid. Once Beat returns, a draining endpoint gets no
 // new requests.
 //
-// Invariant: an incarnation that was ever draining or leaving never takes new requests again, and one that was replaced
-// by a later one of the same name or address never comes back, whatever arrives later and whichever run of this node
-// receives it.
+// Invariant: an incarnation that was ever draining or leaving never takes new requests again, whatever arrives later and
+// whichever run of this node receives it. One whose name or address another has taken comes back only if it keeps reporting
+// while the other one is silent.
 func (r *Registry) Beat(b Heartbeat) error {
 	if err := b.Check(); err != nil {
 		return err
@@ -135,6 +140,8 @@
 	switch {
 	case r.isSuperseded(b):
 		r.logIgnored(b, "superseded")
+	case !known && r.hasReplacement(b.Key()):
+		r.claim(b)
 	case known && b.Sequence <= old.sequence:
 		// A late heartbeat with an older sequence number counts only if it reports draining, because draining is final.
 		if b.Draining {
@@ -213,16 +220,21 @@
 		return key != e.Key && (other == name || address == e.Value.Address)
 	}
 	for key, other := range r.live {
-		if isOther(key, other.Value.Address) {
+		switch {
+		case !isOther(key, other.Value.Address):
+		case other.Draining:
 			r.end(key)
+		default:
+			r.replace(key)
 		}
 	}
 	for key, other := range r.earlier {
 		if isOther(key, other.Value.Address) {
-			r.end(key)
+			r.replace(key)
 		}
 	}
 	delete(r.earlier, e.Key)
+	r.replaced = slices.DeleteFunc(r.replaced, func(i replacedIncarnation) bool { return i.key == e.Key })
 	r.live[e.Key] = e
 }
 
@@ -258,6 +270,7 @@
 		return name == instance
 	})
 	r.ended = append(r.ended, key)
+	r.replaced = slices.DeleteFunc(r.replaced, func(i replacedIncarnation) bool { return r.hasEnded(Instance(i.key)) })
 	if extra := len(r.ended) - maxEnded; extra > 0 {
 		r.ended = slices.Delete(r.ended, 0, extra)
 	}
@@ -279,7 +292,7 @@
 }
 
 // notify passes all endpoints to onChange; the caller holds the lock.
-func (r *Registry) notify() { r.onChange(r.list(), slices.Clone(r.ended)) }
+func (r *Registry) notify() { r.onChange(r.list(), r.past()) }
 
 // logIgnored logs a heartbeat that changes nothing, or nothing yet.
 func (r *Registry) logIgnored(b Heartbeat, reason string) {
--- a/table/state.go
+++ b/table/state.go
@@ -26,12 +26,25 @@
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	// Endpoints are the host's endpoints that have announced themselves to the node.
 	Endpoints []Announced `json:"endpoints,omitempty"`
-	// Ended are the keys of the endpoints' incarnations that ended last, oldest first, for a later run of the node.
-	Ended []string `json:"ended,omitempty"`
+	PastIncarnations
 	// Version is the store's version of the announcement; a later version replaces an earlier one.
 	Version uint64 `json:"-"`
 }
 
+// PastIncarnations are the keys of earlier incarnations of a host's endpoints, oldest first, the last ones of each kind. A
+// later run of the host's node has to know them.
+type PastIncarnations struct {
+	// Ended have drained or left, and never get requests again.
+	Ended []string `json:"ended,omitempty"`
+	// Replaced had not drained when another incarnation took their place.
+	Replaced []string `json:"replaced,omitempty"`
+}
+
+// Equal reports whether p and q hold the same keys.
+func (p PastIncarnations) Equal(q PastIncarnations) bool {
+	return slices.Equal(p.Ended, q.Ended) && slices.Equal(p.Replaced, q.Replaced)
+}
+
 // Announced is an endpoint that has announced itself to the node on its host.
 type Announced struct {
 	// Key identifies the instance of the endpoint.
