--- a/registry/recover.go
+++ b/registry/recover.go
@@ -53,13 +53,13 @@
 	old, known := r.live[a.Key]
 	switch b := (Heartbeat{Instance: name, Born: born, Address: a.Value.Address}); {
 	case a.Value.Phase == table.Active:
-		if !known && !r.isSuperseded(b) && !r.hasReplacement(a.Key) {
+		if !known && !r.isSuperseded(b) && !r.wasReplaced(a.Key) {
 			r.earlier[a.Key] = a
 		}
 	case known:
 		r.markDraining(old)
 	case r.isSuperseded(b):
-	case r.isReplaced(b):
+	case r.hasActiveRival(b):
 		r.end(a.Key)
 	default:
 		r.add(Endpoint{Entry: table.Entry[table.Endpoint]{Key: a.Key, Value: a.Value}, Draining: true})
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -140,14 +140,14 @@
 	switch {
 	case r.isSuperseded(b):
 		r.logIgnored(b, "superseded")
-	case !known && r.hasReplacement(b.Key()):
+	case !known && r.wasReplaced(b.Key()):
 		r.claim(b)
 	case known && b.Sequence <= old.sequence:
 		// A late heartbeat with an older sequence number counts only if it reports draining, because draining is final.
 		if b.Draining {
 			r.markDraining(old)
 		}
-	case !known && b.Draining && r.isReplaced(b):
+	case !known && b.Draining && r.hasActiveRival(b):
 		// An unknown incarnation that drains started before the active endpoint in its place.
 		r.endUnknown(b.Key())
 	case !known && !b.Draining && !r.recovered:
@@ -200,9 +200,9 @@
 	})
 }
 
-// isReplaced reports whether an active incarnation that did not start earlier has the heartbeat's name or address; the
+// hasActiveRival reports whether an active incarnation that did not start earlier has the heartbeat's name or address; the
 // caller holds the lock.
-func (r *Registry) isReplaced(b Heartbeat) bool {
+func (r *Registry) hasActiveRival(b Heartbeat) bool {
 	for key, e := range r.live {
 		name, born := Instance(key)
 		if key != b.Key() && born >= b.Born && !e.Draining && (name == b.Instance || e.Value.Address == b.Address) {
@@ -377,13 +377,6 @@
 	return false
 }
 
-// Count returns how many endpoints have announced themselves, draining ones included.
-func (r *Registry) Count() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.live)
-}
-
 // Addresses returns the addresses of all endpoints, draining ones included, sorted.
 func (r *Registry) Addresses() []string {
 	r.mu.Lock()
--- a/registry/replaced.go
+++ b/registry/replaced.go
@@ -24,7 +24,7 @@
 func (r *Registry) replace(key string) {
 	delete(r.live, key)
 	delete(r.earlier, key)
-	if r.hasEnded(Instance(key)) || r.hasReplacement(key) {
+	if r.hasEnded(Instance(key)) || r.wasReplaced(key) {
 		return
 	}
 	r.replaced = append(r.replaced, replacedIncarnation{key: key})
@@ -33,8 +33,8 @@
 	}
 }
 
-// hasReplacement reports whether another incarnation has taken an incarnation's place; the caller holds the lock.
-func (r *Registry) hasReplacement(key string) bool {
+// wasReplaced reports whether another incarnation has taken an incarnation's place; the caller holds the lock.
+func (r *Registry) wasReplaced(key string) bool {
 	return slices.ContainsFunc(r.replaced, func(i replacedIncarnation) bool { return i.key == key })
 }
 
