A heartbeat is confirmed by a probe before the node is ready too

Cause: since heartbeats wait for what earlier processes have stored, a node restarted while the store is away would leave its endpoint unused until it is ready, although its peers pass it the configuration and the endpoint answers a probe. Change: the confirmation needs the service alone. TestHeartbeatsWhileStoreIsAway: used while the store is away if the probe succeeds, else when the store is back; a leaving gets no acknowledgement meanwhile.

--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -414,25 +414,33 @@
 	})
 }
 
-// playHost plays a drawn host and returns what was violated, the log, and how many leavings were acknowledged in calm times.
-func playHost(t *testing.T, seed uint64) (violations, log []string, calmAcks int) {
+// newDrawnHost returns a host whose store is empty and whose node has not started.
+func newDrawnHost(t *testing.T, seed uint64) *drawnHostRun {
+	t.Helper()
 	service, err := table.NewRow(table.KindService, drawnService, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	view, err := table.Decode[table.Service](service)
+	value, err := table.Decode[table.Service](service)
 	if err != nil {
 		t.Fatal(err)
 	}
-	view.ProbePath = "/health"
-	state, err := table.NewState().With(table.Delta{Full: true, To: 1, Rows: []table.Row{table.Encode(table.KindService, drawnService, table.Meta{Version: 1, Revision: 1}, view)}})
+	value.ProbePath = "/health"
+	row := table.Encode(table.KindService, drawnService, table.Meta{Version: 1, Revision: 1}, value)
+	state, err := table.NewState().With(table.Delta{Full: true, To: 1, Rows: []table.Row{row}})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return &drawnHostRun{
+		store: store.New(), state: state, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), boots: make(map[string]*drawnBoot), faults: true,
+	}
+}
+
+// playHost plays a drawn host and returns what was violated, the log, and how many leavings were acknowledged in calm times.
+func playHost(t *testing.T, seed uint64) (violations, log []string, calmAcks int) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		d := &drawnHostRun{
-			store: store.New(), state: state, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), boots: make(map[string]*drawnBoot), faults: true,
-		}
+		d := newDrawnHost(t, seed)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { d.disturb(ctx, t) })
@@ -491,3 +499,43 @@
 		t.Errorf("leavings in calm times: got %d, want at least %d", got, want)
 	}
 }
+
+// TestHeartbeatsWhileStoreIsAway guards against a node restarted while the store is away that leaves its endpoint unused
+// although the endpoint answers, or that uses one which does not: what earlier processes acknowledged is unknown then.
+func TestHeartbeatsWhileStoreIsAway(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		goodProbe      bool
+		away, returned bool
+	}{
+		{"probe succeeds", true, true, true},
+		{"probe fails", false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDrawnHost(t, 1)
+				d.faults = false
+				d.store.SetFaults(store.Faults{Down: true})
+				d.startProcess(t, 1)
+				d.boot = &drawnBoot{id: "i-1", goodProbe: c.goodProbe}
+				d.boots["i-1"] = d.boot
+				if got, want := d.beat(d.boot, "ready"), true; got != want {
+					t.Errorf("heartbeat acknowledged: got %v, want %v", got, want)
+				}
+				time.Sleep(2 * restoreInterval)
+				if got, want := d.process.registry.HasActive(), c.away; got != want {
+					t.Errorf("active while the store is away: got %v, want %v", got, want)
+				}
+				if got, want := d.call(1, "i-0", "", 0), false; got != want {
+					t.Errorf("leaving acknowledged while the store is away: got %v, want %v", got, want)
+				}
+				d.store.SetFaults(store.Faults{})
+				time.Sleep(2 * time.Second)
+				if got, want := d.process.registry.HasActive(), c.returned; got != want {
+					t.Errorf("active when the store is back: got %v, want %v", got, want)
+				}
+				d.stopProcess(false)
+			})
+		})
+	}
+}
--- a/node/restore.go
+++ b/node/restore.go
@@ -54,11 +54,10 @@
 	defer tick.Stop()
 	timeout := time.After(restoreTimeout)
 	for restoring := true; restoring || !r.registry.Recovered(); {
-		if snap := r.snapshot(); snap.Ready {
-			r.confirm(ctx, snap)
-			if restoring = restoring && !r.registry.HasActive(); restoring {
-				r.restore(ctx, snap)
-			}
+		snap := r.snapshot()
+		r.confirm(ctx, snap)
+		if restoring = restoring && !r.registry.HasActive(); restoring && snap.Ready {
+			r.restore(ctx, snap)
 		}
 		select {
 		case <-ctx.Done():
@@ -70,7 +69,8 @@
 	}
 }
 
-// confirm applies the heartbeat that is held for the endpoint that answers at the address now.
+// confirm applies the heartbeat that is held for the endpoint that answers at the address now. It needs only the service,
+// which peers may have passed on while the store is away.
 func (r *restorer) confirm(ctx context.Context, snap *configsync.Snapshot) {
 	for _, b := range r.registry.Held() {
 		service, ok := snap.State.Service(b.Service)
