Soak: endpoints that announce themselves, and leave around ends of their nodes

Cause: the endpoints of the soak were rows of the table, so no run had a leaving that a node acknowledges, a node killed right after it, or a late heartbeat. Change: -leaves N. Endpoints announce themselves by heartbeats; a leaving is followed by up to two ends of its node (half of them within 50 ms of the acknowledgement, some planned) and up to three late heartbeats. No request may reach the endpoint later than 2 s after the acknowledgement, whatever else happens, unless its node was paused meanwhile.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -30,6 +30,7 @@
 	rates := flag.Int("rates", 0, "times in which endpoints state how many requests a second they take")
 	silences := flag.Int("silences", 0, "times in which open connections go silent without a reset")
 	hangs := flag.Int("hangs", 0, "times in which endpoints hang by spells and requests give up their slots")
+	leaves := flag.Int("leaves", 0, "times in which endpoints, which announce themselves then, leave around ends of their nodes")
 	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
@@ -39,7 +40,7 @@
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
-			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Calm: *calm,
+			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Leaves: *leaves, Calm: *calm,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -75,6 +76,9 @@
 	if cfg.Hangs > 0 {
 		fmt.Fprintf(out, "requests that gave up a slot: %d\n", report.Yielded)
 	}
+	if cfg.Leaves > 0 {
+		fmt.Fprintf(out, "leavings checked: %d, late heartbeats after them: %d\n", report.Leavings, report.Late)
+	}
 	if cfg.Nested {
 		fmt.Fprintf(out, "nested calls: %+v\n", report.Nested)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -32,8 +32,10 @@
 	Hall string
 	// Callers, Peers, Operators and Endpoint are the addresses.
 	Callers, Peers, Operators, Endpoint string
-	node, endpoint                      *process
-	gone                                bool
+	// Control is where the node takes the heartbeats of an endpoint that announces itself.
+	Control        string
+	node, endpoint *process
+	gone           bool
 }
 
 // Fleet is a platform stand-in and a number of members, each a process of its own.
@@ -50,6 +52,8 @@
 
 	// Bare fleets have no endpoint processes, only their rows.
 	Bare bool
+	// AnnouncedService, if set, is the service of endpoints that have no rows: they announce themselves.
+	AnnouncedService string
 
 	bin      string
 	dir      string
@@ -69,7 +73,7 @@
 // NewFleet returns a fleet of size members in halls, with the binaries of bin and files in dir. Extra is appended to
 // each node's settings.
 func NewFleet(bin, dir string, size, halls int, extra string) (*Fleet, error) {
-	const perMember = 4
+	const perMember = 5
 	ports, err := FreePorts(1 + perMember*size)
 	if err != nil {
 		return nil, err
@@ -79,7 +83,7 @@
 		p := ports[1+perMember*i:]
 		f.Members = append(f.Members, &Member{
 			Host: "h" + strconv.Itoa(i+1), Hall: "hall-" + strconv.Itoa(i%halls+1),
-			Callers: p[0], Peers: p[1], Operators: p[2], Endpoint: p[3],
+			Callers: p[0], Peers: p[1], Operators: p[2], Endpoint: p[3], Control: p[4],
 		})
 	}
 	return f, nil
@@ -192,6 +196,9 @@
 operators: {listen: %q, token: %s}
 platform: {address: %q}
 %s`, m.Host, m.Hall, m.Callers, m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, platform, f.extra)
+	if f.AnnouncedService != "" {
+		text += fmt.Sprintf("\nannounced: {listen: %q, address: %q, service: %s}\n", m.Control, m.Endpoint, f.AnnouncedService)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fault.Wrap(err, fault.Unavailable, path, "cannot be written")
 	}
@@ -203,8 +210,14 @@
 // declare writes the declarations and has the operators' tool apply them.
 func (f *Fleet) declare(service, cells string) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\n%sendpoint:\n", service, cells, service, f.Routes)
-	for _, m := range f.Members {
+	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\n%s", service, cells, service, f.Routes)
+	for i, m := range f.Members {
+		if f.AnnouncedService != "" {
+			break
+		}
+		if i == 0 {
+			b.WriteString("endpoint:\n")
+		}
 		fmt.Fprintf(&b, "  %s: {service: %s, host: %s, hall: %s, address: %q}\n", m.Key(), service, m.Host, m.Hall, m.Endpoint)
 	}
 	dir := filepath.Join(f.dir, "declarations")
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -39,6 +39,8 @@
 		r.stateRate(a)
 	case SilenceLinks, SilenceStore, SilenceSome, SilenceAll:
 		r.silence(a)
+	case Leave:
+		r.leave(a)
 	}
 }
 
@@ -186,7 +188,7 @@
 				return true
 			}
 		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate,
-			SilenceLinks, SilenceStore, SilenceSome, SilenceAll:
+			SilenceLinks, SilenceStore, SilenceSome, SilenceAll, Leave:
 		}
 	}
 	return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -72,6 +72,8 @@
 	Rate float64
 	// Share is the part of the connections that go silent.
 	Share float64
+	// Leaving is how an endpoint leaves.
+	Leaving Leaving
 }
 
 // String tells the action in one line.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,8 @@
 	Silences int
 	// Hangs is how often an endpoint hangs by spells, with the nodes' setting to give up slots on.
 	Hangs int
+	// Leaves is how often an endpoint leaves around ends of its node; the endpoints announce themselves then.
+	Leaves int
 	// Calm leaves out the faults that Plan draws.
 	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
@@ -58,6 +60,8 @@
 	Drains, Changes, Rates int
 	// Silences counts the nodes for which it could be checked that a change at the moment of a silence was in force in time.
 	Silences int
+	// Leavings counts the acknowledged leavings that could be checked, Late the heartbeats that came after them.
+	Leavings, Late int
 	// Nested counts the calls that endpoints made.
 	Nested NestedCalls
 	// Yielded counts the requests that gave up a slot at a hanging endpoint, as far as the nodes' logs name them.
@@ -98,6 +102,8 @@
 	unknown map[string]bool
 	// stops are the planned stops by series of signals.
 	stops []stopped
+	// boots are the incarnations of endpoints that announce themselves, by member.
+	boots []*boot
 }
 
 func settingsOf(cfg Config) string {
@@ -137,11 +143,16 @@
 	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
 	r.plan = append(r.plan, PlanSilences(cfg.Seed, cfg.Members, cfg.Silences, cfg.Length)...)
 	r.plan = append(r.plan, PlanHangs(cfg.Seed, cfg.Members, cfg.Hangs, cfg.Length)...)
+	r.plan = withLeaves(r.plan, PlanLeaves(cfg.Seed, cfg.Members, cfg.Leaves, cfg.Length))
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
 	}
 	defer r.closeProxies()
+	if cfg.Leaves > 0 {
+		fleet.AnnouncedService = serviceName
+		defer r.announceEndpoints()()
+	}
 	if err := fleet.Start(serviceName, r.behaviour(normal()), serviceCells); err != nil {
 		return Report{}, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,15 +50,15 @@
 			continue
 		}
 		var seed uint64
-		var members, seconds, rate, fatal, stops, suspensions, rates, silences, calm, hangs int
-		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal, &stops, &suspensions, &rates, &silences, &calm, &hangs); n < 4 {
+		var members, seconds, rate, fatal, stops, suspensions, rates, silences, calm, hangs, leaves int
+		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal, &stops, &suspensions, &rates, &silences, &calm, &hangs, &leaves); n < 4 {
 			t.Fatalf("%q: %v", text, err)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(Config{
 				Bin: binaries, Dir: t.TempDir(), Seed: seed, Members: members, Halls: 2,
 				Length: time.Duration(seconds) * time.Second, Rate: rate, Fatal: fatal, Stops: stops, Suspensions: suspensions, Rates: rates,
-				Silences: silences, Calm: calm > 0, Hangs: hangs,
+				Silences: silences, Calm: calm > 0, Hangs: hangs, Leaves: leaves,
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -69,6 +69,9 @@
 			if got := len(report.Results); got == 0 {
 				t.Error("requests: got none, want some")
 			}
+			if got, want := report.Leavings, leaves/2; got < want {
+				t.Errorf("leavings checked: got %d, want at least %d", got, want)
+			}
 		})
 	}
 }
@@ -104,6 +107,25 @@
 	}
 }
 
+// TestLateRunsAreFound checks that the verdict on leavings can fail.
+func TestLateRunsAreFound(t *testing.T) {
+	acknowledged := time.UnixMilli(10_000)
+	for _, c := range []struct {
+		began time.Duration
+		late  int
+	}{
+		{-time.Second, 0},
+		{drainTime, 0},
+		{drainTime + time.Millisecond, 1},
+		{mostLate, 0},
+	} {
+		runs := map[string]backend.Run{"payment-1": {Started: 1, LastMillis: acknowledged.Add(c.began).UnixMilli()}}
+		if got, want := len(lateRuns(runs, acknowledged, acknowledged.Add(mostLate))), c.late; got != want {
+			t.Errorf("request that began %v after the acknowledgement: got %d late, want %d", c.began, got, want)
+		}
+	}
+}
+
 // TestJudgeFindsBrokenCalls checks that the verdict on the endpoints' own calls can fail.
 func TestJudgeFindsBrokenCalls(t *testing.T) {
 	for _, c := range []struct {
