An announcement that a peer has passed on is not overwritten unread

Callers saw: nothing; found while reading what a new process takes for the store's word.

A node passes its own, not yet stored announcement on to peers under the version of the stored one, so a peer can give a new process an announcement without endpoints under the version under which the store holds a leaving. The new process adopted that as the store's, and its first write, 2 s after its start, replaced the stored one unread if its own reads of the store had failed until then.

Change: only what the process has read itself is adopted.

Evidence: TestFoundAnnouncementIsNotOverwrittenUnread/seen_from_a_peer fails on the code before (the leaving is gone from the store). TestStoreCallsAtStart: no more calls than before for a node that has read the store.

--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -166,8 +166,8 @@
 }
 
 // Observe compares an active snapshot with the announcement last written, and schedules a write if they differ: another
-// node may have removed the announcement, or the store may have applied a late write of a previous process. Before the
-// first write, Observe adopts the announcement that a previous process of this node has left.
+// node may have removed the announcement, or the store may have applied a late write of a previous process. If the first
+// read of the store shows an announcement that a previous process of this node has left, Observe adopts it.
 func (a *Announcer) Observe(snap *configsync.Snapshot) {
 	o := a.compare(snap)
 	if o.first {
@@ -194,22 +194,25 @@
 	restore bool
 }
 
-// compare compares a snapshot with the announcement last written, and adopts the snapshot's if none was.
+// compare compares a snapshot with the announcement last written, and adopts the one that the first read of the store shows.
+//
+// Invariant: an announcement that a peer has passed on is not adopted. It may be one that a process of this node had not
+// stored, under the version of the stored one.
 func (a *Announcer) compare(snap *configsync.Snapshot) (o observation) {
 	found := snap.StoredAnnouncement
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.storedVersion == 0 && found.Version != 0 {
+	o.first = snap.HostsRead && !a.recordKnown
+	o.foreign = found.Version != 0 && !a.recordKnown
+	a.recordKnown = a.recordKnown || o.first
+	if o.first && found.Version != 0 {
 		a.adopt(found, found.Version)
-		o.foreign = true
 	}
 	newer := a.storedVersion != 0 && snap.State.Revisions()[table.SourceHosts] > a.storedVersion
 	if newer && (found.Incarnation != a.incarnation || found.Version > a.storedVersion) {
 		a.setConfirmed(false, 0)
 		o.foreign, o.restore = true, !a.withdrawn
 	}
-	o.first = snap.HostsRead && !a.recordKnown
-	a.recordKnown = a.recordKnown || o.first
 	return o
 }
 
