A process does not take itself for the first of its node by a peer's word

Change: the record counts once the process has read it from the store.

Evidence: TestRecordOfEarlierLifeIsReadFromStore fails on the code before ("passed on by a peer: counts as the first process").

--- a/egress/rate.go
+++ b/egress/rate.go
@@ -359,9 +359,10 @@
 	if !snap.Ready {
 		return
 	}
+	// What peers pass on may be what this process has published itself.
 	e.mu.Lock()
-	first := !e.recordChecked
-	e.recordChecked = true
+	first := snap.HostsRead && !e.recordChecked
+	e.recordChecked = e.recordChecked || first
 	e.mu.Unlock()
 	// This process may have announced itself already.
 	if stored := snap.StoredAnnouncement; first && (stored.Version == 0 || stored.Incarnation == e.cfg.Incarnation) {
--- a/egress/starts_test.go
+++ b/egress/starts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/lynxplank/lynxplank/configsync"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
@@ -212,3 +213,28 @@
 		}
 	}
 }
+
+// TestRecordOfEarlierLifeIsReadFromStore guards against a process that takes itself for the first of its node because a peer
+// passes on what this process has published itself.
+func TestRecordOfEarlierLifeIsReadFromStore(t *testing.T) {
+	const own, earlier = 7, 3
+	for _, c := range []struct {
+		name       string
+		read       bool
+		stored     table.HostInfo
+		unrecorded bool
+	}{
+		{"passed on by a peer", false, table.HostInfo{ID: "h1", Version: 5, Incarnation: own}, false},
+		{"stored by an earlier process", true, table.HostInfo{ID: "h1", Version: 5, Incarnation: earlier}, false},
+		{"stored by this process", true, table.HostInfo{ID: "h1", Version: 5, Incarnation: own}, true},
+		{"nothing is stored", true, table.HostInfo{}, true},
+	} {
+		e := newTestEgress(t, "127.0.0.1:1", table.Active, func(cfg *Config) { cfg.Incarnation = own })
+		WithPeers()(e)
+		hosts := []table.HostInfo{{ID: "h1"}, {ID: "h2"}}
+		e.Observe(time.Now(), &configsync.Snapshot{State: e.state(), Hosts: hosts, StoredAnnouncement: c.stored, HostsRead: c.read, Ready: true})
+		if got, want := e.life == e.life.WithoutRecord(), c.unrecorded; got != want {
+			t.Errorf("%s: counts as the first process: got %v, want %v", c.name, got, want)
+		}
+	}
+}
