A host's announcement is kept while an endpoint that drains may run

While the node beside such an endpoint was down or cut off for longer than gone_after, another node deleted its announcement (207), the leaving with it; the next process found nothing (214 with version 0) and believed a late heartbeat.

Change: a host with a draining endpoint expires after 12 times gone_after. Hosts behind it on the ring are watched meanwhile.

TestAnnouncementOfDrainingEndpointIsKept fails with the old expiry.

--- a/announce/reaper.go
+++ b/announce/reaper.go
@@ -43,11 +43,15 @@
 	done             chan struct{}
 }
 
-// reapInterval is the time between two checks of the hosts.
-const reapInterval = 500 * time.Millisecond
+const (
+	// reapInterval is the time between two checks of the hosts.
+	reapInterval = 500 * time.Millisecond
+	// drainingExpiryFactor is how many times longer a host with a draining endpoint must be unreachable to expire.
+	drainingExpiryFactor = 12
+)
 
 // NewReaper returns a reaper for the node of the given host. A host expires when it has been unreachable for
-// unreachableLimit; writeTimeout bounds one write.
+// unreachableLimit, one with a draining endpoint later; writeTimeout bounds one write.
 func NewReaper(
 	host string, unreachableLimit, writeTimeout time.Duration, log *zerolog.Logger, t changes.Table, links Links,
 	snapshot func() *configsync.Snapshot,
@@ -89,10 +93,12 @@
 	h, ok := r.nextOnRing(hosts, r.host)
 	for ; ok; h, ok = r.nextOnRing(hosts, h.ID) {
 		r.links.KeepOpen(h.Address)
-		if !r.unreachableTooLong(now, h) {
+		if !r.unreachableFor(now, h, r.unreachableLimit) {
 			break
 		}
-		list = append(list, h)
+		if r.unreachableFor(now, h, r.expiry(h)) {
+			list = append(list, h)
+		}
 	}
 	if len(list) > 0 && r.likelyIsolated(now, hosts) {
 		return nil
@@ -116,10 +122,21 @@
 // ringPosition returns a host's position on the ring.
 func ringPosition(host string) uint64 { return xxhash.Sum64String(host) }
 
-// unreachableTooLong reports whether this node has been unable to reach a host for longer than the limit.
-func (r *Reaper) unreachableTooLong(now time.Time, h table.HostInfo) bool {
+// expiry returns how long a host must be unreachable to expire.
+//
+// Invariant: while an endpoint that drains may still run, its host's announcement stays, because a later process of the
+// host's node knows from it alone that the endpoint drains.
+func (r *Reaper) expiry(h table.HostInfo) time.Duration {
+	if drainingCount(h.Endpoints) > 0 {
+		return drainingExpiryFactor * r.unreachableLimit
+	}
+	return r.unreachableLimit
+}
+
+// unreachableFor reports whether this node has been unable to reach a host for longer than d.
+func (r *Reaper) unreachableFor(now time.Time, h table.HostInfo, d time.Duration) bool {
 	since := r.links.UnreachableSince(h.Address)
-	return !since.IsZero() && now.Sub(since) > r.unreachableLimit
+	return !since.IsZero() && now.Sub(since) > d
 }
 
 // likelyIsolated reports whether more hosts are unreachable than reachable, this node counted as reachable. Then this
@@ -129,7 +146,7 @@
 	for _, h := range hosts {
 		switch {
 		case h.ID == r.host:
-		case r.unreachableTooLong(now, h):
+		case r.unreachableFor(now, h, r.unreachableLimit):
 			unreachable++
 		case r.links.LinkHealthy(h.Address):
 			reachable++
--- a/announce/reaper_test.go
+++ b/announce/reaper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,42 @@
 		}
 	})
 }
+
+// TestAnnouncementOfDrainingEndpointIsKept guards against an endpoint that gets requests again because another node has
+// deleted its host's announcement, with the leaving in it, while the host's node was down.
+func TestAnnouncementOfDrainingEndpointIsKept(t *testing.T) {
+	const limit = 10 * time.Second
+	log := zerolog.Nop()
+	now := time.Now()
+	// The hosts in the order of the ring after h1; the first of them has the draining endpoint.
+	hosts := []table.HostInfo{{ID: "h1", Address: "h1"}, {ID: "h2", Address: "h2"}, {ID: "h3", Address: "h3"}, {ID: "h4", Address: "h4"}, {ID: "h5", Address: "h5"}, {ID: "h6", Address: "h6"}}
+	first, _ := (&Reaper{host: "h1"}).nextOnRing(hosts, "h1")
+	second, _ := (&Reaper{host: "h1"}).nextOnRing(hosts, first.ID)
+	for i := range hosts {
+		if hosts[i].ID == first.ID {
+			hosts[i].Endpoints = []table.Announced{{Key: "i1", Value: table.Endpoint{Phase: table.Draining}}}
+		}
+	}
+	for _, c := range []struct {
+		down time.Duration
+		want []string
+	}{
+		{limit - time.Second, nil},
+		{limit + time.Second, []string{second.ID}},
+		{drainingExpiryFactor*limit - time.Second, []string{second.ID}},
+		{drainingExpiryFactor*limit + time.Second, []string{first.ID, second.ID}},
+	} {
+		links := &linkModel{down: map[string]time.Time{first.ID: now.Add(-c.down), second.ID: now.Add(-c.down)}, kept: make(map[string]bool)}
+		for _, h := range hosts {
+			links.kept[h.Address] = true
+		}
+		r := NewReaper("h1", limit, time.Second, &log, nil, links, nil)
+		var got []string
+		for _, h := range r.expired(now, hosts) {
+			got = append(got, h.ID)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("two hosts down for %v: got %v to remove, want %v", c.down, got, c.want)
+		}
+	}
+}
