Comment: an incarnation that has ended stays ended

Cause: an empty case of recoverEndpoint left the reader to guess. Change: one comment. Conclusion: no change of logic.

--- a/registry/recover.go
+++ b/registry/recover.go
@@ -59,6 +59,7 @@
 	case known:
 		r.markDraining(old)
 	case r.isSuperseded(b):
+		// This run knows that it has ended.
 	case r.hasActiveRival(b):
 		r.end(a.Key)
 	default:
