--- a/announce/announcer.go
+++ b/announce/announcer.go
@@ -1,9 +1,7 @@
 package announce
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -11,9 +9,7 @@
 
 	"github.com/lynxplank/lynxplank/changes"
 	"github.com/lynxplank/lynxplank/configsync"
-	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
-	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -184,68 +180,6 @@
 	}
 }
 
-// observation is what a snapshot shows of this host's announcement.
-type observation struct {
-	// first is set if the snapshot is the first to show what the store holds.
-	first bool
-	// foreign is set if this process may not have written the announcement.
-	foreign bool
-	// restore is set if the announcement must be written again.
-	restore bool
-}
-
-// compare compares a snapshot with the announcement last written, and adopts the one that the first read of the store shows.
-//
-// Invariant: an announcement that a peer has passed on is not adopted. It may be one that a process of this node had not
-// stored, under the version of the stored one.
-func (a *Announcer) compare(snap *configsync.Snapshot) (o observation) {
-	found := snap.StoredAnnouncement
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	o.first = snap.HostsRead && !a.recordKnown
-	o.foreign = found.Version != 0 && !a.recordKnown
-	a.recordKnown = a.recordKnown || o.first
-	if o.first && found.Version != 0 {
-		a.adopt(found, found.Version)
-	}
-	newer := a.storedVersion != 0 && snap.State.Revisions()[table.SourceHosts] > a.storedVersion
-	if newer && (found.Incarnation != a.incarnation || found.Version > a.storedVersion) {
-		a.setConfirmed(false, 0)
-		o.foreign, o.restore = true, !a.withdrawn
-	}
-	return o
-}
-
-// logRecord logs what the store holds of this host when the process first reads it.
-func logRecord(log *zerolog.Logger, h table.HostInfo) {
-	events.HostRecordFound.Log(log).Uint64("version", h.Version).
-		Int("endpoints", len(h.Endpoints)).Int("draining", drainingCount(h.Endpoints)).Send()
-}
-
-// drainingCount returns how many of the endpoints drain or leave.
-func drainingCount(endpoints []table.Announced) (n int) {
-	for _, e := range endpoints {
-		if e.Value.Phase != table.Active {
-			n++
-		}
-	}
-	return n
-}
-
-// adopt records an announcement that is already in the store as if this process had written it, with the incarnation
-// that it has there. The caller holds the lock. An announcement that differs only in its incarnation need not be
-// written again: the nodes of a fleet that restarts all at once would queue for seconds to write what the store already
-// holds, and each write wakes every reader.
-func (a *Announcer) adopt(found table.HostInfo, version uint64) {
-	found.Version = 0
-	value, err := json.Marshal(found)
-	if err != nil {
-		return
-	}
-	a.storedVersion, a.storedValue, a.incarnation = version, value, found.Incarnation
-	a.setConfirmed(true, 0)
-}
-
 // scheduleWrite marks the announcement as changed and wakes the writing goroutine.
 func (a *Announcer) scheduleWrite() {
 	a.mu.Lock()
@@ -303,151 +237,3 @@
 		return true
 	}
 }
-
-// dueWrite is a write that is due.
-type dueWrite struct {
-	platform.Write
-	// announcement is what it stores, generation the generation of that.
-	announcement table.HostInfo
-	generation   uint64
-	// version is the version of the announcement that it replaces, 0 for none.
-	version uint64
-}
-
-// nextWrite returns the write that is due and clears the dirty mark; ok is false if none is due.
-func (a *Announcer) nextWrite() (write dueWrite, ok bool, err error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.dirty {
-		return dueWrite{}, false, nil
-	}
-	a.dirty = false
-	write = dueWrite{generation: a.generation, version: a.storedVersion}
-	write.Key, write.Delete = configsync.HostPrefix+a.desired.ID, a.withdrawn
-	if a.withdrawn {
-		return write, true, nil
-	}
-	write.announcement = a.desired
-	if a.incarnation != 0 {
-		write.announcement.Incarnation = a.incarnation
-	}
-	write.Value, err = json.Marshal(write.announcement)
-	if err != nil {
-		err = fault.Wrap(err, fault.Internal, write.Key, "announcement cannot be encoded")
-	}
-	return write, true, err
-}
-
-// write makes one attempt to store the desired announcement, or to delete a withdrawn one. A refused write is tried once
-// more on the version that the refusal has shown.
-//
-// Invariant: each write names the version of the announcement that it replaces. So a write whose answer was lost and
-// which the store applies late cannot overwrite a newer one.
-func (a *Announcer) write(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(platform.WithReason(ctx, platform.ReasonLine), a.cfg.Timeout)
-	defer cancel()
-	refused, err := a.commitNext(ctx)
-	if err == nil && refused {
-		refused, err = a.commitNext(ctx)
-	}
-	if err == nil && refused {
-		err = fault.New(fault.Conflict, configsync.HostPrefix+a.cfg.Host.ID, "announcement was changed by another write in the meantime")
-	}
-	if err != nil {
-		a.mu.Lock()
-		a.dirty = true
-		a.setConfirmed(false, 0)
-		a.mu.Unlock()
-		events.AnnounceFailed.Log(a.log).Err(err).Send()
-	}
-	return err
-}
-
-// upToDate reports whether the store is known to hold already what the write would store.
-func (a *Announcer) upToDate(w dueWrite) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.confirmed || w.Delete || !bytes.Equal(a.storedValue, w.Value) {
-		return false
-	}
-	a.setConfirmed(true, w.generation)
-	return true
-}
-
-// commitNext sends the write that is due, which the store accepts only if the announcement is still at the version that
-// the write replaces. If it is refused, another write is due that replaces the announcement which the refusal has shown.
-func (a *Announcer) commitNext(ctx context.Context) (refused bool, err error) {
-	w, ok, err := a.nextWrite()
-	if err != nil || !ok || a.upToDate(w) {
-		return false, err
-	}
-	reply, err := a.replace(ctx, w.Write, w.version)
-	if err != nil {
-		return false, err
-	}
-	found := reply.FoundAt(w.Key)
-	switch {
-	case reply.Committed:
-		a.recordWritten(w, reply.Version)
-	case found.Version == 0 && w.Delete:
-		a.recordWritten(w, reply.Version)
-	case !w.Delete && bytes.Equal(found.Value, w.Value):
-		// An earlier write of this process was applied and its answer lost.
-		a.recordWritten(w, found.Version)
-	default:
-		a.recordFound(found)
-		return true, nil
-	}
-	return false, nil
-}
-
-// recordWritten records that the store holds what a write has stored.
-func (a *Announcer) recordWritten(w dueWrite, version uint64) {
-	a.mu.Lock()
-	a.storedVersion, a.storedValue = version, w.Value
-	if a.incarnation == 0 {
-		a.incarnation = a.cfg.Host.Incarnation
-	}
-	a.setConfirmed(true, w.generation)
-	first := !a.recordKnown
-	a.recordKnown = true
-	a.mu.Unlock()
-	events.Announced.Log(a.log).Uint64("version", version).Bool("withdrawn", w.Delete).
-		Int("endpoints", len(w.announcement.Endpoints)).Int("draining", drainingCount(w.announcement.Endpoints)).Send()
-	if first {
-		// The store held nothing that this process did not know.
-		a.onRecord(table.HostInfo{}, true)
-	}
-}
-
-// recordFound records the announcement that a refused write has shown, one that this process did not know. One that
-// cannot be decoded counts as none.
-func (a *Announcer) recordFound(found platform.Record) {
-	var h table.HostInfo
-	if err := json.Unmarshal(found.Value, &h); found.Version != 0 && err != nil {
-		events.AnnounceFailed.Log(a.log).Err(fault.Wrap(err, fault.BadRow, found.Key, "cannot decode announcement")).Send()
-	}
-	h.Version = found.Version
-	a.mu.Lock()
-	if found.Version == 0 {
-		a.storedVersion = 0
-	} else {
-		a.adopt(h, found.Version)
-	}
-	a.dirty = true
-	first := !a.recordKnown
-	a.recordKnown = true
-	a.mu.Unlock()
-	if first {
-		logRecord(a.log, h)
-	}
-	a.onRecord(h, true)
-}
-
-// replace sends one write, which the store accepts only if the announcement is at the given version; 0 means that there
-// is none.
-func (a *Announcer) replace(ctx context.Context, w platform.Write, version uint64) (platform.TxnReply, error) {
-	return a.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: w.Key, Version: version}}, Writes: []platform.Write{w},
-	})
-}
--- a/announce/reaper.go
+++ b/announce/reaper.go
@@ -46,7 +46,8 @@
 const (
 	// reapInterval is the time between two checks of the hosts.
 	reapInterval = 500 * time.Millisecond
-	// drainingExpiryFactor is how many times longer a host with a draining endpoint must be unreachable to expire.
+	// drainingExpiryFactor is how many times longer a host with a draining endpoint must be unreachable to expire: a node that
+	// fails several times in a row is back by then, and late heartbeats have arrived.
 	drainingExpiryFactor = 12
 )
 
--- a/registry/recover.go
+++ b/registry/recover.go
@@ -72,7 +72,7 @@
 	r.logIgnored(b, "earlier_runs_unknown")
 	i := slices.IndexFunc(r.held, func(h Heartbeat) bool { return h.Key() == b.Key() })
 	switch {
-	case i < 0 && len(r.held) < maxEnded:
+	case i < 0 && len(r.held) < maxPast:
 		r.held = append(r.held, b)
 	case i >= 0 && b.Sequence > r.held[i].Sequence:
 		r.held[i] = b
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// maxEnded bounds how many ended incarnations are remembered, here and in the store, so that their late heartbeats
-	// change nothing.
-	maxEnded = 16
+	// maxPast bounds how many earlier incarnations of each kind are remembered, here and in the store: more than an endpoint
+	// that crashes again and again starts within the seconds by which a heartbeat may be late.
+	maxPast = 16
 	// maxSlots is the largest number of slots that a heartbeat may report.
 	maxSlots = 10000
 )
@@ -271,7 +271,7 @@
 	})
 	r.ended = append(r.ended, key)
 	r.replaced = slices.DeleteFunc(r.replaced, func(i replacedIncarnation) bool { return r.hasEnded(Instance(i.key)) })
-	if extra := len(r.ended) - maxEnded; extra > 0 {
+	if extra := len(r.ended) - maxPast; extra > 0 {
 		r.ended = slices.Delete(r.ended, 0, extra)
 	}
 	return true
--- a/registry/replaced.go
+++ b/registry/replaced.go
@@ -28,7 +28,7 @@
 		return
 	}
 	r.replaced = append(r.replaced, replacedIncarnation{key: key})
-	if extra := len(r.replaced) - maxEnded; extra > 0 {
+	if extra := len(r.replaced) - maxPast; extra > 0 {
 		r.replaced = slices.Delete(r.replaced, 0, extra)
 	}
 }
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -164,10 +164,8 @@
 	r.mu.Lock()
 	r.report.Drains++
 	r.mu.Unlock()
-	for call, run := range runs {
-		if at := time.UnixMilli(run.LastMillis); at.After(accepted.Add(leaveWithin)) && at.Before(until) {
-			r.breaks("drain: %s reached %s %v after the drain was accepted", call, m.Key(), at.Sub(accepted))
-		}
+	for call, after := range runsBetween(runs, accepted, leaveWithin, until) {
+		r.breaks("drain: %s reached %s %v after the drain was accepted", call, m.Key(), after)
 	}
 }
 
--- a/soak/leaves.go
+++ b/soak/leaves.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/standin/backend"
 )
 
@@ -89,11 +90,11 @@
 }
 
 // heartbeat returns the next heartbeat.
-func (b *boot) heartbeat(state string) demo.Heartbeat {
+func (b *boot) heartbeat() registry.Heartbeat {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
-	return b.m.Heartbeat(serviceName, b.instance(), state, b.sequence)
+	return b.m.Heartbeat(serviceName, b.instance(), b.sequence)
 }
 
 // instance returns the name of the present incarnation; the caller holds the lock.
@@ -107,7 +108,7 @@
 		b.mu.Unlock()
 		if !leaving {
 			// The next one follows whatever comes of it.
-			_ = b.m.Report(b.heartbeat("ready"))
+			_ = b.m.Report(b.heartbeat())
 		}
 		select {
 		case <-ctx.Done():
@@ -148,9 +149,9 @@
 	r.ends[a.On].Lock()
 	defer r.ends[a.On].Unlock()
 	b, how := r.boots[a.On], a.Leaving
-	late := make([]demo.Heartbeat, 0, len(how.Late))
+	late := make([]registry.Heartbeat, 0, len(how.Late))
 	for range how.Late {
-		late = append(late, b.heartbeat("ready"))
+		late = append(late, b.heartbeat())
 	}
 	b.setLeaving(true)
 	defer b.setLeaving(false)
@@ -158,9 +159,9 @@
 	if !ok {
 		return
 	}
-	var events sync.WaitGroup
+	var arrivals sync.WaitGroup
 	for i, at := range how.Late {
-		events.Go(func() {
+		arrivals.Go(func() {
 			time.Sleep(time.Until(acknowledged.Add(at)))
 			// It may find no node.
 			_ = b.m.Report(late[i])
@@ -175,7 +176,7 @@
 		r.process(Action{Kind: kind, On: a.On, For: how.Down})
 	}
 	time.Sleep(time.Until(acknowledged.Add(a.For)))
-	events.Wait()
+	arrivals.Wait()
 	r.checkLeft(a.On, acknowledged, time.Now(), len(late))
 }
 
@@ -184,7 +185,9 @@
 	for begin := time.Now(); time.Since(begin) < giveUpAfter; time.Sleep(repeatInterval) {
 		var err error
 		if drains {
-			err = b.m.Report(b.heartbeat("draining"))
+			draining := b.heartbeat()
+			draining.Draining = true
+			err = b.m.Report(draining)
 		} else {
 			b.mu.Lock()
 			instance := b.instance()
@@ -214,16 +217,17 @@
 	r.report.Leavings++
 	r.report.Late += late
 	r.mu.Unlock()
-	for _, line := range lateRuns(runs, acknowledged, until) {
-		r.breaks("leave: %s: %s", m.Key(), line)
+	for call, after := range runsBetween(runs, acknowledged, drainTime, until) {
+		r.breaks("leave: %s reached %s %v after its leaving was acknowledged", call, m.Key(), after)
 	}
 }
 
-// lateRuns names the requests that began later than drainTime after the acknowledgement of a leaving, and before until.
-func lateRuns(runs map[string]backend.Run, acknowledged, until time.Time) (late []string) {
+// runsBetween returns the requests that began later than allowed after a time and before until, with how long after that time.
+func runsBetween(runs map[string]backend.Run, from time.Time, allowed time.Duration, until time.Time) map[string]time.Duration {
+	late := make(map[string]time.Duration)
 	for call, run := range runs {
-		if at := time.UnixMilli(run.LastMillis); at.After(acknowledged.Add(drainTime)) && at.Before(until) {
-			late = append(late, fmt.Sprintf("%s began %v after its leaving was acknowledged", call, at.Sub(acknowledged)))
+		if at := time.UnixMilli(run.LastMillis); at.After(from.Add(allowed)) && at.Before(until) {
+			late[call] = at.Sub(from)
 		}
 	}
 	return late
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// TestLateRunsAreFound checks that the verdict on leavings can fail.
+// TestLateRunsAreFound checks that the verdict on drains and leavings can fail.
 func TestLateRunsAreFound(t *testing.T) {
 	acknowledged := time.UnixMilli(10_000)
 	for _, c := range []struct {
@@ -120,7 +120,7 @@
 		{mostLate, 0},
 	} {
 		runs := map[string]backend.Run{"payment-1": {Started: 1, LastMillis: acknowledged.Add(c.began).UnixMilli()}}
-		if got, want := len(lateRuns(runs, acknowledged, acknowledged.Add(mostLate))), c.late; got != want {
+		if got, want := len(runsBetween(runs, acknowledged, drainTime, acknowledged.Add(mostLate))), c.late; got != want {
 			t.Errorf("request that began %v after the acknowledgement: got %d late, want %d", c.began, got, want)
 		}
 	}
