A restarted node passes on its stored endpoints until one has reported

Callers saw: nothing; found while reading what a process tells others before it knows what its predecessor announced.

A new process passed on its announcement without endpoints, under the version of the stored one. A peer that pulled from it, because another host had changed, replaced the stored endpoints by none. When the endpoint reported, the announcement was as stored and not written again, so no newer version told the peer.

Change: while no endpoint has reported to a process, peers are told the stored endpoints and earlier incarnations, with the address and incarnation of the process.

Before and after: TestRestartedNodePassesOnStoredEndpoints gets no endpoints on the code before, by changes and by whole list; the stored ones now. Conclusion: what remains under one version is an announcement that names endpoints which have reported, and those are written.

--- a/configsync/hosts_test.go
+++ b/configsync/hosts_test.go
@@ -111,3 +111,49 @@
 		}
 	}
 }
+
+// TestRestartedNodePassesOnStoredEndpoints guards against a peer that loses an endpoint, or the leaving of one, because the
+// endpoint's node was restarted and passes on its announcement before the endpoint has reported again.
+func TestRestartedNodePassesOnStoredEndpoints(t *testing.T) {
+	const version, from = 7, 8
+	endpoint := func(key string, phase table.Phase) []table.Announced {
+		return []table.Announced{{Key: key, Value: table.Endpoint{Service: "desk", Host: "h1", Hall: "hall-1", Address: "10.0.0.1:80", Slots: 4, Weight: 1, Phase: phase}}}
+	}
+	stored := table.HostInfo{ID: "h1", Hall: "hall-1", Address: "10.0.0.1:1", Version: version, Incarnation: 1, Endpoints: endpoint("i1", table.Draining)}
+	stored.Ended = []string{"i0"}
+	restarted := table.HostInfo{ID: "h1", Hall: "hall-1", Address: "10.0.0.1:2", Version: version, Incarnation: 2}
+	reported := restarted
+	reported.Endpoints = endpoint("i2", table.Active)
+	other := table.HostInfo{ID: "h2", Hall: "hall-1", Address: "10.0.0.2:1", Version: from + 1}
+	for _, c := range []struct {
+		name    string
+		local   table.HostInfo
+		changes bool
+		want    []table.Announced
+		ended   []string
+	}{
+		{"nothing reported, changes", restarted, true, stored.Endpoints, stored.Ended},
+		{"nothing reported, whole list", restarted, false, stored.Endpoints, stored.Ended},
+		{"an endpoint reported, changes", reported, true, reported.Endpoints, nil},
+		{"an endpoint reported, whole list", reported, false, reported.Endpoints, nil},
+	} {
+		snap := &Snapshot{
+			list:               hostList{hosts: []table.HostInfo{stored, other}, revision: other.Version, base: 1},
+			Hosts:              []table.HostInfo{c.local, other},
+			ByID:               map[string]table.HostInfo{c.local.ID: c.local, other.ID: other},
+			StoredAnnouncement: stored,
+		}
+		_, got := deltasFromParts([]*peerpb.Delta{hostsDelta(snap.hostsSince(from, c.changes))})
+		i := slices.IndexFunc(got.hosts, func(h table.HostInfo) bool { return h.ID == "h1" })
+		if i < 0 {
+			t.Errorf("%s: got %+v, want the host's own announcement", c.name, got.hosts)
+			continue
+		}
+		if h := got.hosts[i]; !slices.Equal(h.Endpoints, c.want) || !slices.Equal(h.Ended, c.ended) || h.Address != restarted.Address {
+			t.Errorf("%s: got %+v, want endpoints %+v, ended %v, address %s", c.name, h, c.want, c.ended, restarted.Address)
+		}
+		if got, want := len(got.hosts), 2; got != want {
+			t.Errorf("%s: hosts: got %d, want %d", c.name, got, want)
+		}
+	}
+}
--- a/configsync/wire.go
+++ b/configsync/wire.go
@@ -48,20 +48,36 @@
 }
 
 // hostsSince returns the changes of the list of hosts that a peer lacks, or the whole list if the peer does not accept
-// changes. It includes this host's local announcement, which may be newer than the stored one.
+// changes. It includes this host's own announcement.
 func (s *Snapshot) hostsSince(from uint64, changesOnly bool) hostChanges {
 	c := s.list.since(from)
+	own, ok := s.ownAnnouncement()
+	isOwn := func(h table.HostInfo) bool { return ok && h.ID == own.ID }
 	if c.from == 0 || !changesOnly {
-		return hostChanges{revision: s.list.revision, base: s.list.base, hosts: s.Hosts}
-	}
-	local, ok := s.ByID[s.StoredAnnouncement.ID]
-	if !ok || slices.ContainsFunc(c.hosts, func(h table.HostInfo) bool { return h.ID == local.ID }) {
+		c = hostChanges{revision: s.list.revision, base: s.list.base, hosts: s.Hosts}
+		if i := slices.IndexFunc(c.hosts, isOwn); i >= 0 {
+			c.hosts = slices.Clone(c.hosts)
+			c.hosts[i] = own
+		}
 		return c
 	}
-	c.hosts = append(c.hosts, local)
+	if ok && !slices.ContainsFunc(c.hosts, isOwn) {
+		c.hosts = append(c.hosts, own)
+	}
 	return c
 }
 
+// ownAnnouncement returns this host's announcement for peers, false while the list of hosts has none: the local one, which may
+// be newer than the stored one, but with the stored endpoints until one has reported to this process. Peers keep what they
+// receive under the version of the stored one.
+func (s *Snapshot) ownAnnouncement() (own table.HostInfo, ok bool) {
+	own, ok = s.ByID[s.StoredAnnouncement.ID]
+	if len(own.Endpoints) == 0 {
+		own.Endpoints, own.PastIncarnations = s.StoredAnnouncement.Endpoints, s.StoredAnnouncement.PastIncarnations
+	}
+	return own, ok
+}
+
 // hostsDelta encodes changes of the list of hosts; changesFromWire decodes them. The wire calls a removed host gone.
 func hostsDelta(c hostChanges) *peerpb.Delta {
 	d := &peerpb.Delta{
