The registry decides what is acknowledged after it is stored, platform translates

Cause: platform/beats.go chose which calls of endpoints wait for the store, though platform translates and decides nothing, and the invariant stood apart from the state that it is about; demo/fleet.go declared endpoints in a loop that ended itself. Change: registry.TakeBeat and TakeLeave record and wait; platform maps their errors to 400 and 503, with one callback from which the node logs 405 or 424. No change of what is acknowledged when. Tests: platform/fuzz_test.go implements the new interface and checks the same; the drawn host calls the same routes.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -211,14 +211,11 @@
 func (f *Fleet) declare(service, cells string) error {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "service:\n  %s: {%s}\nroute:\n  all: {service: %s}\n%s", service, cells, service, f.Routes)
-	for i, m := range f.Members {
-		if f.AnnouncedService != "" {
-			break
-		}
-		if i == 0 {
-			b.WriteString("endpoint:\n")
+	if f.AnnouncedService == "" {
+		b.WriteString("endpoint:\n")
+		for _, m := range f.Members {
+			fmt.Fprintf(&b, "  %s: {service: %s, host: %s, hall: %s, address: %q}\n", m.Key(), service, m.Host, m.Hall, m.Endpoint)
 		}
-		fmt.Fprintf(&b, "  %s: {service: %s, host: %s, hall: %s, address: %q}\n", m.Key(), service, m.Host, m.Hall, m.Endpoint)
 	}
 	dir := filepath.Join(f.dir, "declarations")
 	if err := os.MkdirAll(dir, 0o750); err != nil {
--- a/node/drawnprocess_test.go
+++ b/node/drawnprocess_test.go
@@ -55,8 +55,7 @@
 		Host: host, FirstDelay: announceDelay, RetryInterval: 50 * time.Millisecond, MaxRetryInterval: time.Second, Timeout: time.Second,
 	}, &log, store.NewLocal(d.store), announce.WithRecordHook(func(record table.HostInfo, complete bool) { p.registry.Recover(record, complete) }))
 	p.registry = newRegistry(host, &log, p.announcer, func(info table.HostInfo) { d.published(p, info) }, registry.WithClock(time.Now))
-	ignore := func(string, error) {}
-	p.routes = platform.EndpointRoutes(p.registry, ignore, ignore)
+	p.routes = platform.EndpointRoutes(p.registry, func(string, error) {})
 	p.restorer = &restorer{address: drawnAddress, registry: p.registry, snapshot: p.currentSnapshot, probe: d.probe}
 	if d.chance(0.5) {
 		p.snapshot = p.snapshotFromPeer()
--- a/node/node.go
+++ b/node/node.go
@@ -244,14 +244,15 @@
 		return nil
 	}
 	r := newRegistry(n.announceConfig(incarnation).Host, n.log, a, f.SetSelfAnnouncement)
-	refused := func(key string, err error) {
-		events.BadHeartbeat.Log(n.log).Str("endpoint", key).Err(err).Send()
-	}
-	unstored := func(key string, err error) {
-		events.LeavingNotStored.Log(n.log).Str("endpoint", key).Err(err).Send()
+	unacknowledged := func(key string, err error) {
+		event := events.LeavingNotStored
+		if fault.CodeOf(err) == fault.BadRequest {
+			event = events.BadHeartbeat
+		}
+		event.Log(n.log).Str("endpoint", key).Err(err).Send()
 	}
 	n.kernel.Register(Heartbeats, serve.New(Heartbeats, n.cfg.Announced.Listen.AddrPort,
-		serve.WithRoutes(platform.EndpointRoutes(r, refused, unstored)...)))
+		serve.WithRoutes(platform.EndpointRoutes(r, unacknowledged)...)))
 	return r
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -94,9 +94,10 @@
 // Option configures a Registry in New.
 type Option func(*Registry)
 
-// WithStore makes the registry wait for what earlier runs of the node have stored (Recover), and has AwaitStored call f.
-func WithStore(f func(context.Context) error) Option {
-	return func(r *Registry) { r.recovered, r.awaitStored = false, f }
+// WithStore makes the registry wait for what earlier runs of the node have stored (Recover). awaitStored waits until the store
+// holds all that onChange was called with, Unavailable if it does not in time.
+func WithStore(awaitStored func(context.Context) error) Option {
+	return func(r *Registry) { r.recovered, r.awaitStored = false, awaitStored }
 }
 
 // WithClock replaces the clock.
@@ -114,9 +115,24 @@
 	return r
 }
 
-// AwaitStored waits until the store holds all that the registry has been told so far; an error if it does not in time.
-// A report of draining or leaving is acknowledged after that only: a later run of this node knows nothing else of it.
-func (r *Registry) AwaitStored(ctx context.Context) error { return r.awaitStored(ctx) }
+// TakeBeat records a heartbeat and returns nil when it may be acknowledged: BadRequest if it is invalid, Unavailable if it
+// reports draining and the store does not hold that in time.
+//
+// Invariant: a report of draining or leaving is acknowledged only once the store holds it. The acknowledgement binds later
+// runs of the node too, which know of it from the store alone.
+func (r *Registry) TakeBeat(ctx context.Context, b Heartbeat) error {
+	if err := r.Beat(b); err != nil || !b.Draining {
+		return err
+	}
+	return r.awaitStored(ctx)
+}
+
+// TakeLeave records as Leave does and returns nil when that may be acknowledged, Unavailable if the store does not hold it in
+// time.
+func (r *Registry) TakeLeave(ctx context.Context, now time.Time, instance string, born int64) error {
+	r.Leave(now, instance, born)
+	return r.awaitStored(ctx)
+}
 
 // Beat records a heartbeat; the error is BadRequest if it is invalid. Once Beat returns, a draining endpoint gets no
 // new requests.
