A restarted node does not pass its fallback allotment of a customer again

A node that reaches no owner of a customer's limit may pass a share of the fallback allotment in a window. A new process counted it as unused, so that restarts in series passed the share as often as the node started.

Change: the fallback allotment counts as used up in the first window of a process, as an owner's buckets start empty.

Tests: quota/sim_test.go hands the clock over at a restart; its bound is untouched. Conclusion: whoever reaches no owner right after a start refuses with a time to come back, for a window at most.

--- a/quota/fallback.go
+++ b/quota/fallback.go
@@ -7,17 +7,24 @@
 // window, whichever of them are cut off from each other. It does not lock: the caller serializes access.
 type Fallback struct {
 	window time.Duration
+	// opensAt is the end of the first window.
+	opensAt time.Time
 	// passed has the times at which requests of each customer passed within the window.
 	passed *PerCustomer[*[]time.Time]
 }
 
-// NewFallback returns a fallback allotment of which nothing has been used.
-func NewFallback(window time.Duration) *Fallback {
-	return &Fallback{window: window, passed: NewPerCustomer[*[]time.Time](nil)}
+// NewFallback returns the fallback allotment of a node that starts.
+//
+// Invariant: it counts as used up in the first window, because an earlier run of the node may have used it.
+func NewFallback(now time.Time, window time.Duration) *Fallback {
+	return &Fallback{window: window, opensAt: now.Add(window), passed: NewPerCustomer[*[]time.Time](nil)}
 }
 
 // Use lets one request of a customer pass if the node has passed fewer than share in the window that ends now.
 func (f *Fallback) Use(now time.Time, customer string, share int) bool {
+	if now.Before(f.opensAt) {
+		return false
+	}
 	passed := f.passed.GetOrCreate(customer, func() *[]time.Time { return new([]time.Time) })
 	for len(*passed) > 0 && !now.Before((*passed)[0].Add(f.window)) {
 		*passed = (*passed)[1:]
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -96,7 +96,7 @@
 	n.startedAt = f.now
 	n.owner = NewOwner(f.clock(n), settle)
 	n.holder = NewHolder(DefaultHolderConfig())
-	n.fallback = NewFallback(simWindow)
+	n.fallback = NewFallback(f.clock(n), simWindow)
 }
 
 // publishList makes a list of hosts the newest.
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -107,13 +107,14 @@
 ) *Limiter {
 	l := &Limiter{
 		cfg: cfg, log: log, snapshot: snapshot, links: links, metrics: m, now: clock.Boot, holder: quota.NewHolder(quota.DefaultHolderConfig()),
-		fallback: quota.NewFallback(cfg.Window), usages: quota.NewPerCustomer[*Usage](nil),
+		usages:   quota.NewPerCustomer[*Usage](nil),
 		ownersOf: quota.NewPerCustomer[*ownerList](nil),
 	}
 	for _, opt := range opts {
 		opt(l)
 	}
 	l.owner = quota.NewOwner(l.now(), cfg.Settle)
+	l.fallback = quota.NewFallback(l.now(), cfg.Window)
 	return l
 }
 
