Event 111 names answers that wait for an earlier one on their connection

Cause: an answer that is ready and waits for its turn has left the ingress, so that no line tells of it when the grace of a planned stop is over, although the kill cuts it.

Change: event 111 and the metric stop_outlasted have the stage "answered".

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -174,6 +174,12 @@
 	return customer.Key
 }
 
+// RequestID returns the id that a request's header states, "" if there is none.
+func (g *Ingress) RequestID(h http.Header) string {
+	decoded, _ := g.cfg.Contract.Call(h)
+	return decoded.ID
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	for _, stage := range []string{string(ingress.StageWaiting), string(ingress.StageRunning), string(ingress.StageAnswering), stageBehind} {
+	for _, stage := range []string{string(ingress.StageWaiting), string(ingress.StageRunning), string(ingress.StageAnswering), stageBehind, stageAnswered} {
 		m.StopOutlasted(stage, 0)
 	}
 	var follower *configsync.Follower
--- a/node/stop.go
+++ b/node/stop.go
@@ -219,8 +219,12 @@
 	return nil
 }
 
-// stageBehind is the stage of a request that has not begun because an earlier request on its connection has no answer yet.
-const stageBehind = "behind"
+const (
+	// stageBehind is the stage of a request that has not begun because an earlier request on its connection has no answer yet.
+	stageBehind = "behind"
+	// stageAnswered is the stage of a request whose answer waits for that of an earlier request on its connection.
+	stageAnswered = "answered"
+)
 
 // reportOutlasting logs and counts the callers' requests that are still in flight at the guaranteed end.
 func (n *Node) reportOutlasting(callers *pipeline.Server, g *ingress.Ingress) error {
@@ -228,7 +232,17 @@
 	if err != nil {
 		return err
 	}
+	answered := make(map[string]bool)
+	for _, r := range callers.Blocked() {
+		id := g.RequestID(r.Header)
+		answered[id] = true
+		m.StopOutlasted(stageAnswered, 1)
+		events.RequestOutlasts.Log(n.log).Str("request", id).Str("stage", stageAnswered).Send()
+	}
 	for _, r := range g.InFlight() {
+		if answered[r.ID] {
+			continue
+		}
 		m.StopOutlasted(string(r.Stage), 1)
 		events.RequestOutlasts.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
 			Dur("after", r.Age).Send()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -174,6 +174,18 @@
 	return n
 }
 
+// appendBlocked appends the requests whose answers wait for their turn.
+func (c *conn) appendBlocked(list []*http.Request) []*http.Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, x := range c.pending {
+		if i > 0 && x.blocked {
+			list = append(list, x.req)
+		}
+	}
+	return list
+}
+
 // refuse sends an error answer for a request that could not be read or is not accepted, after the answers of the requests
 // before it, and closes the connection. h is the request's header, nil if it could not be read. A status of 0 means that
 // the caller has gone: the connection is then closed without an answer.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -27,8 +27,9 @@
 	header http.Header
 	// reservation is the memory reserved for the request's body, nil for none.
 	reservation *memory.Reservation
-	// started is set once the request runs; guarded by the connection's mu.
+	// started is set once the request runs, blocked while its answer waits for its turn; guarded by the connection's mu.
 	started bool
+	blocked bool
 	// turn is closed when the answers before this one are finished, so that this one may be written.
 	turn chan struct{}
 
@@ -88,6 +89,8 @@
 
 // await waits for the answer's turn. It returns false when the connection is closed because its caller has gone.
 func (x *exchange) await() bool {
+	x.setBlocked(true)
+	defer x.setBlocked(false)
 	select {
 	case <-x.turn:
 		return true
@@ -96,6 +99,12 @@
 	}
 }
 
+func (x *exchange) setBlocked(blocked bool) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.blocked = blocked
+}
+
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -159,3 +159,15 @@
 	}
 	return n
 }
+
+// Blocked returns the requests whose answers are ready to be written, at least in part, and wait for the answer of an earlier
+// request on their connection.
+func (s *Server) Blocked() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var blocked []*http.Request
+	for c := range s.conns {
+		blocked = c.appendBlocked(blocked)
+	}
+	return blocked
+}
