Planned stops: their times in one place

Cause: the times of a planned stop stood in four places of the node, each worked out from the moment at which its code ran: the end of the notice from the start of Stop, the end of what can be answered and the guaranteed end from the signal.

Change: package shutdown has an immutable Plan with the end of the notice, the time by which answers are settled and the guaranteed end, all counted from when the signal may have been sent. The node reads its times from it. No behavior changes but that the notice ends at a fixed time and no longer later by the milliseconds that the first steps of the stop take.

Checks: TestStopCountsFromEarliestSignal asks the plan for the same times as before.

--- a/node/grace_test.go
+++ b/node/grace_test.go
@@ -22,12 +22,12 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := newGrace(cfg)
-			_, cancel := g.begin(c.signalAge)
+			plan, _, cancel := g.begin(c.signalAge)
 			defer cancel()
-			if got, want := time.Until(g.guaranteedEnd()), c.end; got != want {
+			if got, want := time.Until(plan.GuaranteedEnd()), c.end; got != want {
 				t.Errorf("signal sent %v ago: guaranteed end: got in %v, want in %v", c.signalAge, got, want)
 			}
-			if got, want := g.scale(cfg.Notice.Std()), c.notice; got != want {
+			if got, want := time.Until(plan.NoticeEnd()), c.notice; got != want {
 				t.Errorf("signal sent %v ago: notice: got %v, want %v", c.signalAge, got, want)
 			}
 		})
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,33 +18,35 @@
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/pipeline"
 	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/shutdown"
 )
 
 // grace tracks how long a planned stop may take.
 type grace struct {
-	// guaranteed is how long after a stop signal the node is certain not to be killed. maxTime is how long it finishes work at the
-	// most, unless it is killed earlier.
-	guaranteed, maxTime time.Duration
+	// maxTime is how long the node finishes work at the most, unless it is killed earlier.
+	maxTime time.Duration
 
 	mu sync.Mutex
-	// signaledAt is the earliest time at which the first stop signal may have been sent.
-	signaledAt time.Time
-	timer      *time.Timer
+	// plan counts from the first stop signal, as the node may be killed when the grace of that signal is over.
+	plan  shutdown.Plan
+	timer *time.Timer
 }
 
 func newGrace(cfg settings.Stop) *grace {
-	return &grace{guaranteed: cfg.Grace.Std() - cfg.Margin.Std(), maxTime: cfg.Grace.Std() + cfg.Overrun.Std()}
+	return &grace{
+		maxTime: cfg.Grace.Std() + cfg.Overrun.Std(), plan: shutdown.NewPlan(cfg.Grace.Std()-cfg.Margin.Std(), cfg.Notice.Std()),
+	}
 }
 
-// begin starts the planned stop's clock and returns a context that is cancelled after maxTime. The stop signal may have been
-// sent signalAge ago.
-func (g *grace) begin(signalAge time.Duration) (context.Context, context.CancelFunc) {
+// begin starts the planned stop's clock and returns its plan, and a context that is canceled after maxTime. The stop signal may
+// have been sent signalAge ago.
+func (g *grace) begin(signalAge time.Duration) (shutdown.Plan, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.signaledAt = time.Now().Add(-signalAge)
+	g.plan = g.plan.WithSignal(time.Now(), signalAge)
 	g.timer = time.AfterFunc(g.maxTime, cancel)
-	return ctx, cancel
+	return g.plan, ctx, cancel
 }
 
 // renew lets maxTime count from now and returns how long ago the first stop signal was sent, false if there was none.
@@ -58,27 +60,7 @@
 		return 0, false
 	}
 	g.timer.Reset(g.maxTime)
-	return time.Since(g.signaledAt), true
-}
-
-// guaranteedEnd returns the time until which the node is certain not to be killed. It counts from the first signal, as the node
-// may be killed when the grace of that signal is over.
-//
-// Invariant: it counts from the earliest time at which that signal may have been sent. The sender's clock runs on while the
-// node is paused and can't receive the signal.
-func (g *grace) guaranteedEnd() time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.signaledAt.Add(g.guaranteed)
-}
-
-// scale returns the part of a duration of the planned stop that fits the guaranteed time which is left.
-func (g *grace) scale(d time.Duration) time.Duration {
-	if g.guaranteed <= 0 {
-		return d
-	}
-	left := min(max(0, time.Until(g.guaranteedEnd())), g.guaranteed)
-	return time.Duration(float64(d) * left.Seconds() / g.guaranteed.Seconds())
+	return time.Since(g.plan.SignaledAt()), true
 }
 
 // Stop runs the planned stop. The node closes each caller's connection with its next answer and serves as before for the
@@ -95,11 +77,10 @@
 func (n *Node) Stop() error {
 	start := time.Now()
 	signalAge := n.pauses.ReceiptDelay()
-	events.NodeStopping.Log(n.log).Dur("signal_age", signalAge).Send()
-	n.stopping.Store(true)
-	ctx, cancel := n.grace.begin(signalAge)
+	plan, ctx, cancel := n.grace.begin(signalAge)
 	defer cancel()
-	notice := n.grace.scale(n.cfg.Stop.Notice.Std())
+	n.stopping.Store(true)
+	events.NodeStopping.Log(n.log).Dur("signal_age", signalAge).Send()
 	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
 	if err != nil {
 		return err
@@ -108,16 +89,16 @@
 	if err != nil {
 		return err
 	}
-	g.StopDispatchBefore(n.grace.guaranteedEnd())
+	g.StopDispatchBefore(plan.GuaranteedEnd())
 	callers.Drain()
 	if err := n.withdrawWithEndpoint(); err != nil {
 		return err
 	}
-	n.awaitNotice(ctx, notice-time.Since(start))
+	n.awaitNotice(ctx, plan)
 	if err := n.announceStop(); err != nil {
 		return err
 	}
-	if err := n.awaitCallers(ctx, callers, g); err != nil {
+	if err := n.awaitCallers(ctx, plan, callers, g); err != nil {
 		return err
 	}
 	if err := n.kernel.Stop(ctx); err != nil {
@@ -188,8 +169,8 @@
 
 // awaitNotice waits until the notice period is over, while the node keeps serving: callers learn only after some seconds that
 // the node is stopping, and may send new requests on their connections until then.
-func (n *Node) awaitNotice(ctx context.Context, left time.Duration) {
-	notice := time.NewTimer(left)
+func (n *Node) awaitNotice(ctx context.Context, plan shutdown.Plan) {
+	notice := time.NewTimer(time.Until(plan.NoticeEnd()))
 	defer notice.Stop()
 	select {
 	case <-ctx.Done():
@@ -197,18 +178,14 @@
 	}
 }
 
-// unknownOutcomeLead is how long before the guaranteed end callers are answered with an unknown outcome where the real outcome
-// will no longer be known in time.
-const unknownOutcomeLead = 100 * time.Millisecond
-
 // awaitCallers refuses new requests and waits until the accepted ones have ended. It refuses because callers without another
 // node to use might never stop sending, and accepted requests need the remaining time.
-func (n *Node) awaitCallers(ctx context.Context, callers *pipeline.Server, g *ingress.Ingress) error {
+func (n *Node) awaitCallers(ctx context.Context, plan shutdown.Plan, callers *pipeline.Server, g *ingress.Ingress) error {
 	callers.Refuse()
-	abandon := time.AfterFunc(time.Until(n.grace.guaranteedEnd().Add(-unknownOutcomeLead)), g.AbandonRecoverable)
+	abandon := time.AfterFunc(time.Until(plan.SettleAt()), g.AbandonRecoverable)
 	defer abandon.Stop()
 	for reported := false; ctx.Err() == nil && callers.InFlight() > 0; time.Sleep(stopPollInterval) {
-		if reported || time.Now().Before(n.grace.guaranteedEnd()) {
+		if reported || time.Now().Before(plan.GuaranteedEnd()) {
 			continue
 		}
 		reported = true
--- /dev/null
+++ b/shutdown/plan.go
@@ -0,0 +1,43 @@
+package shutdown
+
+import "time"
+
+// settleLead is how long before the guaranteed end every answer that the node can give has been given.
+const settleLead = 100 * time.Millisecond
+
+// Plan holds the times of a planned stop; it is immutable. They count from when the stop signal was sent, as the sender's
+// clock does, and not from when the process noticed the signal.
+//
+// Invariant: NoticeEnd, SettleAt and GuaranteedEnd follow in this order.
+type Plan struct {
+	signaledAt         time.Time
+	notice, guaranteed time.Duration
+}
+
+// NewPlan returns the plan of a node that is certain not to be killed for a time after the signal. It serves as before for
+// notice, or for a smaller part of the time if a part has passed already.
+func NewPlan(guaranteed, notice time.Duration) Plan {
+	return Plan{guaranteed: guaranteed, notice: notice}
+}
+
+// WithSignal returns the plan for a stop signal that is received now and may have been sent age ago.
+func (p Plan) WithSignal(now time.Time, age time.Duration) Plan {
+	p.signaledAt = now.Add(-age)
+	if p.guaranteed > 0 {
+		left := min(max(0, p.guaranteed-age), p.guaranteed)
+		p.notice = age + time.Duration(float64(p.notice)*left.Seconds()/p.guaranteed.Seconds())
+	}
+	return p
+}
+
+// SignaledAt returns the earliest time at which the signal may have been sent.
+func (p Plan) SignaledAt() time.Time { return p.signaledAt }
+
+// NoticeEnd returns the time until which the node serves as before. It takes nothing new after that.
+func (p Plan) NoticeEnd() time.Time { return p.signaledAt.Add(p.notice) }
+
+// GuaranteedEnd returns the time until which the node is certain not to be killed.
+func (p Plan) GuaranteedEnd() time.Time { return p.signaledAt.Add(p.guaranteed) }
+
+// SettleAt returns the time by which callers have every answer that does not depend on an endpoint that is still at work.
+func (p Plan) SettleAt() time.Time { return p.GuaranteedEnd().Add(-settleLead) }
