A run that is cut off while its node stops is sent again until the end

Cause: when a stop begins, each request in flight gets the time from which it is not dispatched any more, by how long such work usually takes. A run that was cut off later (the endpoint's node is stopped too and reaches the end of its own grace, or the link breaks) ended its request with 502 link_lost for up to the usual time before the end.

Why this fix works: progress holds the time of the end and works out when it closes whenever a run of the request is cut off; a request that had been closed for its usual work opens again for as long as a dispatch makes sense (shutdown.DispatchEnd).

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -92,8 +92,6 @@
 	hasPermit bool
 	permit    ratelimit.Permit
 	progress  progress
-	// closeTimer closes progress shortly before the node ends; nil while it is not stopping.
-	closeTimer *time.Timer
 	// trail records the endpoints that were asked and the results, for the log.
 	trail trail
 	// reachedEndpoint is set once an endpoint may have had the request.
--- a/ingress/givenup_test.go
+++ b/ingress/givenup_test.go
@@ -30,8 +30,8 @@
 	due             time.Duration
 	asks            []time.Duration
 	answers, breaks time.Duration
-	// loses is when the link to the endpoint's node breaks.
-	loses time.Duration
+	// loses is when the link to the endpoint's node breaks, fails when the endpoint answers with a failure.
+	loses, fails time.Duration
 }
 
 // slotEndpoints simulates the endpoints of a service, of which no second one has a free slot for a while.
@@ -39,6 +39,8 @@
 	start time.Time
 	// freeAt is the time from the start at which other slots are free, by the number of runs begun before.
 	freeAt []time.Duration
+	// usual is how long such work usually takes, 0 if that is not known.
+	usual time.Duration
 
 	mu   sync.Mutex
 	runs []scriptedRun
@@ -69,6 +71,9 @@
 	if run.loses == 0 {
 		run.loses = never
 	}
+	if run.fails == 0 {
+		run.fails = never
+	}
 	select {
 	case <-ctx.Done():
 		s.ended(n, "given up")
@@ -79,6 +84,9 @@
 	case <-time.After(run.loses):
 		s.ended(n, "lost its link")
 		return peer.Unknown(fault.LinkLost)
+	case <-time.After(run.fails):
+		s.ended(n, "failed")
+		return serveAs(ctx, "fails", sink)
 	case <-time.After(run.answers):
 		s.ended(n, "answered")
 		return serveAs(ctx, "answers", sink)
@@ -157,7 +165,7 @@
 	}
 }
 
-// parseRuns reads one run a line: due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME.
+// parseRuns reads one run a line: due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME fails=TIME.
 func parseRuns(t testing.TB, lines string) []scriptedRun {
 	t.Helper()
 	var runs []scriptedRun
@@ -178,6 +186,8 @@
 				run.breaks = parseDuration(t, value)
 			case "loses":
 				run.loses = parseDuration(t, value)
+			case "fails":
+				run.fails = parseDuration(t, value)
 			}
 		}
 		runs = append(runs, run)
@@ -190,20 +200,23 @@
 //
 // Each case of testdata/givenup has one request and its runs in their order, by a fake clock:
 //
-//	request [attempts=N] [deadline=TIME] [free=(TIME...)] [notice=TIME]
-//	due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME
+//	request [attempts=N] [deadline=TIME] [free=(TIME...)] [notice=TIME] [usual=TIME]
+//	due=TIME asks=TIME,... answers=TIME breaks=TIME loses=TIME fails=TIME
 //
-// free is when a slot for each further run is free, notice when the node notices its stop, for which it has a grace of 5 s.
-// The output is what the endpoints saw, and the caller's answer.
+// free is when a slot for each further run is free, notice when the node notices its stop, for which it has a grace of 5 s, and
+// usual how long such work usually takes. The output is what the endpoints saw, and the caller's answer.
 func TestGivenUpSlots(t *testing.T) {
 	datadriven.RunTest(t, "testdata/givenup", func(t *testing.T, d *datadriven.TestData) string {
-		attempts, deadline, notice := 2, "10s", "0s"
+		attempts, deadline, notice, usual := 2, "10s", "0s", "0s"
 		d.MaybeScanArgs(t, "attempts", &attempts)
 		d.MaybeScanArgs(t, "deadline", &deadline)
 		d.MaybeScanArgs(t, "notice", &notice)
+		d.MaybeScanArgs(t, "usual", &usual)
 		var out string
 		synctest.Test(t, func(t *testing.T) {
-			s := &slotEndpoints{start: time.Now(), runs: parseRuns(t, d.Input), freeAt: []time.Duration{0}}
+			s := &slotEndpoints{
+				start: time.Now(), runs: parseRuns(t, d.Input), freeAt: []time.Duration{0}, usual: parseDuration(t, usual),
+			}
 			for _, arg := range d.CmdArgs {
 				if arg.Key == "free" {
 					for _, at := range arg.Vals {
@@ -217,15 +230,25 @@
 	})
 }
 
+// usualRuns is how many runs tell how long the work usually takes.
+const usualRuns = 100
+
 // serveOne serves one request and returns its answer and the events at the endpoints.
 func (s *slotEndpoints) serveOne(t *testing.T, state *table.State, deadline, notice time.Duration) string {
 	t.Helper()
 	g := ingressWith(t, state, s)
 	g.clock = time.Now
+	for range usualRuns {
+		if s.usual > 0 {
+			g.routeStats.record("all", s.usual, 0)
+		}
+	}
 	if notice > 0 {
 		const grace = 5 * time.Second
 		stop := time.AfterFunc(notice, func() { g.StopDispatchBefore(time.Now().Add(grace)) })
 		defer stop.Stop()
+		settle := time.AfterFunc(notice+grace-100*time.Millisecond, g.AbandonRecoverable)
+		defer settle.Stop()
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	defer cancel()
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lynxplank/lynxplank/shutdown"
 )
 
 // Stage is how far a request has come.
@@ -35,7 +37,8 @@
 
 // progress tracks how far one request has come, for a planned stop of the node.
 //
-// Invariant: once it is closed, the request is dispatched to no endpoint.
+// Invariant: once it is closed, the request is dispatched to no endpoint, unless a run of it is cut off later: it is then open
+// again for as long as a dispatch makes sense.
 type progress struct {
 	mu sync.Mutex
 	// running counts the sends that endpoints may be working on, dispatches all that have begun.
@@ -46,8 +49,11 @@
 	answering bool
 	endpoint  string
 	closed    bool
-	// stopping is set once the node has begun to stop.
-	stopping bool
+	// stopAt is when the node may end, the zero time while it is not stopping; work is how long such work takes. closeTimer
+	// closes progress when no dispatch makes sense any more.
+	stopAt     time.Time
+	work       time.Duration
+	closeTimer *time.Timer
 	// mayResend reports whether the request may be dispatched again after so many dispatches; nil for one that may not be
 	// repeated. hasTime reports whether it has the time for that.
 	mayResend func(dispatches int) bool
@@ -132,7 +138,7 @@
 func (p *progress) yield(send *answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.atWork[send]; !ok || p.stopping || p.answering || send.received || send.cancel == nil {
+	if _, ok := p.atWork[send]; !ok || p.isStopping() || p.answering || send.received || send.cancel == nil {
 		return
 	}
 	if len(p.atWork) == 1 && (!p.resendable() || !p.hasTime()) {
@@ -148,6 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.interrupted = true
+	p.scheduleClose()
 }
 
 // wasInterrupted reports whether this system has ended a send at which an endpoint may have been working.
@@ -161,9 +168,12 @@
 func (p *progress) isUrgent() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.interrupted && p.stopping
+	return p.interrupted && p.isStopping()
 }
 
+// isStopping reports whether the node stops; the lock must be held.
+func (p *progress) isStopping() bool { return !p.stopAt.IsZero() }
+
 // mayDispatchAgain reports whether the request may be dispatched once more.
 func (p *progress) mayDispatchAgain() bool {
 	p.mu.Lock()
@@ -180,7 +190,7 @@
 func (p *progress) lastYield() (at time.Time, stopping bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.yieldedAt, p.stopping
+	return p.yieldedAt, p.isStopping()
 }
 
 // receive records that the answer to a send begins to arrive; it returns false if the send was canceled for its slot.
@@ -198,11 +208,40 @@
 	return send.yielded
 }
 
-// beginStop records that the node has begun to stop.
-func (p *progress) beginStop() {
+// beginStop records that the node has begun to stop and may end at the given time. work is how long such work takes.
+func (p *progress) beginStop(at time.Time, work time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopAt, p.work = at, work
+	p.scheduleClose()
+}
+
+// scheduleClose has progress closed when too little time for a dispatch is left before the node may end, and opens it until
+// then; the lock must be held.
+func (p *progress) scheduleClose() {
+	if !p.isStopping() {
+		return
+	}
+	left := time.Until(shutdown.DispatchEnd(p.stopAt, p.work, p.interrupted))
+	p.closed = false
+	if left <= 0 {
+		p.closeLocked()
+		return
+	}
+	if p.closeTimer == nil {
+		p.closeTimer = time.AfterFunc(left, p.close)
+		return
+	}
+	p.closeTimer.Reset(left)
+}
+
+// end stops the timer of a request that has ended.
+func (p *progress) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stopping = true
+	if p.closeTimer != nil {
+		p.closeTimer.Stop()
+	}
 }
 
 // endDispatch records that a dispatched send has ended.
@@ -224,6 +263,14 @@
 func (p *progress) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if time.Now().Before(shutdown.DispatchEnd(p.stopAt, p.work, p.interrupted)) {
+		// A run was cut off since the timer fired.
+		return
+	}
+	p.closeLocked()
+}
+
+func (p *progress) closeLocked() {
 	p.closed = true
 	for _, cancel := range p.cancelWaits {
 		cancel()
@@ -262,9 +309,6 @@
 	return StageWaiting, p.endpoint
 }
 
-// minWorkTime is the least time that a dispatch must leave for the work and its answer before the node ends.
-const minWorkTime = 100 * time.Millisecond
-
 // inFlightRequests holds the requests that are in flight.
 type inFlightRequests struct {
 	mu  sync.Mutex
@@ -298,25 +342,12 @@
 	if x.countedNested {
 		r.nested.end(x.call.parent)
 	}
-	if x.closeTimer != nil {
-		x.closeTimer.Stop()
-	}
+	x.progress.end()
 }
 
-// closeBefore closes the request's progress when too little time for typical work is left before end.
+// closeBefore has the request's progress closed when too little time for typical work is left before end.
 func (x *exchange) closeBefore(end time.Time) {
-	x.progress.beginStop()
-	work := x.g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget())
-	if x.progress.wasInterrupted() {
-		// Its run was cut off, perhaps after the stop signal, so that work with little time is better than none.
-		work = 0
-	}
-	left := time.Until(end) - max(work, minWorkTime)
-	if left <= 0 {
-		x.progress.close()
-		return
-	}
-	x.closeTimer = time.AfterFunc(left, x.progress.close)
+	x.progress.beginStop(end, x.g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget()))
 }
 
 // StopDispatchBefore prepares for a planned stop; end is the earliest time at which the node may end. Shortly before
--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// settleLead is how long before the guaranteed end every answer that the node can give has been given.
-const settleLead = 100 * time.Millisecond
+const (
+	// settleLead is how long before the guaranteed end every answer that the node can give has been given.
+	settleLead = 100 * time.Millisecond
+	// minWorkTime is the least time that a dispatch must leave for the work and its answer before the node ends.
+	minWorkTime = 100 * time.Millisecond
+)
 
 // Plan holds the times of a planned stop; it is immutable. They count from when the stop signal was sent, as the sender's
 // clock does, and not from when the process noticed the signal.
@@ -41,3 +45,13 @@
 
 // SettleAt returns the time by which callers have every answer that does not depend on an endpoint that is still at work.
 func (p Plan) SettleAt() time.Time { return p.GuaranteedEnd().Add(-settleLead) }
+
+// DispatchEnd returns the time until which a request may be dispatched on a node that may end at end, given how long such
+// work takes. A request of which a run was cut off is dispatched as long as possible: its endpoint might have answered, so
+// that work with little time is better than none.
+func DispatchEnd(end time.Time, work time.Duration, interrupted bool) time.Time {
+	if interrupted {
+		work = 0
+	}
+	return end.Add(-max(work, minWorkTime))
+}
