An endpoint's own answer is not lost to one that may be better

Cause: a repeatable request whose endpoint answered with a failure is sent again, and the failure is held for a better answer. If the second endpoint hangs, the held answer was lost: with the node, when that is killed at the end of its grace, and without a stop with the deadline, where the caller got 502 or 504 of the node.

Change: at the end of a planned stop (shutdown.Plan.SettleAt) sends that only might bring a better answer are ended, and the held one is delivered; Settle takes the place of AbandonRecoverable, which is a part of it. A send whose outcome is unknown no longer replaces the whole answer of an earlier one.

Evidence: testdata/givenup, "The endpoint's own failed answer is held for a better one": on the code before the caller has nothing when the grace is over, and 502 stopping at its deadline; now 500 of the endpoint at the end of the grace. Without a stop: 502 canceled at the deadline before, now 500 of the endpoint.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -204,6 +204,11 @@
 	return err
 }
 
+// isHeld reports whether the send has ended with a whole answer of which the caller has nothing yet.
+func (a *answer) isHeld(end *peerpb.End) bool {
+	return a.held != nil && end.GetOutcome() == peerpb.Outcome_OUTCOME_RAN && end.GetComplete()
+}
+
 // finish writes what remains of the final answer, or a refusal, to the caller and returns how the request ended.
 func (a *answer) finish(end *peerpb.End) *peerpb.End {
 	if a.held != nil && end.GetComplete() {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -137,11 +137,11 @@
 			}
 			return x.asStoppingIfUnsent(ctx, peer.NotRun(fault.CodeOf(err), 0)), fault.CodeOf(err)
 		}
+		previous := x.answer
 		end := x.sendTo(ctx, &pick, wait)
 		retryNext := x.shouldRetry(ctx, pick, end)
-		if last != nil && x.ran && end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
-			// The retry did not run, so the previous endpoint's answer is still the best.
-			end = last
+		if last != nil && x.prefers(previous, last, end) {
+			x.answer, end = previous, last
 		}
 		if !retryNext || !x.takePermit(ctx) {
 			end = x.asStoppingIfUnsent(ctx, end)
@@ -151,6 +151,15 @@
 	}
 }
 
+// prefers reports whether the answer of the previous send, which ended as last, is better for the caller than what is known of
+// the latest one: that did not run, or its outcome is unknown.
+func (x *exchange) prefers(previous *answer, last, end *peerpb.End) bool {
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return x.ran
+	}
+	return end.GetOutcome() == peerpb.Outcome_OUTCOME_UNKNOWN && !x.answer.started && previous.isHeld(last)
+}
+
 // takePermit obtains a permit from the customer's rate limit for the next send, unless the last permit was not used by a
 // send that reached an endpoint: the limit counts what endpoints run.
 func (x *exchange) takePermit(ctx context.Context) bool {
--- a/ingress/givenup_test.go
+++ b/ingress/givenup_test.go
@@ -247,7 +247,7 @@
 		const grace = 5 * time.Second
 		stop := time.AfterFunc(notice, func() { g.StopDispatchBefore(time.Now().Add(grace)) })
 		defer stop.Stop()
-		settle := time.AfterFunc(notice+grace-100*time.Millisecond, g.AbandonRecoverable)
+		settle := time.AfterFunc(notice+grace-100*time.Millisecond, g.Settle)
 		defer settle.Stop()
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -180,13 +180,19 @@
 		return false
 	}
 	h.completed = append(h.completed, a)
+	if a.answer.isHeld(a.end) {
+		h.x.progress.holdAnswer()
+	}
 	return len(h.running) == 0 || a.answer.started || !a.answer.failed(a.end) && h.x.winner.take(a.answer)
 }
 
-// close returns the send that ended last and cancels those still running, which are reported when they end.
+// close returns the send that decides and cancels those still running, which are reported when they end.
 func (h *hedgedRequest) close() (director.Pick, *peerpb.End) {
-	x, last := h.x, h.completed[len(h.completed)-1]
-	for _, a := range slices.Concat(h.completed[:len(h.completed)-1], h.superseded, h.running) {
+	x, last := h.x, h.deciding()
+	for _, a := range slices.Concat(h.completed, h.superseded, h.running) {
+		if a == last {
+			continue
+		}
 		a.cancel()
 		x.sends++
 		x.reachedEndpoint = true
@@ -206,6 +212,20 @@
 	return last.pick, last.end
 }
 
+// deciding returns the send that ended last, or one with a whole answer if that has none.
+func (h *hedgedRequest) deciding() *attempt {
+	last := h.completed[len(h.completed)-1]
+	if last.answer.started || last.answer.isHeld(last.end) {
+		return last
+	}
+	for _, a := range slices.Backward(h.completed) {
+		if a.answer.isHeld(a.end) {
+			return a
+		}
+	}
+	return last
+}
+
 // maxSends is how many sends the request's route allows.
 func (x *exchange) maxSends() int {
 	if n := int(x.call.route.Value.Attempts); n > 0 {
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -54,6 +54,8 @@
 	stopAt     time.Time
 	work       time.Duration
 	closeTimer *time.Timer
+	// hasAnswer is set once a send has ended with a whole answer that is held because a better one may follow.
+	hasAnswer bool
 	// mayResend reports whether the request may be dispatched again after so many dispatches; nil for one that may not be
 	// repeated. hasTime reports whether it has the time for that.
 	mayResend func(dispatches int) bool
@@ -283,17 +285,33 @@
 	return p.closed
 }
 
-// abandonRecoverable stops waiting for answers that callers can ask for again, or whose links broke, unless one has
-// begun to go to the caller.
-func (p *progress) abandonRecoverable() {
+// holdAnswer records that a send has ended with a whole answer that is held because a better one may follow.
+func (p *progress) holdAnswer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hasAnswer = true
+}
+
+// settle stops waiting for what the caller need not wait for, unless an answer has begun to go to it: answers that can be asked
+// for again, or whose links broke, and a better answer than one that is held.
+func (p *progress) settle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.answering {
 		return
 	}
+	p.closeLocked()
 	for _, cancel := range p.cancelRecoveries {
 		cancel()
 	}
+	if !p.hasAnswer {
+		return
+	}
+	for send := range p.atWork {
+		if send.cancel != nil && !send.received {
+			send.cancel()
+		}
+	}
 }
 
 // stage returns how far the request has come and the endpoint that had it last.
@@ -362,13 +380,14 @@
 	}
 }
 
-// AbandonRecoverable reports the outcome unknown, at once, to callers whose answer has not begun and whose work goes on
-// when the node ends: requests under a key, and requests whose link broke after the dispatch.
-func (g *Ingress) AbandonRecoverable() {
+// Settle gives callers, at once, every answer that does not depend on an endpoint at work: that the outcome is unknown, for
+// requests whose work goes on when the node ends or whose link broke after the dispatch, and failed answers of endpoints that are
+// held because another endpoint may give a better one.
+func (g *Ingress) Settle() {
 	g.inFlight.mu.Lock()
 	defer g.inFlight.mu.Unlock()
 	for x := range g.inFlight.all {
-		x.progress.abandonRecoverable()
+		x.progress.settle()
 	}
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -182,8 +182,8 @@
 // node to use might never stop sending, and accepted requests need the remaining time.
 func (n *Node) awaitCallers(ctx context.Context, plan shutdown.Plan, callers *pipeline.Server, g *ingress.Ingress) error {
 	callers.Refuse()
-	abandon := time.AfterFunc(time.Until(plan.SettleAt()), g.AbandonRecoverable)
-	defer abandon.Stop()
+	settle := time.AfterFunc(time.Until(plan.SettleAt()), g.Settle)
+	defer settle.Stop()
 	for reported := false; ctx.Err() == nil && callers.InFlight() > 0; time.Sleep(stopPollInterval) {
 		if reported || time.Now().Before(plan.GuaranteedEnd()) {
 			continue
