Answers that are ready are not lost behind one that is not

Cause: answers go out in the order of the requests on a connection. A safe request behind one at an endpoint that hangs is passed on at once and answered; its answer waits in the node until the node is killed at the end of its grace, although its endpoint has finished long before. Nothing in the stop looked at answers that wait for their turn.

Change: when the answers of a planned stop are settled, 0.1 s before the guaranteed end, the server cancels each request without an answer for which a ready one waits; the node answers it with what it knows (502, unknown), and the answers behind it follow. The kill would cut that request in any case. Work behind which nothing waits goes on, as does work behind which only refusals wait.

--- a/node/stop.go
+++ b/node/stop.go
@@ -182,7 +182,10 @@
 // node to use might never stop sending, and accepted requests need the remaining time.
 func (n *Node) awaitCallers(ctx context.Context, plan shutdown.Plan, callers *pipeline.Server, g *ingress.Ingress) error {
 	callers.Refuse()
-	settle := time.AfterFunc(time.Until(plan.SettleAt()), g.Settle)
+	settle := time.AfterFunc(time.Until(plan.SettleAt()), func() {
+		g.Settle()
+		callers.ReleaseBlocked()
+	})
 	defer settle.Stop()
 	for reported := false; ctx.Err() == nil && callers.InFlight() > 0; time.Sleep(stopPollInterval) {
 		if reported || time.Now().Before(plan.GuaranteedEnd()) {
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -58,6 +58,9 @@
 	return c
 }
 
+// errHoldsUp is the cause with which a request is canceled when answers that are ready wait for its own while the server stops.
+var errHoldsUp = fault.New(fault.Stopping, "connection", "answers wait for that of this request")
+
 // errCallerGone is the cause with which requests are canceled when their caller has closed the connection.
 var errCallerGone = fault.New(fault.Canceled, "connection", "caller went away")
 
@@ -186,6 +189,25 @@
 	return list
 }
 
+// releaseBlocked cancels the requests without an answer for which later answers wait.
+func (c *conn) releaseBlocked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseBlockedLocked()
+}
+
+func (c *conn) releaseBlockedLocked() {
+	last := len(c.pending) - 1
+	for last > 0 && !c.pending[last].holdsAnswer() {
+		last--
+	}
+	for i := range last {
+		if x := c.pending[i]; x.started && !x.blocked && !x.begun {
+			x.cancel(errHoldsUp)
+		}
+	}
+}
+
 // refuse sends an error answer for a request that could not be read or is not accepted, after the answers of the requests
 // before it, and closes the connection. h is the request's header, nil if it could not be read. A status of 0 means that
 // the caller has gone: the connection is then closed without an answer.
@@ -276,6 +298,7 @@
 func (c *conn) decideClose(x *exchange, wantsClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.begun = true
 	if wantsClose || x.req.Close || c.s.draining.Load() && len(c.pending) == 1 {
 		c.closing = true
 	}
@@ -285,7 +308,7 @@
 // linger closes the connection's sending side only, so that the caller can read its last answer: closing a socket that
 // holds unread bytes resets the connection, and the caller would lose the answer.
 func (c *conn) linger() {
-	if t, ok := c.raw.(*net.TCPConn); ok {
+	if t, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
 	c.mu.Lock()
@@ -323,7 +346,7 @@
 
 // abort resets the connection, so that the caller cannot take a truncated answer for a complete one.
 func (c *conn) abort() {
-	if t, ok := c.raw.(*net.TCPConn); ok {
+	if t, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	c.shutdown(errCallerGone)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -27,9 +28,14 @@
 	header http.Header
 	// reservation is the memory reserved for the request's body, nil for none.
 	reservation *memory.Reservation
-	// started is set once the request runs, blocked while its answer waits for its turn; guarded by the connection's mu.
+	// started is set once the request runs, blocked while its answer waits for its turn, begun once the answer is being
+	// written; guarded by the connection's mu.
 	started bool
 	blocked bool
+	begun   bool
+	// ctx is the request's context, which cancel cancels.
+	ctx    context.Context //nolint:containedctx // it lasts as long as the request
+	cancel context.CancelCauseFunc
 	// turn is closed when the answers before this one are finished, so that this one may be written.
 	turn chan struct{}
 
@@ -47,7 +53,9 @@
 }
 
 func (c *conn) newExchange(req *http.Request) *exchange {
-	return &exchange{c: c, req: req, header: make(http.Header), turn: make(chan struct{}), remaining: -1}
+	x := &exchange{c: c, req: req, header: make(http.Header), turn: make(chan struct{}), remaining: -1}
+	x.ctx, x.cancel = context.WithCancelCause(c.ctx)
+	return x
 }
 
 // safe reports whether the request may run concurrently with other safe requests of its connection: it has a safe method
@@ -64,6 +72,7 @@
 func (x *exchange) run() {
 	defer x.c.s.inFlight.Done()
 	defer x.reservation.Release()
+	defer x.cancel(nil)
 	defer func() {
 		r := recover()
 		if r == nil {
@@ -76,7 +85,7 @@
 		}
 		x.abort()
 	}()
-	x.c.s.handler.ServeHTTP(x, x.req.WithContext(x.c.ctx))
+	x.c.s.handler.ServeHTTP(x, x.req.WithContext(x.ctx))
 	x.finish()
 }
 
@@ -99,10 +108,19 @@
 	}
 }
 
+// holdsAnswer reports whether an answer waits for its turn that is worth ending the work of the requests before it: a caller
+// repeats a refused request elsewhere. The caller must hold the connection's mu.
+func (x *exchange) holdsAnswer() bool {
+	return x.blocked && x.status != 0 && x.status != http.StatusServiceUnavailable
+}
+
 func (x *exchange) setBlocked(blocked bool) {
 	x.c.mu.Lock()
 	defer x.c.mu.Unlock()
 	x.blocked = blocked
+	if blocked && x.c.s.releasing.Load() {
+		x.c.releaseBlockedLocked()
+	}
 }
 
 // Header implements http.ResponseWriter.
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -120,6 +120,8 @@
 //	room n=N        sets the memory for bodies to N bytes; those of one Payer (a header) may use as much as they leave free
 //	held            prints how many bytes of that are used
 //	refuse          refuses every request that is read from now on
+//	blocked n=N     waits until the answers of N requests wait for earlier ones
+//	release         ends the requests that hold up such answers
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		f := start(t)
@@ -141,6 +143,7 @@
 	counts := map[string]func() int{
 		"conns": func() int { return int(f.server.open.Load()) }, "ahead": f.ahead,
 		"working": func() int { return int(f.server.InFlight()) },
+		"blocked": func() int { return len(f.server.Blocked()) },
 	}
 	if count := counts[d.Cmd]; count != nil {
 		return f.await(n, count)
@@ -174,6 +177,8 @@
 		return fmt.Sprintf("%d\n", f.budget.Usage().Used)
 	case "refuse":
 		f.server.Refuse()
+	case "release":
+		f.server.ReleaseBlocked()
 	case "drain":
 		f.server.Drain()
 	default:
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -46,6 +46,8 @@
 	draining atomic.Bool
 	refusing atomic.Bool
 	stopping atomic.Bool
+	// releasing is set once no answer that is ready may wait for one that is not.
+	releasing atomic.Bool
 	// acceptDone is closed once the listener is closed and accepts nothing more.
 	acceptDone chan struct{}
 	// inFlight counts the requests in flight, open the connections.
@@ -145,6 +147,18 @@
 	s.refusing.Store(true)
 }
 
+// ReleaseBlocked cancels, now and from now on, each request that has no answer while the answer of a later request on its
+// connection is ready: its handler answers with what it knows, and the answers behind it follow.
+//
+// It is for the end of a planned stop, when the process may be killed. The kill cuts a request that is at work in any case, and
+// would also cut the answers that wait for it.
+func (s *Server) ReleaseBlocked() {
+	s.releasing.Store(true)
+	for _, c := range s.openConns() {
+		c.releaseBlocked()
+	}
+}
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
