A stop counts short delays of its signal too

Change: PauseMonitor.SignalAge counts from the tick before the latest one, between which the process is known to have run without a signal: 150 to 300 ms in a process that runs. ReceiptDelay, which others use, stays as it is.

Evidence: TestReceiptDelayCoversPauses asks of SignalAge that no signal counts as sent later than it was, but for the delay of its delivery; ReceiptDelay has 0.25 s more of slack there.

--- a/node/stop.go
+++ b/node/stop.go
@@ -76,7 +76,7 @@
 // the start of the stop, a rolling restart of a third of a fleet took 4 of 10 healthy endpoints out of use for two seconds.
 func (n *Node) Stop() error {
 	start := time.Now()
-	signalAge := n.pauses.ReceiptDelay()
+	signalAge := n.pauses.SignalAge()
 	plan, ctx, cancel := n.grace.begin(signalAge)
 	defer cancel()
 	n.stopping.Store(true)
