Callers' listener, links and connections to endpoints take another transport

Cause: the parts that end, hold back or cut answers around a stop are tested each by itself: nodes that stop together, links that break and callers that read slowly meet in processes only, where nothing can be drawn and repeated. Virtual time needs connections without sockets.

Change: pipeline.Server.StartOn, peer.WithTransport and egress.WithEndpointPool (upstream.WithDial). What runs without them is as before: TCP, and TLS over it.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -139,6 +139,9 @@
 	return func(e *Egress) { e.life = maxrate.NewLife(e.clock()) }
 }
 
+// WithEndpointPool has the egress take its connections to endpoints from p.
+func WithEndpointPool(p *upstream.Pool) Option { return func(e *Egress) { e.pool = p } }
+
 // WithReceiptDelay has f tell how long ago what is received now may have arrived at this host.
 func WithReceiptDelay(f func() time.Duration) Option { return func(e *Egress) { e.receiptDelay = f } }
 
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -137,19 +137,23 @@
 func (m *Manager) dialConn(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if m.cfg.TLS == nil {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", address)
+	c, err := m.transport.Dial(ctx, address)
+	if err != nil || m.cfg.TLS == nil {
+		return c, err
 	}
-	d := tls.Dialer{Config: m.cfg.TLS}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
+	config := m.cfg.TLS.Clone()
+	if config.ServerName == "" {
+		config.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	t := tls.Client(c, config)
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
 		return nil, err
 	}
 	// With TLS 1.3 the rejection of the client certificate shows only on the first read; the control stream, which
 	// opens next, runs into it.
-	_ = c.SetDeadline(time.Time{})
-	return c, nil
+	_ = t.SetDeadline(time.Time{})
+	return t, nil
 }
 
 // removeSession removes a link that has ended. If the link was suspect, the next link to the peer starts out suspect.
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -77,10 +77,12 @@
 
 // Manager holds all links of a node, those that it dialed and those that it accepted; it is a kernel component.
 type Manager struct {
-	cfg      Config
-	log      *zerolog.Logger
-	handler  Handler
-	listener net.Listener
+	cfg     Config
+	log     *zerolog.Logger
+	handler Handler
+	// transport opens the connections below the links.
+	transport Transport
+	listener  net.Listener
 	// revisions are the revisions of the active configuration, by source.
 	revisions atomic.Pointer[table.Revisions]
 	draining  atomic.Bool
@@ -125,6 +127,32 @@
 // Option configures a Manager under construction.
 type Option func(*Manager)
 
+// Transport opens the connections between nodes.
+type Transport interface {
+	// Dial connects to a peer's address.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	// Listen accepts connections of peers at an address.
+	Listen(ctx context.Context, address string) (net.Listener, error)
+}
+
+// tcp is the Transport of a Manager without WithTransport.
+type tcp struct{}
+
+// Dial implements Transport.
+func (tcp) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Listen implements Transport.
+func (tcp) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(ctx, "tcp", address)
+}
+
+// WithTransport replaces TCP; TLS, if configured, runs over t.
+func WithTransport(t Transport) Option { return func(m *Manager) { m.transport = t } }
+
 // WithRevisionHook calls f whenever a heartbeat of a peer reports a newer revision of some source than this node has; f
 // must not block.
 func WithRevisionHook(f func(peer string, revisions table.Revisions)) Option {
@@ -134,7 +162,7 @@
 // NewManager returns a Manager without links; its links use the given log.
 func NewManager(cfg Config, log *zerolog.Logger, opts ...Option) *Manager {
 	m := &Manager{
-		cfg: cfg, log: log,
+		cfg: cfg, log: log, transport: tcp{},
 		sessions:       make(map[string]*Session),
 		dialing:        make(map[string]*dial),
 		candidates:     make(map[string]*Session),
@@ -161,8 +189,7 @@
 	if err := m.bounds(minOfferTimeout).Validate(); err != nil {
 		return err
 	}
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", m.cfg.Listen)
+	l, err := m.transport.Listen(ctx, m.cfg.Listen)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, m.cfg.Listen, "cannot listen for peers")
 	}
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -31,6 +31,12 @@
 // be read; status is the HTTP status for the failure.
 type ErrorHandler func(w http.ResponseWriter, h http.Header, status int, err *fault.Error)
 
+// Listener accepts the callers' connections; a deadline in the past makes Accept return.
+type Listener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
 // Server is the HTTP/1.1 server for callers; it is a kernel component.
 type Server struct {
 	name    string
@@ -42,7 +48,7 @@
 	// reserveBody returns the reservation from which the memory for a request's body is taken, given the request's header.
 	reserveBody func(h http.Header) *memory.Reservation
 
-	listener *net.TCPListener
+	listener Listener
 	draining atomic.Bool
 	refusing atomic.Bool
 	stopping atomic.Bool
@@ -88,16 +94,21 @@
 		_ = l.Close()
 		return fault.New(fault.Internal, s.address, s.name+" does not listen on TCP")
 	}
-	s.listener = tcp
-	go s.accept(tcp)
+	s.StartOn(tcp)
 	return nil
 }
 
+// StartOn begins to accept connections from l, which Stop closes. It takes the place of Start.
+func (s *Server) StartOn(l Listener) {
+	s.listener = l
+	go s.accept(l)
+}
+
 // acceptRetryDelay is the wait after a failed accept, for example when no file descriptor is free.
 const acceptRetryDelay = 10 * time.Millisecond
 
 // accept accepts connections until the server stops, then closes the listener.
-func (s *Server) accept(l *net.TCPListener) {
+func (s *Server) accept(l Listener) {
 	defer close(s.acceptDone)
 	for {
 		c, err := l.Accept()
--- a/pipeline/stop.go
+++ b/pipeline/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"net"
 	"slices"
 	"syscall"
 	"time"
@@ -53,7 +52,7 @@
 }
 
 // acceptQueued accepts the connections in the listener's queue.
-func (s *Server) acceptQueued(l *net.TCPListener) {
+func (s *Server) acceptQueued(l Listener) {
 	for failures := 0; failures < maxAcceptFailures && hasUnread(l); {
 		_ = l.SetDeadline(time.Now().Add(finishTimeout))
 		c, err := l.Accept()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,15 +26,28 @@
 
 // Pool keeps connections to endpoints; it is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
-	mu     sync.Mutex
+	dial Dial
+	mu   sync.Mutex
 	// idle are the kept connections by the endpoint's address, the one used last at the end.
 	idle map[string][]*conn
 }
 
+// Dial opens a connection to an endpoint's address, an IP and port.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDial replaces the opening of TCP connections.
+func WithDial(dial Dial) Option { return func(p *Pool) { p.dial = dial } }
+
 // NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{dialer: dialer.New(connectTimeout, ackTimeout), idle: make(map[string][]*conn)}
+func NewPool(opts ...Option) *Pool {
+	p := &Pool{dial: dialer.New(connectTimeout, ackTimeout).DialContext, idle: make(map[string][]*conn)}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Do sends a request and returns the start of its answer. It fails with EndpointUnreachable when the request was provably
@@ -91,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.dial(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
