Event 111 names answers by the ids that the node has given

Cause: with the product's own contract the node gives each request its id, so that the id that event 111 read from the header of a blocked request named nothing.

Change: the handler names a request for the server's Blocked (SetLabel). The server's listener is opened by a function that ListenWith replaces, in place of StartOn, so that Start and Stop stay those of a component.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -174,12 +174,6 @@
 	return customer.Key
 }
 
-// RequestID returns the id that a request's header states, "" if there is none.
-func (g *Ingress) RequestID(h http.Header) string {
-	decoded, _ := g.cfg.Contract.Call(h)
-	return decoded.ID
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
@@ -198,6 +192,9 @@
 		g.refuseEarly(w, r, c.id, peer.NotRun(failure.Code, 0), failure.Detail)
 		return
 	}
+	if l, ok := w.(interface{ SetLabel(label string) }); ok {
+		l.SetLabel(c.id)
+	}
 	serviceMetrics := g.metrics.Service(c.service.Key)
 	end, throttled := g.throttle(w, r, &c)
 	if !throttled {
--- a/node/stop.go
+++ b/node/stop.go
@@ -213,8 +213,7 @@
 		return err
 	}
 	answered := make(map[string]bool)
-	for _, r := range callers.Blocked() {
-		id := g.RequestID(r.Header)
+	for _, id := range callers.Blocked() {
 		answered[id] = true
 		m.StopOutlasted(stageAnswered, 1)
 		events.RequestOutlasts.Log(n.log).Str("request", id).Str("stage", stageAnswered).Send()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -177,16 +177,16 @@
 	return n
 }
 
-// appendBlocked appends the requests whose answers wait for their turn.
-func (c *conn) appendBlocked(list []*http.Request) []*http.Request {
+// appendBlocked appends the labels of the requests whose answers wait for their turn.
+func (c *conn) appendBlocked(labels []string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, x := range c.pending {
 		if i > 0 && x.blocked {
-			list = append(list, x.req)
+			labels = append(labels, x.label)
 		}
 	}
-	return list
+	return labels
 }
 
 // releaseBlocked cancels the requests without an answer for which later answers wait.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -28,6 +28,8 @@
 	header http.Header
 	// reservation is the memory reserved for the request's body, nil for none.
 	reservation *memory.Reservation
+	// label names the request for Blocked; guarded by the connection's mu.
+	label string
 	// started is set once the request runs, blocked while its answer waits for its turn, begun once the answer is being
 	// written; guarded by the connection's mu.
 	started bool
@@ -123,6 +125,13 @@
 	}
 }
 
+// SetLabel names the request for Blocked. Handlers may call it on their http.ResponseWriter.
+func (x *exchange) SetLabel(label string) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.label = label
+}
+
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -48,6 +48,7 @@
 	// reserveBody returns the reservation from which the memory for a request's body is taken, given the request's header.
 	reserveBody func(h http.Header) *memory.Reservation
 
+	listen   func(ctx context.Context, address string) (Listener, error)
 	listener Listener
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -70,7 +71,7 @@
 // each request, so that changed limits apply to the next ones.
 func New(name, address string, limits func() Limits, handler http.Handler, onError ErrorHandler) *Server {
 	return &Server{
-		name: name, address: address, limits: limits, handler: handler, onError: onError,
+		name: name, address: address, limits: limits, handler: handler, onError: onError, listen: listenTCP,
 		conns: make(map[*conn]struct{}), acceptDone: make(chan struct{}), onPanic: func(any, []byte) {}, reserveBody: func(http.Header) *memory.Reservation { return nil },
 	}
 }
@@ -84,24 +85,33 @@
 
 // Start begins to listen. It fails with Unavailable when the address cannot be bound.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.address)
+	l, err := s.listen(ctx, s.address)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, s.address, s.name+" cannot listen")
 	}
+	s.listener = l
+	go s.accept(l)
+	return nil
+}
+
+// listenTCP listens on an IP and port.
+func listenTCP(ctx context.Context, address string) (Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		_ = l.Close()
-		return fault.New(fault.Internal, s.address, s.name+" does not listen on TCP")
+		return nil, fault.New(fault.Internal, address, "not a TCP listener")
 	}
-	s.StartOn(tcp)
-	return nil
+	return tcp, nil
 }
 
-// StartOn begins to accept connections from l, which Stop closes. It takes the place of Start.
-func (s *Server) StartOn(l Listener) {
-	s.listener = l
-	go s.accept(l)
+// ListenWith sets the function that opens the listener, in place of one for TCP; call it before Start.
+func (s *Server) ListenWith(listen func(ctx context.Context, address string) (Listener, error)) {
+	s.listen = listen
 }
 
 // acceptRetryDelay is the wait after a failed accept, for example when no file descriptor is free.
@@ -185,14 +195,14 @@
 	return n
 }
 
-// Blocked returns the requests whose answers are ready to be written, at least in part, and wait for the answer of an earlier
-// request on their connection.
-func (s *Server) Blocked() []*http.Request {
+// Blocked returns the labels of the requests whose answers are ready to be written, at least in part, and wait for the answer of
+// an earlier request on their connection; the label of a request without one is empty.
+func (s *Server) Blocked() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var blocked []*http.Request
+	var labels []string
 	for c := range s.conns {
-		blocked = c.appendBlocked(blocked)
+		labels = c.appendBlocked(labels)
 	}
-	return blocked
+	return labels
 }
