The last answer of a connection is not cut by the deadline of an earlier read

Cause: on a kept connection the read of the next request has a deadline, the idle timeout from when the request before was read. While that has no answer the read is repeated. A stopping node closes each connection with its next answer: when that answer begins, the connection counts as closing, and if the read's deadline passes before the answer has been written, the reader goes on to discard what comes, with the deadline that has passed, and closes the connection under the answer. For a short answer that is a window of a write; it opens as often as a request lasts longer than the idle timeout, and a process that gets the processor again after a pause finds both due at once. Connections that carry one request have no such deadline, and a node that does not stop closes no kept connection with an answer.

Evidence: TestLastAnswerOutlastsReadDeadline on the code before, three of three: 100,352 of 4,194,304 bytes and "unexpected EOF".

Why this fix works: what follows the last request is discarded without a deadline until the answer has been written; only linger, which comes after it, sets one.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -69,12 +70,40 @@
 	for c.serveNext() {
 		continue
 	}
-	// Bytes that arrive from here on belong to no request and are discarded; the end of the stream shows that the caller
-	// has closed the connection.
-	_, _ = io.Copy(io.Discard, c.raw)
+	c.discardRest()
 	c.shutdown(errCallerGone)
 }
 
+// discardRest discards the bytes that arrive from here on, which belong to no request, until the caller has closed the connection
+// or lingers long enough.
+//
+// Invariant: the connection is not closed while its last answer is being written. The deadline of an earlier read, or of a stop,
+// may pass meanwhile; only linger sets one that counts.
+func (c *conn) discardRest() {
+	for {
+		c.clearReadDeadline()
+		_, err := io.Copy(io.Discard, c.raw)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isLingering() {
+			return
+		}
+	}
+}
+
+// clearReadDeadline removes the read deadline unless the connection is lingering.
+func (c *conn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingers {
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *conn) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingers
+}
+
 // serveNext reads one request and dispatches it to the handler. It returns false when the connection accepts no more.
 func (c *conn) serveNext() bool {
 	limits := c.s.limits()
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -91,6 +91,31 @@
 	}
 }
 
+// TestLastAnswerOutlastsReadDeadline guards against last answers that are cut while they are written: the read deadline of a kept
+// connection, which counts from when the request was read, passes after the answer that closes the connection has begun.
+//
+// The caller here reads nothing for longer than the idle timeout, and then the whole answer.
+func TestLastAnswerOutlastsReadDeadline(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	s, c := serveSlow(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
+		_, _ = w.Write(make([]byte, largeBody))
+	}, func() time.Duration { return idle })
+	s.Drain()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * idle)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got, err := io.Copy(io.Discard, resp.Body); got != largeBody || err != nil || !resp.Close {
+		t.Errorf("last answer: got %d bytes, %v, close %v, want %d, none, true", got, err, resp.Close, largeBody)
+	}
+}
+
 // TestShorterIdleTimeKeepsAnswers guards against answers to slow callers that are reset in the middle after an operator
 // has shortened the idle timeout: it comes about when that timeout also bounds each write of an answer.
 //
