Requests whose link breaks after the end of a stop is settled are answered too

Cause: 0.1 s before its guaranteed end a stopping node gives up the answers that can be asked for again. It looked at the requests that waited for one at that moment. A request whose link broke later, because the endpoint's node was stopped as well, began to ask for its answer and was cut by the kill. A node's time to the kill is 0.6 s and more after that moment.

Change: settling lasts. A recovery that begins later is given up at once, and so are sends beside a whole answer that is held from then on.

--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -54,8 +54,10 @@
 	stopAt     time.Time
 	work       time.Duration
 	closeTimer *time.Timer
-	// hasAnswer is set once a send has ended with a whole answer that is held because a better one may follow.
+	// hasAnswer is set once a send has ended with a whole answer that is held because a better one may follow, settled once the
+	// caller does not wait for that any more.
 	hasAnswer bool
+	settled   bool
 	// mayResend reports whether the request may be dispatched again after so many dispatches; nil for one that may not be
 	// repeated. hasTime reports whether it has the time for that.
 	mayResend func(dispatches int) bool
@@ -95,6 +97,9 @@
 	recoverable, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.settled {
+		cancel()
+	}
 	addCancel(&p.cancelRecoveries, send, cancel)
 	return recoverable, func() {
 		p.mu.Lock()
@@ -290,13 +295,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hasAnswer = true
+	if p.settled {
+		p.cancelOthers()
+	}
 }
 
-// settle stops waiting for what the caller need not wait for, unless an answer has begun to go to it: answers that can be asked
-// for again, or whose links broke, and a better answer than one that is held.
+// settle stops waiting, now and from now on, for what the caller need not wait for: answers that can be asked for again, or whose
+// links broke, and a better answer than one that is held.
 func (p *progress) settle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settled = true
 	if p.answering {
 		return
 	}
@@ -304,9 +313,13 @@
 	for _, cancel := range p.cancelRecoveries {
 		cancel()
 	}
-	if !p.hasAnswer {
-		return
+	if p.hasAnswer {
+		p.cancelOthers()
 	}
+}
+
+// cancelOthers cancels the sends at work whose answers have not begun to arrive; the lock must be held.
+func (p *progress) cancelOthers() {
 	for send := range p.atWork {
 		if send.cancel != nil && !send.received {
 			send.cancel()
