Soak: callers that send ahead, and answers that a killed node had in hand

Change: -ahead N has N callers send up to five lookups before they read an answer, on kept connections with an idle timeout of 0.3 s. A killed node breaks its promise if a request was closed without an answer that its endpoint had given a second or more before the kill, unless the process was suspended meanwhile. A request behind another one on its connection that no endpoint has begun breaks nothing: nothing before it was answered, so its caller can tell.

--- /dev/null
+++ b/demo/ahead.go
@@ -0,0 +1,119 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/standin/backend"
+)
+
+const (
+	// mostAhead is how many lookups such a caller sends before it reads an answer, at the most.
+	mostAhead = 5
+	// aheadPause is the longest pause between two batches.
+	aheadPause = 200 * time.Millisecond
+)
+
+// RunAhead has a number of callers send lookups ahead on kept connections until ctx ends: several before the first is answered.
+// Nothing is sent again.
+func (l *Load) RunAhead(ctx context.Context, callers int) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range callers {
+		wg.Go(func() {
+			c := &aheadCaller{l: l, name: l.Mark + "ahead-" + strconv.Itoa(i) + "-", random: rand.New(rand.NewPCG(uint64(i), 0))} //nolint:gosec // a number
+			for ctx.Err() == nil {
+				c.connect(ctx, l.targets[c.random.IntN(len(l.targets))])
+			}
+		})
+	}
+}
+
+// aheadCaller is one caller of RunAhead.
+type aheadCaller struct {
+	l      *Load
+	name   string
+	random *rand.Rand
+	count  int
+}
+
+// connect sends batches on one connection until it is of no more use.
+func (c *aheadCaller) connect(ctx context.Context, target string) {
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp", target)
+	if err != nil {
+		time.Sleep(pause)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for open := true; open && ctx.Err() == nil; time.Sleep(time.Duration(c.random.Int64N(int64(aheadPause)))) {
+		open = c.batch(conn, in, target)
+	}
+}
+
+// batch sends some lookups, reads their answers and returns whether the connection stays open.
+func (c *aheadCaller) batch(conn net.Conn, in *bufio.Reader, target string) bool {
+	list := make([]Result, 1+c.random.IntN(mostAhead))
+	sent := time.Now()
+	for i := range list {
+		c.count++
+		list[i] = Result{Kind: Lookup, Call: c.name + strconv.Itoa(c.count), Told: "unknown", Sends: 1}
+		text := "GET " + list[i].path() + " HTTP/1.1\r\nHost: " + target + "\r\n" + backend.CallHeader + ": " + list[i].Call + "\r\n" +
+			header.Deadline + ": " + c.l.Deadline + "\r\n\r\n"
+		if _, err := io.WriteString(conn, text); err != nil {
+			return c.closed(list[:i], target, sent)
+		}
+	}
+	wrote := time.Now()
+	_ = conn.SetReadDeadline(wrote.Add(clientLimit))
+	for i := range list {
+		closes, err := list[i].readAnswer(in)
+		if err != nil {
+			return c.closed(list[i:], target, wrote)
+		}
+		c.l.note(list[i])
+		if closes {
+			// What was sent behind it has not been read.
+			for _, r := range list[i+1:] {
+				c.l.note(r)
+			}
+			return false
+		}
+	}
+	return true
+}
+
+// closed notes requests whose connection was closed without their answers.
+func (c *aheadCaller) closed(list []Result, target string, wrote time.Time) (open bool) {
+	for i, r := range list {
+		r.Closes = []Close{{Node: target, Behind: i > 0, Sent: wrote, Wrote: wrote, At: time.Now()}}
+		c.l.note(r)
+	}
+	return false
+}
+
+// readAnswer reads the answer and returns whether it closes the connection.
+func (r *Result) readAnswer(in *bufio.Reader) (closes bool, err error) {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false, err
+	}
+	r.Status, r.Whole, r.Told = resp.StatusCode, true, resp.Header.Get(header.Outcome)
+	r.Own = strings.Contains(string(body), " to "+r.Call+" body ")
+	return resp.Close, nil
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -54,6 +54,8 @@
 	Bare bool
 	// AnnouncedService, if set, is the service of endpoints that have no rows: they announce themselves.
 	AnnouncedService string
+	// CallersIdleTimeout is how long a caller's connection may wait for its next request, 0 for the nodes' own default.
+	CallersIdleTimeout time.Duration
 
 	bin      string
 	dir      string
@@ -191,11 +193,11 @@
 		platform = f.StoreAddress(m)
 	}
 	text := fmt.Sprintf(`node: {id: %s, hall: %s}
-callers: {listen: %q}
+callers: {listen: %q%s}
 peers: {listen: %q, advertise: %q, seeds: [%q, %q], idle_close: 3s, gone_after: 3s}
 operators: {listen: %q, token: %s}
 platform: {address: %q}
-%s`, m.Host, m.Hall, m.Callers, m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, platform, f.extra)
+%s`, m.Host, m.Hall, m.Callers, f.idleTimeout(), m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, platform, f.extra)
 	if f.AnnouncedService != "" {
 		text += fmt.Sprintf("\nannounced: {listen: %q, address: %q, service: %s}\n", m.Control, m.Endpoint, f.AnnouncedService)
 	}
@@ -207,6 +209,14 @@
 	return err
 }
 
+// idleTimeout is the callers' idle timeout as a further setting of its section, "" for none.
+func (f *Fleet) idleTimeout() string {
+	if f.CallersIdleTimeout == 0 {
+		return ""
+	}
+	return ", idle_timeout: " + f.CallersIdleTimeout.String()
+}
+
 // declare writes the declarations and has the operators' tool apply them.
 func (f *Fleet) declare(service, cells string) error {
 	var b bytes.Buffer
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,8 @@
 	Hangs int
 	// Leaves is how often an endpoint leaves around ends of its node; the endpoints announce themselves then.
 	Leaves int
+	// Ahead is how many callers send lookups ahead on kept connections, with an idle timeout that is shorter than slow work.
+	Ahead int
 	// Calm leaves out the faults that Plan draws.
 	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
@@ -78,6 +80,8 @@
 	serviceCells = "floor: 50%, false_ejections: 1"
 	// nodeSettings give a stop longer than any request's deadline, with the queue before it.
 	nodeSettings = "stop: {grace: 20s}\n"
+	// aheadIdleTimeout has reads of kept connections time out while requests are under way.
+	aheadIdleTimeout = 300 * time.Millisecond
 )
 
 // run is a run under way.
@@ -130,6 +134,9 @@
 	if cfg.Nested {
 		fleet.Routes = nestedRoute
 	}
+	if cfg.Ahead > 0 {
+		fleet.CallersIdleTimeout = aheadIdleTimeout
+	}
 	r := &run{
 		cfg: cfg, plan: Plan(cfg.Seed, cfg.Members, cfg.Length), fleet: fleet,
 		procs: make([]sync.Mutex, cfg.Members), ends: make([]sync.Mutex, cfg.Members), rows: make([]sync.Mutex, cfg.Members),
@@ -213,6 +220,9 @@
 	var callers, actions sync.WaitGroup
 	r.start = time.Now()
 	callers.Go(func() { load.Run(ctx, r.cfg.Rate) })
+	if r.cfg.Ahead > 0 {
+		callers.Go(func() { load.RunAhead(ctx, r.cfg.Ahead) })
+	}
 	for i := range r.cfg.Fatal {
 		callers.Go(func() { r.sendFatal(ctx, i, targets) })
 	}
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -104,8 +104,9 @@
 type stopped struct {
 	on          int
 	from, until time.Time
-	// kill is when the node was killed, the zero time if it ended by itself.
-	kill time.Time
+	// kill is when the node was killed, the zero time if it ended by itself; suspended is set if its process was suspended meanwhile.
+	kill      time.Time
+	suspended bool
 }
 
 func (s stopped) killed() bool { return !s.kill.IsZero() }
@@ -143,7 +144,7 @@
 	m := r.fleet.Members[a.On]
 	var from, kill time.Time
 	var sent []string
-	ended := false
+	ended, suspended := false, false
 	for _, s := range a.Series.Signals {
 		pause := s.After
 		if !kill.IsZero() {
@@ -158,6 +159,7 @@
 			break
 		}
 		sent = append(sent, signalAt(s.Number))
+		suspended = suspended || s.Number == syscall.SIGSTOP
 		if s.Number != syscall.SIGTERM {
 			continue
 		}
@@ -168,7 +170,7 @@
 			kill = time.Now().Add(stopGrace)
 		}
 	}
-	stop := stopped{on: a.On, from: from}
+	stop := stopped{on: a.On, from: from, suspended: suspended}
 	if !ended && !r.ended(m, time.Until(kill)) {
 		stop.kill = time.Now()
 		sent = append(sent, signalAt(syscall.SIGKILL))
@@ -205,7 +207,7 @@
 }
 
 // judgeStops looks for connections that a stopping node closed without an answer: one that was not killed may close none, and one that was only
-// those of requests that an endpoint had. The time counts from when the request was written: callers share this machine, and a
+// those of requests that an endpoint had, and had not answered some time before the kill. The time counts from when the request was written: callers share this machine, and a
 // caller that gets no CPU writes its request long after it began to send it.
 func (r *run) judgeStops() {
 	for _, result := range r.report.Results {
@@ -216,22 +218,36 @@
 			if i < 0 || c.Wrote.IsZero() || r.stops[i].closedAt(c).Sub(c.Wrote) < crossing {
 				continue
 			}
-			started := 0
-			for _, record := range r.report.Records {
-				started += record[result.Call].Started
-			}
+			started := begun(result.Call, r.report.Records)
+			answered, at := r.answeredAt(result.Call)
 			switch s := r.stops[i]; {
 			case !s.killed():
 				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself (%s)",
 					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
+			case started == 0 && c.Behind:
+				// The caller can tell that it has not run, as no answer before it came.
 			case started == 0:
 				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it (%s)",
 					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
+			case answered && !s.suspended && s.kill.Sub(at) >= crossing:
+				r.breaks("stop: %s was closed without an answer after %v by node %s, %v after its endpoint had answered (%s)",
+					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, s.kill.Sub(at), timesOf(c))
 			}
 		}
 	}
 }
 
+// answeredAt returns when an endpoint last finished a request, and whether none was at work on it after that.
+func (r *run) answeredAt(call string) (answered bool, at time.Time) {
+	started, finished, last := 0, 0, int64(0)
+	for _, record := range r.report.Records {
+		started += record[call].Started
+		finished += record[call].Finished
+		last = max(last, record[call].FinishedMillis)
+	}
+	return started > 0 && finished == started, time.UnixMilli(last)
+}
+
 // timesOf describes when a request was sent and its connection closed.
 func timesOf(c demo.Close) string {
 	wrote := "never"
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/demo"
+	"github.com/lynxplank/lynxplank/standin/backend"
 )
 
 // TestClosesAreJudgedByWrites guards against a node that is blamed for a request which its caller had not written before the
@@ -38,3 +39,40 @@
 		}
 	}
 }
+
+// TestHeldAnswersAreFound checks that the verdict on answers that a node held until it was killed can fail.
+func TestHeldAnswersAreFound(t *testing.T) {
+	kill := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		// finished is how long before the kill the endpoint had answered; started is how often it had begun.
+		finished          time.Duration
+		started           int
+		behind, suspended bool
+		broken            bool
+	}{
+		{name: "answered long before the kill", finished: crossing, started: 1, broken: true},
+		{name: "answered just before the kill", finished: crossing - time.Millisecond, started: 1},
+		{name: "at work once more", finished: crossing, started: 2},
+		{name: "answered, the node was suspended", finished: crossing, started: 1, suspended: true},
+		{name: "never begun", broken: true},
+		{name: "never begun, behind another request", behind: true},
+	} {
+		r := &run{
+			fleet: &demo.Fleet{Members: []*demo.Member{{Host: "h1", Callers: "127.0.0.1:1"}}},
+			stops: []stopped{{from: kill.Add(-5 * time.Second), until: kill, kill: kill, suspended: c.suspended}},
+		}
+		wrote := kill.Add(-3 * time.Second)
+		closed := demo.Close{Node: "127.0.0.1:1", Behind: c.behind, Sent: wrote, Wrote: wrote, At: kill.Add(time.Millisecond)}
+		r.report.Results = []demo.Result{{Call: "lookup-1", Closes: []demo.Close{closed}}}
+		record := backend.Run{Started: c.started}
+		if c.started > 0 {
+			record.Finished, record.FinishedMillis = 1, kill.Add(-c.finished).UnixMilli()
+		}
+		r.report.Records = []map[string]backend.Run{{"lookup-1": record}}
+		r.judgeStops()
+		if got := len(r.report.Broken) > 0; got != c.broken {
+			t.Errorf("%s: got broken %v (%q), want %v", c.name, got, r.report.Broken, c.broken)
+		}
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -58,6 +58,8 @@
 	Finished int `json:"finished"`
 	// LastMillis is when it last began, in Unix milliseconds.
 	LastMillis int64 `json:"last_millis"`
+	// FinishedMillis is when its whole work was last done, in Unix milliseconds, 0 if it was not.
+	FinishedMillis int64 `json:"finished_millis,omitempty"`
 	// Told is what the endpoint was told of this request, if it is a call that the endpoint made itself.
 	Told string `json:"told,omitempty"`
 }
@@ -198,6 +200,7 @@
 	if finished {
 		r := b.runs[call]
 		r.Finished++
+		r.FinishedMillis = time.Now().UnixMilli()
 		b.runs[call] = r
 	}
 }
