--- a/node/stop.go
+++ b/node/stop.go
@@ -68,9 +68,9 @@
 // endpoint beside it, refuses requests that no endpoint has received, and stops once the remaining requests have ended. It
 // fails if a request or a component did not end within grace and overrun.
 //
-// Invariant: within grace and overrun the node cuts off no request that an endpoint is working on. Only the process manager
-// knows when the time is really over, and kills the node then; a node that cut requests off by its own clock could be too
-// early.
+// Invariant: within grace and overrun the node cuts off no request that an endpoint is working on, but for those that hold up
+// answers which are ready, at the end of the grace. Only the process manager knows when the time is really over, and kills the
+// node then; a node that cut requests off by its own clock could be too early.
 //
 // The endpoint outlives its node, so it stays in use during the notice. When the node refused requests for the endpoint from
 // the start of the stop, a rolling restart of a third of a fleet took 4 of 10 healthy endpoints out of use for two seconds.
@@ -179,7 +179,8 @@
 }
 
 // awaitCallers refuses new requests and waits until the accepted ones have ended. It refuses because callers without another
-// node to use might never stop sending, and accepted requests need the remaining time.
+// node to use might never stop sending, and accepted requests need the remaining time. Shortly before the node may be killed,
+// every answer is given that does not depend on an endpoint at work.
 func (n *Node) awaitCallers(ctx context.Context, plan shutdown.Plan, callers *pipeline.Server, g *ingress.Ingress) error {
 	callers.Refuse()
 	settle := time.AfterFunc(time.Until(plan.SettleAt()), func() {
--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -9,10 +9,10 @@
 	minWorkTime = 100 * time.Millisecond
 )
 
-// Plan holds the times of a planned stop; it is immutable. They count from when the stop signal was sent, as the sender's
-// clock does, and not from when the process noticed the signal.
+// Plan holds the times of a planned stop; it is immutable.
 //
-// Invariant: NoticeEnd, SettleAt and GuaranteedEnd follow in this order.
+// Invariant: SettleAt and GuaranteedEnd count from when the stop signal may have been sent, as the sender's clock does, and not
+// from when the process noticed the signal. NoticeEnd takes the same part of what is left of the guaranteed time.
 type Plan struct {
 	signaledAt         time.Time
 	notice, guaranteed time.Duration
