Soak: an answer that its endpoint breaks off is not held against the node

The node's log has the reason: event 501, RAN, status 200, endpoint_cut. The endpoint broke off an answer without a length on purpose (HalfChunked); such an answer is passed on as it comes, and its end resets the connection with the answers behind it.

Change: the endpoints' records tell which answers they broke off, and callers that send ahead whether a part of an answer had come. A close is left out only if both hold for the first request on the connection. It is as strict as before for all other closes: an answer that is cut in its middle otherwise is still broken, as is a close by a node that ended by itself. TestHeldAnswersAreFound has each case.

--- a/demo/ahead.go
+++ b/demo/ahead.go
@@ -71,7 +71,7 @@
 		text := "GET " + list[i].path() + " HTTP/1.1\r\nHost: " + target + "\r\n" + backend.CallHeader + ": " + list[i].Call + "\r\n" +
 			header.Deadline + ": " + c.l.Deadline + "\r\n\r\n"
 		if _, err := io.WriteString(conn, text); err != nil {
-			return c.closed(list[:i], target, sent)
+			return c.closed(list[:i], target, sent, false)
 		}
 	}
 	wrote := time.Now()
@@ -79,7 +79,7 @@
 	for i := range list {
 		closes, err := list[i].readAnswer(in)
 		if err != nil {
-			return c.closed(list[i:], target, wrote)
+			return c.closed(list[i:], target, wrote, list[i].Status != 0)
 		}
 		c.l.note(list[i])
 		if closes {
@@ -93,10 +93,14 @@
 	return true
 }
 
-// closed notes requests whose connection was closed without their answers.
-func (c *aheadCaller) closed(list []Result, target string, wrote time.Time) (open bool) {
+// closed notes requests whose connection was closed without their whole answers; partial is set if a part of the first one's had come.
+func (c *aheadCaller) closed(list []Result, target string, wrote time.Time, partial bool) (open bool) {
 	for i, r := range list {
-		r.Closes = []Close{{Node: target, Behind: i > 0, Sent: wrote, Wrote: wrote, At: time.Now()}}
+		first := ""
+		if i > 0 {
+			first = list[0].Call
+		}
+		r.Closes = []Close{{Node: target, First: first, Partial: partial, Sent: wrote, Wrote: wrote, At: time.Now()}}
 		c.l.note(r)
 	}
 	return false
@@ -109,11 +113,12 @@
 		return false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.Status, r.Told = resp.StatusCode, resp.Header.Get(header.Outcome)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return false, err
 	}
-	r.Status, r.Whole, r.Told = resp.StatusCode, true, resp.Header.Get(header.Outcome)
+	r.Whole = true
 	r.Own = strings.Contains(string(body), " to "+r.Call+" body ")
 	return resp.Close, nil
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -64,8 +64,10 @@
 
 // Close is a connection that a node closed without an answer.
 type Close struct {
-	// Behind is set if an earlier request on the connection had no answer either.
-	Behind bool
+	// First is the call of the first request on the connection that had no whole answer, "" if that is this one; Partial is set if
+	// a part of that answer had come.
+	First   string
+	Partial bool
 	// Node is the callers' address, Sent when the send began, Wrote when the request was first written to a connection, the zero
 	// time if it was not, and At when the close was seen.
 	Node            string
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -207,36 +208,48 @@
 }
 
 // judgeStops looks for connections that a stopping node closed without an answer: one that was not killed may close none, and one that was only
-// those of requests that an endpoint had, and had not answered some time before the kill. The time counts from when the request was written: callers share this machine, and a
-// caller that gets no CPU writes its request long after it began to send it.
+// those of requests that an endpoint had, and had not answered some time before the kill. The time counts from when the request was written:
+// callers share this machine, and a caller that gets no CPU writes its request long after it began to send it.
 func (r *run) judgeStops() {
 	for _, result := range r.report.Results {
 		for _, c := range result.Closes {
 			i := slices.IndexFunc(r.stops, func(s stopped) bool {
 				return r.fleet.Members[s.on].Callers == c.Node && c.At.After(s.from) && c.At.Before(s.until.Add(crossing))
 			})
-			if i < 0 || c.Wrote.IsZero() || r.stops[i].closedAt(c).Sub(c.Wrote) < crossing {
+			if i < 0 || c.Wrote.IsZero() || r.stops[i].closedAt(c).Sub(c.Wrote) < crossing || r.brokenOff(result.Call, c) {
 				continue
 			}
-			started := begun(result.Call, r.report.Records)
-			answered, at := r.answeredAt(result.Call)
-			switch s := r.stops[i]; {
-			case !s.killed():
-				r.breaks("stop: %s was closed without an answer after %v by node %s, which ended by itself (%s)",
-					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
-			case started == 0 && c.Behind:
-				// The caller can tell that it has not run, as no answer before it came.
-			case started == 0:
-				r.breaks("stop: %s was closed without an answer after %v by node %s, and no endpoint had it (%s)",
-					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, timesOf(c))
-			case answered && !s.suspended && s.kill.Sub(at) >= crossing:
-				r.breaks("stop: %s was closed without an answer after %v by node %s, %v after its endpoint had answered (%s)",
-					result.Call, c.At.Sub(c.Sent), r.fleet.Members[s.on].Host, s.kill.Sub(at), timesOf(c))
+			if why := r.closeBreaks(r.stops[i], result.Call, c); why != "" {
+				r.breaks("stop: %s was closed without an answer after %v by node %s, %s (%s)",
+					result.Call, c.At.Sub(c.Sent), r.fleet.Members[r.stops[i].on].Host, why, timesOf(c))
 			}
 		}
 	}
 }
 
+// closeBreaks returns why a close of a connection without an answer breaks the promise of a planned stop, "" if it does not.
+func (r *run) closeBreaks(s stopped, call string, c demo.Close) string {
+	answered, at := r.answeredAt(call)
+	switch started := begun(call, r.report.Records); {
+	case !s.killed():
+		return "which ended by itself"
+	case started == 0 && c.First != "":
+		// The caller can tell that it has not run, as no answer before it came.
+	case started == 0:
+		return "and no endpoint had it"
+	case answered && !s.suspended && s.kill.Sub(at) >= crossing:
+		return fmt.Sprintf("%v before its kill its endpoint had answered", s.kill.Sub(at))
+	}
+	return ""
+}
+
+// brokenOff reports whether an endpoint broke off the first answer that the connection lacks, of which a part had come: that resets
+// the connection with all answers behind it.
+func (r *run) brokenOff(call string, c demo.Close) bool {
+	first := cmp.Or(c.First, call)
+	return c.Partial && slices.ContainsFunc(r.report.Records, func(record map[string]backend.Run) bool { return record[first].Halved > 0 })
+}
+
 // answeredAt returns when an endpoint last finished a request, and whether none was at work on it after that.
 func (r *run) answeredAt(call string) (answered bool, at time.Time) {
 	started, finished, last := 0, 0, int64(0)
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -49,7 +49,9 @@
 		finished          time.Duration
 		started           int
 		behind, suspended bool
-		broken            bool
+		// halved is set if an endpoint broke off its answer to the first request on the connection, partial if a part of that had come.
+		halved, partial bool
+		broken          bool
 	}{
 		{name: "answered long before the kill", finished: crossing, started: 1, broken: true},
 		{name: "answered just before the kill", finished: crossing - time.Millisecond, started: 1},
@@ -57,19 +59,35 @@
 		{name: "answered, the node was suspended", finished: crossing, started: 1, suspended: true},
 		{name: "never begun", broken: true},
 		{name: "never begun, behind another request", behind: true},
+		{name: "answered long before the kill, behind another request", finished: crossing, started: 1, behind: true, broken: true},
+		{name: "its endpoint broke off the answer", finished: crossing, started: 1, halved: true, partial: true},
+		{name: "behind an answer that its endpoint broke off", finished: crossing, started: 1, behind: true, halved: true, partial: true},
+		{name: "its endpoint broke off another answer", finished: crossing, started: 1, halved: true, broken: true},
+		{name: "cut in the middle", finished: crossing, started: 1, partial: true, broken: true},
 	} {
 		r := &run{
 			fleet: &demo.Fleet{Members: []*demo.Member{{Host: "h1", Callers: "127.0.0.1:1"}}},
 			stops: []stopped{{from: kill.Add(-5 * time.Second), until: kill, kill: kill, suspended: c.suspended}},
 		}
 		wrote := kill.Add(-3 * time.Second)
-		closed := demo.Close{Node: "127.0.0.1:1", Behind: c.behind, Sent: wrote, Wrote: wrote, At: kill.Add(time.Millisecond)}
+		closed := demo.Close{Node: "127.0.0.1:1", Partial: c.partial, Sent: wrote, Wrote: wrote, At: kill.Add(time.Millisecond)}
+		first := "lookup-1"
+		if c.behind {
+			first = "lookup-0"
+			closed.First = first
+		}
 		r.report.Results = []demo.Result{{Call: "lookup-1", Closes: []demo.Close{closed}}}
 		record := backend.Run{Started: c.started}
 		if c.started > 0 {
 			record.Finished, record.FinishedMillis = 1, kill.Add(-c.finished).UnixMilli()
 		}
-		r.report.Records = []map[string]backend.Run{{"lookup-1": record}}
+		records := map[string]backend.Run{"lookup-1": record}
+		if c.halved {
+			cut := records[first]
+			cut.Halved = 1
+			records[first] = cut
+		}
+		r.report.Records = []map[string]backend.Run{records}
 		r.judgeStops()
 		if got := len(r.report.Broken) > 0; got != c.broken {
 			t.Errorf("%s: got broken %v (%q), want %v", c.name, got, r.report.Broken, c.broken)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -60,6 +60,8 @@
 	LastMillis int64 `json:"last_millis"`
 	// FinishedMillis is when its whole work was last done, in Unix milliseconds, 0 if it was not.
 	FinishedMillis int64 `json:"finished_millis,omitempty"`
+	// Halved counts how often its answer was broken off on purpose.
+	Halved int `json:"halved,omitempty"`
 	// Told is what the endpoint was told of this request, if it is a call that the endpoint made itself.
 	Told string `json:"told,omitempty"`
 }
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -140,6 +140,9 @@
 	}
 	b.mu.Lock()
 	length, chunked := max(b.how.HalfLength, halfLength), b.how.HalfChunked
+	r := b.runs[call]
+	r.Halved++
+	b.runs[call] = r
 	b.mu.Unlock()
 	if !chunked {
 		w.Header().Set("Content-Length", strconv.Itoa(length))
