Drawn stops whose signal is noticed late, and callers that come back on idle connections

TestDrawnStops drew delays of the signal up to 0.25 s and callers that send all the time, so that nothing came near half of the grace on a connection that the node had not closed yet. It now plays 45 more stops with delays up to 4 s, and twelve callers that send again at about half of the grace on a connection that has been idle since before the signal.

--- a/node/drawncaller_test.go
+++ b/node/drawncaller_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// callAfterIdle is a caller whose kept connection lies idle from before the stop until about half of the grace, when it sends again.
+func (d *drawnStop) callAfterIdle(n *stoppedNode) {
+	time.Sleep(d.draw(0, 2*time.Second))
+	c, err := d.net.Dial(context.Background(), "10.0.1.1", n.host+":80")
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	if !d.exchange(c, in, false) {
+		return
+	}
+	time.Sleep(time.Until(d.stopAt.Add(d.draw(stopGrace/2-500*time.Millisecond, stopGrace/2+1500*time.Millisecond))))
+	d.exchange(c, in, false)
+}
+
 // exchange sends one request, or several ahead, and reads the answers. It returns false once the connection is of no more use.
 func (d *drawnStop) exchange(c net.Conn, in *bufio.Reader, ahead bool) bool {
 	batch := []*drawnRequest{d.newRequest(!ahead && d.chance(0.4))}
--- a/node/drawnstop_test.go
+++ b/node/drawnstop_test.go
@@ -42,8 +42,9 @@
 	linkDelay = 500 * time.Microsecond
 	// stopAttempts is how often a route's requests may be dispatched.
 	stopAttempts = 3
-	// maxNoticeDelay is how long after it was sent a node notices a stop signal at the most.
-	maxNoticeDelay = 250 * time.Millisecond
+	// shortNoticeDelay is how long after it was sent a node that runs notices a stop signal at the most, longNoticeDelay one that
+	// gets little processor time or is busy with something else.
+	shortNoticeDelay, longNoticeDelay = 250 * time.Millisecond, 4 * time.Second
 	// callersNode is the index of the node that takes the callers' requests, steadyNode of one that is not stopped.
 	callersNode, steadyNode = 0, 2
 )
@@ -107,6 +108,9 @@
 	requests map[string]*drawnRequest
 	// ended is set once no caller sends any more.
 	ended atomic.Bool
+	// stopAt is when the callers' node is sent its stop signal, maxNoticeDelay how late a node notices one at the most.
+	stopAt         time.Time
+	maxNoticeDelay time.Duration
 }
 
 func (d *drawnStop) draw(low, high time.Duration) time.Duration {
@@ -280,7 +284,7 @@
 // run plays one drawn stop and returns the promises that were broken.
 func (d *drawnStop) run(t *testing.T) []string {
 	t.Helper()
-	const nodes, callers = 3, 24
+	const nodes, callers, idleCallers = 3, 24, 12
 	snap := stopSnapshot(t, nodes)
 	var endpoints []io.Closer
 	for i := range nodes {
@@ -288,20 +292,24 @@
 		d.nodes = append(d.nodes, d.startNode(t, i, snap))
 	}
 	var sending, disturbing sync.WaitGroup
+	n := d.nodes[callersNode]
+	at, other := d.draw(6*time.Second, 8*time.Second), d.draw(0, 12*time.Second)
+	d.stopAt = time.Now().Add(at)
 	for range callers {
-		sending.Go(func() { d.call(d.nodes[callersNode]) })
+		sending.Go(func() { d.call(n) })
+	}
+	for range idleCallers {
+		sending.Go(func() { d.callAfterIdle(n) })
 	}
 	var stops sync.WaitGroup
-	n := d.nodes[callersNode]
-	at, other := d.draw(6*time.Second, 8*time.Second), d.draw(0, 12*time.Second)
 	stops.Go(func() {
 		time.Sleep(at)
-		d.stop(n, d.draw(0, maxNoticeDelay))
+		d.stop(n, d.draw(0, d.maxNoticeDelay))
 	})
 	if d.chance(0.7) {
 		stops.Go(func() {
 			time.Sleep(other)
-			d.stop(d.nodes[1], d.draw(0, maxNoticeDelay))
+			d.stop(d.nodes[1], d.draw(0, d.maxNoticeDelay))
 		})
 	}
 	disturbing.Go(func() {
@@ -328,20 +336,24 @@
 }
 
 // TestDrawnStops guards against answers that are lost around planned stops: the callers' node is stopped, and the node of an
-// endpoint before, meanwhile or after, each with a notice that comes late, beside callers that send ahead or read slowly, links
-// that are reset or go silent, endpoints that hang or fail, and changes of the limits and settings.
+// endpoint before, meanwhile or after, beside callers that send ahead, read slowly or come back on an idle connection, links that
+// are reset or go silent, endpoints that hang or fail, and changes of the limits and settings. In the later cases the nodes notice
+// their signals late, which guards against requests that are taken in the later half of the grace and cut by the kill.
 //
 // All cases run in one bubble: yamux keeps timers for its next sessions.
 func TestDrawnStops(t *testing.T) {
 	const cases = 45
 	synctest.Test(t, func(t *testing.T) {
-		for seed := range uint64(cases) {
-			d := &drawnStop{
-				net: network.New(linkDelay), start: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), requests: make(map[string]*drawnRequest),
-				log: zerolog.Nop(),
-			}
-			if broken := d.run(t); len(broken) > 0 {
-				t.Errorf("seed %d: got %d broken promises, want none:\n%s\n%s", seed, len(broken), strings.Join(broken, "\n"), strings.Join(d.notes, "\n"))
+		for _, maxNoticeDelay := range []time.Duration{shortNoticeDelay, longNoticeDelay} {
+			for seed := range uint64(cases) {
+				d := &drawnStop{
+					net: network.New(linkDelay), start: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), requests: make(map[string]*drawnRequest),
+					log: zerolog.Nop(), maxNoticeDelay: maxNoticeDelay,
+				}
+				if broken := d.run(t); len(broken) > 0 {
+					t.Errorf("notice up to %v late, seed %d: got %d broken promises, want none:\n%s\n%s", maxNoticeDelay, seed, len(broken),
+						strings.Join(broken, "\n"), strings.Join(d.notes, "\n"))
+				}
 			}
 		}
 	})
