--- a/node/node.go
+++ b/node/node.go
@@ -278,7 +278,7 @@
 		events.NodeFailed.Log(n.log).Err(err).Send()
 		return err
 	}
-	events.NodeStarted.Log(n.log).Str("hall", n.cfg.Node.Hall).
+	events.NodeStarted.Log(n.log).Str("hall", n.cfg.Node.Hall).Str("build", buildVersion()).Str("build_id", buildID()).
 		Str("callers", n.cfg.Callers.Listen.String()).Str("peers", n.cfg.Peers.Listen.String()).Send()
 	return nil
 }
