A stopping node takes nothing that was sent in the later half of its grace

Cause: the bounds of a planned stop held only if goroutines and timers ran in time. Requests were refused by a flag that the goroutine of the stop set after its timer and after a message to each peer; the stop counted from a signal age that went by the ticks of a timer, which go on while the signal waits in the kernel, in the runtime's queue, or for a main loop that starts the node or reads its settings. A request sent later than half of the grace was taken, and the kill cut it if its work was long.

Change: - signals.Receiver receives the stop signals on a goroutine of its own and sends the process a probe signal, which takes the same way behind them. A stop signal counts as sent right after the last probe that came back before it, however late the process is. Reloads have a goroutine of their own. - shutdown.Schedule answers by the clock, where the decision is made: whether a request that was read just now is taken (the listener; it waits for a fresh probe if a signal that would bar the request may be on its way), whether the endpoint takes anything, whether a dispatch, a recovery or a held answer may go on. Timers and the goroutine of the stop only wake those who wait. - The notice ends at half of the grace at the latest.

TestPlanCountsFromSignal asks more.

--- a/clock/pauses.go
+++ b/clock/pauses.go
@@ -26,15 +26,14 @@
 
 // pauses derives the latest pause from the ticks of a process. It is immutable.
 type pauses struct {
-	// lastTick and previousTick are the times of the latest tick and of the one before, zero if there was none.
-	lastTick     time.Time
-	previousTick time.Time
-	latest       Pause
+	// lastTick is the time of the latest tick, zero if there was none.
+	lastTick time.Time
+	latest   Pause
 }
 
 // withTick returns the pauses after a tick, and the pause that it ended; ok is false if it ended none.
 func (p pauses) withTick(now time.Time) (next pauses, ended Pause, ok bool) {
-	next = pauses{lastTick: now, previousTick: p.lastTick, latest: p.latest}
+	next = pauses{lastTick: now, latest: p.latest}
 	if p.lastTick.IsZero() || now.Sub(p.lastTick) <= maxTickGap {
 		return next, Pause{}, false
 	}
@@ -58,21 +57,6 @@
 	return now.Sub(p.latest.From)
 }
 
-// signalAge returns how long ago a signal that is received now may have been sent.
-//
-// Invariant: the process has run, and would have received a signal sent earlier, between the two latest ticks. Unlike
-// receiptDelay it includes delays that are too short for a pause, so it is never 0 in a process that has ticked.
-func (p pauses) signalAge(now time.Time) time.Duration {
-	ran := p.previousTick
-	if ran.IsZero() {
-		ran = p.lastTick
-	}
-	if ran.IsZero() {
-		return 0
-	}
-	return max(p.receiptDelay(now), now.Sub(ran))
-}
-
 // PauseMonitor detects when the process was paused. It is a kernel component.
 type PauseMonitor struct {
 	clock   Clock
@@ -113,14 +97,6 @@
 	return m.pauses.receiptDelay(m.clock())
 }
 
-// SignalAge returns how long ago a signal that is received now may have been sent, at the most. It is for those who must not
-// count from later than the sender does.
-func (m *PauseMonitor) SignalAge() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.pauses.signalAge(m.clock())
-}
-
 func (m *PauseMonitor) run(ctx context.Context) {
 	defer close(m.done)
 	tick := time.NewTicker(tickInterval)
--- a/clock/pauses_test.go
+++ b/clock/pauses_test.go
@@ -20,7 +20,6 @@
 //	ticks to=N      ticks at the usual interval until a time
 //	resume at=N     a tick after a pause; prints how long the process was paused
 //	signal at=N     prints how long ago a signal that is received then may have been sent
-//	signal-age at=N prints the same with delays that are too short for a pause
 func TestPauseScripts(t *testing.T) {
 	start := time.Unix(1000, 0)
 	now, p := start, pauses{}
@@ -46,9 +45,6 @@
 		case "signal":
 			d.ScanArgs(t, "at", &n)
 			return fmt.Sprintln(p.receiptDelay(start.Add(time.Duration(n) * time.Millisecond)))
-		case "signal-age":
-			d.ScanArgs(t, "at", &n)
-			return fmt.Sprintln(p.signalAge(start.Add(time.Duration(n) * time.Millisecond)))
 		}
 		d.Fatalf(t, "no such command")
 		return ""
@@ -91,9 +87,6 @@
 			p, _, _ = p.withTick(at)
 			due = at.Add(tickInterval)
 		}
-		if least, age := received.Sub(sent)-maxDelay, p.signalAge(received); age < least {
-			t.Fatalf("sent %v before it was received: got signal age %v, want at least %v", received.Sub(sent), age, least)
-		}
 		age := p.receiptDelay(received)
 		if least := received.Sub(sent) - maxTickGap - maxDelay; age < least {
 			t.Fatalf("sent %v before it was received: got age %v, want at least %v", received.Sub(sent), age, least)
--- a/cmd/lynxplankd/main.go
+++ b/cmd/lynxplankd/main.go
@@ -6,8 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/lynxplank/lynxplank/events"
@@ -71,17 +69,16 @@
 const reloadEvery = 2 * time.Second
 
 func serve(path string, cfg settings.Daemon) int {
-	stops := signals.Stops()
-	if len(stops) > 0 {
+	receiver := signals.NewReceiver()
+	if _, received := receiver.Received(); received {
 		// Nothing has been taken yet.
 		return exitOK
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
+	go receiver.Run(context.Background())
 	httpclient.Tune()
 	out := events.NewWriter(os.Stdout)
 	defer out.Close()
-	n, err := node.New(cfg, out)
+	n, err := node.New(cfg, out, node.WithSignals(receiver))
 	if err == nil {
 		err = n.Start(context.Background())
 	}
@@ -89,25 +86,31 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	go watchSettings(n, path)
+	<-receiver.Stops()
+	return stop(n, receiver.Stops())
+}
+
+// watchSettings reloads the settings at a signal, or when their file has changed. It has a goroutine of its own: a stop does not
+// wait for a reload.
+func watchSettings(n *node.Node, path string) {
 	file := settings.NewWatch(path)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
 		select {
-		case <-reloads:
+		case <-signals.Reloads():
 			reload(n, path)
 		case <-tick.C:
 			if file.Changed() {
 				reload(n, path)
 			}
-		case <-stops:
-			return stop(n, stops)
 		}
 	}
 }
 
 // stop is the planned stop; the node is told of further signals.
-func stop(n *node.Node, stops <-chan os.Signal) int {
+func stop(n *node.Node, stops <-chan signals.Stop) int {
 	ended := make(chan error, 1)
 	go func() { ended <- n.Stop() }()
 	for {
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -24,6 +24,7 @@
 	"github.com/lynxplank/lynxplank/poison"
 	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/shutdown"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
 )
@@ -89,6 +90,8 @@
 	inFlight     inflight.Counter
 	cancelProbes context.CancelFunc
 
+	// stop is the schedule of the node's planned stop, nil for none.
+	stop *shutdown.Schedule
 	// receiptDelay returns how long ago what is received now may have arrived at this host.
 	receiptDelay func() time.Duration
 
@@ -145,6 +148,9 @@
 // WithReceiptDelay has f tell how long ago what is received now may have arrived at this host.
 func WithReceiptDelay(f func() time.Duration) Option { return func(e *Egress) { e.receiptDelay = f } }
 
+// WithStop has the egress refuse all requests from the end of the notice of a planned stop on, also while nobody calls Close.
+func WithStop(s *shutdown.Schedule) Option { return func(e *Egress) { e.stop = s } }
+
 // WithBudget has the memory for buffered and stored answers counted in b.
 func WithBudget(b *memory.Budget) Option { return func(e *Egress) { e.budget = b } }
 
@@ -193,6 +199,9 @@
 	e.cancelCloseCtx()
 }
 
+// isClosed reports whether the egress refuses all requests.
+func (e *Egress) isClosed() bool { return e.closing.Load() || e.stop.NoticeOver() }
+
 // Stop waits for the requests in flight until ctx ends.
 func (e *Egress) Stop(ctx context.Context) error {
 	e.Close()
@@ -235,7 +244,7 @@
 	if d.GetClaim() == nil {
 		return e.admitAndRun(ctx, d, body, sink)
 	}
-	if e.closing.Load() {
+	if e.isClosed() {
 		// The key gets no verdict: its record is lost when this process stops.
 		return peer.NotRun(fault.KeyRefused, drainRetryAfter)
 	}
--- a/egress/find.go
+++ b/egress/find.go
@@ -16,7 +16,7 @@
 //
 // Invariant: a draining endpoint is refused here whatever the ingress's view of it is.
 func (e *Egress) find(d *peerpb.Dispatch) (*localEndpoint, *peerpb.End) {
-	if e.closing.Load() {
+	if e.isClosed() {
 		return nil, peer.NotRun(fault.Draining, drainRetryAfter)
 	}
 	// The sender may not know yet that the request is blocked.
--- a/egress/serve_test.go
+++ b/egress/serve_test.go
@@ -17,6 +17,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/header"
+	"github.com/lynxplank/lynxplank/shutdown"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -148,6 +149,23 @@
 	}
 }
 
+// TestClockEndsNotice guards against requests that a stopping node's endpoint gets after the notice because whoever stops the node is
+// late: nobody calls Close here.
+func TestClockEndsNotice(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(server.Close)
+	e := newTestEgress(t, strings.TrimPrefix(server.URL, "http://"), table.Active)
+	stop := shutdown.NewSchedule(shutdown.NewPlan(time.Second, 0, 100*time.Millisecond), nil)
+	WithStop(stop)(e)
+	if end := serve(t, e, payment()); end.GetOutcome() != peerpb.Outcome_OUTCOME_RAN {
+		t.Fatalf("before the stop: got %v, want it to run", end)
+	}
+	time.Sleep(time.Until(stop.Begin().NoticeEnd()))
+	if got, want := serve(t, e, payment()).GetCode(), string(fault.Draining); got != want {
+		t.Errorf("after the notice: got %q, want %q", got, want)
+	}
+}
+
 // TestUnreachableIsReportedNotRun checks that a request to an endpoint that accepts no connection is reported as not
 // run.
 func TestUnreachableIsReportedNotRun(t *testing.T) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -25,6 +25,7 @@
 	"github.com/lynxplank/lynxplank/poison"
 	"github.com/lynxplank/lynxplank/ratelimit"
 	"github.com/lynxplank/lynxplank/retry"
+	"github.com/lynxplank/lynxplank/shutdown"
 	"github.com/lynxplank/lynxplank/table"
 )
 
@@ -78,6 +79,8 @@
 	budget   *memory.Budget
 	inFlight inFlightRequests
 	early    *earlyRefusals
+	// stop is the schedule of the node's planned stop, nil for none.
+	stop *shutdown.Schedule
 
 	mu                sync.Mutex
 	refusalsByService map[string]*refusals
@@ -117,6 +120,9 @@
 // WithCrashCounter refuses requests under which too many endpoints crashed, as counted by c.
 func WithCrashCounter(c CrashCounter) Option { return func(g *Ingress) { g.crashes = c } }
 
+// WithStop has requests end by the bounds of a planned stop, also while nobody calls StopDispatchBefore and Settle.
+func WithStop(s *shutdown.Schedule) Option { return func(g *Ingress) { g.stop = s } }
+
 // WithClock replaces the clock that measures how long the host was suspended.
 func WithClock(c clock.Clock) Option { return func(g *Ingress) { g.clock = c } }
 
@@ -289,6 +295,8 @@
 		refusals: g.refusals(c.service.Key), search: g.search(c.service.Key),
 		resumePause: retry.Backoff{Initial: firstResumePause, Max: maxResumePause},
 	}
+	x.progress.stop = g.stop
+	x.progress.typicalWork = func() time.Duration { return g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget()) }
 	x.winner.onFailure = func() { g.noteFailedCall(&c) }
 	x.answer = newAnswer(w, c, g.cfg.Contract, x.winner)
 	x.answer.progress, x.answer.search = &x.progress, x.search
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -31,8 +31,9 @@
 	// Stage is how far the request has come, Endpoint the endpoint that had it last, "" for none.
 	Stage    Stage
 	Endpoint string
-	// Age is the time since the request arrived.
-	Age time.Duration
+	// ReadAt is when the request was read, Age the time since then.
+	ReadAt time.Time
+	Age    time.Duration
 }
 
 // progress tracks how far one request has come, for a planned stop of the node.
@@ -49,8 +50,11 @@
 	answering bool
 	endpoint  string
 	closed    bool
+	// stop is the schedule of the node's planned stop, nil for none; typicalWork returns how long such work takes.
+	stop        *shutdown.Schedule
+	typicalWork func() time.Duration
 	// stopAt is when the node may end, the zero time while it is not stopping; work is how long such work takes. closeTimer
-	// closes progress when no dispatch makes sense any more.
+	// wakes the request when no dispatch makes sense any more.
 	stopAt     time.Time
 	work       time.Duration
 	closeTimer *time.Timer
@@ -77,7 +81,7 @@
 // dispatched before. done must be called.
 func (p *progress) untilDispatch(ctx context.Context, send *answer) (waiting context.Context, done func()) {
 	waiting, cancel := context.WithCancel(ctx)
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		cancel()
@@ -95,7 +99,7 @@
 // done must be called.
 func (p *progress) whileRecoverable(ctx context.Context, send *answer) (recoverable context.Context, done func()) {
 	recoverable, cancel := context.WithCancel(ctx)
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if p.settled {
 		cancel()
@@ -118,7 +122,7 @@
 
 // beginDispatch records that a send is about to be dispatched and reports whether that is allowed.
 func (p *progress) beginDispatch(send *answer) bool {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return false
@@ -143,7 +147,7 @@
 //
 // Invariant: of yield and receive, only the first call for a send has an effect, so that no answer that has begun is cut.
 func (p *progress) yield(send *answer) {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if _, ok := p.atWork[send]; !ok || p.isStopping() || p.answering || send.received || send.cancel == nil {
 		return
@@ -158,7 +162,7 @@
 
 // interrupt records that a send ended by a failure between this node and the endpoint, which may work on.
 func (p *progress) interrupt() {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	p.interrupted = true
 	p.scheduleClose()
@@ -173,7 +177,7 @@
 
 // isUrgent reports whether the request must find another endpoint before its node ends.
 func (p *progress) isUrgent() bool {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	return p.interrupted && p.isStopping()
 }
@@ -183,7 +187,7 @@
 
 // mayDispatchAgain reports whether the request may be dispatched once more.
 func (p *progress) mayDispatchAgain() bool {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	return p.resendable()
 }
@@ -215,11 +219,37 @@
 	return send.yielded
 }
 
-// beginStop records that the node has begun to stop and may end at the given time. work is how long such work takes.
-func (p *progress) beginStop(at time.Time, work time.Duration) {
+// lock takes the lock and applies what the schedule says by now.
+//
+// Invariant: whoever decides by the state of a planned stop takes the lock with it. The timers, and the goroutine of the stop, may
+// be late.
+func (p *progress) lock() {
+	p.mu.Lock()
+	plan, begun := p.stop.Plan()
+	if !begun {
+		return
+	}
+	if !p.isStopping() {
+		p.beginStopLocked(plan.GuaranteedEnd())
+	}
+	now := time.Now()
+	if !p.closed && !now.Before(shutdown.DispatchEnd(p.stopAt, p.work, p.interrupted)) {
+		p.closeLocked()
+	}
+	if !p.settled && !now.Before(plan.SettleAt()) {
+		p.settleLocked()
+	}
+}
+
+// beginStop records that the node has begun to stop and may end at the given time.
+func (p *progress) beginStop(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stopAt, p.work = at, work
+	p.beginStopLocked(at)
+}
+
+func (p *progress) beginStopLocked(at time.Time) {
+	p.stopAt, p.work = at, p.typicalWork()
 	p.scheduleClose()
 }
 
@@ -285,14 +315,14 @@
 }
 
 func (p *progress) isClosed() bool {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	return p.closed
 }
 
 // holdAnswer records that a send has ended with a whole answer that is held because a better one may follow.
 func (p *progress) holdAnswer() {
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	p.hasAnswer = true
 	if p.settled {
@@ -305,6 +335,10 @@
 func (p *progress) settle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settleLocked()
+}
+
+func (p *progress) settleLocked() {
 	p.settled = true
 	if p.answering {
 		return
@@ -362,7 +396,7 @@
 		x.call.nested = x.countedNested
 	}
 	if !r.stopAt.IsZero() {
-		x.closeBefore(r.stopAt)
+		x.progress.beginStop(r.stopAt)
 	}
 }
 
@@ -376,11 +410,6 @@
 	x.progress.end()
 }
 
-// closeBefore has the request's progress closed when too little time for typical work is left before end.
-func (x *exchange) closeBefore(end time.Time) {
-	x.progress.beginStop(end, x.g.routeStats.typicalTime(x.call.route.Key, x.latencyTarget()))
-}
-
 // StopDispatchBefore prepares for a planned stop; end is the earliest time at which the node may end. Shortly before
 // that, each request that no endpoint has is refused as not run: work that is dispatched later would usually be cut off,
 // and another node can still serve the request.
@@ -389,7 +418,7 @@
 	defer g.inFlight.mu.Unlock()
 	g.inFlight.stopAt = end
 	for x := range g.inFlight.all {
-		x.closeBefore(end)
+		x.progress.beginStop(end)
 	}
 }
 
@@ -411,7 +440,7 @@
 	requests := make([]Request, 0, len(g.inFlight.all))
 	for x := range g.inFlight.all {
 		stage, endpoint := x.progress.stage()
-		requests = append(requests, Request{ID: x.call.id, Stage: stage, Endpoint: endpoint, Age: time.Since(x.start)})
+		requests = append(requests, Request{ID: x.call.id, Stage: stage, Endpoint: endpoint, ReadAt: x.start, Age: time.Since(x.start)})
 	}
 	slices.SortFunc(requests, func(a, b Request) int { return cmp.Compare(b.Age, a.Age) })
 	return requests
--- a/node/drawnstop_test.go
+++ b/node/drawnstop_test.go
@@ -7,9 +7,11 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,7 @@
 	"github.com/lynxplank/lynxplank/peer"
 	"github.com/lynxplank/lynxplank/pipeline"
 	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/signals"
 	"github.com/lynxplank/lynxplank/standin/network"
 	"github.com/lynxplank/lynxplank/table"
 	"github.com/lynxplank/lynxplank/upstream"
@@ -45,6 +48,8 @@
 	// shortNoticeDelay is how long after it was sent a node that runs notices a stop signal at the most, longNoticeDelay one that
 	// gets little processor time or is busy with something else.
 	shortNoticeDelay, longNoticeDelay = 250 * time.Millisecond, 4 * time.Second
+	// signalsBlockedBefore is how long before a stop signal the path of signals is blocked at the most.
+	signalsBlockedBefore = 400 * time.Millisecond
 	// callersNode is the index of the node that takes the callers' requests, steadyNode of one that is not stopped.
 	callersNode, steadyNode = 0, 2
 )
@@ -56,6 +61,43 @@
 	signals time.Time
 	killed  bool
 	idle    atomic.Int64
+	path    *signalPath
+	// receiver takes the signals off the path until endSignals is called.
+	receiver   *signals.Receiver
+	endSignals context.CancelFunc
+}
+
+// signalPath is the way of signals to a node. It keeps their order, and lets none through while the node gets no processor time
+// for them.
+type signalPath struct {
+	c chan os.Signal
+
+	mu      sync.Mutex
+	blocked time.Time
+}
+
+func newSignalPath() *signalPath { return &signalPath{c: make(chan os.Signal, 100)} }
+
+// block lets no signal through until a time.
+func (p *signalPath) block(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blocked = until
+}
+
+// send has a signal arrive once the path is free.
+func (p *signalPath) send(s os.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wait := time.Until(p.blocked)
+	if wait <= 0 {
+		p.c <- s
+		return nil
+	}
+	// What waits arrives at one instant: by its number, as the kernel and the runtime do it.
+	number, _ := s.(syscall.Signal)
+	time.AfterFunc(wait+time.Duration(number), func() { p.c <- s })
+	return nil
 }
 
 // stopNetwork is the transport of one node.
@@ -176,7 +218,12 @@
 		Overrun: settings.Duration(time.Second), Notice: settings.Duration(2800 * time.Millisecond),
 	}
 	n := &Node{cfg: cfg, lastRead: cfg, log: &log, kernel: kernel.New(), grace: newGrace(cfg.Stop)}
-	s := &stoppedNode{Node: n, host: host}
+	s := &stoppedNode{Node: n, host: host, path: newSignalPath()}
+	s.receiver = signals.NewReceiverOf(s.path.c, func() error { return s.path.send(syscall.SIGWINCH) })
+	ctx, endSignals := context.WithCancel(context.Background())
+	s.endSignals = endSignals
+	go s.receiver.Run(ctx)
+	n.schedule = newSchedule(cfg.Stop, s.receiver)
 	s.idle.Store(int64(time.Minute))
 	n.pauses = clock.NewPauseMonitor(time.Now, func(clock.Pause) {})
 	m, err := metrics.New()
@@ -196,18 +243,19 @@
 	e := egress.New(egress.Config{
 		Host: name, Hall: "hall-1", Incarnation: incarnation, ProbePath: "/", ProbeInterval: time.Second, KeyWindow: time.Minute,
 		ConvergenceTime: time.Second, KeyBytes: 1 << 20, NestedFirst: true, ReclaimSlots: true,
-	}, &log, state, egress.WithEndpointPool(pool), egress.WithClock(time.Now))
+	}, &log, state, egress.WithEndpointPool(pool), egress.WithClock(time.Now), egress.WithStop(n.schedule))
 	links.Handle(stopHandler{e})
 	view := hostView{self: name, snapshot: snapshot, links: links}
 	dir := director.New(director.Config{Host: name, Hall: "hall-1", HallHosts: func() []string { return snap.HallHosts }}, &log, state,
 		view.draining, view.usable)
 	g := ingress.New(ingress.Config{Host: name, Hall: "hall-1", Incarnation: incarnation, NestedFirst: true}, &log, snapshot, dir, links, e, m,
-		ingress.WithClock(time.Now))
+		ingress.WithClock(time.Now), ingress.WithStop(n.schedule))
 	callers := pipeline.New(Callers, host+":80", func() pipeline.Limits {
 		return pipeline.Limits{
 			HeaderBytes: 4 << 10, BodyBytes: 4 << 10, Conns: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Duration(s.idle.Load()),
 		}
 	}, g, ingress.RefuseUnread(contract.Native{}))
+	callers.StopBy(n.schedule)
 	callers.ListenWith(func(_ context.Context, address string) (pipeline.Listener, error) { return d.net.Listen(address) })
 	for _, c := range []struct {
 		name      string
@@ -223,16 +271,22 @@
 	return s
 }
 
-// stop sends a stop signal, which the node notices a little later, and kills the node when its grace is over.
-func (d *drawnStop) stop(n *stoppedNode, noticed time.Duration) {
+// stop sends a stop signal, which the node receives and then handles a little later, and kills the node when its grace is over.
+// The signals' path is blocked from a little before the signal on.
+func (d *drawnStop) stop(n *stoppedNode, received, handled time.Duration) {
+	n.path.block(time.Now().Add(signalsBlockedBefore + received))
+	time.Sleep(d.draw(0, signalsBlockedBefore))
+	n.path.block(time.Now().Add(received))
 	d.mu.Lock()
 	n.signals = time.Now()
 	d.mu.Unlock()
-	d.notef("%s: stop signal, noticed after %v", n.host, noticed)
+	d.notef("%s: stop signal, received after %v, handled %v later", n.host, received, handled)
+	_ = n.path.send(syscall.SIGTERM)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		time.Sleep(noticed)
+		<-n.receiver.Stops()
+		time.Sleep(handled)
 		_ = n.Stop()
 	}()
 	select {
@@ -304,12 +358,12 @@
 	var stops sync.WaitGroup
 	stops.Go(func() {
 		time.Sleep(at)
-		d.stop(n, d.draw(0, d.maxNoticeDelay))
+		d.stop(n, d.draw(0, d.maxNoticeDelay), d.draw(0, d.maxNoticeDelay/4))
 	})
 	if d.chance(0.7) {
 		stops.Go(func() {
 			time.Sleep(other)
-			d.stop(d.nodes[1], d.draw(0, d.maxNoticeDelay))
+			d.stop(d.nodes[1], d.draw(0, d.maxNoticeDelay), d.draw(0, d.maxNoticeDelay/4))
 		})
 	}
 	disturbing.Go(func() {
@@ -329,6 +383,7 @@
 	cancel()
 	for _, node := range d.nodes {
 		_ = node.kernel.Stop(ctx)
+		node.endSignals()
 	}
 	// What runs on timers ends with its next one.
 	time.Sleep(time.Minute)
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/serve"
 	"github.com/lynxplank/lynxplank/settings"
+	"github.com/lynxplank/lynxplank/shutdown"
 	"github.com/lynxplank/lynxplank/skipped"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -84,8 +85,10 @@
 	lastRead    settings.Daemon
 	reloadError string
 	level       levelHook
-	// stopping is true once the planned stop has begun.
-	stopping atomic.Bool
+	// schedule holds the times of the planned stop.
+	schedule *shutdown.Schedule
+	// signals tells of the stop signals, nil if Stop alone begins a planned stop.
+	signals shutdown.Signals
 	// grace tracks the time limits of the planned stop.
 	grace *grace
 	// pauses detects when the process did not run.
@@ -110,14 +113,24 @@
 	}
 }
 
+// Option configures a node.
+type Option func(*Node)
+
+// WithSignals has a planned stop begin with the first stop signal of s, at the latest with Stop.
+func WithSignals(s shutdown.Signals) Option { return func(n *Node) { n.signals = s } }
+
 // New creates a node and its components; nothing runs or listens before Start.
-func New(cfg settings.Daemon, out io.Writer) (*Node, error) {
+func New(cfg settings.Daemon, out io.Writer, opts ...Option) (*Node, error) {
 	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadSetting, "log.level", "unknown log level")
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	n := &Node{cfg: cfg, lastRead: cfg, out: out, kernel: kernel.New(), grace: newGrace(cfg.Stop)}
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.schedule = newSchedule(cfg.Stop, n.signals)
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
@@ -174,6 +187,7 @@
 	}, n.log, client, links, follower.Snapshot)
 	egressOptions := []egress.Option{
 		egress.WithCrashTracker(tracker), egress.WithBudget(n.budget), egress.WithPeers(), egress.WithReceiptDelay(n.pauses.ReceiptDelay),
+		egress.WithStop(n.schedule),
 	}
 	limits = ratelimit.New(n.rateLimitConfig(), n.log, follower.Snapshot, links, m)
 	follower.SetSelfAnnouncement(n.announceConfig(incarnation).Host)
@@ -189,7 +203,7 @@
 	e = egress.New(n.egressConfig(incarnation), n.log, follower.State, egressOptions...)
 	links.Handle(handler{Egress: e, follower: follower, limits: limits, tracker: tracker})
 	g := ingress.New(n.ingressConfig(incarnation), n.log, follower.Snapshot, d, links, e, m, ingress.WithNewestConfigCheck(follower.Confirm),
-		ingress.WithLimits(limits), ingress.WithCrashCounter(tracker), ingress.WithBudget(n.budget))
+		ingress.WithLimits(limits), ingress.WithCrashCounter(tracker), ingress.WithBudget(n.budget), ingress.WithStop(n.schedule))
 	n.kernel.Register(Announcer, a)
 	n.kernel.Register(Keeper, tracker)
 	n.kernel.Register(Reaper, announce.NewReaper(n.cfg.Node.ID, n.cfg.Peers.GoneAfter.Std(), n.cfg.Platform.Timeout.Std(),
@@ -226,13 +240,14 @@
 	callers := pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
 		ingress.RefuseUnread(n.contract()))
 	callers.ReserveBodies(func(h http.Header) *memory.Reservation { return n.budget.NewReservation(g.CustomerOf(h)) })
+	callers.StopBy(n.schedule)
 	callers.OnPanic(func(value any, stack []byte) {
 		events.HandlerPanicked.Log(n.log).Any("value", value).Bytes("stack", stack).Send()
 	})
 	n.kernel.Register(Callers, callers)
 	if n.cfg.Readiness.Listen.IsValid() {
 		n.kernel.Register(Readiness, serve.New(Readiness, n.cfg.Readiness.Listen.AddrPort,
-			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.stopping.Load() }),
+			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.schedule.Begun() }),
 				rest.Route{Method: http.MethodGet, Path: operator.PathMetrics, Handler: m.Handler().ServeHTTP})))
 	}
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -26,41 +26,41 @@
 	// maxTime is how long the node finishes work at the most, unless it is killed earlier.
 	maxTime time.Duration
 
-	mu sync.Mutex
-	// plan counts from the first stop signal, as the node may be killed when the grace of that signal is over.
-	plan  shutdown.Plan
+	mu    sync.Mutex
 	timer *time.Timer
 }
 
 func newGrace(cfg settings.Stop) *grace {
-	return &grace{
-		maxTime: cfg.Grace.Std() + cfg.Overrun.Std(), plan: shutdown.NewPlan(cfg.Grace.Std()-cfg.Margin.Std(), cfg.Notice.Std()),
-	}
+	return &grace{maxTime: cfg.Grace.Std() + cfg.Overrun.Std()}
+}
+
+// newSchedule returns the schedule of a node's planned stop. It counts from the first stop signal, as the node may be killed when
+// the grace of that signal is over.
+func newSchedule(cfg settings.Stop, s shutdown.Signals) *shutdown.Schedule {
+	return shutdown.NewSchedule(shutdown.NewPlan(cfg.Grace.Std(), cfg.Margin.Std(), cfg.Notice.Std()), s)
 }
 
-// begin starts the planned stop's clock and returns its plan, and a context that is canceled after maxTime. The stop signal may
-// have been sent signalAge ago.
-func (g *grace) begin(signalAge time.Duration) (shutdown.Plan, context.Context, context.CancelFunc) {
+// begin returns a context that is canceled after maxTime.
+func (g *grace) begin() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plan = g.plan.WithSignal(time.Now(), signalAge)
 	g.timer = time.AfterFunc(g.maxTime, cancel)
-	return g.plan, ctx, cancel
+	return ctx, cancel
 }
 
-// renew lets maxTime count from now and returns how long ago the first stop signal was sent, false if there was none.
+// renew lets maxTime count from now; it returns false if the stop has not begun.
 //
 // The sender of a repeated stop signal waits for the whole grace period again. A stop that counted from the first signal
 // alone would cut off requests that still have time.
-func (g *grace) renew() (time.Duration, bool) {
+func (g *grace) renew() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.timer == nil {
-		return 0, false
+		return false
 	}
 	g.timer.Reset(g.maxTime)
-	return time.Since(g.plan.SignaledAt()), true
+	return true
 }
 
 // Stop runs the planned stop. The node closes each caller's connection with its next answer and serves as before for the
@@ -76,11 +76,11 @@
 // the start of the stop, a rolling restart of a third of a fleet took 4 of 10 healthy endpoints out of use for two seconds.
 func (n *Node) Stop() error {
 	start := time.Now()
-	signalAge := n.pauses.SignalAge()
-	plan, ctx, cancel := n.grace.begin(signalAge)
+	plan := n.schedule.Begin()
+	ctx, cancel := n.grace.begin()
 	defer cancel()
-	n.stopping.Store(true)
-	events.NodeStopping.Log(n.log).Dur("signal_age", signalAge).Send()
+	events.NodeStopping.Log(n.log).Dur("signal_age", start.Sub(plan.SignaledAt())).Dur("received_ago", start.Sub(plan.ReceivedAt())).
+		Time("notice_end", plan.NoticeEnd()).Send()
 	callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers)
 	if err != nil {
 		return err
@@ -112,8 +112,8 @@
 // RestartGrace handles a repeated stop signal: a planned stop that has begun gets the whole grace and overrun again. It
 // resumes nothing that has already ended.
 func (n *Node) RestartGrace() {
-	if after, begun := n.grace.renew(); begun {
-		events.StopRepeated.Log(n.log).Dur("after", after).Send()
+	if plan, begun := n.schedule.Plan(); begun && n.grace.renew() {
+		events.StopRepeated.Log(n.log).Dur("after", time.Since(plan.SignaledAt())).Send()
 	}
 }
 
@@ -193,7 +193,7 @@
 			continue
 		}
 		reported = true
-		if err := n.reportOutlasting(callers, g); err != nil {
+		if err := n.reportOutlasting(plan, callers, g); err != nil {
 			return err
 		}
 	}
@@ -208,7 +208,7 @@
 )
 
 // reportOutlasting logs and counts the callers' requests that are still in flight at the guaranteed end.
-func (n *Node) reportOutlasting(callers *pipeline.Server, g *ingress.Ingress) error {
+func (n *Node) reportOutlasting(plan shutdown.Plan, callers *pipeline.Server, g *ingress.Ingress) error {
 	m, err := kernel.Lookup[*metrics.Metrics](n.kernel, Metrics)
 	if err != nil {
 		return err
@@ -225,7 +225,7 @@
 		}
 		m.StopOutlasted(string(r.Stage), 1)
 		events.RequestOutlasts.Log(n.log).Str("request", r.ID).Str("stage", string(r.Stage)).Str("endpoint", r.Endpoint).
-			Dur("after", r.Age).Send()
+			Dur("after", r.Age).Dur("read_after_signal", r.ReadAt.Sub(plan.SignaledAt())).Send()
 	}
 	if behind := callers.Unstarted(); behind > 0 {
 		m.StopOutlasted(stageBehind, int64(behind))
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -112,7 +112,7 @@
 	}
 	req, reservation, status, bad := c.readRequest(limits)
 	c.endReading()
-	if bad == nil && c.s.refusing.Load() || status == http.StatusRequestTimeout && c.finishing() {
+	if bad == nil && !c.s.accepts(c.ctx, time.Now()) || status == http.StatusRequestTimeout && c.finishing() {
 		reservation.Release()
 		status, bad = http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping")
 	}
@@ -328,7 +328,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.begun = true
-	if wantsClose || x.req.Close || c.s.draining.Load() && len(c.pending) == 1 {
+	if wantsClose || x.req.Close || c.s.isDraining() && len(c.pending) == 1 {
 		c.closing = true
 	}
 	return c.closing
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -120,7 +120,7 @@
 	x.c.mu.Lock()
 	defer x.c.mu.Unlock()
 	x.blocked = blocked
-	if blocked && x.c.s.releasing.Load() {
+	if blocked && x.c.s.isReleasing() {
 		x.c.releaseBlockedLocked()
 	}
 }
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/memory"
+	"github.com/lynxplank/lynxplank/shutdown"
 )
 
 // fixture is a server whose handler's behavior depends on the request's path, and the connection of one caller.
@@ -29,6 +30,7 @@
 	began    chan string
 	canceled chan string
 	budget   *memory.Budget
+	schedule *shutdown.Schedule
 }
 
 func (f *fixture) gate(name string) chan struct{} {
@@ -81,6 +83,8 @@
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, string(err.Code))
 	})
+	f.schedule = shutdown.NewSchedule(shutdown.NewPlan(600*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond), nil)
+	f.server.StopBy(f.schedule)
 	f.budget = memory.New(1 << 20)
 	f.server.ReserveBodies(func(h http.Header) *memory.Reservation {
 		f.mu.Lock()
@@ -122,6 +126,7 @@
 //	refuse          refuses every request that is read from now on
 //	blocked n=N     waits until the answers of N requests wait for earlier ones
 //	release         ends the requests that hold up such answers
+//	stop [until=P]  begins a planned stop by the clock, and waits until a point of it: "notice" or "settled"
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		f := start(t)
@@ -177,6 +182,10 @@
 		return fmt.Sprintf("%d\n", f.budget.Usage().Used)
 	case "refuse":
 		f.server.Refuse()
+	case "stop":
+		plan, until := f.schedule.Begin(), ""
+		d.MaybeScanArgs(t, "until", &until)
+		time.Sleep(time.Until(map[string]time.Time{"notice": plan.NoticeEnd(), "settled": plan.SettleAt()}[until]))
 	case "release":
 		f.server.ReleaseBlocked()
 	case "drain":
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -11,6 +11,7 @@
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/inflight"
 	"github.com/lynxplank/lynxplank/memory"
+	"github.com/lynxplank/lynxplank/shutdown"
 )
 
 // Limits bound the requests and connections that the server accepts from callers. They may change while it runs.
@@ -53,6 +54,8 @@
 	draining atomic.Bool
 	refusing atomic.Bool
 	stopping atomic.Bool
+	// stop is the schedule of the node's planned stop, nil for none.
+	stop *shutdown.Schedule
 	// releasing is set once no answer that is ready may wait for one that is not.
 	releasing atomic.Bool
 	// acceptDone is closed once the listener is closed and accepts nothing more.
@@ -83,6 +86,10 @@
 // body is taken. A request whose stated body length does not fit is refused before its body is read. Call it before Start.
 func (s *Server) ReserveBodies(f func(h http.Header) *memory.Reservation) { s.reserveBody = f }
 
+// StopBy has the server drain, refuse and release by the bounds of a planned stop, also while nobody calls Drain, Refuse and
+// ReleaseBlocked; call it before Start.
+func (s *Server) StopBy(schedule *shutdown.Schedule) { s.stop = schedule }
+
 // Start begins to listen. It fails with Unavailable when the address cannot be bound.
 func (s *Server) Start(ctx context.Context) error {
 	l, err := s.listen(ctx, s.address)
@@ -180,6 +187,14 @@
 	}
 }
 
+func (s *Server) isDraining() bool  { return s.draining.Load() || s.stop.Begun() }
+func (s *Server) isReleasing() bool { return s.releasing.Load() || s.stop.Settled() }
+
+// accepts reports whether a request that was read at a time is passed to the handler.
+func (s *Server) accepts(ctx context.Context, readAt time.Time) bool {
+	return !s.refusing.Load() && s.stop.Accepts(ctx, readAt)
+}
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -13,27 +13,42 @@
 func TestMain(m *testing.M) { testseed.Main(m) }
 
 // TestPlanCountsFromSignal draws stops whose signal was sent some time ago: nothing ends later than it would have if the signal had
-// been noticed at once, but for a notice that is over.
+// been noticed at once, but for a notice that is over; and none is open in the later half of the grace.
 func TestPlanCountsFromSignal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		millis := func(name string, least, most int64) time.Duration {
 			return time.Duration(rapid.Int64Range(least, most).Draw(t, name)) * time.Millisecond
 		}
-		guaranteed := millis("guaranteed", 1, 60_000)
+		grace := millis("grace", 1, 60_000)
+		margin := min(millis("margin", 0, 60_000), grace-time.Millisecond)
+		guaranteed := grace - margin
 		notice := min(millis("notice", 0, 60_000), guaranteed)
 		age := millis("age", 0, 90_000)
 		now := time.Unix(1000, 0)
 		sent := now.Add(-age)
-		p := NewPlan(guaranteed, notice).WithSignal(now, age)
-		if got, want := p.GuaranteedEnd(), sent.Add(guaranteed); !got.Equal(want) {
-			t.Errorf("guaranteed end: got %v, want %v", got, want)
+		p := NewPlan(grace, margin, notice).WithSignal(now, age)
+		end := sent.Add(guaranteed)
+		if got, most := p.GuaranteedEnd(), end.Add(margin/2); got.Before(end) || got.After(most) {
+			t.Errorf("guaranteed end: got %v, want it from %v to %v", got, end, most)
 		}
-		if got, want := p.SettleAt(), sent.Add(guaranteed-settleLead); !got.Equal(want) {
+		// The signal may have been sent at any time up to now, so that work ends too early by what is before that.
+		if got, early := p.SettleAt(), now.Add(grace*5/6); got.Before(early) && p.GuaranteedEnd().Before(end.Add(margin/2)) && age > 0 &&
+			guaranteed-settleLead >= grace*5/6 {
+			t.Errorf("settling: got %v, want it at %v, as the margin allows", got, early)
+		}
+		if got, want := p.SettleAt(), p.GuaranteedEnd().Add(-settleLead); !got.Equal(want) {
 			t.Errorf("settling: got %v, want %v", got, want)
 		}
-		if got, latest := p.NoticeEnd(), now.Add(notice); got.Before(now) || got.After(latest) {
+		if at := NewPlan(grace, margin, notice).WithSignal(now, 0); !at.GuaranteedEnd().Equal(now.Add(guaranteed)) {
+			t.Errorf("guaranteed end of a signal noticed at once: got %v, want %v", at.GuaranteedEnd(), now.Add(guaranteed))
+		}
+		intakeEnd := sent.Add(grace / 2)
+		if got, latest := p.NoticeEnd(), now.Add(notice); got.Before(now) && got.Before(intakeEnd) || got.After(latest) {
 			t.Errorf("end of the notice: got %v, want it from %v to %v", got, now, latest)
 		}
+		if got, want := p.NoticeEnd(), intakeEnd; got.After(want) {
+			t.Errorf("end of the notice: got %v, want it within half of the grace, %v", got, want)
+		}
 		if got := p.NoticeEnd(); age < guaranteed && got.After(p.GuaranteedEnd()) {
 			t.Errorf("end of the notice: got %v, want it before the guaranteed end %v", got, p.GuaranteedEnd())
 		}
