A stop's read deadline does not end the lingering that begins as it passes

What callers would see: the last answer of a connection reset before it was read (read in the code, design 0024; never seen).

Cause: the reader that a passed deadline wakes asked whether the connection lingers, and took a yes for the end of the lingering, which may have begun since. Now the end of the lingering is a time that it compares with the clock.

TestEarlierDeadlineEndsNoLingering: lingered for 0 s before, 0.5 s now.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -41,8 +41,9 @@
 	lastAnswered time.Time
 	// closing is set once the answer that closes the connection has been started, or the connection has been closed.
 	closing bool
-	// lingers is set once the connection only waits for its caller to close it.
-	lingers bool
+	// lingers is set once the connection only waits, until lingerEnd, for its caller to close it.
+	lingers   bool
+	lingerEnd time.Time
 	// reading is set while a request is being read.
 	reading bool
 	// finishBy is the time by which the request that is being read must be whole, zero while the server does not stop.
@@ -83,7 +84,7 @@
 	for {
 		c.clearReadDeadline()
 		_, err := io.Copy(io.Discard, c.raw)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isLingering() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.hasLingered() {
 			return
 		}
 	}
@@ -98,10 +99,11 @@
 	}
 }
 
-func (c *conn) isLingering() bool {
+// hasLingered reports whether the connection has lingered long enough. An earlier deadline may pass as the lingering begins.
+func (c *conn) hasLingered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lingers
+	return c.lingers && !time.Now().Before(c.lingerEnd)
 }
 
 // serveNext reads one request and dispatches it to the handler. It returns false when the connection accepts no more.
@@ -343,8 +345,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The goroutine that reads closes the connection at this deadline at the latest.
-	c.lingers = true
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.lingers, c.lingerEnd = true, time.Now().Add(lingerTimeout)
+	_ = c.raw.SetReadDeadline(c.lingerEnd)
 }
 
 // setReadDeadline sets the read deadline, unless the connection is lingering: it then has its final deadline. While the
--- a/pipeline/stop_test.go
+++ b/pipeline/stop_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
@@ -269,3 +271,42 @@
 	close(gate)
 	checkAnswers(t, conns, http.StatusOK)
 }
+
+// lateDeadlineConn is a connection on which the deadline of an earlier read passes as the lingering begins.
+type lateDeadlineConn struct {
+	net.Conn
+	c        *conn
+	reads    int
+	deadline time.Time
+}
+
+// Read implements net.Conn.
+func (l *lateDeadlineConn) Read([]byte) (int, error) {
+	if l.reads++; l.reads == 1 {
+		l.c.linger()
+	} else {
+		time.Sleep(time.Until(l.deadline))
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// SetReadDeadline implements net.Conn.
+func (l *lateDeadlineConn) SetReadDeadline(at time.Time) error {
+	l.deadline = at
+	return nil
+}
+
+// TestEarlierDeadlineEndsNoLingering guards against last answers that are lost because the connection is closed as its lingering
+// begins, by a read deadline that a stop has set before.
+func TestEarlierDeadlineEndsNoLingering(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		raw := new(lateDeadlineConn)
+		c := newConn(new(Server), raw)
+		raw.c = c
+		begin := time.Now()
+		c.discardRest()
+		if got, want := time.Since(begin), lingerTimeout; got != want {
+			t.Errorf("lingered for %v, want %v", got, want)
+		}
+	})
+}
