A node that ends waits for peers with little processor time to read its answers

Cause: peers had 0.25 s to read their last answers and close their links. It is four heartbeats now, up to 2 s; peers that run close their links at once, as before.

--- a/peer/manager.go
+++ b/peer/manager.go
@@ -56,9 +56,10 @@
 	// because yamux closes the session after it, which must not cut exchanges that a frozen peer may still answer.
 	streamOpenTimeout = 30 * time.Second
 	// drainBeats is the number of heartbeat intervals that peers have, when this node stops, to read their last answers
-	// and close their links; maxDrainWait bounds that time. An answer takes a few round trips at most.
+	// and close their links; maxDrainWait bounds that time. An answer takes a few round trips at most, and a peer with little
+	// processor time needs longer to read it.
 	drainBeats   = 4
-	maxDrainWait = 250 * time.Millisecond
+	maxDrainWait = 2 * time.Second
 	// closePollInterval is the time between two checks whether the peers have closed their links.
 	closePollInterval = time.Millisecond
 )
