Soak: stops of nodes with little processor time, beside callers whose connections lie idle

-scarce N draws N planned stops of nodes whose processes run for a sixth of each period (0.1 to 1.4 s, by SIGSTOP and SIGCONT, as a limit of processor time does), from before their signals until their ends, with the proportions of the template's stop settings and three spells of slow work each. Twenty callers for each node send lookups one at a time on kept connections that lie idle for 1 to 3.5 s in between. The verdict of all stops asks more: a request that was sent in the later half of the grace and that an endpoint got may not be closed without an answer.

TestHeldAnswersAreFound counts its requests from a stop with the soak's own grace.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -31,6 +31,7 @@
 	silences := flag.Int("silences", 0, "times in which open connections go silent without a reset")
 	hangs := flag.Int("hangs", 0, "times in which endpoints hang by spells and requests give up their slots")
 	leaves := flag.Int("leaves", 0, "times in which endpoints, which announce themselves then, leave around ends of their nodes")
+	scarce := flag.Int("scarce", 0, "planned stops of nodes that have a sixth of a processor, beside callers whose kept connections lie idle")
 	ahead := flag.Int("ahead", 0, "callers that send lookups ahead on kept connections, whose reads time out while requests are under way")
 	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
@@ -41,7 +42,7 @@
 		cfg := soak.Config{
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
-			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Leaves: *leaves, Ahead: *ahead, Calm: *calm,
+			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Leaves: *leaves, Ahead: *ahead, Scarce: *scarce, Calm: *calm,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
--- a/demo/ahead.go
+++ b/demo/ahead.go
@@ -21,16 +21,30 @@
 	mostAhead = 5
 	// aheadPause is the longest pause between two batches.
 	aheadPause = 200 * time.Millisecond
+	// shortestIdle and longestIdle bound the pauses between the requests of a caller whose connection lies idle.
+	shortestIdle, longestIdle = time.Second, 3500 * time.Millisecond
 )
 
 // RunAhead has a number of callers send lookups ahead on kept connections until ctx ends: several before the first is answered.
 // Nothing is sent again.
 func (l *Load) RunAhead(ctx context.Context, callers int) {
+	l.runKept(ctx, callers, keptCaller{l: l, name: l.Mark + "ahead-", most: mostAhead, longest: aheadPause})
+}
+
+// RunIdle has a number of callers send lookups one at a time on kept connections, which lie idle for seconds in between, until ctx
+// ends. Nothing is sent again.
+func (l *Load) RunIdle(ctx context.Context, callers int) {
+	l.runKept(ctx, callers, keptCaller{l: l, name: l.Mark + "idle-", most: 1, shortest: shortestIdle, longest: longestIdle})
+}
+
+// runKept runs callers of one kind, each with a number, until ctx ends.
+func (l *Load) runKept(ctx context.Context, callers int, kind keptCaller) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for i := range callers {
 		wg.Go(func() {
-			c := &aheadCaller{l: l, name: l.Mark + "ahead-" + strconv.Itoa(i) + "-", random: rand.New(rand.NewPCG(uint64(i), 0))} //nolint:gosec // a number
+			c := kind
+			c.name, c.random = kind.name+strconv.Itoa(i)+"-", rand.New(rand.NewPCG(uint64(i), 0)) //nolint:gosec // a number
 			for ctx.Err() == nil {
 				c.connect(ctx, l.targets[c.random.IntN(len(l.targets))])
 			}
@@ -38,16 +52,27 @@
 	}
 }
 
-// aheadCaller is one caller of RunAhead.
-type aheadCaller struct {
-	l      *Load
-	name   string
-	random *rand.Rand
-	count  int
+// keptCaller is one caller of RunAhead or RunIdle: it sends up to most lookups before it reads an answer, and pauses between two
+// such batches.
+type keptCaller struct {
+	l                 *Load
+	name              string
+	most              int
+	shortest, longest time.Duration
+	random            *rand.Rand
+	count             int
+}
+
+// pause waits before the next batch.
+func (c *keptCaller) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(c.shortest + time.Duration(c.random.Int64N(int64(c.longest-c.shortest)))):
+	}
 }
 
 // connect sends batches on one connection until it is of no more use.
-func (c *aheadCaller) connect(ctx context.Context, target string) {
+func (c *keptCaller) connect(ctx context.Context, target string) {
 	dialer := net.Dialer{Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp", target)
 	if err != nil {
@@ -56,14 +81,14 @@
 	}
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
-	for open := true; open && ctx.Err() == nil; time.Sleep(time.Duration(c.random.Int64N(int64(aheadPause)))) {
+	for open := true; open && ctx.Err() == nil; c.pause(ctx) {
 		open = c.batch(conn, in, target)
 	}
 }
 
 // batch sends some lookups, reads their answers and returns whether the connection stays open.
-func (c *aheadCaller) batch(conn net.Conn, in *bufio.Reader, target string) bool {
-	list := make([]Result, 1+c.random.IntN(mostAhead))
+func (c *keptCaller) batch(conn net.Conn, in *bufio.Reader, target string) bool {
+	list := make([]Result, 1+c.random.IntN(c.most))
 	sent := time.Now()
 	for i := range list {
 		c.count++
@@ -94,7 +119,7 @@
 }
 
 // closed notes requests whose connection was closed without their whole answers; partial is set if a part of the first one's had come.
-func (c *aheadCaller) closed(list []Result, target string, wrote time.Time, partial bool) (open bool) {
+func (c *keptCaller) closed(list []Result, target string, wrote time.Time, partial bool) (open bool) {
 	for i, r := range list {
 		first := ""
 		if i > 0 {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -326,6 +326,37 @@
 // Signal sends a signal to a member's node and does not wait for its end.
 func (m *Member) Signal(sig syscall.Signal) error { return m.node.cmd.Process.Signal(sig) }
 
+// Throttle lets the node's process run for a part of each period only, as a limit of its processor time does, until stop is called
+// or the process has ended.
+func (m *Member) Throttle(period, runs time.Duration) (stop func()) {
+	p, done := m.node.cmd.Process, make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		wait := func(d time.Duration) (open bool) {
+			select {
+			case <-done:
+				return false
+			case <-time.After(d):
+				return true
+			}
+		}
+		for open := true; open; {
+			if p.Signal(syscall.SIGSTOP) != nil {
+				return
+			}
+			open = wait(period - runs)
+			if p.Signal(syscall.SIGCONT) != nil {
+				return
+			}
+			open = open && wait(runs)
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
 // Ended waits for the end of a member's node and tells whether it came within a limit, with an error unless the node exited with 0.
 func (m *Member) Ended(limit time.Duration) (bool, error) {
 	select {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,8 @@
 	Hangs int
 	// Leaves is how often an endpoint leaves around ends of its node; the endpoints announce themselves then.
 	Leaves int
+	// Scarce is how many planned stops nodes with little processor time get, beside callers whose connections lie idle.
+	Scarce int
 	// Ahead is how many callers send lookups ahead on kept connections, with an idle timeout that is shorter than slow work.
 	Ahead int
 	// Calm leaves out the faults that Plan draws.
@@ -112,7 +114,10 @@
 
 func settingsOf(cfg Config) string {
 	settings := nodeSettings
-	if cfg.Stops+cfg.Suspensions > 0 {
+	switch {
+	case cfg.Scarce > 0:
+		settings = scarceSettings
+	case cfg.Stops+cfg.Suspensions > 0:
 		settings = stopSettings
 	}
 	switch {
@@ -147,6 +152,7 @@
 	}
 	r.plan = append(r.plan, PlanStops(cfg.Seed, cfg.Members, cfg.Stops, cfg.Length)...)
 	r.plan = append(r.plan, PlanSuspensions(cfg.Seed, cfg.Members, cfg.Suspensions, cfg.Length)...)
+	r.plan = append(r.plan, PlanScarce(cfg.Seed, cfg.Members, cfg.Scarce, cfg.Length)...)
 	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
 	r.plan = append(r.plan, PlanSilences(cfg.Seed, cfg.Members, cfg.Silences, cfg.Length)...)
 	r.plan = append(r.plan, PlanHangs(cfg.Seed, cfg.Members, cfg.Hangs, cfg.Length)...)
@@ -213,7 +219,7 @@
 		targets = append(targets, m.Callers)
 	}
 	load := demo.NewLoad(targets)
-	if r.cfg.Stops+r.cfg.Suspensions > 0 {
+	if r.cfg.Stops+r.cfg.Suspensions+r.cfg.Scarce > 0 {
 		load.Deadline = stopDeadline
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -223,6 +229,9 @@
 	if r.cfg.Ahead > 0 {
 		callers.Go(func() { load.RunAhead(ctx, r.cfg.Ahead) })
 	}
+	if r.cfg.Scarce > 0 {
+		callers.Go(func() { load.RunIdle(ctx, idleCallers*r.cfg.Members) })
+	}
 	for i := range r.cfg.Fatal {
 		callers.Go(func() { r.sendFatal(ctx, i, targets) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,15 +50,15 @@
 			continue
 		}
 		var seed uint64
-		var members, seconds, rate, fatal, stops, suspensions, rates, silences, calm, hangs, leaves, ahead int
-		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal, &stops, &suspensions, &rates, &silences, &calm, &hangs, &leaves, &ahead); n < 4 {
+		var members, seconds, rate, fatal, stops, suspensions, rates, silences, calm, hangs, leaves, ahead, scarce int
+		if n, err := fmt.Sscan(text, &seed, &members, &seconds, &rate, &fatal, &stops, &suspensions, &rates, &silences, &calm, &hangs, &leaves, &ahead, &scarce); n < 4 {
 			t.Fatalf("%q: %v", text, err)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(Config{
 				Bin: binaries, Dir: t.TempDir(), Seed: seed, Members: members, Halls: 2,
 				Length: time.Duration(seconds) * time.Second, Rate: rate, Fatal: fatal, Stops: stops, Suspensions: suspensions, Rates: rates,
-				Silences: silences, Calm: calm > 0, Hangs: hangs, Leaves: leaves, Ahead: ahead,
+				Silences: silences, Calm: calm > 0, Hangs: hangs, Leaves: leaves, Ahead: ahead, Scarce: scarce,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -20,6 +20,15 @@
 	// stopGrace is how long after a signal a node is killed, stopSettings what the nodes know of it.
 	stopGrace    = 3 * time.Second
 	stopSettings = "stop: {grace: 3s, margin: 300ms, notice: 500ms}\n"
+	// scarceSettings has the proportions of deploy/node.yaml.tmpl.
+	scarceSettings = "stop: {grace: 3s, margin: 300ms, notice: 1400ms}\n"
+	// scarceShare is the part of its processor time that a node with little has, in slices of between shortestPeriod and longestPeriod.
+	scarceShare                   = 6
+	shortestPeriod, longestPeriod = 100 * time.Millisecond, 1400 * time.Millisecond
+	// idleCallers is how many callers there are for each node whose kept connections lie idle.
+	idleCallers = 20
+	// slowSpells is how many spells of slow work come with each of these stops.
+	slowSpells = 3
 	// stopDeadline is that of the callers' requests: some outlast the grace.
 	stopDeadline = "8s"
 	// mostSignals bounds the signals of a series, mostGap the time between two.
@@ -33,7 +42,7 @@
 	// stacksTime is how long a node may take to write its stacks.
 	stacksTime = 300 * time.Millisecond
 	// stopsSeed and suspensionsSeed keep these draws apart from those of Plan and from each other.
-	stopsSeed, suspensionsSeed = 1 << 41, 1 << 42
+	stopsSeed, suspensionsSeed, scarceSeed = 1 << 41, 1 << 42, 1 << 43
 	// latestSuspension is how long after its stop signal a node is suspended at the most, longestSuspension for how long.
 	latestSuspension, longestSuspension = 700 * time.Millisecond, 2 * time.Second
 )
@@ -54,6 +63,9 @@
 	FromLast bool
 	// Again is how long after its start the node is stopped once more, 0 for never; it may not listen yet.
 	Again time.Duration
+	// Scarce is how long before the first signal the node begins to have little processor time, until it ends; 0 for never. It then
+	// runs for a part of each Period only.
+	Scarce, Period time.Duration
 }
 
 // PlanStops draws n series of signals and as many spells of slow work, without changing what Plan draws.
@@ -61,9 +73,7 @@
 	r := rand.New(rand.NewPCG(seed, stopsSeed+uint64(members))) //nolint:gosec // seeded on purpose
 	plan := make([]Action, 0, 2*n)
 	for range n {
-		slow := draw(r, members, length)
-		slow.Kind, slow.For = Endpoint, slow.For+stopGrace
-		slow.Behaviour = backend.Behaviour{WorkMillis: normalWork, SlowFactor: float64(r.IntN(slowest))}
+		slow := slowSpell(r, members, length)
 		stop := draw(r, members, length)
 		stop.Kind, stop.Series = StopSeries, drawSeries(r)
 		plan = append(plan, slow, stop)
@@ -87,6 +97,33 @@
 	return plan
 }
 
+// PlanScarce draws n planned stops of nodes that have little processor time, and as many spells of slow work.
+func PlanScarce(seed uint64, members, n int, length time.Duration) []Action {
+	r := rand.New(rand.NewPCG(seed, scarceSeed+uint64(members))) //nolint:gosec // seeded on purpose
+	plan := make([]Action, 0, (1+slowSpells)*n)
+	for range n {
+		stop := draw(r, members, length)
+		stop.Kind = StopSeries
+		period := shortestPeriod + time.Duration(r.Int64N(int64(longestPeriod-shortestPeriod)))
+		stop.Series = Series{
+			Signals: []Signal{{Number: syscall.SIGTERM}}, Period: period, Scarce: time.Duration(1 + r.Int64N(int64(period))),
+		}
+		plan = append(plan, stop)
+		for range slowSpells {
+			plan = append(plan, slowSpell(r, members, length))
+		}
+	}
+	return plan
+}
+
+// slowSpell draws a spell in which the work of an endpoint may outlast the grace of its callers' nodes.
+func slowSpell(r *rand.Rand, members int, length time.Duration) Action {
+	slow := draw(r, members, length)
+	slow.Kind, slow.For = Endpoint, slow.For+stopGrace
+	slow.Behaviour = backend.Behaviour{WorkMillis: normalWork, SlowFactor: float64(r.IntN(slowest))}
+	return slow
+}
+
 // drawSeries draws a series with at least one signal to stop.
 func drawSeries(r *rand.Rand) Series {
 	s := Series{FromLast: r.IntN(2) == 0}
@@ -146,6 +183,10 @@
 	var from, kill time.Time
 	var sent []string
 	ended, suspended := false, false
+	if a.Series.Scarce > 0 {
+		defer m.Throttle(a.Series.Period, a.Series.Period/scarceShare)()
+		time.Sleep(a.Series.Scarce)
+	}
 	for _, s := range a.Series.Signals {
 		pause := s.After
 		if !kill.IsZero() {
@@ -171,6 +212,7 @@
 			kill = time.Now().Add(stopGrace)
 		}
 	}
+	suspended = suspended || a.Series.Period > crossing/2
 	stop := stopped{on: a.On, from: from, suspended: suspended}
 	if !ended && !r.ended(m, time.Until(kill)) {
 		stop.kill = time.Now()
@@ -208,7 +250,7 @@
 }
 
 // judgeStops looks for connections that a stopping node closed without an answer: one that was not killed may close none, and one that was only
-// those of requests that an endpoint had, and had not answered some time before the kill. The time counts from when the request was written:
+// those of requests that an endpoint had, and had not answered some time before the kill, and that were sent in the first half of the grace. The time counts from when the request was written:
 // callers share this machine, and a caller that gets no CPU writes its request long after it began to send it.
 func (r *run) judgeStops() {
 	for _, result := range r.report.Results {
@@ -237,6 +279,8 @@
 		// The caller can tell that it has not run, as no answer before it came.
 	case started == 0:
 		return "and no endpoint had it"
+	case c.Sent.After(s.from.Add(stopGrace / 2)):
+		return fmt.Sprintf("which had taken it %v after its signal", c.Sent.Sub(s.from))
 	case answered && !s.suspended && s.kill.Sub(at) >= crossing:
 		return fmt.Sprintf("%v before its kill its endpoint had answered", s.kill.Sub(at))
 	}
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"strings"
 	"testing"
 	"time"
@@ -46,8 +47,10 @@
 	for _, c := range []struct {
 		name string
 		// finished is how long before the kill the endpoint had answered; started is how often it had begun.
-		finished          time.Duration
-		started           int
+		finished time.Duration
+		started  int
+		// sent is how long before the kill the request was sent.
+		sent              time.Duration
 		behind, suspended bool
 		// halved is set if an endpoint broke off its answer to the first request on the connection, partial if a part of that had come.
 		halved, partial bool
@@ -55,6 +58,8 @@
 	}{
 		{name: "answered long before the kill", finished: crossing, started: 1, broken: true},
 		{name: "answered just before the kill", finished: crossing - time.Millisecond, started: 1},
+		{name: "sent in the later half of the grace", sent: stopGrace/2 - time.Millisecond, finished: time.Millisecond, started: 1, broken: true},
+		{name: "sent at half of the grace", sent: stopGrace / 2, finished: time.Millisecond, started: 1},
 		{name: "at work once more", finished: crossing, started: 2},
 		{name: "answered, the node was suspended", finished: crossing, started: 1, suspended: true},
 		{name: "never begun", broken: true},
@@ -67,9 +72,9 @@
 	} {
 		r := &run{
 			fleet: &demo.Fleet{Members: []*demo.Member{{Host: "h1", Callers: "127.0.0.1:1"}}},
-			stops: []stopped{{from: kill.Add(-5 * time.Second), until: kill, kill: kill, suspended: c.suspended}},
+			stops: []stopped{{from: kill.Add(-stopGrace), until: kill, kill: kill, suspended: c.suspended}},
 		}
-		wrote := kill.Add(-3 * time.Second)
+		wrote := kill.Add(-cmp.Or(c.sent, 2*time.Second))
 		closed := demo.Close{Node: "127.0.0.1:1", Partial: c.partial, Sent: wrote, Wrote: wrote, At: kill.Add(time.Millisecond)}
 		first := "lookup-1"
 		if c.behind {
