What is due at the end of a stop is due earlier in a process that is paused

Cause: the settling and the end of dispatch are times of the plan. A process that gets its time in slices does not run at them, and next after the kill.

A node with slices of 0.14 s each 0.85 s was last to run 0.43 s before its kill; it was to settle 0.2 s after that.

Change: the pause monitor tells how long the latest pause was, if it was in the last seconds. The schedule brings the end of dispatch forward by as much, and the settling too, as far as no work ends before five sixths of the grace. Both are applied as each pause ends.

--- a/clock/pauses.go
+++ b/clock/pauses.go
@@ -11,6 +11,8 @@
 	tickInterval = 150 * time.Millisecond
 	// maxTickGap is the longest time between two ticks of a process that runs.
 	maxTickGap = 250 * time.Millisecond
+	// recentPause is how long after a pause another one is likely.
+	recentPause = 2 * time.Second
 	// resumeDelay is how long after a pause a resumed process may still receive signals that were sent during the pause.
 	resumeDelay = 500 * time.Millisecond
 )
@@ -29,16 +31,18 @@
 	// lastTick is the time of the latest tick, zero if there was none.
 	lastTick time.Time
 	latest   Pause
+	// last is the latest pause by itself; latest includes earlier ones that ended shortly before it.
+	last Pause
 }
 
 // withTick returns the pauses after a tick, and the pause that it ended; ok is false if it ended none.
 func (p pauses) withTick(now time.Time) (next pauses, ended Pause, ok bool) {
-	next = pauses{lastTick: now, latest: p.latest}
+	next = pauses{lastTick: now, latest: p.latest, last: p.last}
 	if p.lastTick.IsZero() || now.Sub(p.lastTick) <= maxTickGap {
 		return next, Pause{}, false
 	}
 	ended = Pause{From: p.lastTick, Until: now}
-	next.latest = ended
+	next.latest, next.last = ended, ended
 	if ended.From.Sub(p.latest.Until) <= resumeDelay && !p.latest.Until.IsZero() {
 		// A signal of the earlier pause may not have been received before this one.
 		next.latest.From = p.latest.From
@@ -57,6 +61,15 @@
 	return now.Sub(p.latest.From)
 }
 
+// recent returns the length of the latest pause if it is under way or ended a short time ago, 0 otherwise.
+func (p pauses) recent(now time.Time) time.Duration {
+	p, _, _ = p.withTick(now)
+	if p.last.Until.IsZero() || now.Sub(p.last.Until) > recentPause {
+		return 0
+	}
+	return p.last.Duration()
+}
+
 // PauseMonitor detects when the process was paused. It is a kernel component.
 type PauseMonitor struct {
 	clock   Clock
@@ -97,6 +110,14 @@
 	return m.pauses.receiptDelay(m.clock())
 }
 
+// Recent returns the length of the latest pause, 0 if there was none in the last seconds: a process that was paused just now may be
+// paused as long again.
+func (m *PauseMonitor) Recent() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pauses.recent(m.clock())
+}
+
 func (m *PauseMonitor) run(ctx context.Context) {
 	defer close(m.done)
 	tick := time.NewTicker(tickInterval)
--- a/clock/pauses_test.go
+++ b/clock/pauses_test.go
@@ -19,6 +19,7 @@
 //	start           a process that has not ticked
 //	ticks to=N      ticks at the usual interval until a time
 //	resume at=N     a tick after a pause; prints how long the process was paused
+//	recent at=N     prints how long the latest pause was if it is under way or ended a short time before
 //	signal at=N     prints how long ago a signal that is received then may have been sent
 func TestPauseScripts(t *testing.T) {
 	start := time.Unix(1000, 0)
@@ -42,6 +43,9 @@
 			next, ended, ok := p.withTick(now)
 			p = next
 			return fmt.Sprintf("paused %v: %v\n", ok, ended.Duration())
+		case "recent":
+			d.ScanArgs(t, "at", &n)
+			return fmt.Sprintln(p.recent(start.Add(time.Duration(n) * time.Millisecond)))
 		case "signal":
 			d.ScanArgs(t, "at", &n)
 			return fmt.Sprintln(p.receiptDelay(start.Add(time.Duration(n) * time.Millisecond)))
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -232,11 +232,10 @@
 	if !p.isStopping() {
 		p.beginStopLocked(plan.GuaranteedEnd())
 	}
-	now := time.Now()
-	if !p.closed && !now.Before(shutdown.DispatchEnd(p.stopAt, p.work, p.interrupted)) {
+	if !p.closed && !time.Now().Before(p.stop.DispatchEnd(plan, p.work, p.interrupted)) {
 		p.closeLocked()
 	}
-	if !p.settled && !now.Before(plan.SettleAt()) {
+	if !p.settled && p.stop.Settled() {
 		p.settleLocked()
 	}
 }
@@ -422,6 +421,16 @@
 	}
 }
 
+// ApplyStop applies the bounds of the planned stop that have passed to all requests, for a process that did not run meanwhile.
+func (g *Ingress) ApplyStop() {
+	g.inFlight.mu.Lock()
+	defer g.inFlight.mu.Unlock()
+	for x := range g.inFlight.all {
+		x.progress.lock()
+		x.progress.mu.Unlock()
+	}
+}
+
 // Settle gives callers, at once, every answer that does not depend on an endpoint at work: that the outcome is unknown, for
 // requests whose work goes on when the node ends or whose link broke after the dispatch, and failed answers of endpoints that are
 // held because another endpoint may give a better one.
--- a/node/node.go
+++ b/node/node.go
@@ -130,14 +130,15 @@
 	for _, opt := range opts {
 		opt(n)
 	}
-	n.schedule = newSchedule(cfg.Stop, n.signals)
 	n.level.Store(int32(level))
 	log := zerolog.New(out).Hook(&n.level).With().Timestamp().Str("node", cfg.Node.ID).Logger()
 	n.log = &log
 	n.skipped = skipped.New(n.log)
 	n.pauses = clock.NewPauseMonitor(clock.Boot, func(p clock.Pause) {
 		events.ProcessPaused.Log(n.log).Dur("for", p.Duration()).Send()
+		n.pauseEnded()
 	})
+	n.schedule = newSchedule(cfg.Stop, n.signals, shutdown.WithPauses(n.pauses.Recent))
 	n.kernel.Register(Pauses, n.pauses)
 	n.budget = memory.New(cfg.Memory.Bodies())
 	if err := n.build(); err != nil {
--- a/node/stop.go
+++ b/node/stop.go
@@ -36,8 +36,23 @@
 
 // newSchedule returns the schedule of a node's planned stop. It counts from the first stop signal, as the node may be killed when
 // the grace of that signal is over.
-func newSchedule(cfg settings.Stop, s shutdown.Signals) *shutdown.Schedule {
-	return shutdown.NewSchedule(shutdown.NewPlan(cfg.Grace.Std(), cfg.Margin.Std(), cfg.Notice.Std()), s)
+func newSchedule(cfg settings.Stop, s shutdown.Signals, opts ...shutdown.Option) *shutdown.Schedule {
+	return shutdown.NewSchedule(shutdown.NewPlan(cfg.Grace.Std(), cfg.Margin.Std(), cfg.Notice.Std()), s, opts...)
+}
+
+// pauseEnded applies the bounds of a planned stop that have passed, or that may pass in another pause like the one that ended.
+func (n *Node) pauseEnded() {
+	if !n.schedule.Begun() {
+		return
+	}
+	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
+	if err != nil {
+		return
+	}
+	g.ApplyStop()
+	if callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers); err == nil && n.schedule.Settled() {
+		callers.ReleaseBlocked()
+	}
 }
 
 // begin returns a context that is canceled after maxTime.
--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -60,6 +60,11 @@
 // GuaranteedEnd returns the time until which the node is certain not to be killed.
 func (p Plan) GuaranteedEnd() time.Time { return p.signaledAt.Add(p.guaranteed) }
 
+// WorkEnd returns the time before which the node ends no work by itself.
+func (p Plan) WorkEnd() time.Time {
+	return p.signaledAt.Add(time.Duration(workShare * float64(p.grace)))
+}
+
 // SettleAt returns the time by which callers have every answer that does not depend on an endpoint that is still at work.
 func (p Plan) SettleAt() time.Time { return p.GuaranteedEnd().Add(-settleLead) }
 
--- a/shutdown/schedule.go
+++ b/shutdown/schedule.go
@@ -25,6 +25,8 @@
 type Schedule struct {
 	base    Plan
 	signals Signals
+	// pause returns for how long the process may not run from now on.
+	pause func() time.Duration
 
 	mu    sync.Mutex
 	plan  Plan
@@ -33,7 +35,19 @@
 
 // NewSchedule returns the schedule of a node that is stopped by plan. It begins with the first signal or with Begin; without
 // signals, which is nil then, only with Begin.
-func NewSchedule(plan Plan, s Signals) *Schedule { return &Schedule{base: plan, signals: s} }
+func NewSchedule(plan Plan, s Signals, opts ...Option) *Schedule {
+	schedule := &Schedule{base: plan, signals: s, pause: func() time.Duration { return 0 }}
+	for _, opt := range opts {
+		opt(schedule)
+	}
+	return schedule
+}
+
+// Option configures a schedule.
+type Option func(*Schedule)
+
+// WithPauses has f tell for how long the process may not run from now on. What is due at the end of the stop is then due earlier.
+func WithPauses(f func() time.Duration) Option { return func(s *Schedule) { s.pause = f } }
 
 // Begin begins the stop unless a signal has already, and returns its plan.
 func (s *Schedule) Begin() Plan {
@@ -86,7 +100,28 @@
 // Settled reports whether the time has come by which callers have every answer that does not depend on an endpoint at work.
 func (s *Schedule) Settled() bool {
 	plan, begun := s.Plan()
-	return begun && !time.Now().Before(plan.SettleAt())
+	return begun && !time.Now().Before(s.settleAt(plan))
+}
+
+// settleAt is the plan's time of settling or, in a process that may not run then, up to its pause earlier; but no work is ended
+// sooner than by the plan.
+func (s *Schedule) settleAt(plan Plan) time.Time {
+	return earlier(plan.SettleAt(), plan.WorkEnd(), s.pause())
+}
+
+// DispatchEnd returns the time until which a request may be dispatched on a node that stops by plan, as the function of this name
+// does; in a process that may not run then, up to its pause earlier.
+func (s *Schedule) DispatchEnd(plan Plan, work time.Duration, interrupted bool) time.Time {
+	end := DispatchEnd(plan.GuaranteedEnd(), work, interrupted)
+	if interrupted {
+		return earlier(end, plan.WorkEnd(), s.pause())
+	}
+	return end.Add(-s.pause())
+}
+
+// earlier returns a time that is by d earlier, but not before earliest unless it is so already.
+func earlier(at, earliest time.Time, d time.Duration) time.Time {
+	return at.Add(-min(d, max(0, at.Sub(earliest))))
 }
 
 // Accepts reports whether a request that was read at a time is taken. It waits, until ctx ends at the most, if a stop signal may
--- a/shutdown/schedule_test.go
+++ b/shutdown/schedule_test.go
@@ -78,3 +78,33 @@
 		}
 	})
 }
+
+// TestPausesBringEndForward guards against answers that are due while the process does not run and that the kill then cuts: in a
+// process that was paused just now they are due earlier by as long, but no work ends before five sixths of the grace.
+func TestPausesBringEndForward(t *testing.T) {
+	const grace, margin, work = 6 * time.Second, 600 * time.Millisecond, time.Second
+	for _, c := range []struct{ pause, settle, dispatch, resend time.Duration }{
+		{0, 5300 * time.Millisecond, 4400 * time.Millisecond, 5300 * time.Millisecond},
+		{200 * time.Millisecond, 5100 * time.Millisecond, 4200 * time.Millisecond, 5100 * time.Millisecond},
+		{2 * time.Second, 5 * time.Second, 2400 * time.Millisecond, 5 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := NewSchedule(NewPlan(grace, margin, 0), nil, WithPauses(func() time.Duration { return c.pause }))
+			begin, plan := time.Now(), s.Begin()
+			if got, want := s.DispatchEnd(plan, work, false).Sub(begin), c.dispatch; got != want {
+				t.Errorf("paused for %v: dispatch ends after %v, want %v", c.pause, got, want)
+			}
+			if got, want := s.DispatchEnd(plan, work, true).Sub(begin), c.resend; got != want {
+				t.Errorf("paused for %v: dispatch after an interruption ends after %v, want %v", c.pause, got, want)
+			}
+			time.Sleep(c.settle - time.Millisecond)
+			if s.Settled() {
+				t.Errorf("paused for %v: settled before %v", c.pause, c.settle)
+			}
+			time.Sleep(time.Millisecond)
+			if !s.Settled() {
+				t.Errorf("paused for %v: not settled after %v", c.pause, c.settle)
+			}
+		})
+	}
+}
