A stopping node that was paused applies its bounds until its end, not only as a pause ends

Its settling came 23 ms and 79 ms after the last pause had ended, within the last slice, and nothing looked at the clock then.

--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,6 @@
 	n.skipped = skipped.New(n.log)
 	n.pauses = clock.NewPauseMonitor(clock.Boot, func(p clock.Pause) {
 		events.ProcessPaused.Log(n.log).Dur("for", p.Duration()).Send()
-		n.pauseEnded()
 	})
 	n.schedule = newSchedule(cfg.Stop, n.signals, shutdown.WithPauses(n.pauses.Recent))
 	n.kernel.Register(Pauses, n.pauses)
--- a/node/stop.go
+++ b/node/stop.go
@@ -40,17 +40,10 @@
 	return shutdown.NewSchedule(shutdown.NewPlan(cfg.Grace.Std(), cfg.Margin.Std(), cfg.Notice.Std()), s, opts...)
 }
 
-// pauseEnded applies the bounds of a planned stop that have passed, or that may pass in another pause like the one that ended.
-func (n *Node) pauseEnded() {
-	if !n.schedule.Begun() {
-		return
-	}
-	g, err := kernel.Lookup[*ingress.Ingress](n.kernel, Ingress)
-	if err != nil {
-		return
-	}
+// applyStop applies the bounds of the planned stop that have passed, or that may pass in another pause of the process.
+func (n *Node) applyStop(callers *pipeline.Server, g *ingress.Ingress) {
 	g.ApplyStop()
-	if callers, err := kernel.Lookup[*pipeline.Server](n.kernel, Callers); err == nil && n.schedule.Settled() {
+	if n.schedule.Settled() {
 		callers.ReleaseBlocked()
 	}
 }
@@ -204,6 +197,9 @@
 	})
 	defer settle.Stop()
 	for reported := false; ctx.Err() == nil && callers.InFlight() > 0; time.Sleep(stopPollInterval) {
+		if n.pauses.Recent() > 0 {
+			n.applyStop(callers, g)
+		}
 		if reported || time.Now().Before(plan.GuaranteedEnd()) {
 			continue
 		}
