--- a/peer/manager.go
+++ b/peer/manager.go
@@ -56,10 +56,9 @@
 	// because yamux closes the session after it, which must not cut exchanges that a frozen peer may still answer.
 	streamOpenTimeout = 30 * time.Second
 	// drainBeats is the number of heartbeat intervals that peers have, when this node stops, to read their last answers
-	// and close their links; maxDrainWait bounds that time. An answer takes a few round trips at most, and a peer with little
-	// processor time needs longer to read it.
+	// and close their links; maxDrainWait bounds that time. An answer takes a few round trips at most.
 	drainBeats   = 4
-	maxDrainWait = 2 * time.Second
+	maxDrainWait = 250 * time.Millisecond
 	// closePollInterval is the time between two checks whether the peers have closed their links.
 	closePollInterval = time.Millisecond
 )
