A probe of the signals' path counts once a second one has returned

Cause: event 101 gave a signal_age of 2.8 ms for a signal that had waited 1.5 s. As the process went on after its suspension, one thread took the pending SIGTERM and was preempted in its handler; another one sent a probe and handled it at once. The probe overtook the signal, and the stop counted from it.

A probe now counts when another one, sent at least 80 ms after its return, has returned as well. TestStopCountsFromBeforeItWasSent draws stop signals that are overtaken; a single probe fails it.

TestLostProbeIsSentAgain allows one interval more for the second probe.

--- a/signals/path.go
+++ b/signals/path.go
@@ -7,14 +7,20 @@
 	probeInterval, resendAfter = 100 * time.Millisecond, time.Second
 	// unsupportedAfter is how long the first probe may take. If none returns, the ticks of the receiver take their place.
 	unsupportedAfter = 5 * time.Second
+	// overtakeTime is how long a probe may be received before a stop signal that was sent before it: the thread that handles the
+	// stop signal may have to wait for a processor while another one handles the probe.
+	overtakeTime = 80 * time.Millisecond
 )
 
 // path tracks until when the way of signals to this process's receiver is known to be clear. It is immutable.
 //
 // Invariant: a stop signal sent before clearUntil has been received. A probe is a signal that the process sends to itself: it
-// takes the same way, behind each stop signal sent before it, however long that takes in a process with little processor time.
+// takes the same way, behind each stop signal sent before it, however long that takes in a process with little processor time. It
+// counts once another probe, sent overtakeTime after its return, has returned as well.
 type path struct {
 	clearUntil time.Time
+	// candidate is when the latest probe was sent that has returned and does not count yet, candidateAt when it returned.
+	candidate, candidateAt time.Time
 	// probeSentAt is when the first probe was sent that has not returned, lastSentAt the latest; zero if none is under way.
 	probeSentAt, lastSentAt time.Time
 	// returned is set once a probe has returned; before, previousTick takes the place of probes that never do.
@@ -36,12 +42,19 @@
 	return p
 }
 
-// withReturn returns the path after the return of a probe. Of several under way it may be the first.
-func (p path) withReturn() path {
+// withReturn returns the path after the return of a probe now. Of several under way it may be the first.
+func (p path) withReturn(now time.Time) path {
 	if p.probeSentAt.IsZero() {
 		return p
 	}
-	p.clearUntil, p.probeSentAt, p.returned = p.probeSentAt, time.Time{}, true
+	switch {
+	case p.candidate.IsZero():
+		p.candidate, p.candidateAt = p.probeSentAt, now
+	case !p.probeSentAt.Before(p.candidateAt.Add(overtakeTime)):
+		p.clearUntil = p.candidate
+		p.candidate, p.candidateAt = p.probeSentAt, now
+	}
+	p.probeSentAt, p.returned = time.Time{}, true
 	return p
 }
 
--- a/signals/receiver.go
+++ b/signals/receiver.go
@@ -116,7 +116,7 @@
 	defer r.mu.Unlock()
 	if s == probeSignal {
 		if r.first.ReceivedAt.IsZero() {
-			r.update(r.path.withReturn())
+			r.update(r.path.withReturn(time.Now()))
 		}
 		return
 	}
