--- a/node/node.go
+++ b/node/node.go
@@ -186,8 +186,7 @@
 		Host: n.cfg.Node.ID, RetryInterval: n.cfg.Platform.RetryInterval.Std(), MaxRetryInterval: n.cfg.Platform.MaxRetryInterval.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
 	}, n.log, client, links, follower.Snapshot)
 	egressOptions := []egress.Option{
-		egress.WithCrashTracker(tracker), egress.WithBudget(n.budget), egress.WithPeers(), egress.WithReceiptDelay(n.pauses.ReceiptDelay),
-		egress.WithStop(n.schedule),
+		egress.WithCrashTracker(tracker), egress.WithBudget(n.budget), egress.WithPeers(), egress.WithReceiptDelay(n.pauses.ReceiptDelay), egress.WithStop(n.schedule),
 	}
 	limits = ratelimit.New(n.rateLimitConfig(), n.log, follower.Snapshot, links, m)
 	follower.SetSelfAnnouncement(n.announceConfig(incarnation).Host)
--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -183,9 +183,7 @@
 	case "refuse":
 		f.server.Refuse()
 	case "stop":
-		plan, until := f.schedule.Begin(), ""
-		d.MaybeScanArgs(t, "until", &until)
-		time.Sleep(time.Until(map[string]time.Time{"notice": plan.NoticeEnd(), "settled": plan.SettleAt()}[until]))
+		f.stop(t, d)
 	case "release":
 		f.server.ReleaseBlocked()
 	case "drain":
@@ -196,6 +194,14 @@
 	return ""
 }
 
+// stop begins a planned stop by the clock and waits until a point of it.
+func (f *fixture) stop(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	plan, until := f.schedule.Begin(), ""
+	d.MaybeScanArgs(t, "until", &until)
+	time.Sleep(time.Until(map[string]time.Time{"notice": plan.NoticeEnd(), "settled": plan.SettleAt()}[until]))
+}
+
 // await waits until count returns n.
 func (f *fixture) await(n int, count func() int) string {
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -27,18 +27,7 @@
 		now := time.Unix(1000, 0)
 		sent := now.Add(-age)
 		p := NewPlan(grace, margin, notice).WithSignal(now, age)
-		end := sent.Add(guaranteed)
-		if got, most := p.GuaranteedEnd(), end.Add(margin/2); got.Before(end) || got.After(most) {
-			t.Errorf("guaranteed end: got %v, want it from %v to %v", got, end, most)
-		}
-		// The signal may have been sent at any time up to now, so that work ends too early by what is before that.
-		if got, early := p.SettleAt(), now.Add(grace*5/6); got.Before(early) && p.GuaranteedEnd().Before(end.Add(margin/2)) && age > 0 &&
-			guaranteed-settleLead >= grace*5/6 {
-			t.Errorf("settling: got %v, want it at %v, as the margin allows", got, early)
-		}
-		if got, want := p.SettleAt(), p.GuaranteedEnd().Add(-settleLead); !got.Equal(want) {
-			t.Errorf("settling: got %v, want %v", got, want)
-		}
+		checkEnd(t, p, sent.Add(guaranteed), now, margin, grace)
 		if at := NewPlan(grace, margin, notice).WithSignal(now, 0); !at.GuaranteedEnd().Equal(now.Add(guaranteed)) {
 			t.Errorf("guaranteed end of a signal noticed at once: got %v, want %v", at.GuaranteedEnd(), now.Add(guaranteed))
 		}
@@ -58,3 +47,19 @@
 		}
 	})
 }
+
+// checkEnd checks the end of the plan of a node whose signal is received now and was sent guaranteed before end at the earliest.
+func checkEnd(t *rapid.T, p Plan, end, now time.Time, margin, grace time.Duration) {
+	most := end.Add(margin / 2)
+	if got := p.GuaranteedEnd(); got.Before(end) || got.After(most) {
+		t.Errorf("guaranteed end: got %v, want it from %v to %v", got, end, most)
+	}
+	// The signal may have been sent at any time up to now, so that work ends too early by what is before that.
+	early, allows := now.Add(grace*5/6), grace-margin-settleLead >= grace*5/6
+	if got := p.SettleAt(); allows && got.Before(early) && p.GuaranteedEnd().Before(most) {
+		t.Errorf("settling: got %v, want it at %v, as the margin allows", got, early)
+	}
+	if got, want := p.SettleAt(), p.GuaranteedEnd().Add(-settleLead); !got.Equal(want) {
+		t.Errorf("settling: got %v, want %v", got, want)
+	}
+}
--- a/signals/path_test.go
+++ b/signals/path_test.go
@@ -15,68 +15,83 @@
 
 // arrival is a signal on its way to the receiver.
 type arrival struct {
-	sent, at time.Time
-	stop     bool
+	at   time.Time
+	stop bool
+}
+
+// drawnPath is the way of signals to a receiver, by which they arrive late but in the order in which they were sent, except that
+// probes may overtake the stop signal.
+type drawnPath struct {
+	t *rapid.T
+	// blocked holds the beginnings and ends of the times in which nothing arrives.
+	blocked []time.Time
+	onWay   []arrival
+	latest  time.Time
+}
+
+func (d *drawnPath) millis(name string, most int64) time.Duration {
+	return time.Duration(rapid.Int64Range(0, most).Draw(d.t, name)) * time.Millisecond
+}
+
+// draw draws the times in which nothing arrives. The first probe returns: until then, the ticks take its place after a while.
+func (d *drawnPath) draw(start time.Time) {
+	for range rapid.IntRange(0, 3).Draw(d.t, "blocks") {
+		from := start.Add(200*time.Millisecond + d.millis("from", 20_000))
+		d.blocked = append(d.blocked, from, from.Add(d.millis("for", 8_000)))
+	}
+}
+
+// send puts a signal on its way.
+func (d *drawnPath) send(now time.Time, stop bool) {
+	at := now.Add(d.millis("delay", 50))
+	for i := 0; i < len(d.blocked); i += 2 {
+		if !at.Before(d.blocked[i]) && at.Before(d.blocked[i+1]) {
+			at = d.blocked[i+1]
+		}
+	}
+	if at.Before(d.latest) {
+		at = d.latest
+	}
+	d.latest = at
+	if stop {
+		at = at.Add(d.millis("overtaken", overtakeTime.Milliseconds()/2))
+	}
+	d.onWay = append(d.onWay, arrival{at, stop})
+}
+
+// next returns the next signal that has arrived, false if there is none.
+func (d *drawnPath) next(now time.Time) (arrival, bool) {
+	i := slices.IndexFunc(d.onWay, func(a arrival) bool { return !a.at.After(now) })
+	if i < 0 {
+		return arrival{}, false
+	}
+	a := d.onWay[i]
+	d.onWay = slices.Delete(d.onWay, i, i+1)
+	return a, true
 }
 
 // TestStopCountsFromBeforeItWasSent draws processes whose signals are received late, by any time, while the ticks of the receiver go
-// on; probes may overtake the stop signal. It guards against a stop that counts from later than its signal, so that
-// requests are taken that come too late.
+// on; probes may overtake the stop signal. It guards against a stop that counts from later than its signal, so that requests are
+// taken that come too late.
 func TestStopCountsFromBeforeItWasSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		millis := func(name string, most int64) time.Duration {
-			return time.Duration(rapid.Int64Range(0, most).Draw(t, name)) * time.Millisecond
-		}
 		start := time.Unix(1000, 0)
-		stopSent := start.Add(millis("stop", 20_000))
-		var blocked []time.Time
-		for range rapid.IntRange(0, 3).Draw(t, "blocks") {
-			// The first probe returns: until then, the ticks take its place after a while.
-			from := start.Add(200*time.Millisecond + millis("from", 20_000))
-			blocked = append(blocked, from, from.Add(millis("for", 8_000)))
-		}
-		var sent []arrival
-		latest := start
-		deliver := func(at time.Time, stop bool) {
-			arrives := at.Add(millis("delay", 50))
-			for i := 0; i < len(blocked); i += 2 {
-				if !arrives.Before(blocked[i]) && arrives.Before(blocked[i+1]) {
-					arrives = blocked[i+1]
-				}
-			}
-			if arrives.Before(latest) {
-				arrives = latest
-			}
-			latest = arrives
-			if stop {
-				// Probes sent after the stop signal may overtake it.
-				arrives = arrives.Add(millis("overtaken", overtakeTime.Milliseconds()/2))
-			}
-			sent = append(sent, arrival{sent: at, at: arrives, stop: stop})
-		}
-		p := path{clearUntil: start}
-		stopped := false
+		d := &drawnPath{t: t, latest: start}
+		stopSent := start.Add(d.millis("stop", 20_000))
+		d.draw(start)
+		p, stopped := path{clearUntil: start}, false
 		for now := start; ; now = now.Add(10 * time.Millisecond) {
 			if !stopped && !now.Before(stopSent) {
-				deliver(stopSent, true)
+				d.send(stopSent, true)
 				stopped = true
 			}
-			for {
-				i := slices.IndexFunc(sent, func(a arrival) bool { return !a.at.After(now) })
-				if i < 0 {
-					break
-				}
-				a := sent[i]
-				sent = slices.Delete(sent, i, i+1)
+			for a, ok := d.next(now); ok; a, ok = d.next(now) {
 				if a.stop {
-					if got := p.clearUntil; got.After(stopSent) {
-						t.Fatalf("the path was clear until %v, want no later than the stop signal, sent at %v", got.Sub(start), stopSent.Sub(start))
-					}
 					return
 				}
 				p = p.withReturn(now)
 			}
-			if !stopped && p.clearUntil.After(now) || stopped && p.clearUntil.After(stopSent) {
+			if p.clearUntil.After(now) || stopped && p.clearUntil.After(stopSent) {
 				t.Fatalf("clear until %v at %v, want no later than a signal that is on its way", p.clearUntil.Sub(start), now.Sub(start))
 			}
 			if now.Sub(start)%probeInterval != 0 {
@@ -85,7 +100,7 @@
 			p = p.withTick(now)
 			if p.probeDue(now) {
 				p = p.withProbe(now)
-				deliver(now, false)
+				d.send(now, false)
 			}
 		}
 	})
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -182,11 +182,8 @@
 	m := r.fleet.Members[a.On]
 	var from, kill time.Time
 	var sent []string
-	ended, suspended := false, false
-	if a.Series.Scarce > 0 {
-		defer m.Throttle(a.Series.Period, a.Series.Period/scarceShare)()
-		time.Sleep(a.Series.Scarce)
-	}
+	ended, suspended := false, a.Series.Period > crossing/2
+	defer makeScarce(m, a.Series)()
 	for _, s := range a.Series.Signals {
 		pause := s.After
 		if !kill.IsZero() {
@@ -212,7 +209,6 @@
 			kill = time.Now().Add(stopGrace)
 		}
 	}
-	suspended = suspended || a.Series.Period > crossing/2
 	stop := stopped{on: a.On, from: from, suspended: suspended}
 	if !ended && !r.ended(m, time.Until(kill)) {
 		stop.kill = time.Now()
@@ -226,6 +222,17 @@
 	r.report.Stops = append(r.report.Stops, fmt.Sprintf("%s: %s; over %s", m.Host, strings.Join(sent, ", "), timeOfDay(stop.until)))
 }
 
+// makeScarce gives a node little processor time, if its series asks for that, and returns once its signals may be sent. The function
+// that it returns ends that.
+func makeScarce(m *demo.Member, s Series) (stop func()) {
+	if s.Scarce == 0 {
+		return func() {}
+	}
+	stop = m.Throttle(s.Period, s.Period/scarceShare)
+	time.Sleep(s.Scarce)
+	return stop
+}
+
 // kill ends a node that has outlived its grace, after it wrote the stacks of its goroutines if that is asked for.
 func (r *run) kill(m *demo.Member) {
 	if r.cfg.Stacks && m.Signal(syscall.SIGQUIT) == nil {
