--- a/pipeline/script_test.go
+++ b/pipeline/script_test.go
@@ -153,6 +153,13 @@
 	if count := counts[d.Cmd]; count != nil {
 		return f.await(n, count)
 	}
+	commands := map[string]func(){
+		"refuse": f.server.Refuse, "release": f.server.ReleaseBlocked, "drain": f.server.Drain, "stop": func() { f.stop(t, d) },
+	}
+	if command := commands[d.Cmd]; command != nil {
+		command()
+		return ""
+	}
 	switch d.Cmd {
 	case "send":
 		text := strings.ReplaceAll(d.Input, "\n", "\r\n")
@@ -180,14 +187,6 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return fmt.Sprintf("%d\n", f.budget.Usage().Used)
-	case "refuse":
-		f.server.Refuse()
-	case "stop":
-		f.stop(t, d)
-	case "release":
-		f.server.ReleaseBlocked()
-	case "drain":
-		f.server.Drain()
 	default:
 		d.Fatalf(t, "unknown command %q", d.Cmd)
 	}
