--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -42,7 +42,7 @@
 		left := min(max(0, p.guaranteed-age), p.guaranteed)
 		p.notice = age + time.Duration(float64(p.notice)*left.Seconds()/p.guaranteed.Seconds())
 	}
-	// A signal sent just now asks for no end of work before workShare of the grace.
+	// The signal may have been sent as late as now, and no work is ended in workShare of the grace after that.
 	spare := p.guaranteed - settleLead - time.Duration(workShare*float64(p.grace))
 	p.guaranteed += min(max(0, age-max(0, spare)), max(0, p.margin/2))
 	return p
