--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Plays the scene "birth" after the build of the deploy file and review/build-2.sh. TROUBLE=0: without the disruption.
+# Plays the case after the build of the deploy file and review/build-2.sh. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/lynxplankd ] && [ -x target/review-2/scene ] || exit 2
+[ -x target/lynxplankd ] && [ -x target/review-2/case5 ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-2/scene -case birth -record review/5/record.txt -trouble=$trouble
+exec target/review-2/case5 -record review/5/record.txt -trouble=$trouble
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts: one program with the store, the targets and the clients.
+# Builds what the scripts of the second review start besides the node: the store, the targets and the clients.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/scene
+for case in 4 5 6; do
+  go build -o "target/review-2/case$case" "./review/$case/drive"
+done
--- a/review/scene/main.go
+++ b/review/scene/scene.go
@@ -1,6 +1,6 @@
-// Command scene plays the scripts of the second review: a small deployment of the users' platform on loopback, with the
+// Package scene plays the scripts of the second review: a small deployment of the users' platform on loopback, with the
 // project's node as separate processes and stand-ins of the store, the targets and the clients in this process.
-package main
+package scene
 
 import (
 	"flag"
@@ -15,27 +15,25 @@
 	exitCannotRun = 2
 )
 
-// cases are the scenes by name; each returns whether the rule was broken.
-var cases = map[string]func(s *stage, trouble bool) (broken bool, err error){
-	"memory": playMemory,
-	"birth":  playBirth,
-	"limits": playLimits,
-}
+// Scene is what a script plays; it returns whether the rule was broken.
+type Scene func(s *stage, trouble bool) (broken bool, err error)
+
+// The scenes.
+var (
+	Memory Scene = playMemory
+	Birth  Scene = playBirth
+	Limits Scene = playLimits
+)
 
-func main() {
-	name := flag.String("case", "", "the scene: memory, birth or limits")
+// Main plays a scene with the flags of the command line and ends the process with the exit code of a script.
+func Main(play Scene) {
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
-	os.Exit(run(*name, *record, *trouble))
+	os.Exit(run(play, *record, *trouble))
 }
 
-func run(name, record string, trouble bool) int {
-	play, ok := cases[name]
-	if !ok {
-		flag.Usage()
-		return exitCannotRun
-	}
+func run(play Scene, record string, trouble bool) int {
 	s, err := newStage(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/scene/stage.go
+++ b/review/scene/stage.go
@@ -1,4 +1,4 @@
-package main
+package scene
 
 import (
 	"context"
