--- a/review/scene/birth.go
+++ b/review/scene/birth.go
@@ -15,12 +15,16 @@
 	flapDown = 700 * time.Millisecond
 	// machinesInScene makes one machine a seventh, below the shares of both.
 	machinesInScene = 7
+	// touchTime and drainTime are touchS and drainS of the deployment whose targets tell when they started.
+	touchTime = 5 * time.Second
+	drainTime = 4 * time.Second
 	// served is how long the target serves on after its draining is acknowledged.
-	served = 6 * time.Second
+	served = 9 * time.Second
 )
 
 // playBirth plays a target that goes down and up once while its machine's time of day jumps back, and leaves later as planned.
 func playBirth(s *stage, trouble bool) (broken bool, err error) {
+	s.graceS = "10"
 	if err := s.configure(3, route{prefix: "/book/", kind: "unsafe", service: "desk", timeoutS: 2.5, aimS: 0.8, attempts: 2}); err != nil {
 		return false, err
 	}
--- a/review/scene/limits.go
+++ b/review/scene/limits.go
@@ -16,6 +16,8 @@
 	oldBody, newBody, sentBody = 4 << 10, 64 << 10, 20 << 10
 	// rest is how long the connections rest, less than four fifths of idleTimeoutS and longer than configApplyS.
 	rest = 6 * time.Second
+	// settled is twice touchS.
+	settled = 6 * time.Second
 	// connsEach is how many connections clients keep to each machine.
 	connsEach = 4
 	// mostDenied is how many proper requests may be refused, besides one in 500 (DENIED).
@@ -50,7 +52,8 @@
 		}
 		defer t.end()
 	}
-	time.Sleep(2 * touchTime)
+	// All machines are in touch long before the change.
+	time.Sleep(settled)
 	var list []*kept
 	for _, m := range machines {
 		for range connsEach {
--- a/review/scene/machine.go
+++ b/review/scene/machine.go
@@ -11,11 +11,9 @@
 	"time"
 )
 
-// The figures of the machines and bounds, those of the small deployments' site files.
+// The figures of the machines.
 const (
 	memoryMB     = 284
-	drainTime    = 2 * time.Second
-	touchTime    = 3 * time.Second
 	restartDelay = 300 * time.Millisecond
 )
 
@@ -54,7 +52,7 @@
 		"nodeName": m.name, "zone": "z1", "zones": `{"z1":"r1"}`, "listen.outbound": m.outbound, "listen.control": m.control, "listen.ready": m.ready,
 		"appAddr": m.app, "service": service, "ip": loopback, "ephemeralPorts.0": strconv.Itoa(int(ports[4])), "ephemeralPorts.1": strconv.Itoa(int(ports[5])),
 		"platform.address": s.address, "limits.memoryMb": strconv.Itoa(memoryMB), "bounds.floorShare": "0.7", "bounds.retryBudgetRatio": "0.2",
-		"bounds.budgetSlack": "56", "bounds.budgetWindowS": "10", "bounds.graceS": "6",
+		"bounds.budgetSlack": "56", "bounds.budgetWindowS": "10", "bounds.graceS": s.graceS,
 	})
 	m.settings = s.path(m.name + ".yaml")
 	s.machines = append(s.machines, m)
--- a/review/scene/stage.go
+++ b/review/scene/stage.go
@@ -31,6 +31,8 @@
 	address string
 	// bodyLimit is maxBodyBytes of the configuration.
 	bodyLimit int
+	// graceS is the bound of that name.
+	graceS string
 
 	mu       sync.Mutex
 	record   *os.File
@@ -43,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stage{start: time.Now(), record: f, store: store.New(), bodyLimit: 64 << 20}
+	s := &stage{start: time.Now(), record: f, store: store.New(), bodyLimit: 64 << 20, graceS: "6"}
 	if err := s.readDeploy(); err != nil {
 		return nil, err
 	}
