An endpoint's answer takes no more memory than its bound, however long its head is

Cause: upstream reads the head of an answer with http.ReadResponse on a connection without a bound; the line grows with what the endpoint writes.

Change: a head has 64 KiB, and one beyond the read buffer reserves memory for the longest before more of it is read, so that heads that wait hold nothing that others wait for. Past the bound the answer broke off: unknown to a caller, sent again where that is allowed. Bytes that don't begin like HTTP are given up at once. Event 425 names the endpoint.

Why it works: whatever is written, no more than the bound is read of one head, and no more of all heads than the budget has.

--- a/egress/answerstore.go
+++ b/egress/answerstore.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
+	"github.com/lynxplank/lynxplank/header"
 	"github.com/lynxplank/lynxplank/memory"
 	"github.com/lynxplank/lynxplank/peer"
 )
@@ -44,8 +45,9 @@
 	body      []byte
 	end       *peerpb.End
 	tooBig    bool
-	// hold accounts for the body in the memory budget.
-	hold *memory.Reservation
+	// bytes is the size of head and body, which hold accounts for in the memory budget.
+	bytes int
+	hold  *memory.Reservation
 }
 
 // answerStore holds the requests that were offered to this node with their answers, so that an ingress whose link
@@ -78,7 +80,7 @@
 			return
 		}
 		if r != nil {
-			a.bytes -= len(r.body)
+			a.bytes -= r.bytes
 			r.hold.Release()
 			delete(a.byID, id)
 		}
@@ -120,8 +122,8 @@
 		return
 	}
 	endCopy, _ := proto.Clone(end).(*peerpb.End)
-	r.head, r.body, r.end, r.tooBig, r.hold = s.head, s.body, endCopy, s.tooBig, s.hold
-	a.bytes += len(r.body)
+	r.head, r.body, r.end, r.tooBig, r.hold, r.bytes = s.head, s.body, endCopy, s.tooBig, s.hold, s.headBytes+len(s.body)
+	a.bytes += r.bytes
 	close(r.done)
 }
 
@@ -169,11 +171,18 @@
 	peer.Sink
 	hold       *memory.Reservation
 	head       *peerpb.Head
+	headBytes  int
 	body       []byte
 	tooBig     bool
 	callerLost bool
 }
 
+// drop gives up storing the answer.
+func (s *storingSink) drop() {
+	s.tooBig, s.head, s.headBytes, s.body = true, nil, 0, nil
+	s.hold.Release()
+}
+
 // ReportOverdue implements peer.Sink.
 func (s *storingSink) ReportOverdue() { s.Sink.ReportOverdue() }
 
@@ -185,16 +194,17 @@
 
 // Head implements peer.Sink.
 func (s *storingSink) Head(h *peerpb.Head, soon bool) error {
-	s.head = h
+	if s.head, s.headBytes = h, header.Size(h.GetHeaders()); !s.hold.Grow(s.headBytes) {
+		s.drop()
+	}
 	s.callerLost = s.Sink.Head(h, soon) != nil
 	return nil
 }
 
 // Data implements peer.Sink.
 func (s *storingSink) Data(b []byte, last bool) error {
-	if !s.tooBig && (len(s.body)+len(b) > maxStoredAnswer || !s.hold.Grow(len(b))) {
-		s.tooBig, s.body = true, nil
-		s.hold.Release()
+	if !s.tooBig && (s.headBytes+len(s.body)+len(b) > maxStoredAnswer || !s.hold.Grow(len(b))) {
+		s.drop()
 	}
 	if !s.tooBig {
 		s.body = append(s.body, b...)
--- a/egress/run.go
+++ b/egress/run.go
@@ -84,7 +84,9 @@
 // run sends the request to the endpoint and passes its answer on.
 func (l *localEndpoint) run(ctx context.Context, d *peerpb.Dispatch, body io.Reader, h answerHooks) result {
 	stopLate := startLateTimer(d, h.sink)
-	resp, err := l.pool.Do(ctx, l.request(ctx, d, body))
+	req := l.request(ctx, d, body)
+	req.Reservation = h.hold
+	resp, err := l.pool.Do(ctx, req)
 	stopLate()
 	if err != nil {
 		r := noAnswerResult(ctx, err)
@@ -116,8 +118,7 @@
 
 // notRunResult is the result of a run that the endpoint reports as not run.
 func notRunResult(resp *upstream.Response, answer contract.Answer) result {
-	// The rest of the answer is read so that the connection can be reused.
-	_, _ = io.Copy(io.Discard, resp)
+	resp.Discard()
 	end := peer.NotRun(fault.EndpointShed, retryAfterOf(resp.Header))
 	if answer.Misplaced {
 		end = peer.NotRun(fault.EndpointMoved, shortRetryAfter)
--- a/egress/work.go
+++ b/egress/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -99,6 +100,9 @@
 	if r.cause != nil {
 		e.logFailure(l, d, r, run.serviceTime, run.trial != 0)
 	}
+	if errors.Is(r.cause, upstream.ErrHeadTooLong) {
+		events.AnswerHeadTooLong.Log(e.log).Str("request", d.GetRequestId()).Str("endpoint", l.key).Int("limit", upstream.MaxHead).Send()
+	}
 	e.logBreakerChange(l)
 	if r.unreachable {
 		// The process that takes its place will have just started.
--- a/events/events.go
+++ b/events/events.go
@@ -75,6 +75,7 @@
 	BadLoadReport     = Event{422, "load report out of range", zerolog.WarnLevel}
 	HeartbeatIgnored  = Event{423, "heartbeat ignored", zerolog.InfoLevel}
 	LeavingNotStored  = Event{424, "leaving not acknowledged", zerolog.WarnLevel}
+	AnswerHeadTooLong = Event{425, "answer's head too long", zerolog.WarnLevel}
 
 	RequestRefused  = Event{500, "request refused", zerolog.WarnLevel}
 	RequestFailed   = Event{501, "request failed", zerolog.WarnLevel}
@@ -95,7 +96,7 @@
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
 	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
-	SlotsUsed, RequestsThrottled, SlotReclaimed, BadLoadReport, HeartbeatIgnored, LeavingNotStored,
+	SlotsUsed, RequestsThrottled, SlotReclaimed, BadLoadReport, HeartbeatIgnored, LeavingNotStored, AnswerHeadTooLong,
 	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
 }
 
--- a/header/header.go
+++ b/header/header.go
@@ -77,3 +77,11 @@
 		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
 	}
 }
+
+// Size returns the length of the fields' names and values, in bytes.
+func Size(fields []*peerpb.Header) (size int) {
+	for _, f := range fields {
+		size += len(f.GetName()) + len(f.GetValue())
+	}
+	return size
+}
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -17,9 +17,12 @@
 	// ackTimeout ends a connection on which nothing is acknowledged, as under a read that waits for a change of the
 	// platform's store.
 	ackTimeout = 3 * time.Second
+
+	// maxHead is the longest head of an answer that is read, in bytes.
+	maxHead = 64 << 10
 )
 
-// Tune sets the HTTP client that httpc uses: no redirects followed, nothing decompressed, no proxy from the
+// Tune sets the HTTP client that httpc uses: heads of answers bounded, no redirects followed, nothing decompressed, no proxy from the
 // environment, connections kept for reuse, and no log lines of its own. A program calls it once, before it serves.
 func Tune() {
 	logx.Disable()
@@ -28,6 +31,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 }
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -18,6 +18,10 @@
 // off can still be fetched again or reported with its true outcome.
 const maxHeldBody = 256 << 10
 
+// uncountedHead is how much of a held head takes no reservation, in bytes, so that ordinary answers are held while the memory
+// budget is used up.
+const uncountedHead = 4 << 10
+
 // answer is the sink of one send: it passes the endpoint's answer to the caller. A short answer is held until it is
 // complete, and a failed one for as long as another endpoint may give a better answer.
 //
@@ -38,6 +42,8 @@
 	// are none.
 	held *peerpb.Head
 	body []byte
+	// heldBytes is how much of the reservation held and body take.
+	heldBytes int
 	// head is the head of the latest answer, recordedBody the part of its body that is recorded for the key's owner.
 	head         *peerpb.Head
 	recordedBody []byte
@@ -97,9 +103,8 @@
 
 // reset discards a held answer before the next send.
 func (a *answer) reset() {
-	a.reservation.Shrink(len(a.body))
-	a.held, a.head = nil, nil
-	a.body, a.recordedBody = nil, nil
+	a.releaseHeld()
+	a.head, a.recordedBody = nil, nil
 }
 
 // ReportOverdue implements peer.Sink.
@@ -129,13 +134,29 @@
 		return fault.New(fault.Canceled, "answer", "the send has given up its slot")
 	}
 	a.head = h
-	if a.mayReplace && h.GetStatus() >= http.StatusInternalServerError || short(h) {
+	replaceable := a.mayReplace && h.GetStatus() >= http.StatusInternalServerError
+	if (replaceable || short(h)) && a.reserveHeld(max(header.Size(h.GetHeaders())-uncountedHead, 0)) {
 		a.held = h
 		return nil
 	}
 	return a.start(h)
 }
 
+// reserveHeld reserves memory for n more bytes that are held; false if there is none.
+func (a *answer) reserveHeld(n int) bool {
+	if n > 0 && !a.reservation.Grow(n) {
+		return false
+	}
+	a.heldBytes += n
+	return true
+}
+
+// releaseHeld drops what is held.
+func (a *answer) releaseHeld() {
+	a.reservation.Shrink(a.heldBytes)
+	a.held, a.body, a.heldBytes = nil, nil, 0
+}
+
 // short reports whether an answer's Content-Length is small enough for the body to be held.
 func short(h *peerpb.Head) bool {
 	for _, f := range h.GetHeaders() {
@@ -173,7 +194,7 @@
 	if a.recordBody && len(a.recordedBody) <= dedupe.MaxStoredBody {
 		a.recordedBody = append(a.recordedBody, b...)
 	}
-	if a.held != nil && len(a.body)+len(b) <= maxHeldBody && a.reservation.Grow(len(b)) {
+	if a.held != nil && len(a.body)+len(b) <= maxHeldBody && a.reserveHeld(len(b)) {
 		a.body = append(a.body, b...)
 		return nil
 	}
@@ -197,10 +218,8 @@
 	if err := a.start(a.held); err != nil {
 		return err
 	}
-	a.held = nil
 	_, err := a.w.Write(a.body)
-	a.reservation.Shrink(len(a.body))
-	a.body = nil
+	a.releaseHeld()
 	return err
 }
 
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -133,7 +133,7 @@
 func (c *conn) awaitRequest(limits Limits) bool {
 	until, open := time.Now().Add(limits.IdleTimeout), true
 	for open {
-		c.limit.remaining = int64(limits.HeaderBytes) + readBuffer
+		c.limit.allow(int64(limits.HeaderBytes) + readBuffer)
 		c.setReadDeadline(until)
 		_, err := c.r.Peek(1)
 		if err == nil {
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -21,10 +21,15 @@
 
 // limitedReader fails once the bytes allowed for the current header or part of a body are used up.
 type limitedReader struct {
-	r         io.Reader
+	r io.Reader
+	// remaining is how many bytes may still be read, read how many have been since allow.
 	remaining int64
+	read      int64
 }
 
+// allow allows n bytes from here on.
+func (l *limitedReader) allow(n int64) { l.remaining, l.read = n, 0 }
+
 var errTooLarge = fault.New(fault.BadRequest, "header", "the header is too large")
 
 // Read implements io.Reader.
@@ -37,6 +42,7 @@
 	}
 	n, err := l.r.Read(b)
 	l.remaining -= int64(n)
+	l.read += int64(n)
 	return n, err
 }
 
@@ -55,7 +61,10 @@
 		return req, nil, http.StatusRequestEntityTooLarge, tooLarge()
 	}
 	reservation := c.s.reserveBody(req.Header)
-	status, bad := c.reserveAndReadBody(req, reservation, limits)
+	status, bad := http.StatusServiceUnavailable, memorySpent()
+	if long := c.limit.read - readBuffer; long <= 0 || reservation.Grow(int(long)) {
+		status, bad = c.reserveAndReadBody(req, reservation, limits)
+	}
 	if bad != nil {
 		reservation.Release()
 		return req, nil, status, bad
@@ -150,7 +159,7 @@
 	}
 	buf := make([]byte, readBuffer)
 	for {
-		c.limit.remaining = limits.BodyBytes + readBuffer
+		c.limit.allow(limits.BodyBytes + readBuffer)
 		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		n, err := req.Body.Read(buf)
 		body = append(body, buf[:n]...)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,11 +7,14 @@
 	"time"
 )
 
+// readBuffer is the size of a connection's read buffer, in bytes.
 const readBuffer = 4 << 10
 
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
+	// head bounds the bytes that r reads from Conn for the head of one answer.
+	head    *headReader
 	r       *bufio.Reader
 	address string
 	// idleSince and idleLimit say how long it may still be used again.
@@ -20,7 +23,8 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), address: address}
+	head := &headReader{r: c}
+	return &conn{Conn: c, head: head, r: bufio.NewReaderSize(head, readBuffer), address: address}
 }
 
 // quiet tells whether a kept connection is open and nothing has come on it that nobody asked for.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -61,7 +61,7 @@
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	err = resp.send(r)
 	if err == nil {
-		err = resp.find(r)
+		err = resp.find(ctx, r)
 	}
 	if err != nil {
 		resp.discard()
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/lynxplank/lynxplank/memory"
 )
 
 // atOnce is the largest body that is written before the answer is looked for, and the largest chunk, in bytes.
@@ -26,6 +28,8 @@
 	// Fresh bounds how long a kept connection may have been idle, 0 for no bound: one may be dead, which a request that
 	// must not repeat does not survive.
 	Fresh time.Duration
+	// Reservation counts the memory for the head of a long answer, nil for no bound but MaxHead.
+	Reservation *memory.Reservation
 	// Mine tells whether an answer belongs to the request; nil takes the first one.
 	Mine func(status int, h http.Header) bool
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,6 +21,9 @@
 	mostForeign = 8
 	// mostInformational is how many provisional answers (1xx) are passed over.
 	mostInformational = 8
+	// maxDiscarded and discardTimeout bound the reading of a body that nobody needs, in bytes and in time.
+	maxDiscarded   = 64 << 10
+	discardTimeout = 100 * time.Millisecond
 )
 
 // Response is an endpoint's answer; Close must follow.
@@ -57,10 +61,10 @@
 }
 
 // find reads up to the answer to the request; whole answers to other requests before it are passed over.
-func (resp *Response) find(r Request) error {
+func (resp *Response) find(ctx context.Context, r Request) error {
 	info := 0
 	for foreign := 0; foreign <= mostForeign; {
-		answer, err := http.ReadResponse(resp.conn.r, &http.Request{Method: r.Method})
+		answer, err := resp.conn.readHead(ctx, r)
 		if err != nil {
 			return err
 		}
@@ -91,6 +95,13 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that nobody needs, if it is short and there already, so that the connection can be kept.
+func (resp *Response) Discard() {
+	_ = resp.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, resp, maxDiscarded)
+	_ = resp.conn.SetReadDeadline(time.Time{})
+}
+
 // Close keeps the connection for another request if the exchange has ended as it should.
 func (resp *Response) Close() {
 	if !resp.stop() || !resp.whole || resp.Response.Close || !resp.bodySent() || resp.conn.r.Buffered() > 0 {
