A resting connection takes its next request by the limits in force then

Cause: serveNext looked up the limits, waited for the next request for as long as the connection rested, and read the request by them. A shorter idle timeout waited for the older one in the same way.

Change: limits are looked up once the first byte has arrived; a change of the idle timeout reaches connections that rest, and closes none within 2 s. Event 507 says by which limits the listener refused a request.

Why it works: nothing that the operators can change is held across the wait.

--- a/events/bound.go
+++ b/events/bound.go
@@ -40,7 +40,7 @@
 // requests.
 func limitOf(event int) Limit {
 	switch event {
-	case RequestServed.Number, OfferRefused.Number, OlderConfigUsed.Number, RequestRetried.Number, RequestHedged.Number:
+	case RequestServed.Number, OfferRefused.Number, OlderConfigUsed.Number, RequestRetried.Number, RequestHedged.Number, RequestUnread.Number:
 		return sampleLimit
 	}
 	return defaultLimit
--- a/events/events.go
+++ b/events/events.go
@@ -84,6 +84,7 @@
 	ServedLate      = Event{504, "request served late", zerolog.InfoLevel}
 	RequestRetried  = Event{505, "request sent again", zerolog.InfoLevel}
 	RequestHedged   = Event{506, "request sent to a second endpoint", zerolog.InfoLevel}
+	RequestUnread   = Event{507, "request refused by the listener", zerolog.InfoLevel}
 )
 
 // All lists every event.
@@ -97,7 +98,7 @@
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
 	RequestBlocked, RequestUnblocked, CrashesWritten, CrashesNotWritten, FieldsUnread, MaxRateChanged, BadMaxRate,
 	SlotsUsed, RequestsThrottled, SlotReclaimed, BadLoadReport, HeartbeatIgnored, LeavingNotStored, AnswerHeadTooLong,
-	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged,
+	RequestRefused, RequestFailed, AnswerRecovered, RequestServed, ServedLate, RequestRetried, RequestHedged, RequestUnread,
 }
 
 // Log starts a log line of the event; the caller adds fields and sends it.
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,8 @@
 	pauses *clock.PauseMonitor
 	// announced holds the endpoints that announce themselves; nil if endpoints are rows of the table.
 	announced *registry.Registry
+	// callers is the callers' listener.
+	callers *pipeline.Server
 	// budget limits the memory that request and answer bodies may use.
 	budget *memory.Budget
 	// skipped holds the entries that could not be decoded.
@@ -171,16 +173,13 @@
 		platform.WithObserver(calls.record))
 	var limits *ratelimit.Limiter
 	var tracker *quarantine.Tracker
-	a := announce.New(n.announceConfig(incarnation), n.log, client, announce.WithRecordHook(func(record table.HostInfo, complete bool) {
-		if n.announced != nil {
-			n.announced.Recover(record, complete)
-		}
-	}))
+	a := announce.New(n.announceConfig(incarnation), n.log, client, announce.WithRecordHook(n.recoverRecord))
 	follower = configsync.New(n.followerConfig(), n.log, client, links, configsync.WithChangeHook(func(s *configsync.Snapshot) {
 		e.Observe(time.Now(), s)
 		a.Observe(s)
 		limits.Observe(s)
 		tracker.Observe(s)
+		n.callers.ApplyLimits()
 	}), configsync.WithSkippedList(n.skipped))
 	tracker = quarantine.New(quarantine.Config{
 		Host: n.cfg.Node.ID, RetryInterval: n.cfg.Platform.RetryInterval.Std(), MaxRetryInterval: n.cfg.Platform.MaxRetryInterval.Std(), Timeout: n.cfg.Platform.Timeout.Std(),
@@ -236,14 +235,13 @@
 		})
 	}
 	n.kernel.Register(Ingress, g)
-	callers := pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g,
-		ingress.RefuseUnread(n.contract()))
-	callers.ReserveBodies(func(h http.Header) *memory.Reservation { return n.budget.NewReservation(g.CustomerOf(h)) })
-	callers.StopBy(n.schedule)
-	callers.OnPanic(func(value any, stack []byte) {
+	n.callers = pipeline.New(Callers, n.cfg.Callers.Listen.String(), n.callerLimits(f.State), g, n.refuseUnread(f))
+	n.callers.ReserveBodies(func(h http.Header) *memory.Reservation { return n.budget.NewReservation(g.CustomerOf(h)) })
+	n.callers.StopBy(n.schedule)
+	n.callers.OnPanic(func(value any, stack []byte) {
 		events.HandlerPanicked.Log(n.log).Any("value", value).Bytes("stack", stack).Send()
 	})
-	n.kernel.Register(Callers, callers)
+	n.kernel.Register(Callers, n.callers)
 	if n.cfg.Readiness.Listen.IsValid() {
 		n.kernel.Register(Readiness, serve.New(Readiness, n.cfg.Readiness.Listen.AddrPort,
 			serve.WithRoutes(platform.ReadinessRoute(func() bool { return f.Snapshot().Ready && !n.schedule.Begun() }),
@@ -270,6 +268,26 @@
 	return r
 }
 
+// recoverRecord passes a record of this host to the registry, if endpoints announce themselves.
+func (n *Node) recoverRecord(record table.HostInfo, complete bool) {
+	if n.announced != nil {
+		n.announced.Recover(record, complete)
+	}
+}
+
+// refuseUnread returns the function that answers requests which the callers' listener refuses.
+func (n *Node) refuseUnread(f *configsync.Follower) pipeline.ErrorHandler {
+	refuse, limits, ct := ingress.RefuseUnread(n.contract()), n.callerLimits(f.State), n.contract()
+	return func(w http.ResponseWriter, h http.Header, status int, err *fault.Error) {
+		call, _ := ct.Call(h)
+		l := limits()
+		events.RequestUnread.Log(n.log).Str("request", call.ID).Int("status", status).Str("code", string(err.Code)).
+			Str("detail", err.Detail).Int("header_bytes", l.HeaderBytes).Int64("body_bytes", l.BodyBytes).
+			Uint64("config", f.State().Revisions()[table.SourceConfig]).Send()
+		refuse(w, h, status, err)
+	}
+}
+
 // newRegistry returns the registry of the endpoints beside a host. The announcer stores what it is told, publish makes it
 // active on this node.
 func newRegistry(
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -20,6 +20,9 @@
 	maxPending = 16
 	// lingerTimeout is how long a connection waits, after its last answer has been written, for its caller to close it.
 	lingerTimeout = 500 * time.Millisecond
+	// idleGrace is how long after a change of the idle timeout a connection may still be idle by the earlier one, as its caller may
+	// not know of the change.
+	idleGrace = 2 * time.Second
 )
 
 // conn is a caller's connection. One goroutine, which runs serve, reads the requests; each request is handled in a
@@ -108,11 +111,10 @@
 
 // serveNext reads one request and dispatches it to the handler. It returns false when the connection accepts no more.
 func (c *conn) serveNext() bool {
-	limits := c.s.limits()
-	if !c.awaitRequest(limits) {
+	if !c.awaitRequest() {
 		return false
 	}
-	req, reservation, status, bad := c.readRequest(limits)
+	req, reservation, status, bad := c.readRequest(c.s.limits())
 	c.endReading()
 	if bad == nil && !c.s.accepts(c.ctx, time.Now()) || status == http.StatusRequestTimeout && c.finishing() {
 		reservation.Release()
@@ -130,10 +132,12 @@
 }
 
 // awaitRequest waits for the first byte of the next request. It returns false when no further request will be read.
-func (c *conn) awaitRequest(limits Limits) bool {
-	until, open := time.Now().Add(limits.IdleTimeout), true
+//
+// Invariant: nothing that the operators can change is looked up before the wait and used after it: it may last for the idle timeout.
+func (c *conn) awaitRequest() bool {
+	until, open := time.Now().Add(c.s.limits().IdleTimeout), true
 	for open {
-		c.limit.allow(int64(limits.HeaderBytes) + readBuffer)
+		c.limit.begin(readBuffer)
 		c.setReadDeadline(until)
 		_, err := c.r.Peek(1)
 		if err == nil {
@@ -170,6 +174,15 @@
 	return until, now.Before(until)
 }
 
+// recheckIdle has a connection that waits for a request look up, after idleGrace, how long it may.
+func (c *conn) recheckIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading && !c.lingers && c.finishBy.IsZero() {
+		_ = c.raw.SetReadDeadline(time.Now().Add(idleGrace))
+	}
+}
+
 // closed reports whether the connection accepts no more requests.
 func (c *conn) closed() bool {
 	c.mu.Lock()
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -22,34 +22,32 @@
 // limitedReader fails once the bytes allowed for the current header or part of a body are used up.
 type limitedReader struct {
 	r io.Reader
-	// remaining is how many bytes may still be read, read how many have been since allow.
-	remaining int64
-	read      int64
+	// read is how many bytes have been read since begin, allowed how many may be.
+	read    int64
+	allowed int64
 }
 
-// allow allows n bytes from here on.
-func (l *limitedReader) allow(n int64) { l.remaining, l.read = n, 0 }
+// begin allows n bytes from here on.
+func (l *limitedReader) begin(n int64) { l.read, l.allowed = 0, n }
 
 var errTooLarge = fault.New(fault.BadRequest, "header", "the header is too large")
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining <= 0 {
+	if l.read >= l.allowed {
 		return 0, errTooLarge
 	}
-	if int64(len(b)) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.r.Read(b)
-	l.remaining -= int64(n)
+	n, err := l.r.Read(b[:min(int64(len(b)), l.allowed-l.read)])
 	l.read += int64(n)
 	return n, err
 }
 
-// readRequest reads one request with its whole body, and returns the request and the memory reserved for its body. On
-// failure it returns the HTTP status to answer with, 0 when the caller has gone and cannot read an answer.
+// readRequest reads one request with its whole body, and returns the request and the memory reserved for it. limits are those that
+// were in force when its first byte had arrived: a change meanwhile counts for the next one. On failure it returns the HTTP status to
+// answer with, 0 when the caller has gone and cannot read an answer.
 func (c *conn) readRequest(limits Limits) (*http.Request, *memory.Reservation, int, *fault.Error) {
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limit.allowed = int64(limits.HeaderBytes) + readBuffer
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
 		return nil, nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
@@ -159,7 +157,7 @@
 	}
 	buf := make([]byte, readBuffer)
 	for {
-		c.limit.allow(limits.BodyBytes + readBuffer)
+		c.limit.begin(limits.BodyBytes + readBuffer)
 		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		n, err := req.Body.Read(buf)
 		body = append(body, buf[:n]...)
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -65,6 +65,8 @@
 	open     atomic.Int64
 	// late counts what LateRequests returns.
 	late atomic.Int64
+	// idleTimeout is the idle timeout by which connections wait, in nanoseconds, 0 until ApplyLimits was called.
+	idleTimeout atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -165,6 +167,18 @@
 	s.mu.Unlock()
 }
 
+// ApplyLimits has the connections that wait for a request do so by the limits that are in force now; call it when these may have
+// changed. All other limits are looked up where they decide.
+func (s *Server) ApplyLimits() {
+	idle := int64(s.limits().IdleTimeout)
+	if s.idleTimeout.Swap(idle) == idle {
+		return
+	}
+	for _, c := range s.openConns() {
+		c.recheckIdle()
+	}
+}
+
 // Drain has each connection closed with its next answer after which no request is pending; requests are still accepted.
 func (s *Server) Drain() { s.draining.Store(true) }
 
