Ages on a node do not change when its host's time of day is set

Cause: the director, the throttle and the links keep times in atomic variables, as nanoseconds since 1970. A step of the time of day by seconds moved every age with it: an endpoint that had just refused counted as refusing for that much longer, reports of load, drains and cold starts expired early or late, and a link's next heartbeat waited. No caller is known to have noticed.

Change: clock.Nanos counts from the process's start by its monotonic clock, and is the same number as before without steps.

--- a/director/report.go
+++ b/director/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/eject"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
@@ -39,10 +40,10 @@
 	t.applyLoad(now, r.Load)
 	d.applySuspectReport(now, r)
 	if r.Refused {
-		t.refusedAt.Store(now.UnixNano())
+		t.refusedAt.Store(clock.Nanos(now))
 	}
 	if r.OutOfRetries {
-		t.outOfRetriesAt.Store(now.UnixNano())
+		t.outOfRetriesAt.Store(clock.Nanos(now))
 	}
 	if r.Received {
 		success := 1.0
--- a/director/target.go
+++ b/director/target.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/table"
 )
@@ -67,19 +68,19 @@
 	if otherHall {
 		ttl = remoteRefusedTTL
 	}
-	if now.UnixNano()-t.refusedAt.Load() < int64(ttl) {
+	if clock.Nanos(now)-t.refusedAt.Load() < int64(ttl) {
 		return true
 	}
-	if opts.IsRetry && now.UnixNano()-t.outOfRetriesAt.Load() < int64(outOfRetriesTTL) {
+	if opts.IsRetry && clock.Nanos(now)-t.outOfRetriesAt.Load() < int64(outOfRetriesTTL) {
 		return true
 	}
-	return (!opts.Repeatable || otherHall) && now.UnixNano()-t.trialOnlyAt.Load() < int64(trialOnlyTTL)
+	return (!opts.Repeatable || otherHall) && clock.Nanos(now)-t.trialOnlyAt.Load() < int64(trialOnlyTTL)
 }
 
 // busy reports whether an endpoint has just refused a request because it had no free slot, and not because it accepts
 // only trials.
 func (t *target) busy(now time.Time) bool {
-	return now.UnixNano()-t.refusedAt.Load() < int64(refusedTTL) && t.trialOnlyAt.Load() == 0
+	return clock.Nanos(now)-t.refusedAt.Load() < int64(refusedTTL) && t.trialOnlyAt.Load() == 0
 }
 
 func newTarget() *target {
@@ -102,7 +103,7 @@
 // reported load, whose weight decays with age. So a stale report never hides what this node has sent.
 func (t *target) outstanding(now time.Time) int {
 	own := t.inFlight.Load()
-	age := now.UnixNano() - t.reportedAt.Load()
+	age := clock.Nanos(now) - t.reportedAt.Load()
 	if age >= int64(reportTTL) {
 		return int(own)
 	}
@@ -117,7 +118,7 @@
 	if at == 0 {
 		return -1
 	}
-	return (now.UnixNano() - at) / int64(time.Millisecond)
+	return (clock.Nanos(now) - at) / int64(time.Millisecond)
 }
 
 // applyLoad records a load report.
@@ -126,10 +127,10 @@
 		return
 	}
 	t.reported.Store(int64(load.GetBusy()) + int64(load.GetQueued()))
-	t.reportedAt.Store(now.UnixNano())
+	t.reportedAt.Store(clock.Nanos(now))
 	t.noteMaxRate(now, load)
 	if load.GetTrial() {
-		t.trialOnlyAt.Store(now.UnixNano())
+		t.trialOnlyAt.Store(clock.Nanos(now))
 	} else {
 		t.trialOnlyAt.Store(0)
 	}
@@ -137,19 +138,19 @@
 		t.markCold(now, time.Duration(load.GetColdMicros())*time.Microsecond)
 	}
 	if load.GetLeaving() {
-		t.drainingAt.Store(now.UnixNano())
+		t.drainingAt.Store(clock.Nanos(now))
 	} else if !t.draining(now) {
 		t.drainingAt.Store(0)
 	}
 }
 
 // markCold sets how long the endpoint stays cold from now on.
-func (t *target) markCold(now time.Time, d time.Duration) { t.coldUntil.Store(now.Add(d).UnixNano()) }
+func (t *target) markCold(now time.Time, d time.Duration) { t.coldUntil.Store(clock.Nanos(now.Add(d))) }
 
 // warmupShare returns the share of its usual weight that the endpoint has while it is cold; it grows to 1 over the
 // warmup time.
 func (t *target) warmupShare(now time.Time, warmup time.Duration) float64 {
-	left := t.coldUntil.Load() - now.UnixNano()
+	left := t.coldUntil.Load() - clock.Nanos(now)
 	if left <= 0 || warmup <= 0 {
 		return 1
 	}
@@ -162,7 +163,7 @@
 // draining reports whether the endpoint has said recently that it drains. The report expires, so that a request finds
 // out whether another process has taken the endpoint's place; it tells the endpoint's node what was said.
 func (t *target) draining(now time.Time) bool {
-	return now.UnixNano()-t.drainingAt.Load() < int64(drainingTTL)
+	return clock.Nanos(now)-t.drainingAt.Load() < int64(drainingTTL)
 }
 
 // Pick is a chosen endpoint.
--- a/peer/control.go
+++ b/peer/control.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
 	"github.com/lynxplank/lynxplank/liveness"
@@ -125,8 +126,8 @@
 	case s.inFlight.Load() == 0:
 		return idle
 	}
-	last := max(sent.UnixNano(), s.busyAt.Load(), s.answeredAt.Load())
-	return min(idle, time.Unix(0, last).Add(s.m.cfg.Heartbeat).Sub(now))
+	last := max(clock.Nanos(sent), s.busyAt.Load(), s.answeredAt.Load())
+	return min(idle, clock.At(last).Add(s.m.cfg.Heartbeat).Sub(now))
 }
 
 // pinnedIdleFactor multiplies the heartbeat interval on an idle link that is kept open for the peer's reports,
@@ -206,7 +207,7 @@
 		return false
 	}
 	now := time.Now()
-	s.echoAt.Store(now.UnixNano())
+	s.echoAt.Store(clock.Nanos(now))
 	s.roundTrip.Store(int64(now.Sub(s.pendingAt)))
 	s.pending = 0
 	s.path = s.path.WithAnswer()
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 )
@@ -121,7 +122,7 @@
 		m: m, address: address, mux: mux, conn: c, openedAt: time.Now(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), streams: make(map[net.Conn]bool),
 	}
-	s.usedAt.Store(time.Now().UnixNano())
+	s.usedAt.Store(clock.Nanos(time.Now()))
 	// The kernel of a frozen peer still accepts connections: if the last link was suspect when it ended, the new one
 	// starts out suspect, until its first echo.
 	m.mu.Lock()
--- a/peer/reach.go
+++ b/peer/reach.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lynxplank/lynxplank/clock"
 )
 
 // outage is the state of a peer that cannot be reached.
@@ -127,7 +129,7 @@
 	if last == 0 {
 		return time.Time{}
 	}
-	return time.Unix(0, last)
+	return clock.At(last)
 }
 
 // LinkHealthy reports whether a link to a peer is open and not suspect.
--- a/peer/session.go
+++ b/peer/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/gen/peerpb"
@@ -84,7 +85,7 @@
 
 // begin records the start of an exchange. If the link was idle, the heartbeat is woken to monitor it.
 func (s *Session) begin(stream net.Conn, offered bool) {
-	now := time.Now().UnixNano()
+	now := clock.Nanos(time.Now())
 	s.usedAt.Store(now)
 	if s.inFlight.Add(1) == 1 {
 		s.busyAt.Store(now)
@@ -106,7 +107,7 @@
 // recordAnsweredOffer records that the peer has answered an offer made at the given time: the link works in both
 // directions. That clears a heartbeat without an echo that was sent before the offer.
 func (s *Session) recordAnsweredOffer(at time.Time) {
-	s.answeredAt.Store(at.UnixNano())
+	s.answeredAt.Store(clock.Nanos(at))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pending != 0 && s.pendingAt.Before(at) {
@@ -184,7 +185,7 @@
 	}
 }
 
-func (s *Session) lastUse() time.Time { return time.Unix(0, s.usedAt.Load()) }
+func (s *Session) lastUse() time.Time { return clock.At(s.usedAt.Load()) }
 
 // close closes the link and all streams on it.
 func (s *Session) close() {
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lynxplank/lynxplank/clock"
 )
 
 const (
@@ -101,7 +103,7 @@
 
 // advance drops the slices that have left the window. A time before the newest slice belongs to that slice.
 func (t *Throttle) advance(now time.Time) *counts {
-	number := now.UnixNano() / int64(sliceDuration)
+	number := clock.Nanos(now) / int64(sliceDuration)
 	if number-t.current >= sliceCount {
 		*t = Throttle{current: number}
 	}
