Soak: answers without an end, starts across steps of the clock, changes of limits

Change: -spoils has endpoints answer with bytes that have no end and watches the memory of the nodes, -steps has endpoints start twice under one name across steps of their host's time of day before they leave, -limits changes the callers' limits beside connections that rest.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -33,6 +33,10 @@
 	leaves := flag.Int("leaves", 0, "times in which endpoints, which announce themselves then, leave around ends of their nodes")
 	scarce := flag.Int("scarce", 0, "planned stops of nodes that have a sixth of a processor, beside callers whose kept connections lie idle")
 	ahead := flag.Int("ahead", 0, "callers that send lookups ahead on kept connections, whose reads time out while requests are under way")
+	steps := flag.Int("steps", 0, "times in which endpoints, which announce themselves then, start again under their names across steps of the time of day, and leave")
+	spoils := flag.Int("spoils", 0, "times in which endpoints answer with bytes that have no end")
+	limits := flag.Int("limits", 0, "changes of the limits for callers, beside connections that rest")
+	race := flag.Bool("race", false, "the programs have the race detector, and need more memory")
 	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
 	keep := flag.String("keep", "", "folder for logs and settings of the runs; empty for none")
@@ -43,6 +47,7 @@
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
 			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Leaves: *leaves, Ahead: *ahead, Scarce: *scarce, Calm: *calm,
+			Steps: *steps, Spoils: *spoils, Limits: *limits, Race: *race,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -78,7 +83,13 @@
 	if cfg.Hangs > 0 {
 		fmt.Fprintf(out, "requests that gave up a slot: %d\n", report.Yielded)
 	}
-	if cfg.Leaves > 0 {
+	if cfg.Spoils > 0 {
+		fmt.Fprintf(out, "most memory of a node: %d MB\n", report.MostResident)
+	}
+	if cfg.Limits > 0 {
+		fmt.Fprintf(out, "requests within changing limits: %d\n", report.Sized)
+	}
+	if cfg.Leaves+cfg.Steps > 0 {
 		fmt.Fprintf(out, "leavings checked: %d, late heartbeats after them: %d\n", report.Leavings, report.Late)
 	}
 	if cfg.Nested {
--- a/demo/announced.go
+++ b/demo/announced.go
@@ -16,9 +16,9 @@
 // announcedSlots is how many requests an endpoint that announces itself reports to run at once.
 const announcedSlots = 8
 
-// Heartbeat returns a heartbeat of an incarnation of the member's endpoint; it may be sent later.
-func (m *Member) Heartbeat(service, instance string, sequence uint64) registry.Heartbeat {
-	return registry.Heartbeat{Instance: instance, Service: service, Address: m.Endpoint, Slots: announcedSlots, Sequence: sequence}
+// Heartbeat returns a heartbeat of an incarnation of the member's endpoint, born in milliseconds since 1970 or 0; it may be sent later.
+func (m *Member) Heartbeat(service, instance string, born int64, sequence uint64) registry.Heartbeat {
+	return registry.Heartbeat{Instance: instance, Born: born, Service: service, Address: m.Endpoint, Slots: announcedSlots, Sequence: sequence}
 }
 
 // Report sends a heartbeat to the member's node; Unavailable unless it is acknowledged in time.
@@ -29,8 +29,8 @@
 
 // ReportLeaving tells the member's node that an incarnation of its endpoint leaves; Unavailable unless that is acknowledged in
 // time.
-func (m *Member) ReportLeaving(instance string) error {
-	req, err := platform.LeaveRequest(m.Control, instance, 0)
+func (m *Member) ReportLeaving(instance string, born int64) error {
+	req, err := platform.LeaveRequest(m.Control, instance, born)
 	return report(req, err)
 }
 
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -41,6 +41,10 @@
 		r.silence(a)
 	case Leave:
 		r.leave(a)
+	case StepClock:
+		r.stepClock(a)
+	case ChangeLimits:
+		r.changeLimits(a)
 	}
 }
 
@@ -186,7 +190,7 @@
 				return true
 			}
 		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate,
-			SilenceLinks, SilenceStore, SilenceSome, SilenceAll, Leave:
+			SilenceLinks, SilenceStore, SilenceSome, SilenceAll, Leave, StepClock, ChangeLimits:
 		}
 	}
 	return false
--- a/soak/leaves.go
+++ b/soak/leaves.go
@@ -51,23 +51,28 @@
 	plan := make([]Action, 0, n)
 	for range n {
 		a := draw(r, members, length)
-		a.Kind, a.For = Leave, mostLate+time.Second
-		a.Leaving = Leaving{
-			Drains: r.IntN(2) == 0, Stop: r.IntN(4) == 0, Down: 100*time.Millisecond + time.Duration(r.Int64N(int64(time.Second))),
-		}
-		// Kills right after the acknowledgement, and some later.
-		for range r.IntN(3) {
-			a.Leaving.Kills = append(a.Leaving.Kills, time.Duration(r.Int64N(int64([]time.Duration{50 * time.Millisecond, 3 * time.Second}[r.IntN(2)]))))
-		}
-		for range 1 + r.IntN(3) {
-			a.Leaving.Late = append(a.Leaving.Late, time.Duration(r.Int64N(int64(mostLate))))
-		}
-		slices.Sort(a.Leaving.Kills)
+		a.Kind, a.For, a.Leaving = Leave, mostLate+time.Second, drawLeaving(r)
 		plan = append(plan, a)
 	}
 	return plan
 }
 
+// drawLeaving draws how an endpoint leaves.
+func drawLeaving(r *rand.Rand) Leaving {
+	l := Leaving{
+		Drains: r.IntN(2) == 0, Stop: r.IntN(4) == 0, Down: 100*time.Millisecond + time.Duration(r.Int64N(int64(time.Second))),
+	}
+	// Kills right after the acknowledgement, and some later.
+	for range r.IntN(3) {
+		l.Kills = append(l.Kills, time.Duration(r.Int64N(int64([]time.Duration{50 * time.Millisecond, 3 * time.Second}[r.IntN(2)]))))
+	}
+	for range 1 + r.IntN(3) {
+		l.Late = append(l.Late, time.Duration(r.Int64N(int64(mostLate))))
+	}
+	slices.Sort(l.Kills)
+	return l
+}
+
 // withLeaves adds leaves to a plan, without the actions on rows of endpoints: there are none then.
 func withLeaves(plan, leaves []Action) []Action {
 	if len(leaves) == 0 {
@@ -83,8 +88,10 @@
 type boot struct {
 	m *demo.Member
 
-	mu       sync.Mutex
-	number   int
+	mu     sync.Mutex
+	number int
+	// born is its start time by its host's time of day, in milliseconds since 1970, 0 if it reports none.
+	born     int64
 	sequence uint64
 	leaving  bool
 }
@@ -94,7 +101,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
-	return b.m.Heartbeat(serviceName, b.instance(), b.sequence)
+	return b.m.Heartbeat(serviceName, b.instance(), b.born, b.sequence)
 }
 
 // instance returns the name of the present incarnation; the caller holds the lock.
@@ -125,6 +132,9 @@
 	b.leaving = leaving
 	if !leaving {
 		b.number, b.sequence = b.number+1, 0
+		if b.born != 0 {
+			b.born = time.Now().UnixMilli()
+		}
 	}
 }
 
@@ -148,6 +158,11 @@
 func (r *run) leave(a Action) {
 	r.ends[a.On].Lock()
 	defer r.ends[a.On].Unlock()
+	r.leaveNow(a)
+}
+
+// leaveNow is leave for an endpoint that no other action strikes.
+func (r *run) leaveNow(a Action) {
 	b, how := r.boots[a.On], a.Leaving
 	late := make([]registry.Heartbeat, 0, len(how.Late))
 	for range how.Late {
@@ -190,9 +205,9 @@
 			err = b.m.Report(draining)
 		} else {
 			b.mu.Lock()
-			instance := b.instance()
+			instance, born := b.instance(), b.born
 			b.mu.Unlock()
-			err = b.m.ReportLeaving(instance)
+			err = b.m.ReportLeaving(instance, born)
 		}
 		if err == nil {
 			return time.Now(), true
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -72,8 +72,11 @@
 	Rate float64
 	// Share is the part of the connections that go silent.
 	Share float64
-	// Leaving is how an endpoint leaves.
+	// Leaving is how an endpoint leaves, Steps how it starts before.
 	Leaving Leaving
+	Steps   Steps
+	// Limits are those that operators set.
+	Limits limits
 }
 
 // String tells the action in one line.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,14 @@
 	Scarce int
 	// Ahead is how many callers send lookups ahead on kept connections, with an idle timeout that is shorter than slow work.
 	Ahead int
+	// Steps is how often an endpoint starts again under its name while its host's time of day steps, and leaves; endpoints announce
+	// themselves then.
+	Steps int
+	// Spoils is how often an endpoint answers with bytes that have no end, Race whether the programs have the race detector.
+	Spoils int
+	Race   bool
+	// Limits is how often operators change the limits for callers, some of whose connections rest.
+	Limits int
 	// Calm leaves out the faults that Plan draws.
 	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
@@ -66,6 +74,8 @@
 	Silences int
 	// Leavings counts the acknowledged leavings that could be checked, Late the heartbeats that came after them.
 	Leavings, Late int
+	// MostResident is the most memory of a node in MB, if it was watched; Sized counts the requests within changing limits.
+	MostResident, Sized int
 	// Nested counts the calls that endpoints made.
 	Nested NestedCalls
 	// Yielded counts the requests that gave up a slot at a hanging endpoint, as far as the nodes' logs name them.
@@ -108,6 +118,8 @@
 	unknown map[string]bool
 	// stops are the planned stops by series of signals.
 	stops []stopped
+	// limits are those that operators have set for callers.
+	limits []acceptedLimits
 	// boots are the incarnations of endpoints that announce themselves, by member.
 	boots []*boot
 }
@@ -120,6 +132,9 @@
 	case cfg.Stops+cfg.Suspensions > 0:
 		settings = stopSettings
 	}
+	if cfg.Spoils > 0 {
+		settings += spoilSettings
+	}
 	switch {
 	case cfg.Nested:
 		settings += nestedSettings
@@ -156,13 +171,15 @@
 	r.plan = append(r.plan, PlanRates(cfg.Seed, cfg.Members, cfg.Rates, cfg.Length)...)
 	r.plan = append(r.plan, PlanSilences(cfg.Seed, cfg.Members, cfg.Silences, cfg.Length)...)
 	r.plan = append(r.plan, PlanHangs(cfg.Seed, cfg.Members, cfg.Hangs, cfg.Length)...)
-	r.plan = withLeaves(r.plan, PlanLeaves(cfg.Seed, cfg.Members, cfg.Leaves, cfg.Length))
+	r.plan = append(r.plan, PlanSpoils(cfg.Seed, cfg.Members, cfg.Spoils, cfg.Length)...)
+	r.plan = append(r.plan, PlanLimits(cfg.Seed, cfg.Members, cfg.Limits, cfg.Length)...)
+	r.plan = withLeaves(r.plan, append(PlanLeaves(cfg.Seed, cfg.Members, cfg.Leaves, cfg.Length), PlanSteps(cfg.Seed, cfg.Members, cfg.Steps, cfg.Length)...))
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
 		return Report{}, err
 	}
 	defer r.closeProxies()
-	if cfg.Leaves > 0 {
+	if cfg.Leaves+cfg.Steps > 0 {
 		fleet.AnnouncedService = serviceName
 		defer r.announceEndpoints()()
 	}
@@ -235,6 +252,12 @@
 	for i := range r.cfg.Fatal {
 		callers.Go(func() { r.sendFatal(ctx, i, targets) })
 	}
+	for i := range restingCallers * min(r.cfg.Limits, 1) {
+		callers.Go(func() { r.callResting(ctx, i) })
+	}
+	if r.cfg.Spoils > 0 {
+		callers.Go(func() { r.watchMemory(ctx) })
+	}
 	r.watch.begin()
 	for _, a := range r.plan {
 		actions.Go(func() {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -26,6 +26,9 @@
 	HalfLength int `json:"half_length"`
 	// HalfChunked has such an answer state no length.
 	HalfChunked bool `json:"half_chunked"`
+	// SpoilPercent of the answers are bytes without an end; Spoil is the way, one of Spoils.
+	SpoilPercent int    `json:"spoil_percent"`
+	Spoil        string `json:"spoil"`
 	// LargeBytes is the length of answers on paths that begin with PathLarge.
 	LargeBytes int `json:"large_bytes"`
 	// ReadPauseMillis is how long it waits after each 16 KiB of a request's body.
@@ -134,10 +137,12 @@
 	// large is the length that the answer is filled up to, 0 for as it is.
 	large                     int
 	shed, fail, half, leaving bool
-	calls                     bool
-	work                      time.Duration
-	report                    int
-	maxRate                   string
+	// spoil is the way in which the answer is spoiled, "" for none.
+	spoil   string
+	calls   bool
+	work    time.Duration
+	report  int
+	maxRate string
 	// down is how long the endpoint is gone after the work, 0 for not at all.
 	down time.Duration
 }
@@ -161,6 +166,9 @@
 	if b.faulty(age) {
 		p.fail = b.random.IntN(percent) < b.how.FailPercent
 		p.half = b.random.IntN(percent) < b.how.HalfPercent
+		if b.how.SpoilPercent > 0 && b.random.IntN(percent) < b.how.SpoilPercent {
+			p.spoil = b.how.Spoil
+		}
 		if b.how.SlowFactor > 0 {
 			p.work = time.Duration(float64(p.work) * b.how.SlowFactor)
 		}
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -100,6 +100,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if p.spoil != "" {
+		b.spoil(w, call, p.spoil)
+		return
+	}
 	b.answer(w, call, string(body), p)
 }
 
@@ -140,10 +144,8 @@
 	}
 	b.mu.Lock()
 	length, chunked := max(b.how.HalfLength, halfLength), b.how.HalfChunked
-	r := b.runs[call]
-	r.Halved++
-	b.runs[call] = r
 	b.mu.Unlock()
+	b.noteHalved(call)
 	if !chunked {
 		w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
