Changes reach nodes whose connections have gone silent without waiting for the links

Cause: after open connections went silent, a change came to a node by a sum of waits: a link is noticed as silent (up to 1.3 s), raced by a new one, and pulled over, one peer at a time and for up to 1 s each; readers whose long polls were silent waited for their next turn. Nothing used what the node knew already: that its connections gave no sign of life.

Change: a node whose closely monitored link, or several links, turn suspect reads the platform itself on new connections (at most 16 nodes of a hall), and repeats its reads in flight. A pull without an answer for 200 ms no longer holds up pulls from other peers.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -128,6 +128,8 @@
 	configCursor atomic.Uint64
 	// newestConfigRead is the version of the newest configuration that was read; it becomes active shortly after.
 	newestConfigRead atomic.Uint64
+	// silence tells the readers when connections of this node go silent.
+	silence silenceAlert
 	// confirms shares concurrent queries whether the active configuration is the newest.
 	confirms sharedCheck
 	// self is this host's announcement as set by this node, which the store may not have yet.
@@ -142,8 +144,8 @@
 
 	// The fields below are used by the control goroutine only.
 
-	// pulling is true while a pull is in flight; there is at most one at a time.
-	pulling bool
+	// pulls are the pulls in flight, with the times at which they began, by the address of the peer.
+	pulls map[string]time.Time
 	// pulledFrom is the peer whose answer is being applied, empty while a read of the platform is.
 	pulledFrom string
 	sources    map[table.Source]*sourceState
@@ -183,7 +185,7 @@
 	f := &Follower{
 		cfg: cfg, log: log, platform: p, links: links,
 		confirms: sharedCheck{now: clock.Boot}, skippedList: skipped.New(log),
-		messages: make(chan message, messageBacklog), done: make(chan struct{}),
+		silence: newSilenceAlert(), messages: make(chan message, messageBacklog), done: make(chan struct{}), pulls: make(map[string]time.Time),
 		sources: map[table.Source]*sourceState{table.SourceRows: {}},
 		wanted:  make(map[string]pendingPull), seedsAsked: make(map[string]bool), pullDue: time.NewTimer(tickInterval),
 	}
--- a/configsync/pull.go
+++ b/configsync/pull.go
@@ -46,6 +46,10 @@
 	// active by then. Without a second pull, a node would wait for the next hint, which takes four seconds on an idle
 	// link.
 	maxPulls = 3
+	// maxPullsInFlight limits the pulls at the same time. pullHedgeDelay is how long the pull that began last may stay
+	// unanswered before another begins: its link may have gone silent, which shows only later.
+	maxPullsInFlight = 3
+	pullHedgeDelay   = 200 * time.Millisecond
 	// pullRetryInterval is the minimum time between two such pulls.
 	pullRetryInterval = 100 * time.Millisecond
 )
@@ -63,14 +67,22 @@
 	return ""
 }
 
-// pullNext pulls from a peer that has a later revision; at most one pull is in flight.
+// pullNext pulls from a peer that has a later revision. A pull that is not answered in time does not hold up a pull from another
+// peer.
 func (f *Follower) pullNext(ctx context.Context) {
-	if f.pulling {
+	now := time.Now()
+	if len(f.pulls) >= maxPullsInFlight {
+		return
+	}
+	if due := f.nextPullAllowed(); now.Before(due) {
+		f.pullAgainAt(due)
 		return
 	}
-	now := time.Now()
 	best, next := "", time.Time{}
 	for address, w := range f.wanted {
+		if _, inFlight := f.pulls[address]; inFlight {
+			continue
+		}
 		if !f.State().Revisions().Behind(w.revisions) {
 			delete(f.wanted, address)
 			continue
@@ -96,6 +108,15 @@
 	f.pull(ctx, best)
 }
 
+// nextPullAllowed returns the time from which another pull may begin beside those in flight, zero if there are none.
+func (f *Follower) nextPullAllowed() time.Time {
+	var at time.Time
+	for _, began := range f.pulls {
+		at = latest(at, began.Add(pullHedgeDelay))
+	}
+	return at
+}
+
 // isBetterSource reports whether a pull is rather made from peer a than from peer b: from this hall, and over a link that has
 // proved itself more recently, as the other may have gone silent.
 func (f *Follower) isBetterSource(a, b string) bool {
@@ -162,7 +183,7 @@
 // askSeeds pulls from the next seed that was not asked yet; it starts over if all were asked and none had a
 // configuration.
 func (f *Follower) askSeeds(ctx context.Context) {
-	if f.pulling {
+	if len(f.pulls) > 0 {
 		return
 	}
 	for _, seed := range f.cfg.Seeds {
@@ -179,7 +200,7 @@
 // pull asks one peer for the missing changes, without blocking the caller. If a peer does not even accept the query, as
 // on a link that no longer carries data, pulls from other peers are held up for no longer than Config.Timeout.
 func (f *Follower) pull(ctx context.Context, address string) {
-	f.pulling = true
+	f.pulls[address] = time.Now()
 	from := f.State().Revisions()
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 	answer := make(chan pullResult, 1)
@@ -225,7 +246,7 @@
 }
 
 func (m pullResult) apply(ctx context.Context, f *Follower) {
-	f.pulling = false
+	delete(f.pulls, m.address)
 	f.seedsAsked[m.address] = true
 	err := m.err
 	if err == nil {
--- a/configsync/pull_test.go
+++ b/configsync/pull_test.go
@@ -47,14 +47,15 @@
 // TestLaterHintIsKept checks that a hint is followed which arrives while an earlier one of the same peer is pending.
 func TestLaterHintIsKept(t *testing.T) {
 	f := followerWithPeer(t, 2)
-	f.pulling = true
+	const address = "127.0.0.1:1"
+	f.pulls[address] = time.Now()
 	hintVersion(t, f, 5)
 	hintVersion(t, f, 8)
 	activateVersion(t, f, 5)
-	f.pulling = false
+	delete(f.pulls, address)
 	f.pullNext(t.Context())
-	if got, want := f.pulling, true; got != want {
-		t.Errorf("at 5, hint of 8: pulls: got %v, want %v", got, want)
+	if _, got := f.pulls[address]; !got {
+		t.Error("at 5, hint of 8: got no pull, want one")
 	}
 }
 
@@ -68,7 +69,7 @@
 		if got, want := len(f.wanted), 1; got != want {
 			t.Fatalf("after failed pull %d: pending pulls: got %d, want %d", try, got, want)
 		}
-		for f.pullNext(t.Context()); !f.pulling; f.pullNext(t.Context()) {
+		for f.pullNext(t.Context()); len(f.pulls) == 0; f.pullNext(t.Context()) {
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -83,3 +84,23 @@
 		t.Errorf("active: pending pulls: got %d, want %d", got, want)
 	}
 }
+
+// TestSilentPullHoldsUpNoOther guards against changes that come late because a pull over a silent link holds up all others.
+func TestSilentPullHoldsUpNoOther(t *testing.T) {
+	f := followerWithPeer(t, 2)
+	snap := *f.Snapshot()
+	snap.Hosts = append(snap.Hosts, table.HostInfo{ID: "h3", Hall: "hall-1", Address: "127.0.0.1:2"})
+	f.current.Store(&snap)
+	f.pulls["127.0.0.1:1"] = time.Now()
+	var r table.Revisions
+	r[table.SourceConfig] = 3
+	hint{peer: "h3", revisions: r}.apply(t.Context(), f)
+	if _, got := f.pulls["127.0.0.1:2"]; got {
+		t.Error("pull beside one that has just begun: got one, want none")
+	}
+	f.pulls["127.0.0.1:1"] = time.Now().Add(-pullHedgeDelay)
+	f.pullNext(t.Context())
+	if _, got := f.pulls["127.0.0.1:2"]; !got {
+		t.Error("pull beside one without an answer: got none, want one")
+	}
+}
--- a/configsync/read.go
+++ b/configsync/read.go
@@ -39,10 +39,17 @@
 
 // pause waits for d, with jitter, before the next read of the platform; false if ctx ends first.
 func (f *Follower) pause(ctx context.Context, d time.Duration) bool {
+	return f.pauseUntil(ctx, d, nil)
+}
+
+// pauseUntil is pause that ends early when wake is closed.
+func (f *Follower) pauseUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	jitter := 1 + pauseJitter*(rand.Float64()-0.5) //nolint:gosec // spreads the readers, no secret
 	select {
 	case <-ctx.Done():
 		return false
+	case <-wake:
+		return true
 	case <-time.After(time.Duration(float64(d) * jitter)):
 		return true
 	}
@@ -81,13 +88,13 @@
 		backoff: retry.Backoff{Initial: f.cfg.RetryInterval, Max: f.cfg.MaxRetryInterval}, turns: f.newTurns(platform.TableOwn, f.cfg.Readers),
 	}
 	for {
-		wait := f.cfg.RetryInterval
-		if f.reading.Load() {
+		wait, silence := f.cfg.RetryInterval, f.silence.next()
+		if f.reading.Load() || f.readsAfterSilence() {
 			m, delay := r.poll(ctx)
 			f.deliver(m)
 			wait = delay
 		}
-		if !f.pause(ctx, wait) {
+		if !f.pauseUntil(ctx, wait, silence) {
 			return
 		}
 	}
--- a/configsync/readconfig.go
+++ b/configsync/readconfig.go
@@ -32,8 +32,8 @@
 		turns: f.newTurns(platform.TableOperators, f.cfg.ConfigReaders),
 	}
 	for {
-		wait := f.cfg.RetryInterval
-		if f.readingConfig.Load() {
+		wait, silence := f.cfg.RetryInterval, f.silence.next()
+		if f.readingConfig.Load() || f.readsAfterSilence() {
 			m := r.poll(ctx)
 			f.deliver(m)
 			switch {
@@ -48,7 +48,7 @@
 				wait = r.backoff.Next()
 			}
 		}
-		if !f.pause(ctx, wait) {
+		if !f.pauseUntil(ctx, wait, silence) {
 			return
 		}
 	}
--- /dev/null
+++ b/configsync/silence.go
@@ -0,0 +1,65 @@
+package configsync
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// silenceReadWindow is how long after connections went silent a node reads the platform itself.
+	silenceReadWindow = 2 * time.Second
+	// minSilenceInterval is the minimum time between two such signs that count.
+	minSilenceInterval = 500 * time.Millisecond
+	// maxSilenceReaders limits the nodes of a hall that read the platform then; the others pull from them.
+	maxSilenceReaders = 16
+)
+
+// silenceAlert passes on that connections have gone silent. A change of the configuration may be withheld by the same failure: by a
+// read that waits on a silent connection, or by a link over which a reader would have reported it.
+type silenceAlert struct {
+	mu     sync.Mutex
+	raised chan struct{}
+	at     time.Time
+}
+
+func newSilenceAlert() silenceAlert { return silenceAlert{raised: make(chan struct{})} }
+
+// next returns a channel that is closed when connections go silent the next time.
+func (a *silenceAlert) next() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.raised
+}
+
+// raise closes the channels that next has returned, unless it did so just before.
+func (a *silenceAlert) raise(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.at) < minSilenceInterval {
+		return
+	}
+	a.at = now
+	close(a.raised)
+	a.raised = make(chan struct{})
+}
+
+// isRecent reports whether connections went silent within silenceReadWindow.
+func (a *silenceAlert) isRecent(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.at.IsZero() && now.Sub(a.at) < silenceReadWindow
+}
+
+// ConnectionsSilent reports that connections of this node give no sign of life; it never blocks. Reads in flight are repeated on new
+// connections, and a node that does not read the platform does so for a while.
+func (f *Follower) ConnectionsSilent() { f.silence.raise(time.Now()) }
+
+// readsAfterSilence reports whether this node reads the platform because its connections went silent.
+func (f *Follower) readsAfterSilence() bool {
+	if !f.silence.isRecent(time.Now()) {
+		return false
+	}
+	rank := slices.IndexFunc(f.Snapshot().ranked.byHall[f.cfg.Hall], f.isSelf)
+	return rank >= 0 && rank < maxSilenceReaders
+}
--- a/configsync/turns.go
+++ b/configsync/turns.go
@@ -73,8 +73,9 @@
 	err    error
 }
 
-// feed waits for changes of a table after the cursor. A read that gives no answer when its wait is over is left to its timeout,
-// and another is made beside it; the first answer counts, and the failure of the newest read. No read outlasts the call.
+// feed waits for changes of a table after the cursor. A read that gives no answer when its wait is over, or that was under way
+// when connections of this node went silent, is left to its timeout, and another is made beside it; the first answer counts, and
+// the failure of the newest read. No read outlasts the call.
 func (r *readerTurns) feed(ctx context.Context, name string, cursor uint64) (platform.Records, error) {
 	var reads sync.WaitGroup
 	defer reads.Wait()
@@ -94,11 +95,15 @@
 		})
 		return time.After(wait + feedSlack)
 	}
+	silence := r.f.silence.next()
 	overdue := begin()
 	for {
 		select {
 		case <-overdue:
 			overdue = begin()
+		case <-silence:
+			silence = r.f.silence.next()
+			overdue = begin()
 		case res := <-results:
 			if res.err == nil || res.number == begun {
 				return res.recs, res.err
--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,7 @@
 	var e *egress.Egress
 	links := peer.NewManager(n.peerConfig(incarnation, config), n.log,
 		peer.WithRevisionHook(func(name string, revisions table.Revisions) { follower.Hint(name, revisions) }),
+		peer.WithSilenceHook(func() { follower.ConnectionsSilent() }),
 		peer.WithEarlierLifeHook(func(heardAgo time.Duration) { e.NoteEarlierLife(heardAgo) }))
 	calls := &storeCalls{metrics: m}
 	client := platform.NewClient(n.cfg.Platform.Address.String(),
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -114,6 +114,7 @@
 	lives lives
 
 	onNewRevisions func(peer string, revisions table.Revisions)
+	onSilence      func()
 	onEarlierLife  func(heardAgo time.Duration)
 }
 
@@ -159,6 +160,9 @@
 	return func(m *Manager) { m.onNewRevisions = f }
 }
 
+// WithSilenceHook calls f when a closely monitored link, or several links, give no sign of life; f must not block.
+func WithSilenceHook(f func()) Option { return func(m *Manager) { m.onSilence = f } }
+
 // NewManager returns a Manager without links; its links use the given log.
 func NewManager(cfg Config, log *zerolog.Logger, opts ...Option) *Manager {
 	m := &Manager{
@@ -172,6 +176,7 @@
 		subscribers:    make(map[chan struct{}]string),
 		lives:          make(lives),
 		onNewRevisions: func(string, table.Revisions) {},
+		onSilence:      func() {},
 		onEarlierLife:  func(time.Duration) {},
 	}
 	m.revisions.Store(new(table.Revisions))
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -170,12 +170,12 @@
 }
 
 // verifyLinks has a heartbeat sent at once on every link if several are silent: what they share may have failed, and an idle
-// link would notice that seconds later. It does so at most once in the echo timeout.
-func (m *Manager) verifyLinks(now time.Time) {
+// link would notice that seconds later. It does so at most once in the echo timeout, and reports whether it did.
+func (m *Manager) verifyLinks(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now.Sub(m.verifiedAt) < m.cfg.EchoTimeout {
-		return
+		return false
 	}
 	silent := 0
 	for _, s := range m.sessions {
@@ -184,7 +184,7 @@
 		}
 	}
 	if silent < minSilent {
-		return
+		return false
 	}
 	m.verifiedAt = now
 	for _, s := range m.sessions {
@@ -193,6 +193,7 @@
 			s.beatNow()
 		}
 	}
+	return true
 }
 
 // isSilent reports whether the link is suspect or has lately taken the place of a silent one: links that fail together are
--- a/peer/session.go
+++ b/peer/session.go
@@ -148,7 +148,9 @@
 	events.LinkSuspect.Log(s.m.log).Str("peer", s.address).Str("reason", reason).Send()
 	s.interruptOffers()
 	s.beatNow()
-	s.m.verifyLinks(time.Now())
+	if s.m.verifyLinks(time.Now()) || s.watched.Load() > 0 {
+		s.m.onSilence()
+	}
 }
 
 // interruptOffers ends the offers in flight on a suspect link; the answers of dispatched requests are fetched over another
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// SilenceAll has all connections that are open deliver nothing any more, without a reset.
+func (n *Network) SilenceAll() {
+	for _, c := range n.between(func(_, _ netip.Addr) bool { return true }) {
+		c.in.silence()
+	}
+}
+
 func connects(a, b string) func(local, remote netip.Addr) bool {
 	x, y := netip.MustParseAddr(a), netip.MustParseAddr(b)
 	return func(local, remote netip.Addr) bool { return local == x && remote == y || local == y && remote == x }
