--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -128,6 +128,8 @@
 	configCursor atomic.Uint64
 	// newestConfigRead is the version of the newest configuration that was read; it becomes active shortly after.
 	newestConfigRead atomic.Uint64
+	// lastWord is when this node last had word of the newest configuration, as clock.Nanos.
+	lastWord atomic.Int64
 	// silence tells the readers when connections of this node go silent.
 	silence silenceAlert
 	// confirms shares concurrent queries whether the active configuration is the newest.
@@ -211,6 +213,7 @@
 	f.stop = cancel
 	f.startedAt = time.Now()
 	f.lastPeerMessage = f.startedAt
+	f.noteWord()
 	f.reading.Store(true)
 	f.readingConfig.Store(true)
 	go f.control(ctx)
--- a/configsync/links.go
+++ b/configsync/links.go
@@ -74,6 +74,7 @@
 	if f.links.HasLink(h.Address) {
 		if f.links.Usable(h.Address) {
 			f.lastPeerMessage = time.Now()
+			f.noteWord()
 		}
 		return
 	}
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -67,6 +67,9 @@
 func (m configRead) apply(_ context.Context, f *Follower) {
 	f.logFailedRead(table.SourceConfig, m.err, m.took)
 	err := m.err
+	if err == nil {
+		f.noteWord()
+	}
 	if m.config != nil {
 		err = f.activateConfig(*m.config)
 	}
--- a/configsync/pull.go
+++ b/configsync/pull.go
@@ -18,6 +18,7 @@
 
 func (m hint) apply(ctx context.Context, f *Follower) {
 	f.lastPeerMessage = time.Now()
+	f.noteWord()
 	address := f.addressOf(m.peer)
 	if address == "" || !f.State().Revisions().Behind(m.revisions) {
 		return
@@ -251,6 +252,7 @@
 	err := m.err
 	if err == nil {
 		f.lastPeerMessage = time.Now()
+		f.noteWord()
 		f.pulledFrom = m.address
 		err = f.applyParts(m.parts)
 		f.pulledFrom = ""
--- a/configsync/silence.go
+++ b/configsync/silence.go
@@ -4,6 +4,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lynxplank/lynxplank/clock"
+	"github.com/lynxplank/lynxplank/events"
 )
 
 const (
@@ -32,16 +35,17 @@
 	return a.raised
 }
 
-// raise closes the channels that next has returned, unless it did so just before.
-func (a *silenceAlert) raise(now time.Time) {
+// raise closes the channels that next has returned, and reports whether it did: not if it did so just before.
+func (a *silenceAlert) raise(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if now.Sub(a.at) < minSilenceInterval {
-		return
+		return false
 	}
 	a.at = now
 	close(a.raised)
 	a.raised = make(chan struct{})
+	return true
 }
 
 // isRecent reports whether connections went silent within silenceReadWindow.
@@ -53,7 +57,18 @@
 
 // ConnectionsSilent reports that connections of this node give no sign of life; it never blocks. Reads in flight are repeated on new
 // connections, and a node that does not read the platform does so for a while.
-func (f *Follower) ConnectionsSilent() { f.silence.raise(time.Now()) }
+func (f *Follower) ConnectionsSilent() {
+	if now := time.Now(); f.silence.raise(now) {
+		events.ConnectionsSilent.Log(f.log).Bool("reader", f.readingConfig.Load()).Dur("word_age", f.WordAge(now)).Send()
+	}
+}
+
+// WordAge returns the time since this node last had word of the newest configuration: an answer of the platform, a message from a
+// peer, or a look at a usable link.
+func (f *Follower) WordAge(now time.Time) time.Duration { return now.Sub(clock.At(f.lastWord.Load())) }
+
+// noteWord records that this node has word of the newest configuration.
+func (f *Follower) noteWord() { f.lastWord.Store(clock.Nanos(time.Now())) }
 
 // readsAfterSilence reports whether this node reads the platform because its connections went silent.
 func (f *Follower) readsAfterSilence() bool {
--- a/events/events.go
+++ b/events/events.go
@@ -43,6 +43,7 @@
 	HallReturned        = Event{212, "hall taken back", zerolog.InfoLevel}
 	ReadFailed          = Event{213, "read of the platform failed", zerolog.InfoLevel}
 	HostRecordFound     = Event{214, "announcement of an earlier process found", zerolog.InfoLevel}
+	ConnectionsSilent   = Event{215, "connections went silent", zerolog.InfoLevel}
 	LinkUp              = Event{300, "link up", zerolog.InfoLevel}
 	LinkSuspect         = Event{301, "link suspect", zerolog.WarnLevel}
 	LinkClosed          = Event{302, "link closed", zerolog.InfoLevel}
@@ -92,7 +93,7 @@
 	NodeStarted, NodeStopping, NodeStopped, StopCut, NodeFailed, Reloaded, ReloadFailed, LinesDropped, HandlerPanicked,
 	LinesSuppressed, BodyMemoryExhausted, RequestOutlasts, StopRepeated, ProcessPaused,
 	RevisionActivated, PlatformLost, PlatformBack, ReadFailed, BadTable, ConfigReady,
-	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntrySkipped, HallEvacuated, HallReturned, HostRecordFound,
+	Announced, AnnounceFailed, HostReaped, HistoryGone, StoreCalls, EntrySkipped, HallEvacuated, HallReturned, HostRecordFound, ConnectionsSilent,
 	LinkUp, LinkSuspect, LinkClosed, LinkReplaced, PeerRefused, PeerGarbled,
 	PhaseChanged, EndpointLeaving, EndpointBack, ReportsDropped,
 	EndpointAnnounced, BadHeartbeat, BreakerChanged, WorkFailed, OfferRefused, RetryCounts, OlderConfigUsed, EndpointCrashed,
