A head of many short lines counts by the memory that its parsing takes

Cause: the budget counted heads by their bytes beyond 4 KiB. A field of a few bytes takes some 300 once it is parsed and again as a field for the endpoint's node.

Change: lines are counted as their bytes arrive, those read ahead included, and 512 bytes for each are reserved before the parser sees them. Without room the request is refused as not run.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
-	"github.com/lynxplank/lynxplank/memory"
 )
 
 const (
@@ -114,10 +113,10 @@
 	if !c.awaitRequest() {
 		return false
 	}
-	req, reservation, status, bad := c.readRequest(c.s.limits())
+	req, memory, status, bad := c.readRequest(c.s.limits())
 	c.endReading()
 	if bad == nil && !c.s.accepts(c.ctx, time.Now()) || status == http.StatusRequestTimeout && c.finishing() {
-		reservation.Release()
+		memory.release()
 		status, bad = http.StatusServiceUnavailable, fault.New(fault.Draining, "", "the node is stopping")
 	}
 	if bad != nil {
@@ -128,7 +127,7 @@
 		c.refuse(h, status, bad)
 		return false
 	}
-	return c.accept(req, reservation)
+	return c.accept(req, memory)
 }
 
 // awaitRequest waits for the first byte of the next request. It returns false when no further request will be read.
@@ -271,13 +270,12 @@
 	x.finish()
 }
 
-// accept enqueues a request and starts the pending requests that may run. reservation is the memory reserved for the
-// request's body. It returns false when the connection accepts no more requests.
-func (c *conn) accept(req *http.Request, reservation *memory.Reservation) bool {
+// accept enqueues a request and starts the pending requests that may run. memory is what is reserved for it. It returns false when the connection accepts no more requests.
+func (c *conn) accept(req *http.Request, memory held) bool {
 	x := c.newExchange(req)
-	x.reservation = reservation
+	x.memory = memory
 	if !c.enqueue(x) {
-		reservation.Release()
+		memory.release()
 		return false
 	}
 	c.startRunnable()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/fault"
-	"github.com/lynxplank/lynxplank/memory"
 )
 
 // answerBuffer is how much of an answer's body is buffered before it is written, in bytes, so that a short answer is sent
@@ -26,8 +25,8 @@
 	c      *conn
 	req    *http.Request
 	header http.Header
-	// reservation is the memory reserved for the request's body, nil for none.
-	reservation *memory.Reservation
+	// memory is what is reserved for the request.
+	memory held
 	// label names the request for Blocked; guarded by the connection's mu.
 	label string
 	// started is set once the request runs, blocked while its answer waits for its turn, begun once the answer is being
@@ -73,7 +72,7 @@
 // run calls the handler and finishes the answer.
 func (x *exchange) run() {
 	defer x.c.s.inFlight.Done()
-	defer x.reservation.Release()
+	defer x.memory.release()
 	defer x.cancel(nil)
 	defer func() {
 		r := recover()
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -25,6 +25,8 @@
 	// read is how many bytes have been read since begin, allowed how many may be.
 	read    int64
 	allowed int64
+	// observe, if set, is passed the bytes before they are returned, and may refuse them.
+	observe func(b []byte) error
 }
 
 // begin allows n bytes from here on.
@@ -39,38 +41,68 @@
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.allowed-l.read)])
 	l.read += int64(n)
+	if l.observe != nil && n > 0 {
+		if refused := l.observe(b[:n]); refused != nil {
+			return 0, refused
+		}
+	}
 	return n, err
 }
 
+// held is the memory reserved for a request: for its head, whose customer is not known while it is read, and for its body.
+type held struct{ head, body *memory.Reservation }
+
+// release releases both.
+func (h held) release() {
+	h.head.Release()
+	h.body.Release()
+}
+
 // readRequest reads one request with its whole body, and returns the request and the memory reserved for it. limits are those that
 // were in force when its first byte had arrived: a change meanwhile counts for the next one. On failure it returns the HTTP status to
 // answer with, 0 when the caller has gone and cannot read an answer.
-func (c *conn) readRequest(limits Limits) (*http.Request, *memory.Reservation, int, *fault.Error) {
-	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limit.allowed = int64(limits.HeaderBytes) + readBuffer
-	req, err := http.ReadRequest(c.r)
+func (c *conn) readRequest(limits Limits) (*http.Request, held, int, *fault.Error) {
+	reserved := held{head: c.s.reserveBody(http.Header{})}
+	req, status, bad := c.readWith(&reserved, limits)
+	if bad != nil {
+		reserved.release()
+		return req, held{}, status, bad
+	}
+	c.setReadDeadline(time.Time{})
+	req.TransferEncoding = nil
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	return req, reserved, 0, nil
+}
+
+// readWith reads a request and reserves the memory for it. It reports failures as readRequest does.
+func (c *conn) readWith(reserved *held, limits Limits) (*http.Request, int, *fault.Error) {
+	req, err := c.readHead(reserved.head, limits)
 	if err != nil {
-		return nil, nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
+		if errors.Is(err, errHeadMemory) {
+			return nil, http.StatusServiceUnavailable, errHeadMemory
+		}
+		return nil, statusOf(err), fault.Wrap(err, fault.BadRequest, "request", "request cannot be read")
 	}
 	if bad := checkRequest(req); bad != nil {
-		return req, nil, http.StatusBadRequest, bad
+		return req, http.StatusBadRequest, bad
 	}
 	if req.ContentLength > limits.BodyBytes {
-		return req, nil, http.StatusRequestEntityTooLarge, tooLarge()
+		return req, http.StatusRequestEntityTooLarge, tooLarge()
 	}
-	reservation := c.s.reserveBody(req.Header)
-	status, bad := http.StatusServiceUnavailable, memorySpent()
-	if long := c.limit.read - readBuffer; long <= 0 || reservation.Grow(int(long)) {
-		status, bad = c.reserveAndReadBody(req, reservation, limits)
-	}
-	if bad != nil {
-		reservation.Release()
-		return req, nil, status, bad
+	reserved.body = c.s.reserveBody(req.Header)
+	status, bad := c.reserveAndReadBody(req, reserved.body, limits)
+	return req, status, bad
+}
+
+// readHead reads the head of a request.
+func (c *conn) readHead(reservation *memory.Reservation, limits Limits) (*http.Request, error) {
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limit.allowed = int64(limits.HeaderBytes) + readBuffer
+	defer func() { c.limit.observe = nil }()
+	if err := c.countHead(&headMemory{reservation: reservation}); err != nil {
+		return nil, err
 	}
-	c.setReadDeadline(time.Time{})
-	req.TransferEncoding = nil
-	req.RemoteAddr = c.raw.RemoteAddr().String()
-	return req, reservation, 0, nil
+	return http.ReadRequest(c.r)
 }
 
 // reserveAndReadBody reserves memory for a request's body and reads it. It reports failures as readRequest does.
