An answer without a length is whole only if the request was written without an error

Cause: a reset is reported to whoever uses the socket first. The goroutine that writes the upload gets it; the reader behind it sees an ordinary end, which ends a body that lasts until the close.

Change: at the end of such a body the end of the writing is waited for, and its error makes the answer one that broke off. Answers with a length or in chunks have an end of their own; between nodes, answers are framed.

--- a/upstream/response.go
+++ b/upstream/response.go
@@ -33,8 +33,9 @@
 	pool *Pool
 	// stop ends the watch that closes the connection when the request's context ends; false when it already has.
 	stop func() bool
-	// sent says how the writing of a long body ended, nil for a body that was written at once.
-	sent chan error
+	// sent is closed once the writing of a long body has ended, with sendErr; nil for a body that was written at once.
+	sent    chan struct{}
+	sendErr error
 	// whole is set once the body was read to its end.
 	whole bool
 }
@@ -55,8 +56,11 @@
 	if _, err := resp.conn.Write(b.Bytes()); err != nil {
 		return err
 	}
-	resp.sent = make(chan error, 1)
-	go func() { resp.sent <- writeBody(resp.conn, r) }()
+	resp.sent = make(chan struct{})
+	go func() {
+		defer close(resp.sent)
+		resp.sendErr = writeBody(resp.conn, r)
+	}()
 	return nil
 }
 
@@ -87,14 +91,35 @@
 }
 
 // Read reads the body; io.EOF comes only at the end of a whole one.
+//
+// Invariant: a body that lasts until the close is whole only if the request was written without an error. A reset is reported to
+// whoever uses the connection first; if that is the writer, the reader behind it sees an ordinary end.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.Body.Read(b)
-	if err == io.EOF {
-		resp.whole = true
+	if err != io.EOF {
+		return n, err
 	}
+	if resp.lastsUntilClose() && resp.awaitSent() != nil {
+		return n, io.ErrUnexpectedEOF
+	}
+	resp.whole = true
 	return n, err
 }
 
+// lastsUntilClose reports whether the body has no length of its own.
+func (resp *Response) lastsUntilClose() bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// awaitSent waits until the writing of the request has ended, and returns its error.
+func (resp *Response) awaitSent() error {
+	if resp.sent == nil {
+		return nil
+	}
+	<-resp.sent
+	return resp.sendErr
+}
+
 // Discard reads the rest of a body that nobody needs, if it is short and there already, so that the connection can be kept.
 func (resp *Response) Discard() {
 	_ = resp.conn.SetReadDeadline(time.Now().Add(discardTimeout))
@@ -123,8 +148,8 @@
 		return true
 	}
 	select {
-	case err := <-resp.sent:
-		return err == nil
+	case <-resp.sent:
+		return resp.sendErr == nil
 	default:
 		return false
 	}
