An answer whose field has a name that is none is given up

Cause: net/http's parser takes blanks in names. "Content-Length : 5" and "Transfer-Encoding : chunked" are fields of another name to it, so that the body lasts until the close, its framing included. The callers' listener checks names and values; answers had no such check.

Control bytes were refused by the parser already.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -113,7 +113,7 @@
 	answer, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 	switch {
 	case err == nil:
-		return answer, nil
+		return answer, checkAnswer(answer)
 	case c.head.failed != nil:
 		return nil, c.head.failed
 	}
