--- a/configsync/badlines_test.go
+++ b/configsync/badlines_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/lynxplank/lynxplank/platform"
@@ -49,3 +50,45 @@
 	announce(t, s, table.HostInfo{ID: "h2", Hall: "hall-1", Address: "127.0.0.1:22"})
 	wait(t, f, "a valid announcement again", func(s *Snapshot) bool { return s.ByID["h2"].Address == "127.0.0.1:22" })
 }
+
+// TestOddAnnouncementsCostNoOther guards against nodes that end, or stop following, because another writer has left one odd entry among
+// those of the hosts and their endpoints: nested very deeply, with a number too large, or with a port out of range.
+func TestOddAnnouncementsCostNoOther(t *testing.T) {
+	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	endpoint := func(cells string) string {
+		return `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","endpoints":[{"key":"odd","value":{"Service":"desk","Host":"odd","Hall":"hall-1",` + cells + `}}]}`
+	}
+	for name, value := range map[string]string{
+		"deep":                    deep,
+		"deep in a field":         `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","x":` + deep + `}`,
+		"deep among endpoints":    `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","endpoints":[` + deep + `]}`,
+		"incarnation too large":   `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","incarnation":36893488147419103232}`,
+		"incarnation too small":   `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","incarnation":-1}`,
+		"number without an end":   `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","incarnation":1e99999}`,
+		"port of a node":          `{"id":"odd","hall":"hall-1","address":"127.0.0.1:70000"}`,
+		"negative port of a node": `{"id":"odd","hall":"hall-1","address":"127.0.0.1:-1"}`,
+		"port of an endpoint":     endpoint(`"Address":"127.0.0.1:70000"`),
+		"slots too many":          endpoint(`"Address":"127.0.0.1:2","Slots":36893488147419103232`),
+		"weight too large":        endpoint(`"Address":"127.0.0.1:2","Weight":1e400`),
+		"past of another type":    `{"id":"odd","hall":"hall-1","address":"127.0.0.1:1","ended":{"a":1}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := store.New()
+			f := startFollower(t, s)
+			configure(t, s, "7", "a")
+			announceHost(t, s, "h2", false)
+			commit(t, s, platform.Write{Key: HostPrefix + "odd", Value: []byte(value)})
+			announceHost(t, s, "h3", false)
+			configure(t, s, "9", "b")
+			late := startFollower(t, s)
+			for _, f := range []*Follower{f, late} {
+				wait(t, f, "what follows the odd entry", func(s *Snapshot) bool {
+					return s.ByID["h2"].ID != "" && s.ByID["h3"].ID != "" && routed("/b/", true)(s)
+				})
+				if got := f.Snapshot().ByID["odd"].Endpoints; len(got) > 0 {
+					t.Errorf("endpoints of the odd entry: got %v, want none", got)
+				}
+			}
+		})
+	}
+}
