--- a/table/configurations_test.go
+++ b/table/configurations_test.go
@@ -22,7 +22,10 @@
 	rows    []Row
 }
 
-// drawConfiguration draws a configuration of up to two routes, each of which leads to one of two services.
+// routePrefixes are those of the drawn routes, of which several may have the same one.
+var routePrefixes = []string{"/a/", "/b/", "/a/b/"}
+
+// drawConfiguration draws a configuration of up to two routes, each of which leads from one of the prefixes to one of two services.
 func drawConfiguration(t *rapid.T, version uint64) configuration {
 	r := configuration{version: version}
 	for _, name := range []string{"a", "b"} {
@@ -30,7 +33,8 @@
 		if service == "" {
 			continue
 		}
-		row, err := NewRow(KindRoute, name, []string{"*", "/" + name + "/", service})
+		prefix := rapid.SampledFrom(routePrefixes).Draw(t, "prefix of "+name)
+		row, err := NewRow(KindRoute, name, []string{"*", prefix, service})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -56,8 +60,17 @@
 	return cellsByKey(rows)
 }
 
+// routeOf returns the route and the service by which a state routes a request, "" for none.
+func routeOf(s *State, path string) string {
+	r, ok := s.Match("x", path)
+	if !ok {
+		return ""
+	}
+	return r.Key + " " + r.Value.Service
+}
+
 // TestConfigurationsArriveInAnyOrder checks that a node at a given revision of the configuration has exactly the rows
-// of that revision, whatever the order and delay in which nodes read the store and exchange deltas.
+// of that revision, and routes requests by them, whatever the order and delay in which nodes read the store and exchange deltas.
 func TestConfigurationsArriveInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := map[uint64]configuration{}
@@ -75,6 +88,15 @@
 			if got, want := configRoutes(next), cellsByKey(history[version].rows); !maps.Equal(got, want) {
 				t.Fatalf("configuration %d: got %v, want %v", version, got, want)
 			}
+			fresh, err := NewState().With(Delta{Source: SourceConfig, To: version, Full: true, Rows: history[version].rows})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, prefix := range routePrefixes {
+				if got, want := routeOf(next, prefix), routeOf(fresh, prefix); got != want {
+					t.Fatalf("configuration %d: request for %s: got route and service %q, want %q", version, prefix, got, want)
+				}
+			}
 		}
 		actions := []func(){
 			func() { // The operators write a configuration.
