Soak: configurations of the platform's operators in quick succession

The soak's operators changed rows of the product's own table alone; nothing followed the configuration of the platform's operators with real processes, as the users' runs do.

Change: -configs N writes one to eight configurations, 0.3 to 0.8 s apart, and looks on each node, 2 s after each acknowledgement, whether it is in force; nodes that anything but a silence struck are left out. -platform gives the nodes the links, reads, memory and ejection of deploy/node.yaml.tmpl.

--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -36,6 +36,8 @@
 	steps := flag.Int("steps", 0, "times in which endpoints, which announce themselves then, start again under their names across steps of the time of day, and leave")
 	spoils := flag.Int("spoils", 0, "times in which endpoints answer with bytes that have no end")
 	limits := flag.Int("limits", 0, "changes of the limits for callers, beside connections that rest")
+	configs := flag.Int("configs", 0, "times in which the platform's operators write configurations in quick succession")
+	onPlatform := flag.Bool("platform", false, "the nodes have the settings of the users' platform")
 	race := flag.Bool("race", false, "the programs have the race detector, and need more memory")
 	calm := flag.Bool("calm", false, "without the faults that come in every run")
 	nested := flag.Bool("nested", false, "endpoints make a call through their nodes for each request")
@@ -47,7 +49,7 @@
 			Bin: *bin, Seed: *seed + uint64(i), Members: *members, Halls: *halls, Length: *length, Rate: *rate,
 			Fatal: *fatal, Stops: *stops, Suspensions: *suspensions, Rates: *rates, Nested: *nested,
 			Stacks: *stacks, Silences: *silences, Hangs: *hangs, Leaves: *leaves, Ahead: *ahead, Scarce: *scarce, Calm: *calm,
-			Steps: *steps, Spoils: *spoils, Limits: *limits, Race: *race,
+			Steps: *steps, Spoils: *spoils, Limits: *limits, Race: *race, Configs: *configs, Platform: *onPlatform,
 		}
 		if !one(cfg, *keep, os.Stdout) {
 			broken++
@@ -86,6 +88,9 @@
 	if cfg.Spoils > 0 {
 		fmt.Fprintf(out, "most memory of a node: %d MB\n", report.MostResident)
 	}
+	if cfg.Configs > 0 {
+		fmt.Fprintf(out, "configurations looked for on nodes: %d\n", report.Configs)
+	}
 	if cfg.Limits > 0 {
 		fmt.Fprintf(out, "requests within changing limits: %d\n", report.Sized)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +16,7 @@
 
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/operator"
+	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/standin/backend"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
@@ -54,6 +57,10 @@
 	Bare bool
 	// AnnouncedService, if set, is the service of endpoints that have no rows: they announce themselves.
 	AnnouncedService string
+	// PlatformSettings gives the nodes' links and reads the settings of the users' platform.
+	PlatformSettings bool
+	// Configuration, if set, is the first configuration of the platform's operators, which the nodes then follow.
+	Configuration []byte
 	// CallersIdleTimeout is how long a caller's connection may wait for its next request, 0 for the nodes' own default.
 	CallersIdleTimeout time.Duration
 
@@ -115,6 +122,11 @@
 	if err := waitFor("platform", func() bool { return get(f.platform+store.PathStats, nil) == nil }); err != nil {
 		return err
 	}
+	if f.Configuration != nil {
+		if err := f.Configure(f.Configuration); err != nil {
+			return err
+		}
+	}
 	for i, m := range f.Members {
 		if err := f.startMember(m, how, i); err != nil {
 			return err
@@ -133,6 +145,20 @@
 	return f.WaitRevision(1)
 }
 
+// Configure has the platform's operators write a configuration; it returns once the platform has acknowledged it.
+func (f *Fleet) Configure(text []byte) error {
+	query := url.Values{"table": {platform.TableOperators}, "key": {platform.KeyConfig}}
+	resp, err := http.Post("http://"+f.platform+store.PathOperators+"?"+query.Encode(), "application/json", bytes.NewReader(text)) //nolint:noctx // the stand-in answers at once
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, f.platform, "platform does not answer")
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fault.New(fault.Unavailable, f.platform, resp.Status)
+	}
+	return nil
+}
+
 // waitHosts waits until every node knows every other.
 func (f *Fleet) waitHosts() error {
 	want := 0
@@ -188,16 +214,20 @@
 	if f.PeerAddress != nil {
 		advertise = f.PeerAddress(m)
 	}
-	platform := f.platform
+	storeAddress := f.platform
 	if f.StoreAddress != nil {
-		platform = f.StoreAddress(m)
+		storeAddress = f.StoreAddress(m)
+	}
+	links, reads := "idle_close: 3s, gone_after: 3s", ""
+	if f.PlatformSettings {
+		links, reads = "heartbeat: 500ms, cut_after: 800ms, idle_close: 10m, gone_after: 10s", ", readers: 3, config_readers: 3, timeout: 1s, wait: 3s"
 	}
 	text := fmt.Sprintf(`node: {id: %s, hall: %s}
 callers: {listen: %q%s}
-peers: {listen: %q, advertise: %q, seeds: [%q, %q], idle_close: 3s, gone_after: 3s}
+peers: {listen: %q, advertise: %q, seeds: [%q, %q], %s}
 operators: {listen: %q, token: %s}
-platform: {address: %q}
-%s`, m.Host, m.Hall, m.Callers, f.idleTimeout(), m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, m.Operators, operatorToken, platform, f.extra)
+platform: {address: %q, config: %v%s}
+%s`, m.Host, m.Hall, m.Callers, f.idleTimeout(), m.Peers, advertise, f.Members[0].Peers, f.Members[1].Peers, links, m.Operators, operatorToken, storeAddress, f.Configuration != nil, reads, f.extra)
 	if f.AnnouncedService != "" {
 		text += fmt.Sprintf("\nannounced: {listen: %q, address: %q, service: %s}\n", m.Control, m.Endpoint, f.AnnouncedService)
 	}
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -45,6 +45,8 @@
 		r.stepClock(a)
 	case ChangeLimits:
 		r.changeLimits(a)
+	case ChangeConfig:
+		r.changeConfig(a)
 	}
 }
 
@@ -190,7 +192,7 @@
 				return true
 			}
 		case KillNode, StopNode, ReloadNode, ResetLink, Endpoint, Weight, Drain, StopSeries, StateRate,
-			SilenceLinks, SilenceStore, SilenceSome, SilenceAll, Leave, StepClock, ChangeLimits:
+			SilenceLinks, SilenceStore, SilenceSome, SilenceAll, Leave, StepClock, ChangeLimits, ChangeConfig:
 		}
 	}
 	return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -75,6 +75,8 @@
 	// Leaving is how an endpoint leaves, Steps how it starts before.
 	Leaving Leaving
 	Steps   Steps
+	// Gaps are the times after each of several configurations.
+	Gaps []time.Duration
 	// Limits are those that operators set.
 	Limits limits
 }
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -111,7 +111,7 @@
 		switch a.Kind {
 		case StoreFault:
 			return true
-		case Endpoint, Weight, Drain, StateRate, SilenceLinks, SilenceStore, SilenceSome, SilenceAll:
+		case Endpoint, Weight, Drain, StateRate, SilenceLinks, SilenceStore, SilenceSome, SilenceAll, ChangeConfig:
 		default:
 			if a.On == on {
 				return true
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,10 @@
 	Race   bool
 	// Limits is how often operators change the limits for callers, some of whose connections rest.
 	Limits int
+	// Configs is how often the platform's operators write configurations in quick succession.
+	Configs int
+	// Platform gives the nodes the settings that they have on the users' platform.
+	Platform bool
 	// Calm leaves out the faults that Plan draws.
 	Calm bool
 	// Nested has the endpoints make a call through their nodes for each request.
@@ -74,6 +78,8 @@
 	Silences int
 	// Leavings counts the acknowledged leavings that could be checked, Late the heartbeats that came after them.
 	Leavings, Late int
+	// Configs counts the nodes on which a configuration was looked for in time.
+	Configs int
 	// MostResident is the most memory of a node in MB, if it was watched; Sized counts the requests within changing limits.
 	MostResident, Sized int
 	// Nested counts the calls that endpoints made.
@@ -92,6 +98,8 @@
 	serviceCells = "floor: 50%, false_ejections: 1"
 	// nodeSettings give a stop longer than any request's deadline, with the queue before it.
 	nodeSettings = "stop: {grace: 20s}\n"
+	// platformSettings are those of the users' platform that differ from the defaults, but for addresses.
+	platformSettings = "memory: {host: 284MiB, share: 0.15}\nejection: {first: 1s, longest: 8s, forgive: 20s, successes: 3, ramp_step: 500ms}\n"
 	// aheadIdleTimeout has reads of kept connections time out while requests are under way.
 	aheadIdleTimeout = 300 * time.Millisecond
 )
@@ -120,6 +128,9 @@
 	stops []stopped
 	// limits are those that operators have set for callers.
 	limits []acceptedLimits
+	// config is the version of the newest configuration, looks the checks of configurations under way.
+	config uint64
+	looks  sync.WaitGroup
 	// boots are the incarnations of endpoints that announce themselves, by member.
 	boots []*boot
 }
@@ -132,6 +143,9 @@
 	case cfg.Stops+cfg.Suspensions > 0:
 		settings = stopSettings
 	}
+	if cfg.Platform {
+		settings += platformSettings
+	}
 	if cfg.Spoils > 0 {
 		settings += spoilSettings
 	}
@@ -173,6 +187,12 @@
 	r.plan = append(r.plan, PlanHangs(cfg.Seed, cfg.Members, cfg.Hangs, cfg.Length)...)
 	r.plan = append(r.plan, PlanSpoils(cfg.Seed, cfg.Members, cfg.Spoils, cfg.Length)...)
 	r.plan = append(r.plan, PlanLimits(cfg.Seed, cfg.Members, cfg.Limits, cfg.Length)...)
+	r.plan = append(r.plan, PlanConfigs(cfg.Seed, cfg.Members, cfg.Configs, cfg.Length)...)
+	if cfg.Configs > 0 {
+		r.config = 1
+		fleet.Configuration = configurationOf(r.config)
+	}
+	fleet.PlatformSettings = cfg.Platform
 	r.plan = withLeaves(r.plan, append(PlanLeaves(cfg.Seed, cfg.Members, cfg.Leaves, cfg.Length), PlanSteps(cfg.Seed, cfg.Members, cfg.Steps, cfg.Length)...))
 	r.report.Plan = r.plan
 	if err := r.proxy(); err != nil {
@@ -266,6 +286,7 @@
 		})
 	}
 	actions.Wait()
+	r.looks.Wait()
 	r.heal()
 	cancel()
 	callers.Wait()
