--- a/cmd/lynxplank-soak/main.go
+++ b/cmd/lynxplank-soak/main.go
@@ -79,30 +79,7 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d actions, %d drains, %d rows and %d rates checked\n", cfg.Seed, len(report.Plan), report.Drains, report.Changes, report.Rates)
 	demo.Print(out, demo.Check(report.Results, report.Records))
-	if cfg.Silences > 0 {
-		fmt.Fprintf(out, "changes at a silence checked on %d nodes\n", report.Silences)
-	}
-	if cfg.Hangs > 0 {
-		fmt.Fprintf(out, "requests that gave up a slot: %d\n", report.Yielded)
-	}
-	if cfg.Spoils > 0 {
-		fmt.Fprintf(out, "most memory of a node: %d MB\n", report.MostResident)
-	}
-	if cfg.Configs > 0 {
-		fmt.Fprintf(out, "configurations looked for on nodes: %d\n", report.Configs)
-	}
-	if cfg.Limits > 0 {
-		fmt.Fprintf(out, "requests within changing limits: %d\n", report.Sized)
-	}
-	if cfg.Leaves+cfg.Steps > 0 {
-		fmt.Fprintf(out, "leavings checked: %d, late heartbeats after them: %d\n", report.Leavings, report.Late)
-	}
-	if cfg.Nested {
-		fmt.Fprintf(out, "nested calls: %+v\n", report.Nested)
-	}
-	if cfg.Fatal > 0 {
-		fmt.Fprintf(out, "fatal requests begun: %v\n", report.Fatal)
-	}
+	printCounts(out, cfg, report)
 	for _, line := range report.Broken {
 		fmt.Fprintln(out, "BROKEN", line)
 	}
@@ -117,6 +94,33 @@
 	return len(report.Broken) == 0
 }
 
+// printCounts prints what was checked by the kinds of actions that the run had.
+func printCounts(out io.Writer, cfg soak.Config, report soak.Report) {
+	nested := 0
+	if cfg.Nested {
+		nested = 1
+	}
+	for _, c := range []struct {
+		actions int
+		line    string
+		value   any
+	}{
+		{cfg.Silences, "nodes on which a change was looked for at a silence", report.Silences},
+		{cfg.Hangs, "requests that gave up a slot", report.Yielded},
+		{cfg.Spoils, "most memory of a node in MB", report.MostResident},
+		{cfg.Configs, "nodes on which a configuration was looked for", report.Configs},
+		{cfg.Limits, "requests within changing limits", report.Sized},
+		{cfg.Leaves + cfg.Steps, "leavings checked", report.Leavings},
+		{cfg.Leaves + cfg.Steps, "late heartbeats after them", report.Late},
+		{nested, "nested calls", report.Nested},
+		{cfg.Fatal, "fatal requests begun", report.Fatal},
+	} {
+		if c.actions > 0 {
+			fmt.Fprintf(out, "%s: %+v\n", c.line, c.value)
+		}
+	}
+}
+
 // folder returns a run's folder, one of its own for each seed.
 func folder(keep string, seed uint64) (string, error) {
 	if keep == "" {
--- a/soak/configs.go
+++ b/soak/configs.go
@@ -14,7 +14,7 @@
 	// configsSeed keeps these draws apart from those of other actions.
 	configsSeed = 1 << 49
 	// mostConfigs bounds the configurations of one action, leastGap and mostGap the time between two of them.
-	mostConfigs       = 8
+	mostConfigs                   = 8
 	leastConfigGap, mostConfigGap = 300 * time.Millisecond, 800 * time.Millisecond
 )
 
