--- a/standin/backend/spoil.go
+++ b/standin/backend/spoil.go
@@ -20,6 +20,9 @@
 	"field":       {"HTTP/1.1 200 OK\r\nX-A: ", "abcdefgh"},
 	"fields":      {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
 	"provisional": {"", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+	"body":        {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"},
+	"chunks":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nabcdefgh\r\n"},
+	"short":       {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
 	"chunk":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "00000000"},
 	"trailer":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
 }
