TestDrawnStops runs on one processor, which the race detector survives

Timers of a bubble share one context of the detector.

Change: the test takes one processor for its bubble; its cases, seeds and checks are as they were.

--- a/node/drawnstop_test.go
+++ b/node/drawnstop_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -398,6 +399,8 @@
 // All cases run in one bubble: yamux keeps timers for its next sessions.
 func TestDrawnStops(t *testing.T) {
 	const cases = 45
+	// The race detector's runtime may end the process when timers of a bubble run on several processors at once.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		for _, maxNoticeDelay := range []time.Duration{shortNoticeDelay, longNoticeDelay} {
 			for seed := range uint64(cases) {
