--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -270,7 +270,8 @@
 	x.finish()
 }
 
-// accept enqueues a request and starts the pending requests that may run. memory is what is reserved for it. It returns false when the connection accepts no more requests.
+// accept enqueues a request and starts the pending requests that may run. memory is what is reserved for the request. It returns
+// false when the connection accepts no more requests.
 func (c *conn) accept(req *http.Request, memory held) bool {
 	x := c.newExchange(req)
 	x.memory = memory
