Soak: an endless body ends with a reset; -platform beside -spoils

The stand-in's endless body without a length ended after 512 MB with an ordinary close, which makes it a whole answer.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,8 +98,8 @@
 	serviceCells = "floor: 50%, false_ejections: 1"
 	// nodeSettings give a stop longer than any request's deadline, with the queue before it.
 	nodeSettings = "stop: {grace: 20s}\n"
-	// platformSettings are those of the users' platform that differ from the defaults, but for addresses.
-	platformSettings = "memory: {host: 284MiB, share: 0.15}\nejection: {first: 1s, longest: 8s, forgive: 20s, successes: 3, ramp_step: 500ms}\n"
+	// platformSettings are those of the users' platform for ejections.
+	platformSettings = "ejection: {first: 1s, longest: 8s, forgive: 20s, successes: 3, ramp_step: 500ms}\n"
 	// aheadIdleTimeout has reads of kept connections time out while requests are under way.
 	aheadIdleTimeout = 300 * time.Millisecond
 )
@@ -146,7 +146,7 @@
 	if cfg.Platform {
 		settings += platformSettings
 	}
-	if cfg.Spoils > 0 {
+	if cfg.Platform || cfg.Spoils > 0 {
 		settings += spoilSettings
 	}
 	switch {
--- a/standin/backend/spoil.go
+++ b/standin/backend/spoil.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -36,13 +37,17 @@
 	return ways
 }
 
-// spoil writes bytes without an end in place of an answer, until the connection is closed.
+// spoil writes bytes without an end in place of an answer, until the connection is closed or reset.
 func (b *Backend) spoil(w http.ResponseWriter, call, way string) {
 	b.noteHalved(call)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
+	// A body without a length would end with an ordinary close.
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	defer func() { _ = conn.Close() }()
 	how := spoils[way]
 	n, err := io.WriteString(conn, how.begin)
