Ordinary heads take no reservation, and a head that was refused stays refused

What callers would have seen: ordinary requests refused as memory_spent while slow readers hold the budget.

Found with it: an error behind a part of a line is dropped by the readers above, so that a refusal was lost and the caller had 408 when the time for the head was over (TestLongHeadsTakeMemory). The reader returns it again.

--- a/pipeline/headmemory.go
+++ b/pipeline/headmemory.go
@@ -11,9 +11,9 @@
 	// fieldMemory is how much memory a header line takes beside its own bytes, in bytes: as a field of the parsed request, and again as
 	// one of the request that is passed on.
 	fieldMemory = 512
-	// uncountedHead is the memory of a head that takes no reservation, in bytes, so that ordinary requests are read while the memory is
-	// used up.
-	uncountedHead = readBuffer
+	// uncountedLines is the number of lines up to which a head that fits the read buffer takes no reservation, so that ordinary requests
+	// are read while the memory is used up. uncountedLinesAhead is the same for a request that was sent ahead.
+	uncountedLines, uncountedLinesAhead = 32, 8
 )
 
 var errHeadMemory = fault.New(fault.MemorySpent, "header", "the node holds as much as it may for its callers")
@@ -22,8 +22,8 @@
 // several times their size.
 type headMemory struct {
 	reservation *memory.Reservation
-	// uncounted is how much takes no reservation, reserved how much was reserved.
-	uncounted, reserved int
+	// uncountedLines is how many lines take no reservation, reserved how much was reserved.
+	uncountedLines, reserved int
 	// size and lines count the head so far. hasText is set once the line that is being read is not empty, ended after the empty line.
 	size, lines    int
 	hasText, ended bool
@@ -42,7 +42,7 @@
 		b = rest
 	}
 	need := h.size + h.lines*fieldMemory
-	if need <= h.uncounted || need <= h.reserved {
+	if h.size <= readBuffer && h.lines <= h.uncountedLines || need <= h.reserved {
 		return nil
 	}
 	if !h.reservation.Grow(need - h.reserved) {
@@ -55,10 +55,11 @@
 // countHead has the bytes of the request that is read next counted, those that have arrived already included. It fails if there is no
 // memory for these.
 func (c *conn) countHead(h *headMemory) error {
-	if !c.hasPending() {
-		h.uncounted = uncountedHead
+	h.uncountedLines = uncountedLines
+	if c.hasPending() {
+		h.uncountedLines = uncountedLinesAhead
 	}
 	arrived, _ := c.r.Peek(c.r.Buffered())
-	c.limit.observe = h.add
+	c.limit.observeBy(h.add)
 	return h.add(arrived)
 }
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -25,10 +25,15 @@
 	// read is how many bytes have been read since begin, allowed how many may be.
 	read    int64
 	allowed int64
-	// observe, if set, is passed the bytes before they are returned, and may refuse them.
+	// observe, if set, is passed the bytes before they are returned, and may refuse them; refused is the error with which it did.
+	// Readers above may drop the error of a read behind a part of a line, so that it is returned again.
 	observe func(b []byte) error
+	refused error
 }
 
+// observeBy has f observe the bytes from here on, nobody if it is nil.
+func (l *limitedReader) observeBy(f func(b []byte) error) { l.observe, l.refused = f, nil }
+
 // begin allows n bytes from here on.
 func (l *limitedReader) begin(n int64) { l.read, l.allowed = 0, n }
 
@@ -36,14 +41,17 @@
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.refused != nil {
+		return 0, l.refused
+	}
 	if l.read >= l.allowed {
 		return 0, errTooLarge
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.allowed-l.read)])
 	l.read += int64(n)
 	if l.observe != nil && n > 0 {
-		if refused := l.observe(b[:n]); refused != nil {
-			return 0, refused
+		if l.refused = l.observe(b[:n]); l.refused != nil {
+			return 0, l.refused
 		}
 	}
 	return n, err
@@ -98,7 +106,7 @@
 func (c *conn) readHead(reservation *memory.Reservation, limits Limits) (*http.Request, error) {
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.limit.allowed = int64(limits.HeaderBytes) + readBuffer
-	defer func() { c.limit.observe = nil }()
+	defer c.limit.observeBy(nil)
 	if err := c.countHead(&headMemory{reservation: reservation}); err != nil {
 		return nil, err
 	}
