A stop does not wait for reads of the platform that it has ended

Found by a mutant whose test did not end.

Cause: a read that ends with the stop passes its result on or not, as it happens, and feed waited for results and for the next turn only, not for the end of its context.

Change: feed returns when its context ends; it still waits for its reads.

--- a/configsync/follow_test.go
+++ b/configsync/follow_test.go
@@ -279,3 +279,29 @@
 		t.Errorf("removed route: got %s, want none", r.Key)
 	}
 }
+
+// TestStopEndsReads guards against stops that wait for the next turn of a reader: a read that the stop has ended may not tell.
+func TestStopEndsReads(t *testing.T) {
+	const tries, limit = 10, time.Second
+	s := store.New()
+	configure(t, s, "7", "a")
+	for try := range tries {
+		log := zerolog.Nop()
+		links := peer.NewManager(peer.Config{Node: "h1", Hall: "hall-1", Heartbeat: time.Second, EchoTimeout: time.Second}, &log)
+		f := New(Config{
+			Host: "h1", Hall: "hall-1", RetryInterval: 5 * time.Millisecond, LongPollTimeout: 10 * time.Second, Readers: 1, ConfigReaders: 1,
+			Timeout: time.Second, WithConfig: true,
+		}, &log, store.NewLocal(s), links)
+		if err := f.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, f, "ready", func(s *Snapshot) bool { return s.Ready })
+		// The reads that follow the first one wait for a change.
+		time.Sleep(20 * time.Millisecond)
+		began := time.Now()
+		_ = f.Stop(context.Background())
+		if took := time.Since(began); took > limit {
+			t.Fatalf("stop %d: got %v, want at most %v", try, took, limit)
+		}
+	}
+}
--- a/configsync/turns.go
+++ b/configsync/turns.go
@@ -99,6 +99,8 @@
 	overdue := begin()
 	for {
 		select {
+		case <-ctx.Done():
+			return platform.Records{}, ctx.Err()
 		case <-overdue:
 			overdue = begin()
 		case <-silence:
