--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -117,8 +117,13 @@
 	ends  time.Time
 	err   error
 	fails time.Time
-	// silentAt is when the stream went silent, zero if it did not.
-	silentAt                    time.Time
+	// silentAt is when the stream went silent, zero if it did not. cut is set while its packets are lost, lostAt is when the first
+	// one that has not arrived was.
+	silentAt time.Time
+	cut      bool
+	lostAt   time.Time
+	// behind is when the last packet that was sent again arrives.
+	behind                      time.Time
 	writerClosed, readerClosed  bool
 	readDeadline, writeDeadline time.Time
 }
@@ -190,11 +195,9 @@
 			return written, nil
 		}
 		if n := min(len(b)-written, s.window-s.size); n > 0 {
-			at := time.Now().Add(s.delay)
-			s.segments = append(s.segments, segment{arrives: at, bytes: append([]byte(nil), b[written:written+n]...)})
+			s.segments = append(s.segments, segment{arrives: s.arrival(), bytes: append([]byte(nil), b[written:written+n]...)})
 			s.size += n
 			written += n
-			s.wakeAt(at)
 			continue
 		}
 		if passed(s.writeDeadline, time.Now()) {
@@ -227,8 +230,7 @@
 	if s.writerClosed {
 		return
 	}
-	s.writerClosed, s.ends = true, time.Now().Add(s.delay)
-	s.wakeAt(s.ends)
+	s.writerClosed, s.ends = true, s.arrival()
 	s.changed.Broadcast()
 }
 
@@ -260,13 +262,56 @@
 func (s *stream) fail(err error, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err == nil {
+	if s.err == nil && !s.cut {
+		// The reset is one packet, which is not sent again.
 		s.err, s.fails = err, at
 		s.wakeAt(at)
 		s.changed.Broadcast()
 	}
 }
 
+// setCut has the packets be lost from now on, or be sent again at the next retransmission.
+func (s *stream) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	if cut || s.lostAt.IsZero() {
+		return
+	}
+	at, now := s.lostAt, time.Now()
+	for wait := firstRetransmission; at.Before(now); wait *= 2 {
+		at = at.Add(wait)
+	}
+	at = at.Add(s.delay)
+	for i := range s.segments {
+		if s.segments[i].arrives.IsZero() {
+			s.segments[i].arrives = at
+		}
+	}
+	if s.writerClosed && s.ends.IsZero() {
+		s.ends = at
+	}
+	s.lostAt, s.behind = time.Time{}, at
+	s.wakeAt(at)
+}
+
+// arrival returns when a packet that is sent now arrives, zero if it is lost; the lock must be held. Packets stay in order.
+func (s *stream) arrival() time.Time {
+	now := time.Now()
+	if s.cut {
+		if s.lostAt.IsZero() {
+			s.lostAt = now
+		}
+		return time.Time{}
+	}
+	at := now.Add(s.delay)
+	if at.Before(s.behind) {
+		at = s.behind
+	}
+	s.wakeAt(at)
+	return at
+}
+
 func (s *stream) silence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -17,19 +17,31 @@
 	listeners map[netip.AddrPort]*Listener
 	conns     map[*Conn]struct{}
 	// killed are the hosts whose process has ended.
-	killed   map[netip.Addr]bool
+	killed map[netip.Addr]bool
+	// cuts are the directions between two hosts in which packets are lost.
+	cuts     map[direction]bool
 	nextPort uint16
 }
 
+// direction is the way of packets from one host to another.
+type direction struct{ from, to netip.Addr }
+
 // New returns a network that delivers after a delay.
 func New(delay time.Duration) *Network {
 	return &Network{
 		delay: delay, listeners: make(map[netip.AddrPort]*Listener), conns: make(map[*Conn]struct{}), killed: make(map[netip.Addr]bool),
+		cuts: make(map[direction]bool),
 	}
 }
 
-// firstPort is the first port of the dialing sides.
-const firstPort = 1024
+const (
+	// firstPort is the first port of the dialing sides.
+	firstPort = 1024
+	// firstDialRetry is the time after which the first lost packet of a new connection is sent again, firstRetransmission that for
+	// other packets. Both double with each try.
+	firstDialRetry      = time.Second
+	firstRetransmission = 200 * time.Millisecond
+)
 
 // Listen listens at an IP and port. It fails with EADDRINUSE if something does already.
 func (n *Network) Listen(address string) (*Listener, error) {
@@ -57,10 +69,20 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case <-time.After(2 * n.delay):
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	for tries := time.Duration(1); ; tries *= 2 {
+		select {
+		case <-time.After(2 * n.delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if !n.isCut(local, at.Addr()) && !n.isCut(at.Addr(), local) {
+			break
+		}
+		select {
+		case <-time.After(tries * firstDialRetry):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -113,6 +135,35 @@
 	}
 }
 
+// Cut has all packets from one host to another be lost, also those of new connections, until Heal. A stream goes on with its next
+// retransmission after that.
+func (n *Network) Cut(from, to string) {
+	d := direction{netip.MustParseAddr(from), netip.MustParseAddr(to)}
+	n.mu.Lock()
+	n.cuts[d] = true
+	n.mu.Unlock()
+	for _, c := range n.between(func(local, remote netip.Addr) bool { return remote == d.from && local == d.to }) {
+		c.in.setCut(true)
+	}
+}
+
+// Heal restores the way from one host to another.
+func (n *Network) Heal(from, to string) {
+	d := direction{netip.MustParseAddr(from), netip.MustParseAddr(to)}
+	n.mu.Lock()
+	delete(n.cuts, d)
+	n.mu.Unlock()
+	for _, c := range n.between(func(local, remote netip.Addr) bool { return remote == d.from && local == d.to }) {
+		c.in.setCut(false)
+	}
+}
+
+func (n *Network) isCut(from, to netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[direction{from, to}]
+}
+
 func connects(a, b string) func(local, remote netip.Addr) bool {
 	x, y := netip.MustParseAddr(a), netip.MustParseAddr(b)
 	return func(local, remote netip.Addr) bool { return local == x && remote == y || local == y && remote == x }
