Reads of the platform are repeated until one is answered

Callers: a node whose path to the store was cut, and its links with it, went on by a replaced configuration for up to 3.24 s after the path was back; the users' rule counts it as in touch after 3 s.

Cause: a read that began while packets were lost may never be answered, and the next one followed only when the wait of the one before was over, up to 3.25 s (a reader's turn) and 0.2 s later. The bound of a read was its wait, which has nothing to do with how soon a sound path must show.

Change: once a read is overdue, fails, or connections go silent, reads that do not wait for a change follow each 0.75 s until one is answered. Event 216 and the gauge config_read_age_seconds tell for how long none was.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -130,6 +130,8 @@
 	newestConfigRead atomic.Uint64
 	// lastWord is when this node last had word of the newest configuration, as clock.Nanos.
 	lastWord atomic.Int64
+	// lastConfigRead is when the platform last answered a read of the configuration, as clock.Nanos.
+	lastConfigRead atomic.Int64
 	// silence tells the readers when connections of this node go silent.
 	silence silenceAlert
 	// confirms shares concurrent queries whether the active configuration is the newest.
@@ -214,6 +216,7 @@
 	f.startedAt = time.Now()
 	f.lastPeerMessage = f.startedAt
 	f.noteWord()
+	f.lastConfigRead.Store(clock.Nanos(f.startedAt))
 	f.reading.Store(true)
 	f.readingConfig.Store(true)
 	go f.control(ctx)
--- a/configsync/readconfig.go
+++ b/configsync/readconfig.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/lynxplank/lynxplank/clock"
 	"github.com/lynxplank/lynxplank/fault"
 	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/retry"
@@ -75,6 +76,7 @@
 	}
 	m.halls, m.at = r.halls.state, recs.Version
 	r.cursor, r.loaded = recs.Version, true
+	r.f.lastConfigRead.Store(clock.Nanos(time.Now()))
 	return m
 }
 
--- a/configsync/silence.go
+++ b/configsync/silence.go
@@ -67,6 +67,14 @@
 // peer, or a look at a usable link.
 func (f *Follower) WordAge(now time.Time) time.Duration { return now.Sub(clock.At(f.lastWord.Load())) }
 
+// ReadAge returns the time since the platform last answered a read of the configuration, 0 on a node that does not read it.
+func (f *Follower) ReadAge(now time.Time) time.Duration {
+	if !f.cfg.WithConfig || !f.readingConfig.Load() {
+		return 0
+	}
+	return now.Sub(clock.At(f.lastConfigRead.Load()))
+}
+
 // noteWord records that this node has word of the newest configuration.
 func (f *Follower) noteWord() { f.lastWord.Store(clock.Nanos(time.Now())) }
 
--- a/configsync/turns.go
+++ b/configsync/turns.go
@@ -8,13 +8,18 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lynxplank/lynxplank/events"
 	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/table"
 )
 
 const (
 	// feedSlack is how much longer than its wait a read may take before another is made beside it: several round trips
 	// and the time of the store for its answer.
 	feedSlack = 200 * time.Millisecond
+	// probeInterval is the time between two reads while none is answered. It bounds how long a change is missed once the path to the
+	// store is back: a read that began before may never be answered.
+	probeInterval = 750 * time.Millisecond
 	// minTurn is the shortest wait of a read, as a fraction of the time between the turns of two readers: a read that ends
 	// shortly before its turn is not followed by one that ends at it.
 	minTurn = 4
@@ -33,6 +38,8 @@
 	// storeTime is the store's clock as last stated, at the local time readAt.
 	storeTime time.Duration
 	readAt    time.Time
+	// unanswered is set while it is in doubt whether the store answers this node.
+	unanswered bool
 }
 
 func (f *Follower) newTurns(table string, readers int) readerTurns {
@@ -74,8 +81,8 @@
 }
 
 // feed waits for changes of a table after the cursor. A read that gives no answer when its wait is over, or that was under way
-// when connections of this node went silent, is left to its timeout, and another is made beside it; the first answer counts, and
-// the failure of the newest read. No read outlasts the call.
+// when connections of this node went silent, is left to its timeout, and others that do not wait for a change are made beside it
+// until one is answered. The first answer counts, and the failure of the newest read. No read outlasts the call.
 func (r *readerTurns) feed(ctx context.Context, name string, cursor uint64) (platform.Records, error) {
 	var reads sync.WaitGroup
 	defer reads.Wait()
@@ -86,6 +93,10 @@
 	begin := func() <-chan time.Time {
 		begun++
 		number, wait := begun, r.wait(time.Now())
+		overdue := wait + feedSlack
+		if r.unanswered {
+			wait, overdue = 0, probeInterval
+		}
 		reads.Go(func() {
 			recs, err := r.f.platform.Feed(ctx, name, cursor, wait)
 			select {
@@ -93,7 +104,7 @@
 			case <-ctx.Done():
 			}
 		})
-		return time.After(wait + feedSlack)
+		return time.After(overdue)
 	}
 	silence := r.f.silence.next()
 	overdue := begin()
@@ -102,18 +113,33 @@
 		case <-ctx.Done():
 			return platform.Records{}, ctx.Err()
 		case <-overdue:
+			r.unanswered = true
 			overdue = begin()
 		case <-silence:
 			silence = r.f.silence.next()
+			r.unanswered = true
 			overdue = begin()
 		case res := <-results:
 			if res.err == nil || res.number == begun {
+				r.noteAnswer(name, res.err == nil)
 				return res.recs, res.err
 			}
 		}
 	}
 }
 
+// noteAnswer records whether the store answers.
+func (r *readerTurns) noteAnswer(name string, answered bool) {
+	if answered && r.unanswered {
+		source := table.SourceRows
+		if name == platform.TableOperators {
+			source = table.SourceConfig
+		}
+		events.ReadsAnswered.Log(r.f.log).Str("plane", source.String()).Dur("after", time.Since(r.readAt)).Send()
+	}
+	r.unanswered = !answered
+}
+
 // wait returns how long a read that begins now waits for a change: until the next turn of this reader.
 func (r *readerTurns) wait(now time.Time) time.Duration {
 	at := r.storeTime + now.Sub(r.readAt) + r.phase
--- a/node/sampler.go
+++ b/node/sampler.go
@@ -121,6 +121,7 @@
 
 // sampleConfig updates the gauges of the active configuration and of how long it has been unchanged.
 func (s *sampler) sampleConfig(now time.Time) {
+	s.metrics.Gauge("config_read_age_seconds", s.follower.ReadAge(now).Seconds())
 	s.metrics.Gauge("config_word_age_seconds", s.follower.WordAge(now).Seconds())
 	snap := s.follower.Snapshot()
 	revisions := snap.State.Revisions()
