An answer of which a caller has a part decides how the request ends

Callers: a repeatable request whose answer had begun to arrive, and was then lost with its link or ended by a stopping node, was sent again or waited for a send that had ended: the caller had the beginning of an answer on a connection that neither went on nor broke off. Cause: whether a send counts as refused or may be followed by another was told by its end alone, not by whether the caller has a part of its answer. Change: once an answer has begun, no other send follows and its answer is the request's.

Three cases of TestHedgedSends: without the change each hangs (given up after 20 s), with it they pass.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -179,7 +179,7 @@
 	}
 	previous := x.answer
 	*pick, end = x.sendRepeatable(ctx, *pick, wait)
-	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN {
+	if end.GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN && !x.answer.started {
 		x.answer = previous
 	}
 	return end
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -166,7 +166,7 @@
 func (h *hedgedRequest) finishAttempt(ctx context.Context, a *attempt) bool {
 	h.running = slices.DeleteFunc(h.running, func(other *attempt) bool { return other == a })
 	h.x.recordAttempt(a)
-	if a.isHedge && hedgeRefused(a.end) {
+	if a.isHedge && !a.answer.started && hedgeRefused(a.end) {
 		a.permit.Return()
 		h.declined = append(h.declined, a.pick.Endpoint.Key)
 		if len(h.running) > 0 {
@@ -175,9 +175,11 @@
 		return len(h.running) == 0
 	}
 	if h.x.winner.takenByOther(a.answer) {
-		// The send whose answer goes to the caller is still running and decides.
-		h.superseded = append(h.superseded, a)
-		return false
+		// The send whose answer goes to the caller decides, and is still running unless it belongs to an earlier round.
+		if len(h.running) > 0 {
+			h.superseded = append(h.superseded, a)
+			return false
+		}
 	}
 	h.completed = append(h.completed, a)
 	if a.answer.isHeld(a.end) {
@@ -209,6 +211,9 @@
 		}()
 	}
 	x.answer = last.answer
+	if first := x.winner.answer.Load(); first != nil && first.started {
+		x.answer = first
+	}
 	return last.pick, last.end
 }
 
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -99,12 +99,12 @@
 		return peer.NotRun(fault.EndpointShed, 0)
 	case "slow":
 		time.Sleep(50 * time.Millisecond)
-	case "breaks":
-		// An answer without a length is passed on as it arrives.
+	case "breaks", "stops", "loses":
+		// An answer without a length is passed on as it arrives. The endpoint breaks it off, a node stops, or the link is lost.
 		if sink.Head(&peerpb.Head{Status: 200}, false) == nil && sink.Data([]byte("ha"), false) == nil {
 			time.Sleep(50 * time.Millisecond)
 		}
-		return peer.Unknown(fault.EndpointCut)
+		return peer.Unknown(map[string]fault.Code{"breaks": fault.EndpointCut, "stops": fault.Stopping, "loses": fault.LinkLost}[behaviour])
 	}
 	status := uint32(200)
 	if behaviour == "fails" {
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -41,7 +41,7 @@
 // startOver waits for the next round of a nested call that found no capacity; it returns false if there is none. cause is
 // what the last round lacked.
 func (x *exchange) startOver(ctx context.Context, end *peerpb.End, cause fault.Code) bool {
-	if !x.call.nested || ctx.Err() != nil || x.suspectedPoison() {
+	if !x.call.nested || x.answer.started || ctx.Err() != nil || x.suspectedPoison() {
 		return false
 	}
 	deadline, _ := ctx.Deadline()
--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -47,9 +47,9 @@
 }
 
 // resume begins another round, after a pause, for a request of which this system has ended a send and for which no slot was
-// found. It returns false if the request cannot be served any more.
+// found. It returns false if the request cannot be served any more, or the caller has a part of an answer.
 func (x *exchange) resume(ctx context.Context, end *peerpb.End) bool {
-	if !x.progress.wasInterrupted() || !awaitsSlot(end) || x.suspectedPoison() {
+	if x.answer.started || !x.progress.wasInterrupted() || !awaitsSlot(end) || x.suspectedPoison() {
 		return false
 	}
 	for x.progress.mayDispatchAgain() && x.pause(ctx, x.resumePause.Next()) {
--- a/ingress/retries.go
+++ b/ingress/retries.go
@@ -12,10 +12,17 @@
 )
 
 // shouldRetry handles the end of a send and reports whether the request is to be sent again.
+//
+// Invariant: no send follows once the caller has received a part of an answer.
 func (x *exchange) shouldRetry(ctx context.Context, pick director.Pick, end *peerpb.End) bool {
 	if ctx.Err() != nil || x.progress.isClosed() {
 		return false
 	}
+	if x.answer.started {
+		x.tried = append(x.tried, pick.Endpoint.Key)
+		x.sends++
+		return false
+	}
 	if fault.Code(end.GetCode()) == fault.FatalRequest || x.suspectedPoison() {
 		return false
 	}
