--- a/soak/routes/play.go
+++ b/soak/routes/play.go
@@ -212,7 +212,7 @@
 		p.fleet.Store.SetFaults(store.Faults{ForgetHistory: true})
 	case 5, 6:
 		faults := store.Faults{Down: kind == 5, DelayMillis: 20 * int(length/time.Second)}
-		var ends []func()
+		ends := make([]func(), 0, len(p.fleet.Machines))
 		for k := range p.fleet.Machines {
 			ends = append(ends, p.judge.begin(k))
 		}
