--- a/soak/routes/judge.go
+++ b/soak/routes/judge.go
@@ -103,15 +103,17 @@
 	return 0
 }
 
-// verdict is what the outcomes show.
+// verdict is what the outcomes of a play show.
 type verdict struct {
 	// judged counts the outcomes of nodes in touch, excused the other ones.
 	judged, excused int
 	// latest is the longest time after an acknowledgement at which a node in touch acted by the version before.
 	latest time.Duration
+	// broken says what broke the rule, a line for each request.
 	broken []string
 }
 
+// verdict judges all outcomes in the order in which they were added.
 func (j *judge) verdict() verdict {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/soak/routes/play.go
+++ b/soak/routes/play.go
@@ -44,18 +44,22 @@
 	work = 15 * time.Millisecond
 	// keptRoutes is how many added routes a configuration has.
 	keptRoutes = 2
+	// neverThere begins the paths of requests that no configuration allows, nested is a longer prefix behind another.
 	neverThere = "/never/"
 	nested     = "inner/"
 )
 
 // play is a play under way.
 type play struct {
-	cfg     Config
-	fleet   *fleet.Fleet
-	judge   *judge
+	cfg   Config
+	fleet *fleet.Fleet
+	judge *judge
+	// targets are the services by the ids of their targets.
 	targets map[string]string
-	lives   []atomic.Int64
-	busy    []sync.Mutex
+	// lives counts the processes of each node that have ended; busy has the signals to a node follow each other.
+	lives []atomic.Int64
+	busy  []sync.Mutex
+	// request numbers the requests.
 	request atomic.Uint64
 	// prefixes are those that callers ask for.
 	prefixes atomic.Pointer[[]string]
--- a/soak/routes/play_test.go
+++ b/soak/routes/play_test.go
@@ -1,17 +1,31 @@
 package routes
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/lynxplank/lynxplank/review/fleet"
 )
 
+// The flags of a play by hand.
+var (
+	seed     = flag.Uint64("seed", 1, "seed of the play")
+	length   = flag.Duration("length", 12*time.Second, "time in which disturbances and changes begin")
+	machines = flag.Int("machines", 7, "number of machines")
+	calm     = flag.Bool("calm", false, "leave out the disturbances")
+	dir      = flag.String("dir", "", "folder for the settings and logs, kept; empty for a temporary one")
+)
+
+// leastJudged is how many requests a second must be judged at least.
+const leastJudged = 100
+
+// root is the folder with the built node and the deploy files.
 var root string
 
 // TestMain builds the node as the deploy file does, in a folder of its own.
@@ -50,29 +64,17 @@
 // TestRoutesOfOperatorsAreInForce guards against a node that routes by a configuration of the platform's operators that was replaced
 // more than 2 s ago, refuses a route that was added, or goes back to an older configuration.
 func TestRoutesOfOperatorsAreInForce(t *testing.T) {
-	seed, seconds, machines := uint64(1), 12, 7
-	if s, err := strconv.ParseUint(os.Getenv("ROUTES_SEED"), 10, 64); err == nil {
-		seed = s
-	}
-	if s, err := strconv.Atoi(os.Getenv("ROUTES_SECONDS")); err == nil {
-		seconds = s
-	}
-	if s, err := strconv.Atoi(os.Getenv("ROUTES_MACHINES")); err == nil {
-		machines = s
-	}
-	dir := t.TempDir()
-	if d := os.Getenv("ROUTES_DIR"); d != "" {
-		dir = d
-	}
-	v, err := Run(Config{Root: root, Dir: dir, Seed: seed, Places: site(machines), Length: time.Duration(seconds) * time.Second})
+	folder := cmp.Or(*dir, t.TempDir())
+	v, err := Run(Config{Root: root, Dir: folder, Seed: *seed, Places: site(*machines), Length: *length, Calm: *calm})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d, %d nodes: %d requests judged, %d excused, older configuration used until %v after the next was acknowledged", seed, machines, v.judged, v.excused, v.latest)
+	t.Logf("seed %d, %d nodes: %d requests judged, %d excused, older configuration used until %v after the next was acknowledged",
+		*seed, *machines, v.judged, v.excused, v.latest)
 	for _, b := range v.broken {
 		t.Error(b)
 	}
-	if v.judged < 100*seconds {
-		t.Errorf("requests judged: got %d, want at least %d", v.judged, 100*seconds)
+	if got, want := v.judged, leastJudged*int(length.Seconds()); got < want {
+		t.Errorf("requests judged: got %d, want at least %d", got, want)
 	}
 }
