--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 	bin/lynxplank-demo -bin bin
 
 test:
-	$(GO) test -count=1 -run 'TestChangesReachAllNodesInTime|TestNodesWithAPathToTheStoreAreInTime|TestChangesAreInForce' ./virtual
-	$(GO) test -race -count=1 ./...
+	@status=0; \
+	$(GO) test -count=1 -run 'TestChangesReachAllNodesInTime|TestNodesWithAPathToTheStoreAreInTime|TestChangesAreInForce' ./virtual || status=1; \
+	$(GO) test -race -count=1 ./... || status=1; \
+	exit $$status
 
 # make soak SEEDS=50 SEED=1: fresh seeds without SEED.
 SEEDS ?= 10
--- a/virtual/configuration_test.go
+++ b/virtual/configuration_test.go
@@ -14,7 +14,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -292,7 +291,7 @@
 // All fleets run in one bubble: yamux keeps timers for its next sessions.
 func TestChangesReachAllNodesInTime(t *testing.T) {
 	const restBetween = 6 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		for _, s := range []syncSettings{
 			{"platform", 500 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second, 3},
 			{"default", 250 * time.Millisecond, time.Second, 2 * time.Second, 2},
--- a/virtual/cuts_test.go
+++ b/virtual/cuts_test.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -194,7 +193,7 @@
 // TestNodesWithAPathToTheStoreAreInTime guards against a node that is cut off from other nodes, in one direction or in both, and holds
 // a change later than 2 s after its acknowledgement although it reaches the store.
 func TestNodesWithAPathToTheStoreAreInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		for seed := *firstCutSeed; seed < *firstCutSeed+*cutSeeds; seed++ {
 			for _, nodes := range []int{6, 21} {
 				f := &cutFleet{
@@ -238,7 +237,7 @@
 // than touchTime after its path to the store is back, because a read that began before gives no answer.
 func TestChangesAreInForceOnceThePathToTheStoreIsBack(t *testing.T) {
 	const rounds = 2000
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		f := startSyncFleet(t, 1, syncSettings{"platform", 500 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second, 3})
 		random := rand.New(rand.NewPCG(1, 0))
 		draw := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
@@ -272,7 +271,7 @@
 // 2 s after its acknowledgement, and later than touchTime after its connection to the store went silent, because its read waits longer.
 func TestChangesAreInForceThoughTheConnectionToTheStoreIsSilent(t *testing.T) {
 	const rounds = 1000
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		f := startSyncFleet(t, 1, syncSettings{"platform", 500 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second, 3})
 		random := rand.New(rand.NewPCG(1, 0))
 		draw := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
