TestPlatformEvacuatesHalls writes the records that it wants skipped first

The test waited for a record and then wanted two to have been skipped that it had written after it: a read that came in between shows the first alone. Records are read in order, so the two are written before the one that is waited for; the check is the same.

--- a/configsync/halls_test.go
+++ b/configsync/halls_test.go
@@ -42,9 +42,9 @@
 	f := startFollower(t, s)
 	configure(t, s, "7", "x")
 	wait(t, f, "evacuated before the start", func(s *Snapshot) bool { return s.Ready && evacuated("a")(s) })
-	evacuate(s, "b", true)
 	evacuate(s, "", true)
 	evacuate(s, "c d", true)
+	evacuate(s, "b", true)
 	wait(t, f, "two at once, beside records that name no hall", evacuated("a", "b"))
 	if got, want := len(f.skippedList.Entries()), 2; got != want {
 		t.Errorf("skipped: got %v, want %d entries", f.skippedList.Entries(), want)
