A feed in parts is read on from the part that it showed

Cause: an answer of the store states the newest version, and was taken as whole whatever its hasMore said. Class: an answer believed that is not whole. Change: the version up to which such an answer is whole is where the next read begins, for the readers and for confirmations. The stand-in's feeds can come in parts.

--- a/configsync/confirm.go
+++ b/configsync/confirm.go
@@ -73,23 +73,27 @@
 	return true
 }
 
-// confirm queries the platform once.
+// confirm queries the platform once, or again while its answers are not whole.
 func (f *Follower) confirm(ctx context.Context) bool {
-	after := f.configCursor.Load()
-	recs, err := f.platform.Feed(platform.WithReason(ctx, platform.ReasonConfirm), platform.TableOperators, after, 0)
-	if err != nil {
-		return false
-	}
-	// A configuration that cannot be decoded is reported by the reader, which receives it too.
-	configs, _ := f.decodeConfigs(recs)
-	for _, cfg := range configs {
-		f.recordConfigRead(cfg.Version)
-		f.deliver(configRead{config: &cfg})
-	}
-	if !f.awaitConfig(ctx, f.newestConfigRead.Load()) {
-		return false
+	for {
+		after := f.configCursor.Load()
+		recs, err := f.platform.Feed(platform.WithReason(ctx, platform.ReasonConfirm), platform.TableOperators, after, 0)
+		if err != nil {
+			return false
+		}
+		// A configuration that cannot be decoded is reported by the reader, which receives it too.
+		configs, _ := f.decodeConfigs(recs)
+		for _, cfg := range configs {
+			f.recordConfigRead(cfg.Version)
+			f.deliver(configRead{config: &cfg})
+		}
+		if !f.awaitConfig(ctx, f.newestConfigRead.Load()) {
+			return false
+		}
+		// Without this, a node that is not a reader would receive the same configurations with every answer.
+		f.configCursor.CompareAndSwap(after, max(after, recs.Shown()))
+		if !recs.More {
+			return true
+		}
 	}
-	// Without this, a node that is not a reader would receive the same configurations with every answer.
-	f.configCursor.CompareAndSwap(after, max(after, recs.Version))
-	return true
 }
--- a/configsync/follow_test.go
+++ b/configsync/follow_test.go
@@ -305,3 +305,28 @@
 		}
 	}
 }
+
+// TestFeedInParts guards against a change that is missed for good because an answer of the store, which states the newest version, holds
+// the first of several changes only: by the readers, and by a query whether the configuration is the newest.
+func TestFeedInParts(t *testing.T) {
+	for _, confirms := range []bool{false, true} {
+		s := store.New()
+		f := startFollower(t, s)
+		configure(t, s, "1", "first")
+		wait(t, f, "first", func(s *Snapshot) bool { return s.Ready && routed("/first/", true)(s) })
+		s.SetFaults(store.Faults{Down: true})
+		evacuate(s, "a", true)
+		configure(t, s, "2", "second")
+		evacuate(s, "a", false)
+		evacuate(s, "b", true)
+		configure(t, s, "3", "third")
+		s.SetFaults(store.Faults{FeedRows: 1})
+		if confirms && !f.confirm(t.Context()) {
+			t.Error("confirmation: got none, want one")
+		}
+		if _, ok := f.State().Match("x", "/third/"); confirms && !ok {
+			t.Error("after a confirmation: got an older configuration, want the newest")
+		}
+		wait(t, f, "third", func(s *Snapshot) bool { return routed("/third/", true)(s) && evacuated("b")(s) })
+	}
+}
--- a/configsync/turns.go
+++ b/configsync/turns.go
@@ -75,6 +75,7 @@
 	}
 	recs, err := r.feed(platform.WithReason(ctx, reason), name, cursor)
 	r.noteClock(recs)
+	recs.Version = recs.Shown()
 	return recs, err
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -25,6 +25,8 @@
 	LateMillis int `json:"late_millis"`
 	// TurnAway refuses the calls that come with one of these tokens.
 	TurnAway []string `json:"turn_away"`
+	// FeedRows is how many rows an answer of a feed holds at the most, 0 for all. Such an answer is not whole.
+	FeedRows int `json:"feed_rows"`
 	// ForgetHistory drops what feeds could tell, once.
 	ForgetHistory bool `json:"forget_history"`
 }
@@ -156,6 +158,9 @@
 				reply.Rows = append(reply.Rows, c.row)
 			}
 		}
+		if n := s.faults.FeedRows; n > 0 && len(reply.Rows) > n {
+			reply.Rows, reply.More = reply.Rows[:n], true
+		}
 		wait := s.changed
 		s.mu.Unlock()
 		if gone || down || len(reply.Rows) > 0 {
