Soak: the readers of a fleet lose the store, judged by requests

The play had no path to the store of each node's own. Each machine now reaches it by a relay at its own IP; drawn cuts hold the bytes of those that read.

--- a/soak/routes/play.go
+++ b/soak/routes/play.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 	"time"
 
 	"github.com/lynxplank/lynxplank/review/fleet"
+	"github.com/lynxplank/lynxplank/standin/relay"
 	"github.com/lynxplank/lynxplank/standin/store"
 )
 
@@ -59,15 +62,20 @@
 	// lives counts the processes of each node that have ended; busy has the signals to a node follow each other.
 	lives []atomic.Int64
 	busy  []sync.Mutex
+	// cutting has the cuts of the store follow each other.
+	cutting sync.Mutex
 	// request numbers the requests.
 	request atomic.Uint64
+	// stores stand between each node and the store.
+	stores []*relay.Proxy
 	// prefixes are those that callers ask for.
 	prefixes atomic.Pointer[[]string]
 }
 
 // Run does one play; it fails only when the play itself could not be done.
 func Run(cfg Config) (verdict, error) {
-	f, err := fleet.New(cfg.Root, cfg.Dir, cfg.Places)
+	root := filepath.Join(cfg.Dir, "root")
+	f, err := fleet.New(root, cfg.Dir, cfg.Places)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -81,6 +89,14 @@
 		cfg: cfg, fleet: f, judge: newJudge(len(cfg.Places)), targets: make(map[string]string),
 		lives: make([]atomic.Int64, len(cfg.Places)), busy: make([]sync.Mutex, len(cfg.Places)),
 	}
+	port, err := p.relayStore()
+	defer p.closeRelays()
+	if err != nil {
+		return verdict{}, err
+	}
+	if err := deployWithRelays(cfg.Root, root, port); err != nil {
+		return verdict{}, err
+	}
 	if err := f.Start(p.next()); err != nil {
 		return verdict{}, err
 	}
@@ -99,6 +115,44 @@
 	return p.judge.verdict(), nil
 }
 
+// relayStore has each machine reach the store by a relay at its own IP, and returns the port of the relays.
+func (p *play) relayStore() (port string, err error) {
+	port = "0"
+	for _, m := range p.fleet.Machines {
+		r, err := relay.NewAt(net.JoinHostPort(m.IP, port), p.fleet.StoreAddress)
+		if err != nil {
+			return "", err
+		}
+		p.stores = append(p.stores, r)
+		if _, port, err = net.SplitHostPort(r.Address()); err != nil {
+			return "", err
+		}
+	}
+	return port, nil
+}
+
+func (p *play) closeRelays() {
+	for _, r := range p.stores {
+		r.Close()
+	}
+}
+
+// deployWithRelays makes a folder like another with a built node, whose template names the relay of each machine as the store.
+func deployWithRelays(from, to, port string) error {
+	template, err := os.ReadFile(filepath.Join(from, "deploy", "node.yaml.tmpl"))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Join(to, "deploy"), 0o750); err != nil {
+		return err
+	}
+	text := strings.ReplaceAll(string(template), "{{platform.address}}", "{{ip}}:"+port)
+	if err := os.WriteFile(filepath.Join(to, "deploy", "node.yaml.tmpl"), []byte(text), 0o600); err != nil { //nolint:gosec // in the play's own temporary folder
+		return err
+	}
+	return os.Symlink(filepath.Join(from, "target"), filepath.Join(to, "target"))
+}
+
 // next draws up the next configuration: two routes change their services, one is added and the oldest added one dropped.
 func (p *play) next() fleet.Config {
 	j := p.judge
@@ -172,7 +226,7 @@
 			time.Sleep(100*time.Millisecond + time.Duration(random.Int64N(int64(600*time.Millisecond))))
 		}
 		for range random.IntN(3) {
-			i, kind, length := random.IntN(len(p.fleet.Machines)), random.IntN(8), 200*time.Millisecond+time.Duration(random.Int64N(int64(4*time.Second)))
+			i, kind, length := random.IntN(len(p.fleet.Machines)), random.IntN(10), 200*time.Millisecond+time.Duration(random.Int64N(int64(4*time.Second)))
 			if !p.cfg.Calm {
 				actions.Go(func() { p.disturb(i, kind, length) })
 			}
@@ -214,6 +268,8 @@
 		_ = m.Signal(syscall.SIGHUP)
 	case 4:
 		p.fleet.Store.SetFaults(store.Faults{ForgetHistory: true})
+	case 7, 8, 9:
+		p.cutReaders(length)
 	case 5, 6:
 		faults := store.Faults{Down: kind == 5, DelayMillis: 20 * int(length/time.Second)}
 		ends := make([]func(), 0, len(p.fleet.Machines))
@@ -229,6 +285,34 @@
 	}
 }
 
+// readInterval is a time within which each node that reads the store has made a call.
+const readInterval = 3500 * time.Millisecond
+
+// cutReaders cuts the nodes that read the store off it. The others owe each change in time.
+func (p *play) cutReaders(length time.Duration) {
+	p.cutting.Lock()
+	defer p.cutting.Unlock()
+	before := make([]int, len(p.stores))
+	for i, r := range p.stores {
+		before[i] = r.Accepted()
+	}
+	time.Sleep(readInterval)
+	for i, r := range p.stores {
+		if r.Accepted() == before[i] {
+			continue
+		}
+		end := p.judge.begin(i)
+		r.Hold(relay.To, true)
+		r.Hold(relay.From, true)
+		defer func() {
+			r.Hold(relay.To, false)
+			r.Hold(relay.From, false)
+			end()
+		}()
+	}
+	time.Sleep(2 * length)
+}
+
 // restart starts a node that has ended.
 func (p *play) restart(i int, pause time.Duration, started func()) {
 	time.Sleep(pause)
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -49,8 +49,11 @@
 }
 
 // New returns a proxy on a port of loopback; Unavailable when there is none.
-func New(to string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(to string) (*Proxy, error) { return NewAt("127.0.0.1:0", to) }
+
+// NewAt returns a proxy on an IP and port; Unavailable when that is not free.
+func NewAt(address, to string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, to, "no port for a proxy")
 	}
