The age of the word on the configuration counts from who reads

Cause: as in, a sign of life taken for a sign of being up to date, here in what we look at. Change: of links, only those to a reader of the hall count that the platform answers.

TestWordAgeGrowsWhileNobodyReads: 0 s before, 6 s after the store was cut; now above 2 s, and below 1 s again once the store answers.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 test:
 	@status=0; \
-	$(GO) test -count=1 -run 'TestChangesReachAllNodesInTime|TestNodesWithAPathToTheStoreAreInTime|TestChangesAreInForce' ./virtual || status=1; \
+	$(GO) test -count=1 -run 'TestChangesReachAllNodesInTime|TestNodesWithAPathToTheStoreAreInTime|TestChangesAreInForce|TestWordAge' ./virtual || status=1; \
 	$(GO) test -race -count=1 ./... || status=1; \
 	exit $$status
 
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -289,6 +289,9 @@
 	}
 	f.keepLinks(ctx, now, snap, reader)
 	f.watchReaders(snap)
+	if f.hearsReader() {
+		f.noteWord()
+	}
 	f.pullNext(ctx)
 }
 
--- a/configsync/links.go
+++ b/configsync/links.go
@@ -27,6 +27,14 @@
 	return slices.ContainsFunc(f.answeredReaders(count), f.isSelf)
 }
 
+// hearsReader reports whether a link to another reader of the hall, which the platform answers, is usable. Other links work as well
+// while nobody reads.
+func (f *Follower) hearsReader() bool {
+	return slices.ContainsFunc(f.answeredReaders(f.cfg.ConfigReaders), func(h table.HostInfo) bool {
+		return !f.isSelf(h) && f.links.LinkHealthy(h.Address)
+	})
+}
+
 // answeredReaders returns the count highest-ranked reachable hosts of the hall that have not reported that the platform does not
 // answer them, this node always being one that has not.
 func (f *Follower) answeredReaders(count int) []table.HostInfo {
@@ -89,7 +97,6 @@
 	if f.links.HasLink(h.Address) {
 		if f.links.Usable(h.Address) {
 			f.lastPeerMessage = time.Now()
-			f.noteWord()
 		}
 		return
 	}
--- a/configsync/silence.go
+++ b/configsync/silence.go
@@ -62,7 +62,7 @@
 }
 
 // WordAge returns the time since this node last had word of the newest configuration: an answer of the platform, a message from a
-// peer, or a look at a usable link.
+// peer, or a look at a usable link to a reader of its hall that the platform answers.
 func (f *Follower) WordAge(now time.Time) time.Duration { return now.Sub(clock.At(f.lastWord.Load())) }
 
 // ReadAge returns the time since the platform last answered a read of the configuration, 0 on a node that does not read it.
--- a/virtual/cuts_test.go
+++ b/virtual/cuts_test.go
@@ -336,3 +336,30 @@
 		}
 	}
 }
+
+// TestWordAgeGrowsWhileNobodyReads guards against a node that seems to know the newest configuration because links to others work,
+// though the platform answers nobody.
+func TestWordAgeGrowsWhileNobodyReads(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const cutFor = 6 * time.Second
+		f := startSyncFleet(t, 6, platformSettings)
+		time.Sleep(10 * time.Second)
+		for _, n := range f.nodes {
+			n.client.setCut(true)
+		}
+		time.Sleep(cutFor)
+		for _, n := range f.nodes {
+			if got, want := n.follower.WordAge(time.Now()), cutFor/3; got < want {
+				t.Errorf("node %s: got word %v old, want at least %v", n.host, got, want)
+			}
+		}
+		f.heal()
+		time.Sleep(time.Second)
+		for _, n := range f.nodes {
+			if got, want := n.follower.WordAge(time.Now()), time.Second; got > want {
+				t.Errorf("node %s: got word %v old after the store answers again, want at most %v", n.host, got, want)
+			}
+		}
+		f.stop()
+	})
+}
