What the plays send and answer is written in platform/

Ten lines of the soak held the platform's names. The requests of callers and the fields of answers come from platform/ now, heartbeats from the encoder that was there.

--- a/soak/routes/heads_test.go
+++ b/soak/routes/heads_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -15,19 +13,23 @@
 	"testing"
 	"time"
 
+	"github.com/lynxplank/lynxplank/platform"
+	"github.com/lynxplank/lynxplank/registry"
 	"github.com/lynxplank/lynxplank/review/fleet"
 )
 
 // cutHeads are heads of answers, by name, which an endpoint stops in. Each is written up to a byte, and then the connection ends.
 var cutHeads = map[string]string{
-	"length":      "HTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nX-Lynxplank-Response-Signature: s\r\nContent-Length: 20\r\n\r\n",
-	"empty":       "HTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nContent-Length: 0\r\nX-Lynxplank-Response-Signature: s\r\n\r\n",
-	"chunked":     "HTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nTransfer-Encoding: chunked\r\nX-Lynxplank-Response-Signature: s\r\n\r\n",
-	"unframed":    "HTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nX-Lynxplank-Response-Signature: s\r\nConnection: close\r\n\r\n",
-	"provisional": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
-	"bare lines":  "HTTP/1.1 200 OK\nX-Lynxplank-Request-Id: %s\nContent-Length: 0\n\n",
+	"length":      statusLine + platform.AnswerFields("%s") + "Content-Length: 20\r\n\r\n",
+	"empty":       statusLine + "Content-Length: 0\r\n" + platform.AnswerFields("%s") + "\r\n",
+	"chunked":     statusLine + platform.AnswerFields("%s") + "Transfer-Encoding: chunked\r\n\r\n",
+	"unframed":    statusLine + platform.AnswerFields("%s") + "Connection: close\r\n\r\n",
+	"provisional": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + statusLine + platform.AnswerFields("%s") + "Content-Length: 0\r\n\r\n",
+	"bare lines":  strings.ReplaceAll(statusLine+platform.AnswerFields("%s")+"Content-Length: 0\r\n\r\n", "\r", ""),
 }
 
+const statusLine = "HTTP/1.1 200 OK\r\n"
+
 // headStep is the distance of the bytes after which heads are stopped.
 var headStep = flag.Int("head-step", 7, "distance of the bytes after which heads are stopped")
 
@@ -74,10 +76,11 @@
 
 func (c *cutTarget) beat(stop <-chan struct{}) {
 	for sequence := uint64(1); ; sequence++ {
-		body, err := json.Marshal(fleet.Beat{Service: c.m.Service, Address: c.m.App(), Zone: c.m.Zone, Version: "v1", Slots: 8, State: "ready", Sequence: sequence})
+		req, err := platform.HeartbeatRequest(c.m.Control(), registry.Heartbeat{
+			Instance: "i-cut", Service: c.m.Service, Address: c.m.App(), Slots: 8, Sequence: sequence,
+		})
 		if err == nil {
-			resp, err := http.Post("http://"+c.m.Control()+"/-/instances/i-cut/heartbeat", "application/json", bytes.NewReader(body)) //nolint:noctx // a stand-in
-			if err == nil {
+			if resp, err := http.DefaultClient.Do(req); err == nil {
 				_ = resp.Body.Close()
 			}
 		}
@@ -100,9 +103,9 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		id := req.Header.Get("X-Lynxplank-Request-Id")
+		call, _ := platform.Contract{}.Call(req.Header)
 		if name, n, ok := cutOf(req.URL.Path); ok {
-			head := fmt.Sprintf(cutHeads[name], id)
+			head := fmt.Sprintf(cutHeads[name], call.ID)
 			c.mu.Lock()
 			c.cut[req.URL.Path]++
 			c.mu.Unlock()
@@ -110,8 +113,7 @@
 			return
 		}
 		body := "whole " + req.URL.Path
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Lynxplank-Request-Id: %s\r\nX-Lynxplank-Instance-Id: i-cut\r\nX-Lynxplank-Response-Signature: s\r\n"+
-			"Content-Length: %d\r\n\r\n%s", id, len(body), body); err != nil {
+		if _, err := fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s", statusLine, platform.AnswerFields(call.ID), len(body), body); err != nil {
 			return
 		}
 	}
@@ -140,8 +142,10 @@
 	base := path[:strings.LastIndex(path, "/")+1]
 	paths := []string{base + "before", path, base + "after"}
 	for i, p := range paths {
-		fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Lynxplank-Request-Id: %016x\r\nX-Lynxplank-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-			method, p, fleet.Host, uint64(number*len(paths)+i)|1<<41, headLimit.Milliseconds())
+		id := fmt.Sprintf("%016x", uint64(number*len(paths)+i)|1<<41)
+		if _, err := io.WriteString(c, platform.EncodeCall(method, fleet.Host, p, id, headLimit)); err != nil {
+			return nil, nil
+		}
 	}
 	r := bufio.NewReader(c)
 	for _, p := range paths {
--- a/soak/routes/play.go
+++ b/soak/routes/play.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lynxplank/lynxplank/platform"
 	"github.com/lynxplank/lynxplank/review/fleet"
 	"github.com/lynxplank/lynxplank/standin/relay"
 	"github.com/lynxplank/lynxplank/standin/store"
@@ -325,8 +326,8 @@
 func (p *play) head(random *rand.Rand) (prefix, text string) {
 	prefixes := *p.prefixes.Load()
 	prefix = prefixes[random.IntN(len(prefixes))]
-	return prefix, fmt.Sprintf("GET %s%x HTTP/1.1\r\nHost: %s\r\nX-Lynxplank-Request-Id: %016x\r\nX-Lynxplank-Deadline-Ms: %d\r\n\r\n",
-		prefix, random.IntN(1<<12), fleet.Host, p.request.Add(1)|1<<40, requestLimit.Milliseconds())
+	path, id := fmt.Sprintf("%s%x", prefix, random.IntN(1<<12)), fmt.Sprintf("%016x", p.request.Add(1)|1<<40)
+	return prefix, platform.EncodeCall(http.MethodGet, fleet.Host, path, id, requestLimit)
 }
 
 // call sends one request after the other on a kept connection.
