--- a/virtual/cuts_test.go
+++ b/virtual/cuts_test.go
@@ -296,7 +296,7 @@
 // their hall, which they do reach, get no answer from it, and the hall is cut off all others.
 func TestChangesAreInForceInAHallWhoseReadersLoseTheStore(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		for _, nodes := range []int{12, 21} {
+		for _, nodes := range []int{12, 21, 96} {
 			worst := worstOfRounds(t, nodes, 12, func(t *testing.T, f *syncFleet, draw func(time.Duration) time.Duration) time.Duration {
 				hall := int(draw(fleetHalls))
 				f.cutHall(hall, true)
